Serve a prompt and a recorded call through separate processes

Cause: nothing existed; the users ask for the whole path first, thin and as separate processes.

Change: a workspace of three modules (decisions in core, stand-ins in standin, the product at the root), entry VMs that place prompts by predicted first token, resume cut streams, and record calls that may not be repeated before sending.

Result: test/process starts four entry VMs, a platform, three engines and a service as processes and passes: streams through every VM equal the engine's oracle text, a cut stream is resumed, one key run at four VMs has one effect, SIGTERM exits cleanly.

--- /dev/null
+++ b/cmd/cornelsaddle/serve.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/node"
+	"cornelsaddle.example/cornelsaddle/internal/settings"
+)
+
+// serve runs an entry VM until it is told to stop.
+func serve(args []string) int {
+	flags := flag.NewFlagSet("serve", flag.ContinueOnError)
+	file := flags.String("settings", "", "settings file (JSON)")
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return exitDone
+		}
+		return exitUsage
+	}
+	if *file == "" {
+		fmt.Fprintln(os.Stderr, "cornelsaddle serve: -settings is required")
+		return exitUsage
+	}
+	if err := runNode(*file); err != nil {
+		fmt.Fprintln(os.Stderr, "cornelsaddle serve:", err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+func runNode(file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	log, err := event.New(os.Stdout, s.Log.Format, s.Log.Level, s.VM.ID)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	n, err := node.Start(s, log)
+	if err != nil {
+		return err
+	}
+	<-signals
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		n.Drain()
+	}()
+	select {
+	case <-drained:
+	case <-signals:
+	}
+	n.Close()
+	return nil
+}
--- /dev/null
+++ b/core/configuration/head.go
@@ -0,0 +1,17 @@
+package configuration
+
+// HeadKey is the row of the table service that names the version in force.
+const HeadKey = "configuration/head"
+
+// Head is the value of the head row.
+type Head struct {
+	// Version only grows.
+	Version int64 `json:"version"`
+	// Object is the key of the merged document in the object store.
+	Object string `json:"object"`
+	// Digest is the SHA-256 digest of the object, in hexadecimal.
+	Digest string `json:"digest"`
+	// Change names the apply that wrote the row, so that a lost answer can be
+	// settled by reading back.
+	Change string `json:"change"`
+}
--- /dev/null
+++ b/internal/api/services.go
@@ -0,0 +1,66 @@
+package api
+
+import (
+	"slices"
+
+	"github.com/valyala/fasthttp"
+
+	"cornelsaddle.example/cornelsaddle/core/errcode"
+	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/internal/call"
+)
+
+// service answers a call to a plain service.
+func (a *API) service(ctx *fasthttp.RequestCtx, s scope) {
+	defer a.leave()
+	req, idempotent, err := a.callRequest(ctx, s)
+	if err != nil {
+		a.fail(ctx, s, err)
+		return
+	}
+	run := a.calls.Once
+	if idempotent {
+		run = a.calls.Idempotent
+	}
+	answer, err := run(req)
+	if err != nil {
+		a.fail(ctx, s, err)
+		return
+	}
+	ctx.Response.Header.Set(wire.HeaderRan, string(errcode.RanYes))
+	ctx.Response.Header.SetContentType("application/json")
+	ctx.SetStatusCode(answer.Status)
+	ctx.SetBody(answer.Body)
+}
+
+// callRequest reads and checks a caller's call.
+func (a *API) callRequest(ctx *fasthttp.RequestCtx, s scope) (call.Request, bool, error) {
+	name, _ := ctx.UserValue("service").(string)
+	operation, _ := ctx.UserValue("operation").(string)
+	service, ok := s.snapshot.Services[name]
+	if !ok || service.Kind != "plain" {
+		return call.Request{}, false, errcode.New(errcode.UnknownService, "no service %q", name)
+	}
+	if !slices.Contains(s.snapshot.Organisations[s.organisation].Services, name) {
+		return call.Request{}, false, errcode.New(errcode.Forbidden, "service %s is not open to the organisation", name)
+	}
+	op, ok := service.Operations[operation]
+	if !ok {
+		return call.Request{}, false, errcode.New(errcode.UnknownOperation, "no operation %q", operation)
+	}
+	key := string(ctx.Request.Header.Peek(wire.HeaderIdempotencyKey))
+	if key == "" && !op.Idempotent {
+		return call.Request{}, false, errcode.New(errcode.KeyRequired, "operation %s needs an %s", operation, wire.HeaderIdempotencyKey)
+	}
+	end, err := deadline(ctx, service.MaxTimeoutMs)
+	return call.Request{
+		ID:           s.id,
+		Organisation: s.organisation,
+		Service:      name,
+		Operation:    operation,
+		Key:          key,
+		Body:         append([]byte(nil), ctx.PostBody()...),
+		Deadline:     end,
+		Snapshot:     s.snapshot,
+	}, op.Idempotent, err
+}
--- /dev/null
+++ b/standin/engine/reservations.go
@@ -0,0 +1,99 @@
+package engine
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/standin/httpjson"
+)
+
+// held is one reservation with its end.
+type held struct {
+	wire.Reservation
+	end time.Time
+}
+
+// reservations are the memory held for owners.
+type reservations struct {
+	next int64
+	byID map[string]*held
+}
+
+func (r *reservations) init() { r.byID = make(map[string]*held) }
+
+// use marks the reservation as used by a stream.
+func (r *reservations) use(id string) (wire.Reservation, bool) {
+	h, ok := r.byID[id]
+	if !ok {
+		return wire.Reservation{}, false
+	}
+	h.InUse = true
+	return h.Reservation, true
+}
+
+// reserve makes a reservation, or renews the one with the id.
+func (s *Server) reserve(ctx *fasthttp.RequestCtx) {
+	var r wire.Reservation
+	if !httpjson.Read(ctx, &r) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end := time.Now().Add(time.Duration(r.TTLMs) * time.Millisecond)
+	if h, ok := s.reservations.byID[r.ID]; ok {
+		h.end = end
+		httpjson.Write(ctx, fasthttp.StatusOK, h.Reservation)
+		return
+	}
+	if r.ID != "" {
+		httpjson.Refuse(ctx, fasthttp.StatusNotFound, "no such reservation")
+		return
+	}
+	if !s.model.Reserve(r.Tokens) {
+		httpjson.Refuse(ctx, fasthttp.StatusConflict, "not enough memory")
+		return
+	}
+	s.reservations.next++
+	r.ID = s.incarnation + "-" + strconv.FormatInt(s.reservations.next, 10)
+	s.reservations.byID[r.ID] = &held{Reservation: r, end: end}
+	httpjson.Write(ctx, fasthttp.StatusOK, r)
+}
+
+func (s *Server) release(ctx *fasthttp.RequestCtx) {
+	id, _ := ctx.UserValue("id").(string)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(id)
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+func (s *Server) drop(id string) {
+	h, ok := s.reservations.byID[id]
+	if !ok {
+		return
+	}
+	delete(s.reservations.byID, id)
+	s.model.Release(h.Tokens)
+}
+
+func (s *Server) expireReservations() {
+	now := time.Now()
+	for id, h := range s.reservations.byID {
+		if now.After(h.end) {
+			s.drop(id)
+		}
+	}
+}
+
+func (s *Server) listReservations(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	list := wire.ReservationList{Reservations: []wire.Reservation{}}
+	for _, h := range s.reservations.byID {
+		list.Reservations = append(list.Reservations, h.Reservation)
+	}
+	s.mu.Unlock()
+	httpjson.Write(ctx, fasthttp.StatusOK, list)
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,131 @@
+// Package service is a small stand-in for a plain service. It counts the
+// effects of its calls by key.
+package service
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/standin/httpjson"
+)
+
+// Faults is what the service is told to do wrong.
+type Faults struct {
+	// Refuse answers with 503 and X-Request-Ran: no, without an effect.
+	Refuse bool `json:"refuse"`
+	// LoseAnswers is the number of calls to come whose answer is lost after
+	// the effect.
+	LoseAnswers int `json:"lose_answers"`
+	// DelayMs is waited before each effect.
+	DelayMs int64 `json:"delay_ms"`
+}
+
+// Effects counts the effects by key.
+type Effects struct {
+	Effects map[string]int `json:"effects"`
+}
+
+// Answer is the body of a call's answer.
+type Answer struct {
+	Key    string `json:"key"`
+	Effect int    `json:"effect"`
+}
+
+// Server is a running stand-in service.
+type Server struct {
+	*httpjson.Server
+	mu      sync.Mutex
+	effects map[string]int
+	faults  Faults
+}
+
+// Start starts a stand-in service on the address, IP and port.
+func Start(address string) (*Server, error) {
+	s := &Server{effects: make(map[string]int)}
+	r := router.New()
+	r.POST(wire.PathOperations+"{operation}", s.call)
+	r.GET(wire.PathEffects, s.getEffects)
+	r.POST(wire.PathFaults, s.setFaults)
+	http, err := httpjson.Listen(address, r.Handler)
+	if err != nil {
+		return nil, err
+	}
+	s.Server = http
+	return s, nil
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Effects returns a copy of the counts of effects by key.
+func (s *Server) Effects() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	effects := make(map[string]int, len(s.effects))
+	for k, n := range s.effects {
+		effects[k] = n
+	}
+	return effects
+}
+
+func (s *Server) call(ctx *fasthttp.RequestCtx) {
+	key := string(ctx.Request.Header.Peek(wire.HeaderIdempotencyKey))
+	if key == "" {
+		key = string(ctx.Request.Header.Peek(wire.HeaderRequestID))
+	}
+	f := s.currentFaults()
+	if f.Refuse {
+		ctx.Response.Header.Set(wire.HeaderRan, "no")
+		httpjson.Refuse(ctx, fasthttp.StatusServiceUnavailable, "refused")
+		return
+	}
+	if f.DelayMs > 0 {
+		time.Sleep(time.Duration(f.DelayMs) * time.Millisecond)
+	}
+	n, lose := s.effect(key)
+	if lose {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+		return
+	}
+	httpjson.Write(ctx, fasthttp.StatusOK, Answer{Key: key, Effect: n})
+}
+
+func (s *Server) currentFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+func (s *Server) effect(key string) (n int, lose bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.effects[key]++
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		lose = true
+	}
+	return s.effects[key], lose
+}
+
+func (s *Server) getEffects(ctx *fasthttp.RequestCtx) {
+	httpjson.Write(ctx, fasthttp.StatusOK, Effects{Effects: s.Effects()})
+}
+
+func (s *Server) setFaults(ctx *fasthttp.RequestCtx) {
+	var f Faults
+	if !httpjson.Read(ctx, &f) {
+		return
+	}
+	s.SetFaults(f)
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
--- /dev/null
+++ b/test/process/process_test.go
@@ -0,0 +1,291 @@
+// Package process_test runs the whole path as separate processes on loopback:
+// four entry VMs, a stand-in platform, three engines and a plain service.
+package process_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/calls"
+	"cornelsaddle.example/cornelsaddle/core/configuration"
+	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/internal/settings"
+	"cornelsaddle.example/cornelsaddle/standin/engine"
+	"cornelsaddle.example/cornelsaddle/standin/service"
+)
+
+const (
+	key       = "framers-test-key"
+	entryVMs  = 4
+	engines   = 3
+	answerLen = 24
+	waitLimit = 30 * time.Second
+)
+
+// system is everything that runs.
+type system struct {
+	callers []string
+	vms     []*process
+	engines []string
+	service string
+}
+
+// process is one started program.
+type process struct {
+	cmd *exec.Cmd
+	out *bytes.Buffer
+}
+
+func TestMain(m *testing.M) {
+	os.Exit(m.Run())
+}
+
+func build(t *testing.T, dir, pkg string) string {
+	t.Helper()
+	bin := filepath.Join(dir, filepath.Base(pkg))
+	out, err := exec.Command("go", "build", "-o", bin, pkg).CombinedOutput()
+	require.NoError(t, err, string(out))
+	return bin
+}
+
+// start runs a program that ends with the test.
+func start(t *testing.T, bin string, args ...string) (*process, *bufio.Reader) {
+	t.Helper()
+	cmd := exec.Command(bin, args...)
+	stdout, err := cmd.StdoutPipe()
+	require.NoError(t, err)
+	p := &process{cmd: cmd, out: &bytes.Buffer{}}
+	cmd.Stderr = p.out
+	require.NoError(t, cmd.Start())
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return p, bufio.NewReader(stdout)
+}
+
+func standin(t *testing.T, bin string, args ...string) string {
+	t.Helper()
+	_, out := start(t, bin, args...)
+	line, err := out.ReadString('\n')
+	require.NoError(t, err)
+	address, ok := strings.CutPrefix(strings.TrimSpace(line), "listening on ")
+	require.True(t, ok, line)
+	return address
+}
+
+// startSystem starts all processes and puts a configuration in force.
+func startSystem(t *testing.T) *system {
+	t.Helper()
+	dir := t.TempDir()
+	standinBin := build(t, dir, "cornelsaddle.example/cornelsaddle/standin/cmd/standin")
+	serveBin := build(t, dir, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddle")
+	ctlBin := build(t, dir, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddlectl")
+	platform := standin(t, standinBin, "-role", "platform")
+	s := &system{service: standin(t, standinBin, "-role", "service")}
+	doc := configuration.Document{
+		Organisations: map[string]configuration.Organisation{
+			"framers": {KeyDigests: []string{calls.Digest([]byte(key))}, Weight: 1, Services: []string{"scribe-pool", "ledger-desk"}},
+		},
+		Services: map[string]configuration.Service{
+			"scribe-pool": {Kind: configuration.KindModel, MaxTimeoutMs: 30_000},
+			"ledger-desk": {Kind: configuration.KindPlain, MaxTimeoutMs: 10_000, Operations: map[string]configuration.Operation{
+				"deposit": {Idempotent: false},
+			}},
+		},
+		Endpoints: map[string]configuration.Endpoint{
+			"ledger-1": {Service: "ledger-desk", Address: s.service, FailureDomain: "upanga"},
+		},
+		Limits: configuration.Limits{RetryBudget: 0.2, CallRetentionHours: 24},
+	}
+	for i := range engines {
+		address := standin(t, standinBin, "-role", "engine", "-model", "scribe-pool", "-decode-step", "2ms")
+		s.engines = append(s.engines, address)
+		doc.Endpoints[fmt.Sprintf("scribe-%d", i+1)] = configuration.Endpoint{
+			Service: "scribe-pool", Address: address, FailureDomain: "upanga", MemoryTokens: 400_000,
+		}
+	}
+	applyDocument(t, ctlBin, platform, dir, doc)
+	for i := range entryVMs {
+		s.startVM(t, serveBin, dir, platform, i)
+	}
+	return s
+}
+
+func applyDocument(t *testing.T, ctl, platform, dir string, doc configuration.Document) {
+	t.Helper()
+	folder := filepath.Join(dir, "conf")
+	require.NoError(t, os.Mkdir(folder, 0o755))
+	data, err := json.Marshal(doc)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "10-all.json"), data, 0o644))
+	out, err := exec.Command(ctl, "apply", "-platform", platform, "-base", "0", folder).CombinedOutput()
+	require.NoError(t, err, string(out))
+}
+
+// startVM starts an entry VM and waits until it is ready.
+func (s *system) startVM(t *testing.T, bin, dir, platform string, i int) {
+	t.Helper()
+	id := fmt.Sprintf("entry-%d", i+1)
+	conf := settings.Settings{
+		VM:       settings.VM{ID: id, Region: "dar-coast", FailureDomain: "upanga"},
+		Callers:  settings.Callers{Address: "127.0.0.1:0", MaxBodyBytes: 16 << 20, MaxConnections: 100, IdleTimeoutMs: 10_000, ReadTimeoutMs: 10_000},
+		Admin:    settings.Admin{Address: "127.0.0.1:0", Token: "0123456789abcdef"},
+		Peers:    settings.Peers{Address: "127.0.0.1:0", Keys: []string{"0123456789abcdef"}},
+		Platform: settings.Platform{Address: platform, TimeoutMs: 1000, PollMs: 100},
+		Log:      settings.Log{Format: "json", Level: "info"},
+	}
+	data, err := json.Marshal(conf)
+	require.NoError(t, err)
+	file := filepath.Join(dir, id+".json")
+	require.NoError(t, os.WriteFile(file, data, 0o644))
+	p, out := start(t, bin, "serve", "-settings", file)
+	var line struct {
+		Fields struct {
+			Callers string `json:"callers"`
+			Admin   string `json:"admin"`
+		} `json:"fields"`
+	}
+	for line.Fields.Callers == "" {
+		text, err := out.ReadBytes('\n')
+		require.NoError(t, err, p.out.String())
+		require.NoError(t, json.Unmarshal(text, &line), string(text))
+	}
+	go func() { _, _ = io.Copy(io.Discard, out) }()
+	s.vms = append(s.vms, p)
+	s.callers = append(s.callers, line.Fields.Callers)
+	require.Eventually(t, func() bool {
+		res, err := http.Get("http://" + line.Fields.Admin + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	}, waitLimit, 50*time.Millisecond)
+}
+
+func post(t *testing.T, address, path, idempotencyKey string, body any) *http.Response {
+	t.Helper()
+	data, err := json.Marshal(body)
+	require.NoError(t, err)
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, bytes.NewReader(data))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	if idempotencyKey != "" {
+		req.Header.Set(wire.HeaderIdempotencyKey, idempotencyKey)
+	}
+	res, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = res.Body.Close() })
+	return res
+}
+
+// readStream joins the text of a streamed answer and says whether it was whole.
+func readStream(t *testing.T, r io.Reader) (string, bool) {
+	t.Helper()
+	var text strings.Builder
+	scanner := bufio.NewScanner(r)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == wire.StreamDone {
+			return text.String(), true
+		}
+		var chunk wire.Chunk
+		require.NoError(t, json.Unmarshal([]byte(data), &chunk), data)
+		for _, c := range chunk.Choices {
+			text.WriteString(c.Text)
+		}
+	}
+	return text.String(), false
+}
+
+func prompt(i int) wire.CompletionRequest {
+	return wire.CompletionRequest{
+		Model:     "scribe-pool",
+		Prompt:    fmt.Sprintf("note %d: %s", i, strings.Repeat("paste and silk ", 50)),
+		MaxTokens: answerLen,
+		Stream:    true,
+	}
+}
+
+func TestWholePath(t *testing.T) {
+	s := startSystem(t)
+
+	t.Run("streams through every VM", func(t *testing.T) {
+		for i, address := range s.callers {
+			req := prompt(i)
+			res := post(t, address, wire.PathCompletions, "", req)
+			require.Equal(t, http.StatusOK, res.StatusCode)
+			text, whole := readStream(t, res.Body)
+			require.True(t, whole)
+			require.Equal(t, engine.AnswerText(req.Prompt, answerLen), text)
+		}
+	})
+
+	t.Run("answers whole", func(t *testing.T) {
+		req := prompt(10)
+		req.Stream = false
+		res := post(t, s.callers[0], wire.PathCompletions, "", req)
+		require.Equal(t, http.StatusOK, res.StatusCode)
+		var answer struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+		}
+		require.NoError(t, json.NewDecoder(res.Body).Decode(&answer))
+		require.Equal(t, engine.AnswerText(req.Prompt, answerLen), answer.Choices[0].Text)
+	})
+
+	t.Run("a cut stream is resumed", func(t *testing.T) {
+		data, err := json.Marshal(wire.EngineFaults{CutAfterTokens: 5})
+		require.NoError(t, err)
+		for _, address := range s.engines {
+			res, err := http.Post("http://"+address+wire.PathFaults, "application/json", bytes.NewReader(data))
+			require.NoError(t, err)
+			_ = res.Body.Close()
+		}
+		req := prompt(20)
+		res := post(t, s.callers[1], wire.PathCompletions, "", req)
+		text, _ := readStream(t, res.Body)
+		require.True(t, strings.HasPrefix(engine.AnswerText(req.Prompt, answerLen), text))
+		require.GreaterOrEqual(t, len(strings.Fields(text)), 15)
+	})
+
+	t.Run("a repeated key runs once", func(t *testing.T) {
+		body := struct {
+			Amount int `json:"amount"`
+		}{100}
+		for _, address := range s.callers {
+			res := post(t, address, "/v1/services/ledger-desk/deposit", "deposit-1", body)
+			require.Equal(t, http.StatusOK, res.StatusCode)
+		}
+		res, err := http.Get("http://" + s.service + wire.PathEffects)
+		require.NoError(t, err)
+		defer func() { _ = res.Body.Close() }()
+		var effects service.Effects
+		require.NoError(t, json.NewDecoder(res.Body).Decode(&effects))
+		require.Equal(t, map[string]int{"deposit-1": 1}, effects.Effects)
+	})
+
+	t.Run("SIGTERM ends cleanly", func(t *testing.T) {
+		p := s.vms[3]
+		require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+		require.NoError(t, p.cmd.Wait())
+	})
+}
