--- a/core/statechart/chart.go
+++ b/core/statechart/chart.go
@@ -11,12 +11,15 @@
 //go:embed charts/*.json
 var files embed.FS
 
-// State, Event, Action and Guard are names within a chart.
 type (
-	State  string
-	Event  string
+	// State names a state.
+	State string
+	// Event names an event.
+	Event string
+	// Action names an action, carried out by the chart's owner.
 	Action string
-	Guard  string
+	// Guard names a condition, answered by the chart's owner.
+	Guard string
 )
 
 // Edge is what a state does on an event.
--- /dev/null
+++ b/internal/event/prompts.go
@@ -0,0 +1,32 @@
+package event
+
+import "github.com/apex/log"
+
+// promptsEvents lists one event of each kind of this file.
+var promptsEvents = []Event{RequestFailed{}, AttemptFailed{}}
+
+// RequestFailed is written when a request ends in a failure.
+type RequestFailed struct {
+	Request      string `log:"request"`
+	Organisation string `log:"organisation"`
+	Code         string `log:"code"`
+	Attempt      int    `log:"attempt"`
+}
+
+// Def implements Event.
+func (RequestFailed) Def() Def {
+	return Def{300, "request_failed", log.InfoLevel, "A request ended in a failure."}
+}
+
+// AttemptFailed is written when one attempt of a request fails.
+type AttemptFailed struct {
+	Request  string `log:"request"`
+	Attempt  int    `log:"attempt"`
+	Endpoint string `log:"endpoint"`
+	Reason   string `log:"reason"`
+}
+
+// Def implements Event.
+func (AttemptFailed) Def() Def {
+	return Def{301, "attempt_failed", log.WarnLevel, "An attempt failed; the request may be tried again."}
+}
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -45,12 +45,9 @@
 
 // process is one started program.
 type process struct {
-	cmd *exec.Cmd
-	out *bytes.Buffer
-}
-
-func TestMain(m *testing.M) {
-	os.Exit(m.Run())
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
 }
 
 func build(t *testing.T, dir, pkg string) string {
@@ -64,17 +61,23 @@
 // start runs a program that ends with the test.
 func start(t *testing.T, bin string, args ...string) (*process, *bufio.Reader) {
 	t.Helper()
+	out, in := io.Pipe()
 	cmd := exec.Command(bin, args...)
-	stdout, err := cmd.StdoutPipe()
-	require.NoError(t, err)
-	p := &process{cmd: cmd, out: &bytes.Buffer{}}
-	cmd.Stderr = p.out
+	cmd.Stdout = in
+	cmd.Stderr = os.Stderr
 	require.NoError(t, cmd.Start())
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		p.err = cmd.Wait()
+		_ = in.Close()
+	}()
 	t.Cleanup(func() {
 		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
+		_ = out.Close()
+		<-p.done
 	})
-	return p, bufio.NewReader(stdout)
+	return p, bufio.NewReader(out)
 }
 
 func standin(t *testing.T, bin string, args ...string) string {
@@ -161,7 +164,7 @@
 	}
 	for line.Fields.Callers == "" {
 		text, err := out.ReadBytes('\n')
-		require.NoError(t, err, p.out.String())
+		require.NoError(t, err)
 		require.NoError(t, json.Unmarshal(text, &line), string(text))
 	}
 	go func() { _, _ = io.Copy(io.Discard, out) }()
@@ -286,6 +289,7 @@
 	t.Run("SIGTERM ends cleanly", func(t *testing.T) {
 		p := s.vms[3]
 		require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
-		require.NoError(t, p.cmd.Wait())
+		<-p.done
+		require.NoError(t, p.err)
 	})
 }
