Authenticate peers and let packages register their methods

The peers' port answered anybody. A connection now opens with a handshake in which both ends prove a key of the settings over the other's nonce, and each message carries a code over its place in the sequence. Mutual TLS was weighed: it needs certificates to be issued and renewed on VMs without disks.

Methods are registered with peer.Mux (peer.Register for typed ones) and called through peer.Client, which keeps one connection an address. Messages that fail their checks are dropped, counted and logged at a bounded rate.

Shown by: go test -race ./internal/peer (replay of a message and of a whole connection, rotation of keys, oversize).

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -56,7 +56,7 @@
 	writeJSON(ctx, Status{
 		VM:            n.settings.VM.ID,
 		FailureDomain: n.settings.VM.FailureDomain,
-		Configuration: n.Ping().Configuration,
+		Configuration: n.configuration(),
 		Ready:         n.parts.API.Ready(),
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,9 @@
 	Store    *platform.Client
 	Streams  *endpoint.Client
 	Caller   *endpoint.Caller
+	Mux      *peer.Mux
+	Peers    *peer.Client
+	Identity peer.Identity
 }
 
 // Start wires the VM and begins to listen.
@@ -74,6 +77,10 @@
 		func() *event.Logger { return n.log },
 		newStore,
 		newFollower,
+		n.identity,
+		peer.NewMux,
+		newPeerConfig,
+		newPeerClient,
 		fleet.New,
 		endpoint.New,
 		endpoint.NewCaller,
@@ -92,6 +99,18 @@
 	return confsync.New(store, log, s.Platform.Poll())
 }
 
+func (n *Node) identity() peer.Identity {
+	return peer.Identity{VM: n.settings.VM.ID, Incarnation: n.started.UnixNano()}
+}
+
+func newPeerConfig(self peer.Identity, s settings.Settings) peer.Config {
+	return peer.Config{Self: self, Keys: s.Peers.Keys}
+}
+
+func newPeerClient(cfg peer.Config, mux *peer.Mux, log *event.Logger, m *metrics.Metrics) (*peer.Client, error) {
+	return peer.NewClient(cfg, mux, log, m.Registry)
+}
+
 func (n *Node) listen() error {
 	var err error
 	if n.callers, err = serve(n.settings.Callers.Address, n.callerServer()); err != nil {
@@ -100,7 +119,8 @@
 	if n.admin, err = serve(n.settings.Admin.Address, n.adminServer()); err != nil {
 		return err
 	}
-	n.peers, err = peer.Listen(n.settings.Peers.Address, n)
+	cfg := newPeerConfig(n.parts.Identity, n.settings)
+	n.peers, err = peer.Listen(n.settings.Peers.Address, cfg, n.parts.Mux, n.log, n.parts.Metrics.Registry)
 	return err
 }
 
@@ -117,13 +137,12 @@
 	}
 }
 
-// Ping implements peer.Handler.
-func (n *Node) Ping() peer.Pong {
-	pong := peer.Pong{VM: n.settings.VM.ID, Incarnation: n.started.UnixNano()}
+// configuration is the version in force; zero for none.
+func (n *Node) configuration() int64 {
 	if snap := n.parts.Follower.Current(); snap != nil {
-		pong.Configuration = snap.Version
+		return snap.Version
 	}
-	return pong
+	return 0
 }
 
 // Callers is the address of the callers' listener.
@@ -142,6 +161,7 @@
 	if n.peers != nil {
 		n.peers.Close()
 	}
+	n.parts.Peers.Close()
 	n.parts.Fleet.Stop()
 	n.parts.Follower.Stop()
 	n.parts.Streams.Close()
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,40 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// headerBytes is the length of a frame's header: the payload's length, big
+// endian.
+const headerBytes = 4
+
+// readFrame reads one payload of at most limit bytes. The memory for a payload
+// grows with the bytes that arrive, not with the length that is announced.
+func readFrame(r *bufio.Reader, limit int) ([]byte, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if uint64(size) > uint64(limit) {
+		return nil, errors.WithStack(&RejectedError{ReasonOversize})
+	}
+	payload, err := io.ReadAll(io.LimitReader(r, int64(size)))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if len(payload) < int(size) {
+		return nil, errors.WithStack(io.ErrUnexpectedEOF)
+	}
+	return payload, nil
+}
+
+// appendFrame appends the payload with its header.
+func appendFrame(dst, payload []byte) []byte {
+	dst = binary.BigEndian.AppendUint32(dst, uint32(len(payload)))
+	return append(dst, payload...)
+}
--- /dev/null
+++ b/internal/peer/mux.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"cornelsaddle.example/cornelsaddle/core/errcode"
+)
+
+// Method names a JSON-RPC method.
+type Method string
+
+// Identity is who is at the other end of a connection.
+type Identity struct {
+	VM          string `json:"vm"`
+	Incarnation int64  `json:"incarnation"`
+}
+
+// Handler answers one request. A failure reaches the caller with its code.
+type Handler func(ctx context.Context, from Identity, params json.RawMessage) (any, error)
+
+// Mux finds the handler of a method. It is safe for concurrent use.
+type Mux struct {
+	mu       sync.RWMutex
+	handlers map[Method]Handler
+}
+
+// NewMux returns a Mux without handlers.
+func NewMux() *Mux { return &Mux{handlers: make(map[Method]Handler)} }
+
+// Handle registers the method's handler, in place of an earlier one.
+func (m *Mux) Handle(method Method, h Handler) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.handlers[method] = h
+}
+
+// Register registers a handler of typed parameters and result.
+func Register[P, R any](m *Mux, method Method, f func(ctx context.Context, from Identity, params P) (R, error)) {
+	m.Handle(method, func(ctx context.Context, from Identity, raw json.RawMessage) (any, error) {
+		var params P
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return nil, errcode.New(errcode.BadRequest, "%s: %v", method, err)
+		}
+		return f(ctx, from, params)
+	})
+}
+
+func (m *Mux) lookup(method Method) (Handler, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	h, ok := m.handlers[method]
+	return h, ok
+}
+
+// serve answers one JSON-RPC request.
+func (m *Mux) serve(ctx context.Context, from Identity, req *jsonrpc2.Request) (any, error) {
+	h, ok := m.lookup(Method(req.Method))
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
+	}
+	params := json.RawMessage("{}")
+	if req.Params != nil {
+		params = *req.Params
+	}
+	result, err := h(ctx, from, params)
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	return result, nil
+}
+
+// failure is the data of a JSON-RPC error.
+type failure struct {
+	Code errcode.Code `json:"code"`
+	Ran  errcode.Ran  `json:"ran"`
+}
+
+func encodeError(err error) *jsonrpc2.Error {
+	e := errcode.From(err)
+	out := &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: e.Message}
+	out.SetError(failure{e.Code, e.Ran})
+	return out
+}
+
+// decodeError turns a JSON-RPC error back into the failure that the handler
+// returned.
+func decodeError(err error) error {
+	var e *jsonrpc2.Error
+	if !errors.As(err, &e) || e.Data == nil {
+		return errors.WithStack(err)
+	}
+	var f failure
+	if json.Unmarshal(*e.Data, &f) != nil || f.Code == "" {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(errcode.New(f.Code, "%s", e.Message).WithRan(f.Ran))
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,208 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"cornelsaddle.example/cornelsaddle/core/errcode"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+)
+
+const (
+	oldKey    = "old-key-0123456789"
+	newKey    = "new-key-0123456789"
+	waitLimit = 10 * time.Second
+)
+
+type text struct {
+	Text string `json:"text"`
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func quiet(t *testing.T) *event.Logger {
+	t.Helper()
+	log, err := event.New(io.Discard, "json", "error", "test")
+	require.NoError(t, err)
+	return log
+}
+
+func echoMux() *Mux {
+	mux := NewMux()
+	Register(mux, "echo", func(_ context.Context, from Identity, p text) (text, error) {
+		return text{from.VM + ":" + p.Text}, nil
+	})
+	Register(mux, "fail", func(context.Context, Identity, text) (text, error) {
+		return text{}, errcode.New(errcode.LeaseLost, "gone")
+	})
+	return mux
+}
+
+func listen(t *testing.T, keys ...string) *Server {
+	t.Helper()
+	cfg := Config{Self: Identity{"server", 7}, Keys: keys, MaxMessageBytes: 1 << 10}
+	s, err := Listen("127.0.0.1:0", cfg, echoMux(), quiet(t), metrics.NewRegistry())
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func client(t *testing.T, keys ...string) *Client {
+	t.Helper()
+	cfg := Config{Self: Identity{"client", 3}, Keys: keys, MaxMessageBytes: 1 << 12}
+	c, err := NewClient(cfg, NewMux(), quiet(t), metrics.NewRegistry())
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func call(t *testing.T, c *Client, address string, method Method, say string) (text, Identity, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	var out text
+	who, err := c.Call(ctx, address, method, text{say}, &out)
+	return out, who, err
+}
+
+func TestCall(t *testing.T) {
+	s := listen(t, oldKey)
+	c := client(t, oldKey)
+	out, who, err := call(t, c, s.Addr(), "echo", "hello")
+	require.NoError(t, err)
+	require.Equal(t, "client:hello", out.Text)
+	require.Equal(t, Identity{"server", 7}, who)
+
+	_, _, err = call(t, c, s.Addr(), "fail", "")
+	require.True(t, errcode.Is(err, errcode.LeaseLost), "%v", err)
+	_, _, err = call(t, c, s.Addr(), "none", "")
+	require.Error(t, err)
+}
+
+func TestKeysRotate(t *testing.T) {
+	cases := []struct {
+		name           string
+		server, client []string
+		ok             bool
+	}{
+		{"same", []string{oldKey}, []string{oldKey}, true},
+		{"server has both", []string{oldKey, newKey}, []string{oldKey}, true},
+		{"client proves the new one", []string{oldKey, newKey}, []string{newKey, oldKey}, true},
+		{"old one is gone", []string{newKey}, []string{oldKey}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := listen(t, tc.server...)
+			_, _, err := call(t, client(t, tc.client...), s.Addr(), "echo", "x")
+			if tc.ok {
+				require.NoError(t, err)
+				return
+			}
+			require.Error(t, err)
+			require.Eventually(t, func() bool { return s.counters.Rejected.Count() == 1 }, waitLimit, time.Millisecond)
+		})
+	}
+}
+
+func TestOversizeIsDroppedAndCounted(t *testing.T) {
+	s := listen(t, oldKey)
+	c := client(t, oldKey)
+	_, _, err := call(t, c, s.Addr(), "echo", strings.Repeat("x", 2<<10))
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return s.counters.Rejected.Count() == 1 }, waitLimit, time.Millisecond)
+	_, _, err = call(t, c, s.Addr(), "echo", "small")
+	require.NoError(t, err, "a new connection serves the next message")
+}
+
+// recorder passes a connection through and keeps what the client sent.
+type recorder struct {
+	net.Conn
+	mu   sync.Mutex
+	sent bytes.Buffer
+}
+
+func (r *recorder) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	r.sent.Write(p)
+	r.mu.Unlock()
+	return r.Conn.Write(p)
+}
+
+// TestReplayIsRefused records a whole connection, and a single message, and
+// sends them again.
+func TestReplayIsRefused(t *testing.T) {
+	s := listen(t, oldKey)
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp4", s.Addr())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		require.NoError(t, conn.SetDeadline(time.Now().Add(waitLimit)))
+		return conn
+	}
+	h := handshaker{Identity{"client", 3}, []string{oldKey}, waitLimit}
+	conn := &recorder{Conn: dial()}
+	r := bufio.NewReader(conn)
+	sess, err := h.connect(conn, r)
+	require.NoError(t, err)
+	out := &stream{conn: conn, r: r, session: sess, limit: 1 << 10, counters: NewCounters(metrics.NewRegistry()), reject: func(Reason) {}}
+	shaken := conn.sent.Len()
+	request := json.RawMessage(`{"jsonrpc":"2.0","id":1,"method":"echo","params":{"text":"pay"}}`)
+	require.NoError(t, out.WriteObject(request))
+	var answer json.RawMessage
+	require.NoError(t, out.ReadObject(&answer))
+	whole := append([]byte(nil), conn.sent.Bytes()...)
+
+	_, err = conn.Conn.Write(whole[shaken:])
+	require.NoError(t, err)
+	require.Error(t, out.ReadObject(&answer), "the message again, on its own connection")
+
+	again := dial()
+	_, err = again.Write(whole)
+	require.NoError(t, err)
+	rest, _ := io.ReadAll(again)
+	require.NotContains(t, string(rest), "pay", "the whole connection again")
+	require.Eventually(t, func() bool { return s.counters.Rejected.Count() == 2 }, waitLimit, time.Millisecond)
+}
+
+func FuzzReadFrame(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 2, '{', '}'})
+	f.Add([]byte{255, 255, 255, 255, 0})
+	f.Add([]byte{0, 0, 0, 9, 'x'})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		payload, err := readFrame(bufio.NewReader(bytes.NewReader(data)), 64)
+		if err != nil {
+			return
+		}
+		require.LessOrEqual(t, len(payload), 64)
+		require.True(t, bytes.HasPrefix(data, appendFrame(nil, payload)))
+	})
+}
+
+// FuzzHandshake feeds a server what it did not ask for.
+func FuzzHandshake(f *testing.F) {
+	f.Add(appendFrame(nil, []byte(`{"vm":"x","nonce":"AA==","key_id":"AA=="}`)))
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = far.Write(data)
+			_ = far.Close()
+		}()
+		defer func() { _ = near.Close() }()
+		h := handshaker{Identity{"server", 1}, []string{oldKey}, time.Second}
+		_, err := h.accept(near, bufio.NewReader(near))
+		require.Error(t, err)
+	})
+}
--- /dev/null
+++ b/internal/peer/stream.go
@@ -0,0 +1,105 @@
+package peer
+
+import (
+	"bufio"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// macBytes is the length of a message's authentication code: HMAC-SHA256,
+	// truncated.
+	macBytes = 16
+	// writeTimeout bounds one write to a peer that does not read.
+	writeTimeout = 5 * time.Second
+)
+
+// stream is a jsonrpc2.ObjectStream of authenticated messages.
+type stream struct {
+	conn     net.Conn
+	r        *bufio.Reader
+	session  session
+	limit    int
+	counters *Counters
+	reject   func(Reason)
+
+	mu       sync.Mutex
+	sent     uint64
+	received uint64
+}
+
+// WriteObject implements jsonrpc2.ObjectStream.
+func (s *stream) WriteObject(v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if len(data)+macBytes > s.limit {
+		s.reject(ReasonOversize)
+		return errors.WithStack(&RejectedError{ReasonOversize})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	code := messageMAC(s.session.sendKey, s.sent, data)
+	s.sent++
+	frame := appendFrame(make([]byte, 0, headerBytes+len(data)+macBytes), append(data, code...))
+	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return errors.WithStack(err)
+	}
+	n, err := s.conn.Write(frame)
+	s.counters.sent(n)
+	if err != nil {
+		// The other end may have part of the frame; nothing can follow it.
+		_ = s.conn.Close()
+	}
+	return errors.WithStack(err)
+}
+
+// ReadObject implements jsonrpc2.ObjectStream. After a message that fails its
+// checks, nothing more is read from the connection.
+func (s *stream) ReadObject(v any) error {
+	frame, err := readFrame(s.r, s.limit)
+	if err != nil {
+		return s.refused(err)
+	}
+	s.counters.received(headerBytes + len(frame))
+	if len(frame) < macBytes {
+		return s.refused(errors.WithStack(&RejectedError{ReasonMalformed}))
+	}
+	data, code := frame[:len(frame)-macBytes], frame[len(frame)-macBytes:]
+	if !hmac.Equal(code, messageMAC(s.session.checkKey, s.received, data)) {
+		return s.refused(errors.WithStack(&RejectedError{ReasonBadMAC}))
+	}
+	s.received++
+	if json.Unmarshal(data, v) != nil {
+		return s.refused(errors.WithStack(&RejectedError{ReasonMalformed}))
+	}
+	return nil
+}
+
+// refused reports a message that failed its checks.
+func (s *stream) refused(err error) error {
+	var r *RejectedError
+	if errors.As(err, &r) {
+		s.reject(r.Reason)
+	}
+	return err
+}
+
+// Close implements jsonrpc2.ObjectStream.
+func (s *stream) Close() error { return s.conn.Close() }
+
+// messageMAC is the code of the message at that place of the sequence.
+func messageMAC(key []byte, sequence uint64, data []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write(binary.BigEndian.AppendUint64(nil, sequence))
+	h.Write(data)
+	return h.Sum(nil)[:macBytes]
+}
