Share membership and configuration between the VMs, and drain gracefully

VMs did not know each other: each polled the head, and SIGTERM refused requests while the balancer still sent them.

- core/membership: SWIM-like probes, suspicion, refutation, bounded news; internal/member drives it over the peers' connections.
- core/configuration: a JSON schema, cross-reference checks that name file and pointer, joining of racing changes, and the Tracker that decides when to read the head, whom to fetch from and whether a VM may take work.
- internal/confapply: the configuration_apply chart; lost answers are settled by the version's own row, racing changes of other files are joined.
- core/endpointhealth: the endpoint chart; leaving ends only with a new incarnation.
- internal/node: the vm chart; not ready, peers told, grace for the balancer, requests finished; a second signal ends at once with the count of those cut.
- cornelsaddlectl validate, apply -wait, fetch, status, drain.

All VMs that start together probed in the same order, so that a death was seen only a round later; the order is now drawn at random on arrival.

--- a/cmd/cornelsaddle/serve.go
+++ b/cmd/cornelsaddle/serve.go
@@ -50,16 +50,32 @@
 	if err != nil {
 		return err
 	}
-	<-signals
-	drained := make(chan struct{})
-	go func() {
-		defer close(drained)
-		n.Drain()
-	}()
-	select {
-	case <-drained:
-	case <-signals:
+	return awaitEnd(n, signals)
+}
+
+// CutError says that requests were cut off by a second signal.
+type CutError struct{ Requests int }
+
+// Error implements error.
+func (e *CutError) Error() string {
+	return fmt.Sprintf("ended by a second signal; %d requests were cut off", e.Requests)
+}
+
+// awaitEnd shuts the node down gracefully on the first signal, and at once on
+// the second.
+func awaitEnd(n *node.Node, signals <-chan os.Signal) error {
+	first := true
+	for {
+		select {
+		case <-n.Done():
+			n.Close()
+			return nil
+		case <-signals:
+			if !first {
+				return errors.WithStack(&CutError{n.Kill()})
+			}
+			first = false
+			n.BeginDrain()
+		}
 	}
-	n.Close()
-	return nil
 }
--- /dev/null
+++ b/cmd/cornelsaddlectl/invocation.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"cornelsaddle.example/cornelsaddle/core/configuration"
+)
+
+// invocation is one command's flags and its way to report.
+type invocation struct {
+	*flag.FlagSet
+	usage string
+	json  *bool
+}
+
+// newInvocation returns an invocation with the flags that all share.
+func newInvocation(name, usage string) *invocation {
+	c := &invocation{FlagSet: flag.NewFlagSet(name, flag.ContinueOnError), usage: usage}
+	c.json = c.Bool("json", false, "answer in JSON")
+	c.Usage = func() {
+		fmt.Fprintf(c.Output(), "usage: cornelsaddlectl %s\n\nflags:\n", usage)
+		c.PrintDefaults()
+	}
+	return c
+}
+
+// parse reads flags and positional arguments in any order. It returns an exit
+// code, or a negative number to go on.
+func (c *invocation) parse(args []string, positional int) ([]string, int) {
+	var rest []string
+	for {
+		if err := c.Parse(args); err != nil {
+			if errors.Is(err, flag.ErrHelp) {
+				return nil, exitDone
+			}
+			return nil, exitUsage
+		}
+		if c.NArg() == 0 {
+			break
+		}
+		rest = append(rest, c.Arg(0))
+		args = c.Args()[1:]
+	}
+	if len(rest) != positional {
+		return nil, c.misused("expected %d arguments, got %d", positional, len(rest))
+	}
+	return rest, -1
+}
+
+// misused says what is wrong with the command line.
+func (c *invocation) misused(format string, args ...any) int {
+	fmt.Fprintf(os.Stderr, "cornelsaddlectl %s: %s\n", c.Name(), fmt.Sprintf(format, args...))
+	c.Usage()
+	return exitUsage
+}
+
+// report is the JSON form of a failure.
+type report struct {
+	Error      string                    `json:"error"`
+	Violations []configuration.Violation `json:"violations,omitempty"`
+}
+
+// failed says why the command failed.
+func (c *invocation) failed(err error) int {
+	if !*c.json {
+		fmt.Fprintf(os.Stderr, "cornelsaddlectl %s: %v\n", c.Name(), err)
+		return exitFailed
+	}
+	r := report{Error: err.Error()}
+	var invalid *configuration.InvalidError
+	if errors.As(err, &invalid) {
+		r.Violations = invalid.Violations
+	}
+	c.print(r)
+	return exitFailed
+}
+
+// done reports success: v in JSON, or the text.
+func (c *invocation) done(v any, format string, args ...any) int {
+	if *c.json {
+		c.print(v)
+		return exitDone
+	}
+	fmt.Printf(format+"\n", args...)
+	return exitDone
+}
+
+func (c *invocation) print(v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "cornelsaddlectl:", err)
+		return
+	}
+	fmt.Println(string(data))
+}
--- a/cmd/cornelsaddlectl/main.go
+++ b/cmd/cornelsaddlectl/main.go
@@ -19,7 +19,11 @@
 const usage = `usage: cornelsaddlectl COMMAND [flags]
 
 commands:
+  validate  check a folder
   apply     merge a folder and put it in force
+  fetch     write the files of a version into a folder
+  status    show VMs and the versions that they have in force
+  drain     shut VMs down gracefully
   version   print the version
 
 "cornelsaddlectl COMMAND -h" lists a command's flags.
@@ -35,8 +39,16 @@
 		return exitUsage
 	}
 	switch args[0] {
+	case "validate":
+		return validate(args[1:])
 	case "apply":
 		return apply(args[1:])
+	case "fetch":
+		return fetch(args[1:])
+	case "status":
+		return status(args[1:])
+	case "drain":
+		return drain(args[1:])
 	case "version":
 		fmt.Println("cornelsaddlectl", version)
 		return exitDone
--- a/core/configuration/document.go
+++ b/core/configuration/document.go
@@ -94,7 +94,10 @@
 	// RetryBudget is the share of requests that may be retried, from 0 to 1.
 	RetryBudget float64 `json:"retry_budget"`
 	// CallRetentionHours is how long the rows of calls are kept.
-	CallRetentionHours int64 `json:"call_retention_hours"`
+	CallRetentionHours int64 `json:"call_retention_hours,omitempty"`
+	// TokensPerSecond bounds the sum of the organisations' limits; zero for no
+	// bound.
+	TokensPerSecond float64 `json:"tokens_per_second,omitempty"`
 }
 
 // DefaultLengthClasses are used when the document has none.
--- a/core/configuration/merge.go
+++ b/core/configuration/merge.go
@@ -9,10 +9,10 @@
 	"github.com/pkg/errors"
 )
 
-// File is one file of the folder.
+// File is one file of the folder. Data is a JSON object.
 type File struct {
-	Name string
-	Data []byte
+	Name string          `json:"name"`
+	Data json.RawMessage `json:"data"`
 }
 
 // FileError says what is wrong with a file, and where.
@@ -30,19 +30,53 @@
 	return e.File + ": " + e.Pointer + ": " + e.Reason
 }
 
-// Merge merges the files in the order of their names by RFC 7386.
+// Merge merges the files in the order of their names by RFC 7386. The result is
+// canonical: equal documents have equal bytes.
 func Merge(files []File) ([]byte, error) {
-	sorted := append([]File(nil), files...)
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Name < sorted[j].Name })
 	merged := []byte("{}")
-	for _, f := range sorted {
+	for _, f := range Sorted(files) {
+		if err := checkObject(f); err != nil {
+			return nil, err
+		}
 		next, err := jsonpatch.MergePatch(merged, f.Data)
 		if err != nil {
 			return nil, errors.WithStack(&FileError{File: f.Name, Reason: err.Error()})
 		}
 		merged = next
 	}
-	return merged, nil
+	return canonical(merged)
+}
+
+// Sorted returns the files in the order of their names.
+func Sorted(files []File) []File {
+	sorted := append([]File(nil), files...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Name < sorted[j].Name })
+	return sorted
+}
+
+// checkObject refuses a file that would replace the whole document.
+func checkObject(f File) error {
+	var object map[string]json.RawMessage
+	if err := json.Unmarshal(f.Data, &object); err != nil {
+		return errors.WithStack(&FileError{File: f.Name, Reason: "expected a JSON object: " + err.Error()})
+	}
+	if object == nil {
+		return errors.WithStack(&FileError{File: f.Name, Reason: "expected a JSON object, got null"})
+	}
+	return nil
+}
+
+// canonical sorts the names of objects and drops white space. Numbers keep
+// their digits.
+func canonical(data []byte) ([]byte, error) {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.UseNumber()
+	var tree any
+	if err := dec.Decode(&tree); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	out, err := json.Marshal(tree)
+	return out, errors.WithStack(err)
 }
 
 // Decode reads a merged document; a field it does not know is an error.
--- /dev/null
+++ b/core/configuration/validate.go
@@ -0,0 +1,136 @@
+package configuration
+
+import (
+	"bytes"
+	"embed"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+//go:embed schema.json
+var schemaFile embed.FS
+
+const schemaName = "schema.json"
+
+var schema = sync.OnceValues(compile)
+
+// Build merges a folder and checks it. It returns the canonical document, or
+// an InvalidError that lists every rule that the folder breaks.
+func Build(files []File) ([]byte, *Document, error) {
+	data, err := Merge(files)
+	if err != nil {
+		return nil, nil, err
+	}
+	found := newOrigins(Sorted(files))
+	violations, err := checkSchema(data, found)
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(violations) > 0 {
+		return nil, nil, errors.WithStack(&InvalidError{violations})
+	}
+	doc, err := Decode(data)
+	if err != nil {
+		return nil, nil, err
+	}
+	if violations := checkReferences(doc, found); len(violations) > 0 {
+		return nil, nil, errors.WithStack(&InvalidError{violations})
+	}
+	return data, doc, nil
+}
+
+func compile() (*jsonschema.Schema, error) {
+	data, err := schemaFile.ReadFile(schemaName)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource(schemaName, doc); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	compiled, err := c.Compile(schemaName)
+	return compiled, errors.WithStack(err)
+}
+
+// checkSchema lists where the document breaks the schema.
+func checkSchema(data []byte, found *origins) ([]Violation, error) {
+	compiled, err := schema()
+	if err != nil {
+		return nil, err
+	}
+	tree, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	err = compiled.Validate(tree)
+	if err == nil {
+		return nil, nil
+	}
+	var failed *jsonschema.ValidationError
+	if !errors.As(err, &failed) {
+		return nil, errors.WithStack(err)
+	}
+	violations := leaves(failed, found)
+	sortViolations(violations)
+	return violations, nil
+}
+
+// leaves lists the innermost causes of a failed check.
+func leaves(failed *jsonschema.ValidationError, found *origins) []Violation {
+	var list []Violation
+	_, name := failed.ErrorKind.(*kind.PropertyNames)
+	if len(failed.Causes) == 0 || name {
+		return append(list, describe(failed, found)...)
+	}
+	for _, cause := range failed.Causes {
+		list = append(list, leaves(cause, found)...)
+	}
+	return list
+}
+
+func describe(failed *jsonschema.ValidationError, found *origins) []Violation {
+	at := func(parts []string, expected string) Violation {
+		return Violation{found.file(parts), pointer(parts...), expected}
+	}
+	within := func(name string) []string {
+		return append(append([]string(nil), failed.InstanceLocation...), name)
+	}
+	switch k := failed.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		list := make([]Violation, 0, len(k.Properties))
+		for _, name := range k.Properties {
+			list = append(list, at(within(name), "expected no such field"))
+		}
+		return list
+	case *kind.Required:
+		list := make([]Violation, 0, len(k.Missing))
+		for _, name := range k.Missing {
+			list = append(list, at(within(name), "expected a value, got none"))
+		}
+		return list
+	case *kind.PropertyNames:
+		return []Violation{at(within(k.Property), "expected a name of lower-case letters, digits and hyphens")}
+	}
+	text := failed.ErrorKind.LocalizedString(message.NewPrinter(language.English))
+	return []Violation{at(failed.InstanceLocation, strings.TrimSpace(text))}
+}
+
+func sortViolations(list []Violation) {
+	sort.SliceStable(list, func(i, j int) bool {
+		if list[i].Pointer != list[j].Pointer {
+			return list[i].Pointer < list[j].Pointer
+		}
+		return list[i].Expected < list[j].Expected
+	})
+}
--- /dev/null
+++ b/core/configuration/violation.go
@@ -0,0 +1,92 @@
+package configuration
+
+import (
+	"encoding/json"
+	"strings"
+)
+
+// Violation is one rule that a folder breaks.
+type Violation struct {
+	// File that set the value; the last one, where several did.
+	File string `json:"file"`
+	// Pointer is the JSON pointer of the value in the merged document.
+	Pointer string `json:"pointer"`
+	// Expected says what the value should have been.
+	Expected string `json:"expected"`
+}
+
+// String returns the violation in one line.
+func (v Violation) String() string { return v.File + ": " + v.Pointer + ": " + v.Expected }
+
+// InvalidError lists what is wrong with a folder.
+type InvalidError struct {
+	Violations []Violation
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	lines := make([]string, 0, len(e.Violations))
+	for _, v := range e.Violations {
+		lines = append(lines, v.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// pointer joins the parts into a JSON pointer (RFC 6901).
+func pointer(parts ...string) string {
+	var b strings.Builder
+	escape := strings.NewReplacer("~", "~0", "/", "~1")
+	for _, p := range parts {
+		b.WriteByte('/')
+		b.WriteString(escape.Replace(p))
+	}
+	return b.String()
+}
+
+// origins finds the file that set a value.
+type origins struct {
+	names []string
+	trees []any
+}
+
+func newOrigins(sorted []File) *origins {
+	o := &origins{}
+	for _, f := range sorted {
+		var tree any
+		if json.Unmarshal(f.Data, &tree) != nil {
+			continue
+		}
+		o.names = append(o.names, f.Name)
+		o.trees = append(o.trees, tree)
+	}
+	return o
+}
+
+// file returns the last file that has the value, or, where none has it, the
+// value that should hold it.
+func (o *origins) file(parts []string) string {
+	for n := len(parts); n >= 0; n-- {
+		for i := len(o.trees) - 1; i >= 0; i-- {
+			if has(o.trees[i], parts[:n]) {
+				return o.names[i]
+			}
+		}
+	}
+	return ""
+}
+
+// has reports whether the tree sets the value. An element of an array counts as
+// set where the array is.
+func has(tree any, parts []string) bool {
+	for _, p := range parts {
+		object, ok := tree.(map[string]any)
+		if !ok {
+			_, array := tree.([]any)
+			return array
+		}
+		if tree, ok = object[p]; !ok || tree == nil {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"cornelsaddle.example/cornelsaddle/core/configuration"
 	"cornelsaddle.example/cornelsaddle/core/errcode"
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/call"
@@ -48,12 +49,20 @@
 	return r.Handler
 }
 
-// Drain refuses new requests, and waits for those in flight.
-func (a *API) Drain() {
+// Refuse refuses new requests from now on.
+func (a *API) Refuse() {
 	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.draining {
+		return
+	}
 	a.draining = true
 	a.log.Emit(event.Draining{InFlight: a.count})
-	a.mu.Unlock()
+}
+
+// Drain refuses new requests, and waits for those in flight.
+func (a *API) Drain() {
+	a.Refuse()
 	a.inFlight.Wait()
 }
 
@@ -61,7 +70,14 @@
 func (a *API) Ready() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.draining && a.follower.Current() != nil
+	return !a.draining && a.follower.Standing() == configuration.StandingCurrent
+}
+
+// InFlight is the number of requests that have no end yet.
+func (a *API) InFlight() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.count
 }
 
 // scope is what is known of a request before its handler runs.
@@ -82,8 +98,8 @@
 		}
 		s.snapshot = a.follower.Current()
 		var err error
-		if s.snapshot == nil {
-			err = errcode.New(errcode.NotReady, "no configuration is in force yet").WithRetryAfter(time.Second)
+		if standing := a.follower.Standing(); standing != configuration.StandingCurrent {
+			err = errcode.New(errcode.NotReady, "the VM's configuration is %s", standing).WithRetryAfter(time.Second)
 		} else {
 			s.organisation, err = authenticate(ctx, s.snapshot)
 		}
--- a/internal/confsync/follower.go
+++ b/internal/confsync/follower.go
@@ -1,98 +1,174 @@
 // Package confsync follows the configuration's head in the platform's table
-// service and holds the version in force on this VM, which never goes down.
+// service and at the peers, and holds the version in force on this VM, which
+// never goes down. core/configuration decides when to read, whom to ask, and
+// whether the VM may take work.
 package confsync
 
 import (
-	"encoding/json"
+	"context"
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"cornelsaddle.example/cornelsaddle/core/configuration"
-	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
 )
 
-// Snapshot is one version of the configuration.
-type Snapshot struct {
-	Version int64
-	*configuration.Document
-}
-
-// NoHeadError says that the table has no head row yet.
-type NoHeadError struct{}
+const (
+	// tick is the resolution of the follower's time.
+	tick = 100 * time.Millisecond
+	// fanOut is the number of peers that a VM tells of a new version at once.
+	fanOut = 4
+	// newsTimeout bounds one message of news.
+	newsTimeout = time.Second
+)
 
-// Error implements error.
-func (*NoHeadError) Error() string { return "no configuration was applied yet" }
+// Peers is what a follower needs of the other VMs.
+type Peers interface {
+	// Address is where this VM answers peers.
+	Address() string
+	// Count is the number of the other VMs that live.
+	Count() int
+	// Pick returns the addresses of up to n of them, at random.
+	Pick(n int) []string
+	// Call calls a method of the VM at the address.
+	Call(ctx context.Context, address string, method peer.Method, params, result any) error
+}
 
-// Follower keeps the version in force.
+// Follower keeps the version in force. It is safe for concurrent use.
 type Follower struct {
-	client  *platform.Client
-	log     *event.Logger
-	poll    time.Duration
+	client *platform.Client
+	log    *event.Logger
+	cfg    configuration.TrackerConfig
+	peers  Peers
+
 	current atomic.Pointer[Snapshot]
-	stop    chan struct{}
-	done    chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+
+	mu       sync.Mutex
+	tracker  *configuration.Tracker
+	held     held
+	standing configuration.Standing
+	failing  bool
 }
 
-// New returns a Follower that reads the head every poll.
+// New returns a Follower that reads the head every poll at most; the more VMs
+// there are, the seldomer each one reads.
 func New(client *platform.Client, log *event.Logger, poll time.Duration) *Follower {
-	return &Follower{client: client, log: log, poll: poll, stop: make(chan struct{}), done: make(chan struct{})}
+	cfg := configuration.DefaultTrackerConfig()
+	cfg.MinPoll = poll
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Follower{
+		client:   client,
+		log:      log,
+		cfg:      cfg,
+		ctx:      ctx,
+		cancel:   cancel,
+		tracker:  configuration.NewTracker(cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		standing: configuration.StandingUnconfirmed,
+	}
+}
+
+// Join lets the follower talk with peers; it is called before Start.
+func (f *Follower) Join(peers Peers, mux *peer.Mux) {
+	f.peers = peers
+	peer.Register(mux, MethodNews, f.onNews)
+	peer.Register(mux, MethodGet, f.onGet)
 }
 
 // Current is the version in force; nil before the first one is confirmed.
 func (f *Follower) Current() *Snapshot { return f.current.Load() }
 
+// Known is the newest version that this VM has heard of.
+func (f *Follower) Known() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.Heard()
+}
+
+// Standing tells whether the VM may take work.
+func (f *Follower) Standing() configuration.Standing {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.Standing(time.Now())
+}
+
+// Heard takes the newest version that the VM at the address knows of.
+func (f *Follower) Heard(address string, version int64) {
+	f.do(func(now time.Time) []configuration.Action {
+		return f.tracker.PeerVersion(now, configuration.Source(address), version)
+	})
+}
+
 // Start begins to follow the head.
-func (f *Follower) Start() { go f.run() }
+func (f *Follower) Start() { f.wg.Go(f.run) }
 
 // Stop ends it.
 func (f *Follower) Stop() {
-	close(f.stop)
-	<-f.done
+	f.cancel()
+	f.wg.Wait()
 }
 
 func (f *Follower) run() {
-	defer close(f.done)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
 	for {
-		if err := f.refresh(); err != nil {
-			f.log.Emit(event.ConfigurationUnreadable{Reason: err.Error()})
-		}
+		f.do(func(now time.Time) []configuration.Action { return f.tracker.Tick(now, f.count()) })
+		f.noteStanding()
 		select {
-		case <-f.stop:
+		case <-f.ctx.Done():
 			return
-		case <-time.After(f.poll):
+		case <-ticker.C:
 		}
 	}
 }
 
-// refresh reads the head and takes a newer version.
-func (f *Follower) refresh() error {
-	row, err := f.client.Get(configuration.HeadKey)
-	if err != nil {
-		return err
-	}
-	if row.Version == wire.AbsentVersion {
-		return errors.WithStack(&NoHeadError{})
-	}
-	var head configuration.Head
-	if err := json.Unmarshal(row.Value, &head); err != nil {
-		return errors.WithStack(err)
+func (f *Follower) count() int {
+	if f.peers == nil {
+		return 0
 	}
-	if cur := f.Current(); cur != nil && head.Version <= cur.Version {
-		return nil
+	return f.peers.Count()
+}
+
+// do hands the tracker an event and carries out its actions.
+func (f *Follower) do(decide func(now time.Time) []configuration.Action) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.carryOut(decide(time.Now()))
+}
+
+// carryOut starts the actions; the lock is held.
+func (f *Follower) carryOut(actions []configuration.Action) {
+	if f.ctx.Err() != nil {
+		return
 	}
-	data, err := f.client.GetObject(head.Object)
-	if err != nil {
-		return err
+	for _, a := range actions {
+		f.wg.Go(func() {
+			switch a := a.(type) {
+			case configuration.ReadHead:
+				f.readHead()
+			case configuration.Fetch:
+				f.fetch(a)
+			case configuration.Announce:
+				f.announce(a.Version)
+			}
+		})
 	}
-	doc, err := configuration.Decode(data)
-	if err != nil {
-		return err
+}
+
+// noteStanding logs when the VM begins or ceases to take work.
+func (f *Follower) noteStanding() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.tracker.Standing(time.Now())
+	if now == f.standing {
+		return
 	}
-	f.current.Store(&Snapshot{Version: head.Version, Document: doc})
-	f.log.Emit(event.ConfigurationApplied{Version: head.Version})
-	return nil
+	f.standing = now
+	f.log.Emit(event.ConfigurationStanding{Standing: string(now), Version: f.tracker.InForce(), Known: f.tracker.Heard()})
 }
--- /dev/null
+++ b/internal/member/list.go
@@ -0,0 +1,44 @@
+package member
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/membership"
+)
+
+const (
+	// listReadsPerSecond bounds the reads of the platform's list by all VMs
+	// together.
+	listReadsPerSecond = 0.5
+	// minListInterval and maxListInterval bound the time between two reads.
+	minListInterval = 2 * time.Second
+	maxListInterval = 10 * time.Minute
+)
+
+// followList reads the platform's list, which lags: it only says whom to ask.
+func (s *Service) followList() {
+	for {
+		if list, err := s.list.VMs(); err == nil {
+			s.do(func(time.Time) []membership.Action {
+				for _, vm := range list.VMs {
+					s.node.Hint(vm.ID, vm.Peer, vm.FailureDomain)
+				}
+				return nil
+			})
+		}
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-time.After(s.listInterval()):
+		}
+	}
+}
+
+// listInterval grows with the number of VMs, so that their reads together stay
+// under the bound.
+func (s *Service) listInterval() time.Duration {
+	mean := float64(s.Count()+1) / listReadsPerSecond * float64(time.Second)
+	spread := time.Duration(mean * (0.5 + rand.Float64()))
+	return min(max(spread, minListInterval), maxListInterval)
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -4,26 +4,50 @@
 	"bytes"
 	"crypto/subtle"
 	"encoding/json"
+	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
+
+	"cornelsaddle.example/cornelsaddle/core/configuration"
 )
 
 // Status is what a VM says of itself to operators.
 type Status struct {
 	VM            string `json:"vm"`
 	FailureDomain string `json:"failure_domain"`
+	Incarnation   int64  `json:"incarnation"`
+	// State is that of the vm chart; Standing is whether the configuration lets
+	// the VM take work.
+	State    string                 `json:"state"`
+	Standing configuration.Standing `json:"standing"`
+	Ready    bool                   `json:"ready"`
+	// Configuration is the version in force; KnownConfiguration is the newest
+	// that the VM has heard of.
+	Configuration      int64        `json:"configuration"`
+	KnownConfiguration int64        `json:"known_configuration"`
+	InFlight           int          `json:"in_flight"`
+	Peers              []PeerStatus `json:"peers,omitempty"`
+}
+
+// PeerStatus is another VM as this one sees it.
+type PeerStatus struct {
+	VM            string `json:"vm"`
+	Status        string `json:"status"`
+	Leaving       bool   `json:"leaving,omitempty"`
 	Configuration int64  `json:"configuration"`
-	Ready         bool   `json:"ready"`
+	// HeardMs is the time since it last answered or asked, in milliseconds.
+	HeardMs int64 `json:"heard_ms"`
 }
 
 // adminServer serves operators: health to everybody, the rest with the token.
 func (n *Node) adminServer() *fasthttp.Server {
 	r := router.New()
 	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
-	r.GET("/readyz", n.ready)
+	r.GET("/readyz", n.readyz)
 	r.GET("/metrics", n.authorised(n.metrics))
 	r.GET("/status", n.authorised(n.status))
+	r.POST("/drain", n.authorised(n.drain))
 	return &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true, CloseOnShutdown: true}
 }
 
@@ -40,9 +64,13 @@
 	}
 }
 
-func (n *Node) ready(ctx *fasthttp.RequestCtx) {
-	if !n.parts.API.Ready() {
+// ready reports whether the balancer may send requests.
+func (n *Node) ready() bool { return n.life.state() == stateServing && n.parts.API.Ready() }
+
+func (n *Node) readyz(ctx *fasthttp.RequestCtx) {
+	if !n.ready() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString(string(n.life.state()) + ", configuration " + string(n.parts.Follower.Standing()) + "\n")
 		return
 	}
 	ctx.SetBodyString("ok\n")
@@ -54,13 +82,40 @@
 
 func (n *Node) status(ctx *fasthttp.RequestCtx) {
 	writeJSON(ctx, Status{
-		VM:            n.settings.VM.ID,
-		FailureDomain: n.settings.VM.FailureDomain,
-		Configuration: n.configuration(),
-		Ready:         n.parts.API.Ready(),
+		VM:                 n.settings.VM.ID,
+		FailureDomain:      n.settings.VM.FailureDomain,
+		Incarnation:        n.parts.Identity.Incarnation,
+		State:              string(n.life.state()),
+		Standing:           n.parts.Follower.Standing(),
+		Ready:              n.ready(),
+		Configuration:      n.configuration(),
+		KnownConfiguration: n.parts.Follower.Known(),
+		InFlight:           n.parts.API.InFlight(),
+		Peers:              n.peerStatus(),
 	})
 }
 
+func (n *Node) peerStatus() []PeerStatus {
+	views := n.members.Views()
+	list := make([]PeerStatus, 0, len(views))
+	for _, v := range views {
+		list = append(list, PeerStatus{
+			VM:            v.ID,
+			Status:        v.Status.String(),
+			Leaving:       v.Leaving,
+			Configuration: v.Configuration,
+			HeardMs:       time.Since(v.Heard).Milliseconds(),
+		})
+	}
+	return list
+}
+
+// drain begins a graceful shutdown.
+func (n *Node) drain(ctx *fasthttp.RequestCtx) {
+	n.BeginDrain()
+	ctx.SetStatusCode(fasthttp.StatusAccepted)
+}
+
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,8 @@
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/fleet"
+	"cornelsaddle.example/cornelsaddle/internal/health"
+	"cornelsaddle.example/cornelsaddle/internal/member"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
@@ -31,6 +33,8 @@
 	callers  *listener
 	admin    *listener
 	peers    *peer.Server
+	members  *member.Service
+	life     *lifecycle
 	started  time.Time
 }
 
@@ -47,6 +51,7 @@
 	Mux      *peer.Mux
 	Peers    *peer.Client
 	Identity peer.Identity
+	Health   *health.Health
 }
 
 // Start wires the VM and begins to listen.
@@ -61,9 +66,7 @@
 	if err := c.Invoke(func(p parts) { n.parts = p }); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	n.parts.Follower.Start()
-	n.parts.Fleet.Start()
-	if err := n.listen(); err != nil {
+	if err := n.begin(); err != nil {
 		n.Close()
 		return nil, err
 	}
@@ -71,6 +74,28 @@
 	return n, nil
 }
 
+// begin listens and starts what runs by itself. The VM has its peers before it
+// has callers.
+func (n *Node) begin() error {
+	n.life = &lifecycle{
+		log:      n.log,
+		grace:    n.settings.Callers.DrainGrace(),
+		tell:     func() { n.members.Leave() },
+		refuse:   n.parts.API.Refuse,
+		wait:     n.parts.API.Drain,
+		inFlight: n.parts.API.InFlight,
+	}
+	if err := n.life.start(); err != nil {
+		return err
+	}
+	if err := n.listenPeers(); err != nil {
+		return err
+	}
+	n.join()
+	n.parts.Fleet.Start()
+	return n.listen()
+}
+
 func (n *Node) constructors() []any {
 	return []any{
 		func() settings.Settings { return n.settings },
@@ -81,6 +106,7 @@
 		peer.NewMux,
 		newPeerConfig,
 		newPeerClient,
+		health.New,
 		fleet.New,
 		endpoint.New,
 		endpoint.NewCaller,
@@ -116,9 +142,12 @@
 	if n.callers, err = serve(n.settings.Callers.Address, n.callerServer()); err != nil {
 		return err
 	}
-	if n.admin, err = serve(n.settings.Admin.Address, n.adminServer()); err != nil {
-		return err
-	}
+	n.admin, err = serve(n.settings.Admin.Address, n.adminServer())
+	return err
+}
+
+func (n *Node) listenPeers() error {
+	var err error
 	cfg := newPeerConfig(n.parts.Identity, n.settings)
 	n.peers, err = peer.Listen(n.settings.Peers.Address, cfg, n.parts.Mux, n.log, n.parts.Metrics.Registry)
 	return err
@@ -151,19 +180,19 @@
 // Admin is the address of the operators' listener.
 func (n *Node) Admin() string { return n.admin.addr() }
 
-// Drain takes no new requests and waits for those in flight.
-func (n *Node) Drain() { n.parts.API.Drain() }
-
 // Close stops the VM.
 func (n *Node) Close() {
 	n.callers.close()
 	n.admin.close()
+	if n.members != nil {
+		n.members.Stop()
+		n.parts.Follower.Stop()
+		n.parts.Fleet.Stop()
+	}
 	if n.peers != nil {
 		n.peers.Close()
 	}
 	n.parts.Peers.Close()
-	n.parts.Fleet.Stop()
-	n.parts.Follower.Stop()
 	n.parts.Streams.Close()
 	n.parts.Caller.Close()
 	n.parts.Store.Close()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -29,8 +30,15 @@
 	conn  *jsonrpc2.Conn
 	peer  Identity
 	err   error
+	// timeouts counts the calls in a row that had no answer in time.
+	timeouts atomic.Int32
 }
 
+// maxTimeouts is how many calls in a row may go unanswered before a connection
+// is given up: after a partition a new one works at once, while the old one
+// waits for its next retransmission.
+const maxTimeouts = 2
+
 // ClosedError says that the client was closed.
 type ClosedError struct{}
 
@@ -54,12 +62,37 @@
 	if err != nil {
 		return Identity{}, err
 	}
-	if err := l.conn.Call(ctx, string(method), params, result); err != nil {
+	waiter, err := l.conn.DispatchCall(ctx, string(method), params)
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		// The connection had ended and nothing was sent.
+		c.forget(address, l)
+		if l, err = c.link(ctx, address); err != nil {
+			return Identity{}, err
+		}
+		waiter, err = l.conn.DispatchCall(ctx, string(method), params)
+	}
+	if err != nil {
+		return l.peer, errors.WithStack(err)
+	}
+	err = waiter.Wait(ctx, result)
+	l.noteAnswer(err)
+	if err != nil {
 		return l.peer, decodeError(err)
 	}
 	return l.peer, nil
 }
 
+// noteAnswer gives the connection up when it does not answer.
+func (l *link) noteAnswer(err error) {
+	if !errors.Is(err, context.DeadlineExceeded) {
+		l.timeouts.Store(0)
+		return
+	}
+	if l.timeouts.Add(1) >= maxTimeouts {
+		_ = l.conn.Close()
+	}
+}
+
 // Close ends all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -106,6 +139,10 @@
 	if l.err == nil {
 		<-l.conn.DisconnectNotify()
 	}
+	c.forget(address, l)
+}
+
+func (c *Client) forget(address string, l *link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.links[address] == l {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,14 @@
 	MaxConnections int    `json:"max_connections"`
 	IdleTimeoutMs  int64  `json:"idle_timeout_ms"`
 	ReadTimeoutMs  int64  `json:"read_timeout_ms"`
+	// DrainGraceMs is how long a VM that shuts down takes requests after it has
+	// ceased to be ready, so that the balancer can notice.
+	DrainGraceMs int64 `json:"drain_grace_ms"`
+}
+
+// DrainGrace is how long a VM that shuts down still takes requests.
+func (c Callers) DrainGrace() time.Duration {
+	return time.Duration(c.DrainGraceMs) * time.Millisecond
 }
 
 // Admin is the listener for operators.
@@ -100,6 +108,7 @@
 			MaxConnections: 10_000,
 			IdleTimeoutMs:  60_000,
 			ReadTimeoutMs:  30_000,
+			DrainGraceMs:   3_000,
 		},
 		Platform: Platform{TimeoutMs: 2_000, PollMs: 1_000},
 		Log:      Log{Format: "json", Level: "info"},
