Decide calls that may not be repeated in a chart, and settle lost writes

Cause: a call's row was written once, with no retry and no way to settle a lost answer; a failed record write lost the result; a 503 of anything on the path counted as proof that a write was not applied.

Ruled out: settling a lost insert by reading the row back. A row that is absent now may still appear when the delayed write arrives, so an absent row proves nothing. Repeating the very same conditional write does settle it: the first copy to arrive wins and all others fail on the row that it wrote.

Change: core/calls drives the chart call.json; one attempt claims the row with bounded repeats of one conditional write, sends once, records the result before the caller is answered where the store allows and behind its back where it does not. An attempt that gives up before sending leaves a row of status not_run, which a repeat with the same request may take over. The platform's client repeats with jitter (backoff), keeps to this VM's share of the store's rate (x/time/rate), refuses at once over its number of requests in flight, and takes only X-Applied: no, a failed condition or nothing sent as proof of not applied. Calls that may not be repeated get a connection of their own; a failed dial is told from a failure after it. GET /v1/calls/{service}/{key} tells the record.

Shown by: go test ./test/process (whole path as before).

--- a/core/errcode/table.go
+++ b/core/errcode/table.go
@@ -16,6 +16,7 @@
 	KeyReused           Code = "idempotency_key_reused"
 	CallInProgress      Code = "call_in_progress"
 	CallOutcomeUnknown  Code = "call_outcome_unknown"
+	ResultTooLarge      Code = "result_too_large"
 	StoreUnavailable    Code = "store_unavailable"
 	NotReady            Code = "not_ready"
 	Draining            Code = "draining"
@@ -56,11 +57,12 @@
 	UnknownModel:        {404, RanNo, false, "No service of the configuration has the model."},
 	UnknownService:      {404, RanNo, false, "The configuration has no such service."},
 	UnknownOperation:    {404, RanNo, false, "The service has no such operation."},
-	UnknownCall:         {404, RanNo, false, "No call is recorded under the key."},
+	UnknownCall:         {404, RanUnknown, false, "No call is recorded under the key, or its record has expired."},
 	KeyRequired:         {400, RanNo, false, "The operation is not idempotent and needs an Idempotency-Key."},
 	KeyReused:           {422, RanNo, false, "The Idempotency-Key was used with another body."},
 	CallInProgress:      {409, RanNo, true, "A call with the key is in progress; this request sent nothing."},
 	CallOutcomeUnknown:  {409, RanUnknown, false, "The call's process died, or the service's answer was lost."},
+	ResultTooLarge:      {502, RanYes, false, "The call ran; its answer is over the limit and was not kept."},
 	StoreUnavailable:    {503, RanNo, true, "The platform's store does not answer; nothing was sent."},
 	NotReady:            {503, RanNo, true, "The VM has no confirmed configuration."},
 	Draining:            {503, RanNo, true, "The VM is shutting down."},
--- a/core/wire/table.go
+++ b/core/wire/table.go
@@ -11,6 +11,14 @@
 	PathFaults  = "/v1/faults"
 )
 
+// HeaderApplied on an answer of the table service says, with the value
+// AppliedNo, that the transaction was not applied and never will be. The table
+// service sets it where it refuses a request before reading it.
+const (
+	HeaderApplied = "X-Applied"
+	AppliedNo     = "no"
+)
+
 // AbsentVersion is the version that a condition names for a row that must not
 // exist.
 const AbsentVersion = 0
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -45,6 +45,7 @@
 	r.POST(wire.PathCompletions, a.guard(a.completions))
 	r.POST(wire.PathChatCompletions, a.guard(a.completions))
 	r.POST("/v1/services/{service}/{operation}", a.guard(a.service))
+	r.GET("/v1/calls/{service}/{key:*}", a.guard(a.callState))
 	return r.Handler
 }
 
--- a/internal/api/services.go
+++ b/internal/api/services.go
@@ -1,10 +1,12 @@
 package api
 
 import (
+	"encoding/json"
 	"slices"
 
 	"github.com/valyala/fasthttp"
 
+	"cornelsaddle.example/cornelsaddle/core/calls"
 	"cornelsaddle.example/cornelsaddle/core/errcode"
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/call"
@@ -33,6 +35,35 @@
 	ctx.SetBody(answer.Body)
 }
 
+// callState is the body that answers a question about a recorded call.
+type callState struct {
+	Status calls.Status `json:"status"`
+	Ran    errcode.Ran  `json:"ran"`
+	// HTTPStatus and Body are the service's answer, when done.
+	HTTPStatus int    `json:"http_status,omitempty"`
+	Body       string `json:"body,omitempty"`
+}
+
+// callState answers with what is recorded of a call.
+func (a *API) callState(ctx *fasthttp.RequestCtx, s scope) {
+	defer a.leave()
+	service, _ := ctx.UserValue("service").(string)
+	key, _ := ctx.UserValue("key").(string)
+	state, err := a.calls.State(s.organisation, service, key)
+	if err != nil {
+		a.fail(ctx, s, err)
+		return
+	}
+	data, err := json.Marshal(callState{state.Status, state.Ran, state.Answer.Status, string(state.Answer.Body)})
+	if err != nil {
+		a.fail(ctx, s, err)
+		return
+	}
+	ctx.Response.Header.Set(wire.HeaderRan, string(state.Ran))
+	ctx.Response.Header.SetContentType("application/json")
+	ctx.SetBody(data)
+}
+
 // callRequest reads and checks a caller's call.
 func (a *API) callRequest(ctx *fasthttp.RequestCtx, s scope) (call.Request, bool, error) {
 	name, _ := ctx.UserValue("service").(string)
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -1,25 +1,30 @@
 // Package call carries out calls to plain services. Those that may not be
-// repeated are recorded in the platform's table before anything is sent.
+// repeated are recorded in the platform's table before anything is sent; the
+// decisions are made by core/calls.
 package call
 
 import (
-	"encoding/json"
-	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
-	"github.com/pkg/errors"
-
 	"cornelsaddle.example/cornelsaddle/core/calls"
 	"cornelsaddle.example/cornelsaddle/core/errcode"
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
+	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
 	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
 
-const defaultRetention = 24 * time.Hour
+const (
+	// maxInlineBytes is the largest result that is kept in the row itself.
+	maxInlineBytes = 64 << 10
+	// maxBackground bounds the calls whose outcome is recorded behind their
+	// callers' backs.
+	maxBackground = 1024
+)
 
 // Request is one call.
 type Request struct {
@@ -33,143 +38,117 @@
 	Snapshot     *confsync.Snapshot
 }
 
+// Store is what calls need of the platform.
+type Store interface {
+	Try(platform.Class, wire.Txn, time.Duration) (wire.TxnResult, platform.Outcome, error)
+	Get(key string) (wire.Row, error)
+	Scan(wire.Scan) (wire.ScanResult, error)
+	PutObject(key string, data []byte) error
+	GetObject(key string) ([]byte, error)
+	DeleteObject(key string) error
+}
+
+// Service makes one call at an endpoint.
+type Service interface {
+	Do(endpoint.Call) (endpoint.Answer, error)
+}
+
+// Liveness knows which processes have ended.
+type Liveness interface {
+	// Gone reports whether the VM's incarnation is known to have ended; false
+	// where nothing is known.
+	Gone(vm string, incarnation int64) bool
+}
+
 // Runner makes calls. It is safe for concurrent use.
 type Runner struct {
-	store       *platform.Client
-	caller      *endpoint.Caller
+	cfg         calls.Config
+	store       Store
+	service     Service
+	log         *event.Logger
 	vm          string
 	incarnation int64
+	gone        func(vm string, incarnation int64) bool
+	// step is called before each action; tests stop the process there.
+	step func(calls.Action)
+
+	background atomic.Int64
+	running    sync.WaitGroup
+	mu         sync.Mutex
+	budget     *calls.Budget
 }
 
 // NewRunner returns a Runner for the VM of the settings.
-func NewRunner(store *platform.Client, caller *endpoint.Caller, s settings.Settings) *Runner {
-	return &Runner{store: store, caller: caller, vm: s.VM.ID, incarnation: time.Now().UnixNano()}
+func NewRunner(store *platform.Client, caller *endpoint.Caller, log *event.Logger, s settings.Settings) *Runner {
+	return newRunner(calls.DefaultConfig(), store, caller, log, s.VM.ID, time.Now().UnixNano())
 }
 
-// Idempotent makes a call that may be repeated, at another endpoint if one
-// fails.
-func (r *Runner) Idempotent(req Request) (endpoint.Answer, error) {
-	addresses := addresses(req)
-	var last error = errcode.New(errcode.NoEndpoint, "service %s has no endpoint", req.Service)
-	for _, address := range addresses {
-		answer, err := r.caller.Do(req.at(address))
-		if err == nil {
-			return answer, nil
-		}
-		last = errcode.New(errcode.EndpointFailed, "%v", err)
+func newRunner(cfg calls.Config, store Store, service Service, log *event.Logger, vm string, incarnation int64) *Runner {
+	return &Runner{
+		cfg:         cfg,
+		store:       store,
+		service:     service,
+		log:         log,
+		vm:          vm,
+		incarnation: incarnation,
+		step:        func(calls.Action) {},
+		budget:      calls.NewBudget(),
 	}
-	return endpoint.Answer{}, last
 }
 
-// Once makes a call that may not be repeated.
-func (r *Runner) Once(req Request) (endpoint.Answer, error) {
-	key := calls.RowKey(req.Organisation, req.Service, req.Key)
-	row := calls.Row{
-		Attempt:     uuid.NewString(),
-		VM:          r.vm,
-		Incarnation: r.incarnation,
-		BodyDigest:  calls.Digest(req.Body),
-		Status:      calls.StatusStarted,
-		ExpiresMs:   time.Now().Add(defaultRetention).UnixMilli(),
-	}
-	result, outcome, err := r.store.Apply(wire.Txn{
-		Conditions: []wire.Condition{{Key: key, Version: wire.AbsentVersion}},
-		Puts:       []wire.Put{{Key: key, Value: encode(row)}},
-	})
-	switch {
-	case outcome == platform.OutcomeApplied:
-		return r.send(req, key, result.Version, row)
-	case outcome == platform.OutcomeNotApplied && err == nil:
-		return replay(result.Failed, row)
-	}
-	return endpoint.Answer{}, errcode.New(errcode.StoreUnavailable, "the call could not be recorded").WithRetryAfter(time.Second)
-}
+// SetLiveness tells the Runner whom to ask which processes have ended. It is
+// called before the first call.
+func (r *Runner) SetLiveness(l Liveness) { r.gone = l.Gone }
 
-// send makes the one attempt and records its result.
-func (r *Runner) send(req Request, key string, version int64, row calls.Row) (endpoint.Answer, error) {
-	list := addresses(req)
-	if len(list) == 0 {
-		return endpoint.Answer{}, errcode.New(errcode.NoEndpoint, "service %s has no endpoint", req.Service)
-	}
-	answer, err := r.caller.Do(req.at(list[0]))
-	row.Status = status(err)
-	row.HTTPStatus = answer.Status
-	row.Body = answer.Body
-	_, _, _ = r.store.Apply(wire.Txn{
-		Conditions: []wire.Condition{{Key: key, Version: version}},
-		Puts:       []wire.Put{{Key: key, Value: encode(row)}},
-	})
-	switch row.Status {
-	case calls.StatusDone:
-		return answer, nil
-	case calls.StatusNotRun:
-		return answer, errcode.New(errcode.EndpointFailed, "%v", err).WithRan(errcode.RanNo)
+// Wait waits until the outcomes of all calls are recorded or given up.
+func (r *Runner) Wait() { r.running.Wait() }
+
+// config is the Runner's configuration with the retention of the document.
+func (r *Runner) config(snap *confsync.Snapshot) calls.Config {
+	cfg := r.cfg
+	if hours := snap.Limits.CallRetentionHours; hours > 0 {
+		cfg.Retention = time.Duration(hours) * time.Hour
 	}
-	return answer, errcode.New(errcode.CallOutcomeUnknown, "%v", err)
+	return cfg
 }
 
-func status(err error) calls.Status {
-	var notSent *endpoint.NotSentError
-	var refused *endpoint.RefusedError
-	switch {
-	case err == nil:
-		return calls.StatusDone
-	case errors.As(err, &notSent), errors.As(err, &refused):
-		return calls.StatusNotRun
-	}
-	return calls.StatusUnknown
+// State is what is recorded of a call.
+type State struct {
+	// Status is started, done, not_run or unknown.
+	Status calls.Status
+	// Ran says whether the call ran.
+	Ran errcode.Ran
+	// Answer is the service's, when done.
+	Answer endpoint.Answer
 }
 
-// replay answers a repeat of the key from the row that is there.
-func replay(failed []wire.Row, mine calls.Row) (endpoint.Answer, error) {
-	if len(failed) != 1 {
-		return endpoint.Answer{}, errcode.New(errcode.Internal, "the table named no row")
-	}
-	var row calls.Row
-	if err := json.Unmarshal(failed[0].Value, &row); err != nil {
-		return endpoint.Answer{}, errors.WithStack(err)
-	}
-	if row.BodyDigest != mine.BodyDigest {
-		return endpoint.Answer{}, errcode.New(errcode.KeyReused, "the key was used with another body")
+// State reads what is recorded under the key.
+func (r *Runner) State(organisation, service, key string) (State, error) {
+	row, err := r.store.Get(calls.RowKey(organisation, service, key))
+	if err != nil {
+		return State{}, errcode.New(errcode.StoreUnavailable, "the record can't be read").
+			WithRan(errcode.RanUnknown).WithRetryAfter(r.cfg.StoreRetry)
 	}
-	switch row.Status {
-	case calls.StatusDone:
-		return endpoint.Answer{Status: row.HTTPStatus, Body: row.Body}, nil
-	case calls.StatusNotRun:
-		return endpoint.Answer{}, errcode.New(errcode.EndpointFailed, "the call did not run").WithRan(errcode.RanNo)
-	case calls.StatusStarted:
-		return endpoint.Answer{}, errcode.New(errcode.CallInProgress, "the call is in progress").WithRan(errcode.RanUnknown)
+	if row.Version == wire.AbsentVersion {
+		return State{}, errcode.New(errcode.UnknownCall, "no call is recorded under the key")
 	}
-	return endpoint.Answer{}, errcode.New(errcode.CallOutcomeUnknown, "the outcome of the call is not known")
-}
-
-func (r Request) at(address string) endpoint.Call {
-	return endpoint.Call{
-		Address:   address,
-		Operation: r.Operation,
-		Request:   r.ID,
-		Key:       r.Key,
-		Body:      r.Body,
-		Timeout:   time.Until(r.Deadline),
+	recorded, err := calls.Decode(row)
+	if err != nil {
+		return State{}, err
 	}
+	return r.state(recorded)
 }
 
-// addresses lists the service's endpoints in a random order.
-func addresses(req Request) []string {
-	var list []string
-	for _, e := range req.Snapshot.Endpoints {
-		if e.Service == req.Service && !e.Leaving {
-			list = append(list, e.Address)
-		}
+func (r *Runner) state(row calls.Row) (State, error) {
+	gone := r.gone != nil && r.gone(row.VM, row.Incarnation)
+	reply := calls.Report(row, time.Now(), r.cfg, gone)
+	if reply.Err == nil {
+		answer, err := r.answer(*reply.Result)
+		return State{Status: calls.StatusDone, Ran: errcode.RanYes, Answer: answer}, err
 	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list
-}
-
-func encode(row calls.Row) []byte {
-	data, err := json.Marshal(row)
-	if err != nil {
-		panic(err)
+	status := row.Status
+	if reply.Err.Code == errcode.CallOutcomeUnknown {
+		status = calls.StatusUnknown
 	}
-	return data
+	return State{Status: status, Ran: reply.Err.Ran}, nil
 }
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -2,13 +2,13 @@
 
 import (
 	"encoding/json"
-	"net"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/internal/dial"
 )
 
 // Call is one call to a plain service.
@@ -19,12 +19,16 @@
 	Key       string
 	Body      []byte
 	Timeout   time.Duration
+	// Fresh opens a connection for this call alone.
+	Fresh bool
 }
 
 // Answer is a plain service's answer.
 type Answer struct {
 	Status int
 	Body   []byte
+	// TooLarge says that the body was over the limit and was not read.
+	TooLarge bool
 }
 
 // NotSentError says that no byte of the request was handed over.
@@ -33,17 +37,29 @@
 // Error implements error.
 func (e *NotSentError) Error() string { return "endpoint: not sent: " + e.Cause.Error() }
 
+// maxAnswerBytes is the largest answer that is read.
+const maxAnswerBytes = 8 << 20
+
 // Caller makes calls to plain services and reads engines' reports.
 type Caller struct {
 	http *fasthttp.Client
+	// fresh never has an idle connection: one that the endpoint closed a moment
+	// ago fails after the request was written, which leaves its fate unknown.
+	fresh *fasthttp.Client
 }
 
 // NewCaller returns a Caller.
 func NewCaller() *Caller {
-	return &Caller{http: &fasthttp.Client{
+	return &Caller{http: newHTTP(), fresh: newHTTP()}
+}
+
+func newHTTP() *fasthttp.Client {
+	return &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+		RetryIfErr:                dial.Once,
+		DialTimeout:               dial.TCP,
+		MaxResponseBodySize:       maxAnswerBytes,
+	}
 }
 
 // Close frees idle connections.
@@ -56,30 +72,38 @@
 	defer fasthttp.ReleaseRequest(req)
 	res := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(res)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.Header.SetContentType("application/json")
-	req.Header.Set(wire.HeaderRequestID, call.Request)
-	if call.Key != "" {
-		req.Header.Set(wire.HeaderIdempotencyKey, call.Key)
-	}
-	req.SetRequestURI("http://" + call.Address + wire.PathOperations + call.Operation)
-	req.SetBody(call.Body)
-	if err := c.http.DoTimeout(req, res, call.Timeout); err != nil {
-		return Answer{}, sendError(err)
+	call.write(req)
+	client := c.http
+	if call.Fresh {
+		client = c.fresh
 	}
-	if string(res.Header.Peek(wire.HeaderRan)) == "no" {
+	err := client.DoTimeout(req, res, call.Timeout)
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return Answer{Status: res.StatusCode(), TooLarge: true}, nil
+	case dial.NotSent(err):
+		return Answer{}, errors.WithStack(&NotSentError{err})
+	case err != nil:
+		return Answer{}, errors.WithStack(err)
+	case string(res.Header.Peek(wire.HeaderRan)) == "no":
 		return Answer{}, errors.WithStack(&RefusedError{res.StatusCode()})
 	}
 	return Answer{Status: res.StatusCode(), Body: append([]byte(nil), res.Body()...)}, nil
 }
 
-// sendError tells a failed dial from a failure after it.
-func sendError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.WithStack(&NotSentError{err})
+// write fills in the HTTP request.
+func (c Call) write(req *fasthttp.Request) {
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.Header.Set(wire.HeaderRequestID, c.Request)
+	if c.Key != "" {
+		req.Header.Set(wire.HeaderIdempotencyKey, c.Key)
+	}
+	if c.Fresh {
+		req.SetConnectionClose()
 	}
-	return errors.WithStack(err)
+	req.SetRequestURI("http://" + c.Address + wire.PathOperations + c.Operation)
+	req.SetBody(c.Body)
 }
 
 // Load reads an engine's load report.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -1,156 +1,190 @@
 // Package platform is the client of the platform's table service, object store
 // and VM list.
+//
+// A write ends in one of three outcomes: applied, not applied or unknown. Only
+// three things prove that it was not applied: the client sent nothing, the
+// table named a failed condition, or the answer carries wire.HeaderApplied with
+// the value "no". A status of 503 or 429 by itself proves nothing, as
+// something between the client and the table may have answered.
+//
+// The client never waits without a bound: it refuses by itself what would pass
+// this VM's share of the store's rate, or its number of requests in flight.
 package platform
 
 import (
 	"encoding/json"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/pkg/errors"
+
 	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/internal/dial"
 )
 
 // Outcome tells how a write ended.
 type Outcome int
 
-// The outcomes. OutcomeUnknown means that the write may have taken effect.
+// The outcomes. OutcomeUnknown means that the write may have taken effect, or
+// may still do so.
 const (
 	OutcomeUnknown Outcome = iota
 	OutcomeApplied
 	OutcomeNotApplied
 )
 
-// StatusError is an answer with an unexpected HTTP status.
-type StatusError struct {
-	Path   string
-	Status int
+// Config of a Client.
+type Config struct {
+	// Address of the platform, IP and port.
+	Address string
+	// AttemptTimeout bounds one attempt.
+	AttemptTimeout time.Duration
+	// Timeout bounds all attempts of one request, waits included.
+	Timeout time.Duration
+	// Attempts bounds their number.
+	Attempts int
+	// InFlight bounds the requests at one time; one more is refused.
+	InFlight int
+	// Rates is the share of the store that all VMs together may use.
+	Rates Rates
+}
+
+// attemptsPerTimeout is how many timeouts of one attempt all attempts may take.
+const attemptsPerTimeout = 2
+
+// DefaultConfig returns a Config whose attempts end after timeout.
+func DefaultConfig(address string, timeout time.Duration) Config {
+	return Config{
+		Address:        address,
+		AttemptTimeout: timeout,
+		Timeout:        attemptsPerTimeout * timeout,
+		Attempts:       4,
+		InFlight:       256,
+		Rates:          DefaultRates(),
+	}
 }
 
+// ConfigError says which field of a Config is wrong.
+type ConfigError struct{ Field string }
+
 // Error implements error.
-func (e *StatusError) Error() string {
-	return "platform: " + e.Path + ": status " + fasthttp.StatusMessage(e.Status)
+func (e *ConfigError) Error() string { return "platform: " + e.Field + " must be positive" }
+
+func (c Config) validate() error {
+	switch {
+	case c.AttemptTimeout <= 0:
+		return &ConfigError{"AttemptTimeout"}
+	case c.Timeout <= 0:
+		return &ConfigError{"Timeout"}
+	case c.Attempts <= 0:
+		return &ConfigError{"Attempts"}
+	case c.InFlight <= 0:
+		return &ConfigError{"InFlight"}
+	}
+	return c.Rates.validate()
 }
 
 // Client speaks with one platform address. It is safe for concurrent use.
 type Client struct {
-	address string
-	timeout time.Duration
-	http    *fasthttp.Client
+	cfg      Config
+	http     *fasthttp.Client
+	inFlight chan struct{}
+	limits   *limits
+	counts   counts
 }
 
-// New returns a client whose requests end after timeout.
+// New returns a client with the default configuration, whose attempts end after
+// timeout.
 func New(address string, timeout time.Duration) *Client {
+	c, err := NewClient(DefaultConfig(address, timeout))
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// NewClient returns a client, or a ConfigError.
+func NewClient(cfg Config) (*Client, error) {
+	if err := cfg.validate(); err != nil {
+		return nil, errors.WithStack(err)
+	}
 	return &Client{
-		address: address,
-		timeout: timeout,
+		cfg: cfg,
 		http: &fasthttp.Client{
+			MaxConnsPerHost:           cfg.InFlight,
 			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                neverRetry,
+			RetryIfErr:                dial.Once,
+			DialTimeout:               dial.TCP,
 		},
-	}
+		inFlight: make(chan struct{}, cfg.InFlight),
+		limits:   newLimits(cfg.Rates),
+	}, nil
 }
 
-// neverRetry keeps the library from repeating a request by itself.
-func neverRetry(*fasthttp.Request, int, error) (bool, bool) { return false, false }
-
 // Close frees idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Apply carries out a transaction. The error says why an outcome is unknown or,
-// with OutcomeNotApplied and no failed conditions, why the platform refused it.
-func (c *Client) Apply(txn wire.Txn) (wire.TxnResult, Outcome, error) {
-	var result wire.TxnResult
-	status, err := c.do(fasthttp.MethodPost, wire.PathTxn, txn, &result)
-	switch {
-	case err != nil:
-		return result, OutcomeUnknown, err
-	case status == fasthttp.StatusOK && result.Applied:
-		return result, OutcomeApplied, nil
-	case status == fasthttp.StatusConflict:
-		return result, OutcomeNotApplied, nil
-	case status == fasthttp.StatusServiceUnavailable, status == fasthttp.StatusTooManyRequests:
-		return result, OutcomeNotApplied, errors.WithStack(&StatusError{wire.PathTxn, status})
-	}
-	return result, OutcomeUnknown, errors.WithStack(&StatusError{wire.PathTxn, status})
-}
-
-// Get reads a row; one with AbsentVersion if there is none.
-func (c *Client) Get(key string) (wire.Row, error) {
-	var row wire.Row
-	return row, c.read(wire.PathRows+key, &row)
-}
+// SetVMs tells the client how many VMs share the store.
+func (c *Client) SetVMs(n int) { c.limits.share(n) }
 
-// Scan lists rows by prefix.
-func (c *Client) Scan(scan wire.Scan) (wire.ScanResult, error) {
-	var result wire.ScanResult
-	status, err := c.do(fasthttp.MethodPost, wire.PathScan, scan, &result)
-	return result, expect(wire.PathScan, status, fasthttp.StatusOK, err)
+// answer is what came back on one attempt.
+type answer struct {
+	status     int
+	notApplied bool
+	body       []byte
 }
 
-// VMs reads the platform's list, which lags.
-func (c *Client) VMs() (wire.VMList, error) {
-	var list wire.VMList
-	return list, c.read(wire.PathVMs, &list)
-}
-
-// PutObject writes an object.
-func (c *Client) PutObject(key string, data []byte) error {
-	status, _, err := c.raw(fasthttp.MethodPut, wire.PathObjects+key, data)
-	return expect(wire.PathObjects, status, fasthttp.StatusNoContent, err)
-}
-
-// GetObject reads an object.
-func (c *Client) GetObject(key string) ([]byte, error) {
-	status, data, err := c.raw(fasthttp.MethodGet, wire.PathObjects+key, nil)
-	return data, expect(wire.PathObjects, status, fasthttp.StatusOK, err)
-}
-
-func (c *Client) read(path string, into any) error {
-	status, err := c.do(fasthttp.MethodGet, path, nil, into)
-	return expect(path, status, fasthttp.StatusOK, err)
-}
-
-func expect(path string, status, want int, err error) error {
-	if err != nil {
-		return err
+// attempt sends the request once, within the client's limits. An error that
+// is a NotSentError proves that nothing was sent.
+func (c *Client) attempt(r request, timeout time.Duration) (answer, error) {
+	select {
+	case c.inFlight <- struct{}{}:
+		defer func() { <-c.inFlight }()
+	default:
+		return answer{}, errors.WithStack(&NotSentError{ReasonBusy})
 	}
-	if status != want {
-		return errors.WithStack(&StatusError{path, status})
+	wait, ok := c.limits.admit(r.class)
+	if !ok {
+		return answer{}, errors.WithStack(&NotSentError{ReasonThrottled})
 	}
-	return nil
+	time.Sleep(wait)
+	c.counts.add(r.class)
+	return c.raw(r, timeout)
 }
 
-// do sends body as JSON and decodes the answer, where it has one.
-func (c *Client) do(method, path string, body, into any) (int, error) {
-	var data []byte
-	if body != nil {
-		var err error
-		if data, err = json.Marshal(body); err != nil {
-			return 0, errors.WithStack(err)
-		}
-	}
-	status, answer, err := c.raw(method, path, data)
-	if err != nil {
-		return 0, err
-	}
-	if status != fasthttp.StatusOK && status != fasthttp.StatusConflict {
-		return status, nil
-	}
-	return status, errors.WithStack(json.Unmarshal(answer, into))
-}
-
-func (c *Client) raw(method, path string, body []byte) (int, []byte, error) {
+// raw sends the request, once.
+func (c *Client) raw(r request, timeout time.Duration) (answer, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	res := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(res)
-	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + c.address + path)
-	req.SetBody(body)
-	if err := c.http.DoTimeout(req, res, c.timeout); err != nil {
-		return 0, nil, errors.WithStack(err)
+	req.Header.SetMethod(r.method)
+	req.SetRequestURI("http://" + c.cfg.Address + r.path)
+	req.SetBody(r.body)
+	err := c.http.DoTimeout(req, res, timeout)
+	if dial.NotSent(err) {
+		return answer{}, errors.WithStack(&NotSentError{ReasonUnreachable})
+	}
+	if err != nil {
+		return answer{}, errors.WithStack(err)
 	}
-	return res.StatusCode(), append([]byte(nil), res.Body()...), nil
+	return answer{
+		status:     res.StatusCode(),
+		notApplied: string(res.Header.Peek(wire.HeaderApplied)) == wire.AppliedNo,
+		body:       append([]byte(nil), res.Body()...),
+	}, nil
+}
+
+// request is one request to the platform.
+type request struct {
+	class  Class
+	method string
+	path   string
+	body   []byte
+}
+
+func encode(v any) ([]byte, error) {
+	data, err := json.Marshal(v)
+	return data, errors.WithStack(err)
 }
--- /dev/null
+++ b/internal/platform/limits.go
@@ -0,0 +1,146 @@
+package platform
+
+import (
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Class says which part of the store's rate a request counts against.
+type Class int
+
+// The classes. Control is for what the VMs themselves need: leases and the
+// configuration. Calls may not use it up.
+const (
+	ClassRead Class = iota
+	ClassControlWrite
+	ClassCallWrite
+)
+
+// Rates is what all VMs together may ask of the store, and how a VM's share of
+// it is bounded.
+type Rates struct {
+	// WritesPerSecond and ReadsPerSecond hold for all VMs together.
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+	// CallShare is the share of the writes that calls may use, from 0 to 1.
+	CallShare float64
+	// Burst is how long an unused share is saved up.
+	Burst time.Duration
+	// MaxWait bounds how long a request waits for the share; one that would
+	// have to wait longer is refused.
+	MaxWait time.Duration
+}
+
+// DefaultRates stay under several hundred writes and two thousand reads a
+// second.
+func DefaultRates() Rates {
+	return Rates{
+		WritesPerSecond: 400,
+		ReadsPerSecond:  1600,
+		CallShare:       0.8,
+		Burst:           4 * time.Second,
+		MaxWait:         500 * time.Millisecond,
+	}
+}
+
+func (r Rates) validate() error {
+	switch {
+	case r.WritesPerSecond <= 0:
+		return &ConfigError{"WritesPerSecond"}
+	case r.ReadsPerSecond <= 0:
+		return &ConfigError{"ReadsPerSecond"}
+	case r.CallShare <= 0 || r.CallShare > 1:
+		return &ConfigError{"CallShare"}
+	}
+	return nil
+}
+
+// assumedVMs share the store until the number of VMs is known.
+const assumedVMs = 8
+
+// minBurst lets one operation of several requests through.
+const minBurst = 4
+
+// limits is this VM's share of the store.
+type limits struct {
+	rates  Rates
+	reads  *rate.Limiter
+	writes *rate.Limiter
+	calls  *rate.Limiter
+}
+
+func newLimits(r Rates) *limits {
+	l := &limits{
+		rates:  r,
+		reads:  rate.NewLimiter(0, 0),
+		writes: rate.NewLimiter(0, 0),
+		calls:  rate.NewLimiter(0, 0),
+	}
+	l.share(assumedVMs)
+	return l
+}
+
+// share divides the rates among n VMs.
+func (l *limits) share(n int) {
+	n = max(n, 1)
+	l.set(l.reads, l.rates.ReadsPerSecond/float64(n))
+	l.set(l.writes, l.rates.WritesPerSecond/float64(n))
+	l.set(l.calls, l.rates.CallShare*l.rates.WritesPerSecond/float64(n))
+}
+
+func (l *limits) set(limiter *rate.Limiter, perSecond float64) {
+	limiter.SetLimit(rate.Limit(perSecond))
+	limiter.SetBurst(max(minBurst, int(perSecond*l.rates.Burst.Seconds())))
+}
+
+// admit returns how long the request must wait, and whether it may go at all.
+func (l *limits) admit(class Class) (time.Duration, bool) {
+	switch class {
+	case ClassRead:
+		return l.reserve(l.reads)
+	case ClassControlWrite:
+		return l.reserve(l.writes)
+	}
+	wait, ok := l.reserve(l.calls)
+	if !ok {
+		return 0, false
+	}
+	more, ok := l.reserve(l.writes)
+	return max(wait, more), ok
+}
+
+func (l *limits) reserve(limiter *rate.Limiter) (time.Duration, bool) {
+	r := limiter.Reserve()
+	if !r.OK() {
+		return 0, false
+	}
+	wait := r.Delay()
+	if wait > l.rates.MaxWait {
+		r.Cancel()
+		return 0, false
+	}
+	return wait, true
+}
+
+// Counts is what a client has asked of the store so far.
+type Counts struct {
+	Reads  int64
+	Writes int64
+}
+
+type counts struct{ reads, writes atomic.Int64 }
+
+func (c *counts) add(class Class) {
+	if class == ClassRead {
+		c.reads.Add(1)
+		return
+	}
+	c.writes.Add(1)
+}
+
+// Counts returns what was asked of the store so far.
+func (c *Client) Counts() Counts {
+	return Counts{Reads: c.counts.reads.Load(), Writes: c.counts.writes.Load()}
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -66,6 +66,7 @@
 	r.POST(wire.PathScan, s.read(s.scan))
 	r.PUT(wire.PathObjects+"{key:*}", s.write(s.putObject))
 	r.GET(wire.PathObjects+"{key:*}", s.read(s.getObject))
+	r.DELETE(wire.PathObjects+"{key:*}", s.write(s.deleteObject))
 	r.GET(wire.PathVMs, s.read(s.vms))
 	r.POST(wire.PathVMs, s.setVMs)
 	r.GET(wire.PathWeights+"{key:*}", s.read(s.weight))
@@ -138,11 +139,13 @@
 	}
 	if down {
 		s.counts.refused.Add(1)
+		ctx.Response.Header.Set(wire.HeaderApplied, wire.AppliedNo)
 		httpjson.Refuse(ctx, fasthttp.StatusServiceUnavailable, "down")
 		return false
 	}
 	if !limit.Allow() {
 		s.counts.refused.Add(1)
+		ctx.Response.Header.Set(wire.HeaderApplied, wire.AppliedNo)
 		httpjson.Refuse(ctx, fasthttp.StatusTooManyRequests, "over the limit")
 		return false
 	}
@@ -186,6 +189,11 @@
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
 
+func (s *Server) deleteObject(ctx *fasthttp.RequestCtx) {
+	s.objects.Delete(pathKey(ctx))
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
 func (s *Server) getObject(ctx *fasthttp.RequestCtx) {
 	data, ok := s.objects.Load(pathKey(ctx))
 	if !ok {
