--- a/internal/api/services.go
+++ b/internal/api/services.go
@@ -64,6 +64,18 @@
 	ctx.SetBody(data)
 }
 
+// maxKeyBytes is the longest idempotency key.
+const maxKeyBytes = 255
+
+func validKey(key string) bool {
+	for _, c := range []byte(key) {
+		if c <= ' ' || c >= 0x7f {
+			return false
+		}
+	}
+	return len(key) <= maxKeyBytes
+}
+
 // callRequest reads and checks a caller's call.
 func (a *API) callRequest(ctx *fasthttp.RequestCtx, s scope) (call.Request, bool, error) {
 	name, _ := ctx.UserValue("service").(string)
@@ -83,6 +95,9 @@
 	if key == "" && !op.Idempotent {
 		return call.Request{}, false, errcode.New(errcode.KeyRequired, "operation %s needs an %s", operation, wire.HeaderIdempotencyKey)
 	}
+	if !validKey(key) {
+		return call.Request{}, false, errcode.New(errcode.BadRequest, "an %s has at most %d visible ASCII characters", wire.HeaderIdempotencyKey, maxKeyBytes)
+	}
 	end, err := deadline(ctx, service.MaxTimeoutMs)
 	return call.Request{
 		ID:           s.id,
--- /dev/null
+++ b/internal/call/once_test.go
@@ -0,0 +1,161 @@
+package call
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/calls"
+	"cornelsaddle.example/cornelsaddle/core/errcode"
+	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/standin/service"
+)
+
+// maxActions is more than a call has without faults.
+const maxActions = 5
+
+// TestKilledAtEveryStep stops a VM before each of a call's actions; a repeat at
+// another VM never runs it a second time and is told the truth.
+func TestKilledAtEveryStep(t *testing.T) {
+	for n := int64(1); n <= maxActions; n++ {
+		run := newTestRun(t, 2)
+		killBefore(run.vms[0], n)
+		_, first := run.vms[0].Once(run.request("r-1", "k", "100"))
+		run.vms[0].Wait()
+		_, second := run.vms[1].Once(run.request("r-2", "k", "100"))
+		run.vms[1].Wait()
+		effects := run.service.Effects()["k"]
+		require.LessOrEqual(t, effects, 1, "killed before action %d", n)
+		for id, err := range map[string]error{"r-1": first, "r-2": second} {
+			e := errcode.From(err)
+			switch {
+			case e == nil:
+				require.Equal(t, 1, effects, "killed before action %d", n)
+			case e.Ran == errcode.RanNo:
+				require.NotContains(t, run.service.Started(), id, "killed before action %d", n)
+			}
+		}
+		state, err := run.vms[1].State("framers", "ledger-desk", "k")
+		require.NoError(t, err)
+		require.NotEqual(t, errcode.RanNo, state.Ran, "killed before action %d", n)
+	}
+}
+
+func TestStoreDownBeforeDuringAfter(t *testing.T) {
+	run := newTestRun(t, 1)
+	run.platform.SetFaults(wire.PlatformFaults{Down: true})
+	_, err := run.vms[0].Once(run.request("r-1", "k", "100"))
+	require.True(t, errcode.Is(err, errcode.StoreUnavailable))
+	require.Equal(t, errcode.RanNo, errcode.From(err).Ran)
+	require.Positive(t, errcode.From(err).RetryAfter)
+	require.Empty(t, run.service.Started())
+
+	run.platform.SetFaults(wire.PlatformFaults{})
+	run.vms[0].step = func(a calls.Action) {
+		if _, ok := a.(calls.Send); ok {
+			run.platform.SetFaults(wire.PlatformFaults{Down: true})
+		}
+	}
+	_, err = run.vms[0].Once(run.request("r-2", "k", "100"))
+	require.NoError(t, err, "a store that fails after the call was recorded fails no call")
+	run.platform.SetFaults(wire.PlatformFaults{})
+	run.vms[0].Wait()
+	state, err := run.vms[0].State("framers", "ledger-desk", "k")
+	require.NoError(t, err)
+	require.Equal(t, errcode.RanYes, state.Ran)
+	require.Equal(t, 1, run.service.Effects()["k"])
+}
+
+func TestLostAnswersOfTheStore(t *testing.T) {
+	for _, faults := range []wire.PlatformFaults{{LoseAnswers: 1}, {LoseAnswers: 3}, {LoseRequests: 2}, {LoseAnswers: 9, LoseRequests: 9}} {
+		run := newTestRun(t, 1)
+		run.platform.SetFaults(faults)
+		_, err := run.vms[0].Once(run.request("r-1", "k", "100"))
+		run.vms[0].Wait()
+		effects := run.service.Effects()["k"]
+		if err == nil {
+			require.Equal(t, 1, effects)
+			continue
+		}
+		require.Equal(t, errcode.RanNo, errcode.From(err).Ran)
+		require.Zero(t, effects)
+		run.platform.SetFaults(wire.PlatformFaults{})
+		_, err = run.vms[0].Once(run.request("r-2", "k", "100"))
+		require.NoError(t, err, "what was proved not to have run may be tried again with its key")
+		require.Equal(t, 1, run.service.Effects()["k"])
+	}
+}
+
+func TestLostAnswerOfTheServiceIsUnknown(t *testing.T) {
+	run := newTestRun(t, 2)
+	run.service.SetFaults(service.Faults{LoseAnswers: 1})
+	for i, vm := range run.vms {
+		_, err := vm.Once(run.request("r", "k", "100"))
+		require.True(t, errcode.Is(err, errcode.CallOutcomeUnknown), "call %d: %v", i, err)
+	}
+	require.Equal(t, 1, run.service.Effects()["k"])
+}
+
+func TestRefusedByTheServiceMayBeRepeated(t *testing.T) {
+	run := newTestRun(t, 2)
+	run.service.SetFaults(service.Faults{Refuse: true})
+	_, err := run.vms[0].Once(run.request("r-1", "k", "100"))
+	require.Equal(t, errcode.RanNo, errcode.From(err).Ran)
+	run.service.SetFaults(service.Faults{})
+	_, err = run.vms[1].Once(run.request("r-2", "k", "100"))
+	require.NoError(t, err)
+	_, err = run.vms[1].Once(run.request("r-3", "k", "200"))
+	require.True(t, errcode.Is(err, errcode.KeyReused))
+	require.Equal(t, []string{"r-2"}, run.service.Started())
+}
+
+func TestLargeResultsAreReplayed(t *testing.T) {
+	run := newTestRun(t, 2)
+	run.service.SetFaults(service.Faults{AnswerBytes: 4 * maxInlineBytes})
+	first, err := run.vms[0].Once(run.request("r-1", "k", "100"))
+	require.NoError(t, err)
+	require.Len(t, first.Body, 4*maxInlineBytes)
+	again, err := run.vms[1].Once(run.request("r-2", "k", "100"))
+	require.NoError(t, err)
+	require.True(t, bytes.Equal(first.Body, again.Body))
+
+	run.service.SetFaults(service.Faults{AnswerBytes: 9 << 20})
+	_, err = run.vms[0].Once(run.request("r-3", "huge", "100"))
+	require.True(t, errcode.Is(err, errcode.ResultTooLarge), "%v", err)
+	require.Equal(t, errcode.RanYes, errcode.From(err).Ran)
+}
+
+// gone is a Liveness that knows one process to have ended.
+type gone struct{ vm string }
+
+func (g gone) Gone(vm string, _ int64) bool { return vm == g.vm }
+
+func TestDeadProcessMakesItUnknown(t *testing.T) {
+	run := newTestRun(t, 2)
+	run.vms[1].SetLiveness(gone{"entry-0"})
+	killBefore(run.vms[0], 2)
+	_, _ = run.vms[0].Once(run.request("r-1", "k", "100"))
+	_, err := run.vms[1].Once(run.request("r-2", "k", "100"))
+	require.True(t, errcode.Is(err, errcode.CallOutcomeUnknown))
+	state, err := run.vms[1].State("framers", "ledger-desk", "k")
+	require.NoError(t, err)
+	require.Equal(t, State{Status: calls.StatusUnknown, Ran: errcode.RanUnknown}, state)
+}
+
+// TestWritesPerCall counts the store's work: two writes a recorded
+// call, one a repeat of its key, no reads.
+func TestWritesPerCall(t *testing.T) {
+	const n = 50
+	run := newTestRun(t, 1)
+	for i := range n {
+		_, err := run.vms[0].Once(run.request("r", fmt.Sprint("k-", i), "100"))
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 2*n, run.platform.Counts().Writes)
+	_, err := run.vms[0].Once(run.request("r", "k-0", "100"))
+	require.NoError(t, err)
+	require.EqualValues(t, 2*n+1, run.platform.Counts().Writes)
+	require.Zero(t, run.platform.Counts().Reads)
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -118,7 +118,7 @@
 			DialTimeout:               dial.TCP,
 		},
 		inFlight: make(chan struct{}, cfg.InFlight),
-		limits:   newLimits(cfg.Rates),
+		limits:   newLimits(cfg.Rates, assumedVMs),
 	}, nil
 }
 
--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -71,17 +71,23 @@
 	calls  *rate.Limiter
 }
 
-func newLimits(r Rates) *limits {
-	l := &limits{
-		rates:  r,
-		reads:  rate.NewLimiter(0, 0),
-		writes: rate.NewLimiter(0, 0),
-		calls:  rate.NewLimiter(0, 0),
-	}
-	l.share(assumedVMs)
+// newLimits returns the limits of one of n VMs, with the burst saved up.
+func newLimits(r Rates, n int) *limits {
+	l := &limits{rates: r}
+	l.reads = l.limiter(r.ReadsPerSecond / float64(n))
+	l.writes = l.limiter(r.WritesPerSecond / float64(n))
+	l.calls = l.limiter(r.CallShare * r.WritesPerSecond / float64(n))
 	return l
 }
 
+func (l *limits) limiter(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), l.burst(perSecond))
+}
+
+func (l *limits) burst(perSecond float64) int {
+	return max(minBurst, int(perSecond*l.rates.Burst.Seconds()))
+}
+
 // share divides the rates among n VMs.
 func (l *limits) share(n int) {
 	n = max(n, 1)
@@ -92,36 +98,41 @@
 
 func (l *limits) set(limiter *rate.Limiter, perSecond float64) {
 	limiter.SetLimit(rate.Limit(perSecond))
-	limiter.SetBurst(max(minBurst, int(perSecond*l.rates.Burst.Seconds())))
+	limiter.SetBurst(l.burst(perSecond))
 }
 
 // admit returns how long the request must wait, and whether it may go at all.
 func (l *limits) admit(class Class) (time.Duration, bool) {
 	switch class {
 	case ClassRead:
-		return l.reserve(l.reads)
+		wait, _, ok := l.reserve(l.reads)
+		return wait, ok
 	case ClassControlWrite:
-		return l.reserve(l.writes)
+		wait, _, ok := l.reserve(l.writes)
+		return wait, ok
 	}
-	wait, ok := l.reserve(l.calls)
+	wait, r, ok := l.reserve(l.calls)
 	if !ok {
 		return 0, false
 	}
-	more, ok := l.reserve(l.writes)
+	more, _, ok := l.reserve(l.writes)
+	if !ok {
+		r.Cancel()
+	}
 	return max(wait, more), ok
 }
 
-func (l *limits) reserve(limiter *rate.Limiter) (time.Duration, bool) {
+func (l *limits) reserve(limiter *rate.Limiter) (time.Duration, *rate.Reservation, bool) {
 	r := limiter.Reserve()
 	if !r.OK() {
-		return 0, false
+		return 0, nil, false
 	}
 	wait := r.Delay()
 	if wait > l.rates.MaxWait {
 		r.Cancel()
-		return 0, false
+		return 0, nil, false
 	}
-	return wait, true
+	return wait, r, true
 }
 
 // Counts is what a client has asked of the store so far.
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -3,6 +3,7 @@
 package service
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 	LoseAnswers int `json:"lose_answers"`
 	// DelayMs is waited before each effect.
 	DelayMs int64 `json:"delay_ms"`
+	// AnswerBytes is the length of the answers; zero for the usual one.
+	AnswerBytes int `json:"answer_bytes"`
 }
 
 // Effects counts the effects by key.
@@ -41,6 +44,7 @@
 	*httpjson.Server
 	mu      sync.Mutex
 	effects map[string]int
+	started []string
 	faults  Faults
 }
 
@@ -50,6 +54,7 @@
 	r := router.New()
 	r.POST(wire.PathOperations+"{operation}", s.call)
 	r.GET(wire.PathEffects, s.getEffects)
+	r.GET(wire.PathStarted, s.getStarted)
 	r.POST(wire.PathFaults, s.setFaults)
 	http, err := httpjson.Listen(address, r.Handler)
 	if err != nil {
@@ -77,6 +82,17 @@
 	return effects
 }
 
+// Started lists the requests that had an effect, by their ids.
+func (s *Server) Started() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.started...)
+}
+
+func (s *Server) getStarted(ctx *fasthttp.RequestCtx) {
+	httpjson.Write(ctx, fasthttp.StatusOK, wire.StartedList{Started: s.Started()})
+}
+
 func (s *Server) call(ctx *fasthttp.RequestCtx) {
 	key := string(ctx.Request.Header.Peek(wire.HeaderIdempotencyKey))
 	if key == "" {
@@ -91,12 +107,16 @@
 	if f.DelayMs > 0 {
 		time.Sleep(time.Duration(f.DelayMs) * time.Millisecond)
 	}
-	n, lose := s.effect(key)
+	n, lose := s.effect(key, string(ctx.Request.Header.Peek(wire.HeaderRequestID)))
 	if lose {
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
 		return
 	}
+	if f.AnswerBytes > 0 {
+		ctx.SetBody(bytes.Repeat([]byte("x"), f.AnswerBytes))
+		return
+	}
 	httpjson.Write(ctx, fasthttp.StatusOK, Answer{Key: key, Effect: n})
 }
 
@@ -106,9 +126,10 @@
 	return s.faults
 }
 
-func (s *Server) effect(key string) (n int, lose bool) {
+func (s *Server) effect(key, request string) (n int, lose bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.started = append(s.started, request)
 	s.effects[key]++
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
