Pull answers through one goroutine, with stalls, breakers and resumption by text

Cause: an answer crossed two goroutines and a pipe for each token, a caller that left while its prompt queued was noticed at the deadline only, a stalled engine was waited for without end, and a resumed attempt carried no text. The stand-in names its end marker and checks the resumed text. Shown by: go test ./test/process

--- /dev/null
+++ b/core/stream/doc.go
@@ -0,0 +1,12 @@
+// Package stream puts one answer together from the events of its attempts.
+//
+// Every event of an engine carries an id, request/attempt/index. Assembly
+// decides from the id alone whether a token goes to the caller: only the
+// current attempt's, in order and each once. Late events of an earlier attempt,
+// events of another request and duplicates are dropped; a gap fails the
+// attempt. An answer is whole only after an end marker that carries the id of
+// the token that would come next.
+//
+// AppendText finds the text of a chunk without decoding it, so that an answer
+// can be resumed elsewhere.
+package stream
--- a/core/wire/engine.go
+++ b/core/wire/engine.go
@@ -88,7 +88,8 @@
 	TotalTokens      int `json:"total_tokens"`
 }
 
-// StreamDone is the data of the event that ends a whole stream.
+// StreamDone is the data of the event that ends a whole stream. Its id is
+// request/attempt/index like a token's, with the number of tokens as index.
 const StreamDone = "[DONE]"
 
 // LoadReport is an engine's own account of its load, which lags.
@@ -127,6 +128,8 @@
 	// Group is the memory of the whole group that the reservation is part of,
 	// in tokens: what its lead engine may count on.
 	Group int64 `json:"group,omitempty"`
+	// Lead is the address of the group's lead engine, which streams the answer.
+	Lead string `json:"lead,omitempty"`
 	// InUse says that a live stream uses it.
 	InUse bool `json:"in_use,omitempty"`
 }
--- a/core/wire/faults.go
+++ b/core/wire/faults.go
@@ -25,6 +25,9 @@
 	Cross bool `json:"cross"`
 	// Duplicate sends each token of the next stream twice.
 	Duplicate bool `json:"duplicate"`
+	// Interleave mixes events of another request and of another attempt, each
+	// with an end marker, into the next stream.
+	Interleave bool `json:"interleave"`
 	// Refuse answers new requests with 503 before anything starts.
 	Refuse bool `json:"refuse"`
 }
--- a/internal/api/completions.go
+++ b/internal/api/completions.go
@@ -1,16 +1,17 @@
 package api
 
 import (
-	"bufio"
 	"bytes"
-	"context"
 	"encoding/json"
+	"io"
 	"slices"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"cornelsaddle.example/cornelsaddle/core/errcode"
 	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/prompt"
 )
 
@@ -19,8 +20,6 @@
 	bytesPerToken = 4
 	// defaultMaxTokens is the longest answer of a request that sets none.
 	defaultMaxTokens = 256
-	// sinkBuffer is the number of tokens that wait for the caller.
-	sinkBuffer = 64
 )
 
 // completions answers a completion or a chat, streamed or whole.
@@ -31,21 +30,19 @@
 		a.fail(ctx, s, err)
 		return
 	}
-	run, cancel := context.WithCancel(context.Background())
-	out := &sink{ctx: run, tokens: make(chan []byte, sinkBuffer)}
-	result := make(chan error, 1)
-	go func() {
-		defer a.leave()
-		err := a.prompts.Run(run, req, out)
-		result <- err
-		close(out.tokens)
-	}()
+	answer, err := a.prompts.Start(req)
+	if err != nil {
+		a.leave()
+		a.fail(ctx, s, err)
+		return
+	}
 	if stream {
-		a.stream(ctx, s, out, result, cancel)
+		a.stream(ctx, s, answer)
 		return
 	}
-	defer cancel()
-	a.whole(ctx, s, out, result)
+	defer a.leave()
+	defer answer.Close()
+	a.whole(ctx, s, answer)
 }
 
 // promptRequest reads and checks a caller's prompt.
@@ -69,91 +66,77 @@
 	if c.MaxTokens <= 0 {
 		c.MaxTokens = defaultMaxTokens
 	}
+	body, err := firstBody(raw, c)
+	if err != nil {
+		return prompt.Request{}, false, err
+	}
 	tokens := int64(len(raw)/bytesPerToken + 1)
 	return prompt.Request{
 		ID:           s.id,
 		Organisation: s.organisation,
 		Service:      c.Model,
 		Path:         string(ctx.Path()),
-		Body:         streamBody(raw, c.Stream),
+		Body:         body,
 		Tokens:       tokens,
 		MaxTokens:    int64(c.MaxTokens),
 		Class:        s.snapshot.ClassOf(tokens),
 		Deadline:     end,
 		Snapshot:     s.snapshot,
+		Caller:       connection{ctx.Conn()},
 	}, c.Stream, nil
 }
 
-// streamBody asks the engine for a stream, whatever the caller wants.
-func streamBody(raw []byte, stream bool) []byte {
-	if stream {
-		return raw
-	}
-	return append(bytes.TrimRight(raw, "} \t\r\n"), `,"stream":true}`...)
-}
-
-// sink hands tokens from the request's goroutine to the caller's.
-type sink struct {
-	ctx    context.Context
-	tokens chan []byte
-}
-
-// Deliver implements prompt.Sink.
-func (s *sink) Deliver(_ int64, data []byte) error {
-	select {
-	case s.tokens <- append([]byte(nil), data...):
-		return nil
-	case <-s.ctx.Done():
-		return s.ctx.Err()
+// firstBody is what goes to the engine: the caller's own bytes where nothing has
+// to be changed in them.
+func firstBody(raw []byte, c wire.CompletionRequest) ([]byte, error) {
+	if c.Stream && c.Delivered == 0 && c.Resume == "" {
+		return raw, nil
 	}
+	return prompt.FirstBody(raw)
 }
 
 // stream sends tokens as they come. A failure before the first token gets its
 // own status; one after it is the last event.
-func (a *API) stream(ctx *fasthttp.RequestCtx, s scope, out *sink, result chan error, cancel context.CancelFunc) {
-	first, ok := <-out.tokens
-	if !ok {
-		cancel()
-		a.fail(ctx, s, <-result)
+func (a *API) stream(ctx *fasthttp.RequestCtx, s scope, answer *prompt.Answer) {
+	first, err := answer.Next(true)
+	if err != nil && !errors.Is(err, io.EOF) {
+		answer.Close()
+		a.leave()
+		a.fail(ctx, s, err)
 		return
 	}
+	body := &eventStream{answer: answer, failed: func(err error) []byte { return a.lastEvent(s, err) }, closed: a.leave}
+	if err == nil {
+		body.add(first)
+	} else {
+		body.end(err)
+	}
 	ctx.Response.Header.SetContentType("text/event-stream")
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer cancel()
-		if !writeData(w, first) {
-			return
-		}
-		for data := range out.tokens {
-			if !writeData(w, data) {
-				return
-			}
-		}
-		if err := <-result; err != nil {
-			writeData(w, failBody(s.id, errcode.From(err)))
-			return
-		}
-		writeData(w, []byte(wire.StreamDone))
-	})
+	ctx.SetBodyStream(body, -1)
 }
 
-func writeData(w *bufio.Writer, data []byte) bool {
-	_, _ = w.WriteString("data: ")
-	_, _ = w.Write(data)
-	_, _ = w.WriteString("\n\n")
-	return w.Flush() == nil
+// lastEvent is the event that ends a stream which failed after its first token.
+func (a *API) lastEvent(s scope, err error) []byte {
+	e := errcode.From(err)
+	a.log.Emit(event.RequestFailed{Request: s.id, Organisation: s.organisation, Code: string(e.Code)})
+	return failBody(s.id, e)
 }
 
 // whole waits for the whole answer and sends it as one body.
-func (a *API) whole(ctx *fasthttp.RequestCtx, s scope, out *sink, result chan error) {
-	var answer assembler
-	for data := range out.tokens {
-		answer.add(data)
-	}
-	if err := <-result; err != nil {
-		a.fail(ctx, s, err)
-		return
+func (a *API) whole(ctx *fasthttp.RequestCtx, s scope, answer *prompt.Answer) {
+	var joined assembler
+	for {
+		data, err := answer.Next(true)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			a.fail(ctx, s, err)
+			return
+		}
+		joined.add(data)
 	}
-	data, err := answer.encode()
+	data, err := joined.encode()
 	if err != nil {
 		a.fail(ctx, s, err)
 		return
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -4,12 +4,14 @@
 package endpoint
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,32 +20,27 @@
 )
 
 const (
-	// maxEventBytes is the longest line of an event stream.
-	maxEventBytes = 1 << 20
-	dialTimeout   = 2 * time.Second
-	idleConns     = 64
+	dialTimeout = 2 * time.Second
+	idleTimeout = 30 * time.Second
+	idleConns   = 64
 )
 
 // Attempt is one try of a prompt at an endpoint.
 type Attempt struct {
-	Address     string
-	Path        string
-	Request     string
-	Number      int
-	Owner       string
-	Priority    wire.Priority
+	// Address is the endpoint's IP and port, Path the route there.
+	Address string
+	Path    string
+	// Request and Number name the attempt.
+	Request string
+	Number  int
+	// Owner is the VM that the attempt's memory belongs to.
+	Owner    string
+	Priority wire.Priority
+	// Reservation is the memory set aside for it; empty for none.
 	Reservation string
 	Body        []byte
 }
 
-// Token is one event of an answer.
-type Token struct {
-	// Index counts from 0 over the whole answer.
-	Index int64
-	// Data is the chunk, valid until the next call of Next.
-	Data []byte
-}
-
 // RefusedError says that the endpoint proved that it started nothing.
 type RefusedError struct{ Status int }
 
@@ -69,95 +66,82 @@
 
 // New returns a client.
 func New() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost:   idleConns,
-		ResponseHeaderTimeout: 0,
-		DisableCompression:    true,
-		TLSHandshakeTimeout:   dialTimeout,
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
 	}}}
 }
 
 // Close frees idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Stream is the answer of one attempt.
+// Stream is the answer of one attempt. It is not safe for concurrent use.
 type Stream struct {
-	body    io.ReadCloser
-	scanner *bufio.Scanner
-	prefix  []byte
+	body   io.ReadCloser
+	events *eventReader
 }
 
-// Open sends the attempt and returns its stream. Cancelling ctx ends it.
+// Open sends the attempt and returns its stream. Cancelling ctx ends it. A
+// RefusedError or a NotSentError proves that the endpoint started nothing; any
+// other error leaves that open.
 func (c *Client) Open(ctx context.Context, a Attempt) (*Stream, error) {
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	req, err := a.request(httptrace.WithClientTrace(ctx, trace))
+	if err != nil {
+		return nil, errors.WithStack(&NotSentError{err})
+	}
+	res, err := c.http.Do(req)
+	if err != nil && !sent.Load() {
+		return nil, errors.WithStack(&NotSentError{err})
+	}
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if res.StatusCode != http.StatusOK {
+		_ = res.Body.Close()
+		return nil, statusError(res)
+	}
+	return &Stream{body: res.Body, events: newEventReader(res.Body)}, nil
+}
+
+func (a Attempt) request(ctx context.Context) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Address+a.Path, bytes.NewReader(a.Body))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	number := strconv.Itoa(a.Number)
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(wire.HeaderRequestID, a.Request)
-	req.Header.Set(wire.HeaderAttempt, number)
+	req.Header.Set(wire.HeaderAttempt, strconv.Itoa(a.Number))
 	req.Header.Set(wire.HeaderOwner, a.Owner)
 	req.Header.Set(wire.HeaderPriority, strconv.Itoa(int(a.Priority)))
 	if a.Reservation != "" {
 		req.Header.Set(wire.HeaderReservation, a.Reservation)
 	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	if res.StatusCode != http.StatusOK {
-		_ = res.Body.Close()
-		if res.Header.Get(wire.HeaderRan) == "no" {
-			return nil, errors.WithStack(&RefusedError{res.StatusCode})
-		}
-		return nil, errors.WithStack(&StatusError{res.StatusCode})
+	return req, nil
+}
+
+func statusError(res *http.Response) error {
+	if res.Header.Get(wire.HeaderRan) == "no" {
+		return errors.WithStack(&RefusedError{res.StatusCode})
 	}
-	scanner := bufio.NewScanner(res.Body)
-	scanner.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
-	return &Stream{body: res.Body, scanner: scanner, prefix: []byte(a.Request + "/" + number + "/")}, nil
+	return errors.WithStack(&StatusError{res.StatusCode})
 }
 
 // Close ends the stream.
 func (s *Stream) Close() { _ = s.body.Close() }
 
-// Next returns the next token of this attempt; events of another request or
-// attempt are dropped. It returns io.EOF after the end marker, and a CutError
-// where the stream ends without one.
-func (s *Stream) Next() (Token, error) {
-	index := int64(-1)
-	for s.scanner.Scan() {
-		line := s.scanner.Bytes()
-		if id, ok := bytes.CutPrefix(line, []byte("id: ")); ok {
-			index = s.index(id)
-			continue
-		}
-		data, ok := bytes.CutPrefix(line, []byte("data: "))
-		if !ok {
-			continue
-		}
-		if string(data) == wire.StreamDone {
-			return Token{}, io.EOF
-		}
-		if index >= 0 {
-			return Token{Index: index, Data: data}, nil
-		}
-	}
-	if err := s.scanner.Err(); err != nil {
-		return Token{}, errors.WithStack(err)
-	}
-	return Token{}, errors.WithStack(&CutError{})
-}
+// Ready reports whether Next returns an event without waiting.
+func (s *Stream) Ready() bool { return s.events.buffered() }
 
-// index reads an event's id, request/attempt/index; -1 for another attempt's.
-func (s *Stream) index(id []byte) int64 {
-	rest, ok := bytes.CutPrefix(id, s.prefix)
-	if !ok {
-		return -1
-	}
-	n, err := strconv.ParseInt(string(rest), 10, 64)
-	if err != nil {
-		return -1
+// Next returns the next event. It returns a CutError where the body ends.
+func (s *Stream) Next() (Event, error) {
+	event, err := s.events.next()
+	if errors.Is(err, io.EOF) {
+		err = errors.WithStack(&CutError{})
 	}
-	return n
+	return event, err
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	Store    *platform.Client
 	Streams  *endpoint.Client
 	Caller   *endpoint.Caller
+	Prompts  *prompt.Runner
 }
 
 // Start wires the VM and begins to listen.
@@ -78,7 +79,8 @@
 		endpoint.New,
 		endpoint.NewCaller,
 		metrics.New,
-		prompt.NewRunner,
+		prompt.DefaultConfig,
+		newPrompts,
 		call.NewRunner,
 		api.New,
 	}
@@ -88,6 +90,10 @@
 	return platform.New(s.Platform.Address, s.Platform.Timeout())
 }
 
+func newPrompts(cfg prompt.Config, f *fleet.Fleet, streams *endpoint.Client, caller *endpoint.Caller, log *event.Logger, m *metrics.Metrics) *prompt.Runner {
+	return prompt.NewRunner(cfg, f, streams, caller, log, m)
+}
+
 func newFollower(store *platform.Client, log *event.Logger, s settings.Settings) *confsync.Follower {
 	return confsync.New(store, log, s.Platform.Poll())
 }
@@ -144,6 +150,7 @@
 	}
 	n.parts.Fleet.Stop()
 	n.parts.Follower.Stop()
+	n.parts.Prompts.Close()
 	n.parts.Streams.Close()
 	n.parts.Caller.Close()
 	n.parts.Store.Close()
--- /dev/null
+++ b/internal/prompt/answer.go
@@ -0,0 +1,297 @@
+package prompt
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cornelsaddle.example/cornelsaddle/core/errcode"
+	"cornelsaddle.example/cornelsaddle/core/statechart"
+	"cornelsaddle.example/cornelsaddle/core/stream"
+	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/internal/endpoint"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+)
+
+// The request chart's names.
+const (
+	evAdmitted    statechart.Event  = "admitted"
+	evPlaced      statechart.Event  = "placed"
+	evUnplaceable statechart.Event  = "unplaceable"
+	evReserved    statechart.Event  = "reserved"
+	evToken       statechart.Event  = "token"
+	evEnd         statechart.Event  = "end"
+	evFailed      statechart.Event  = "failed"
+	evRetryDue    statechart.Event  = "retry_due"
+	evDeadline    statechart.Event  = "deadline"
+	evCallerGone  statechart.Event  = "caller_gone"
+	doPlace       statechart.Action = "place"
+	doReserve     statechart.Action = "reserve"
+	doSend        statechart.Action = "send"
+	doDeliver     statechart.Action = "deliver"
+	doFail        statechart.Action = "fail"
+	doCancel      statechart.Action = "cancel"
+	doRelease     statechart.Action = "release"
+	doBackOff     statechart.Action = "back_off"
+	mayRetry      statechart.Guard  = "may_retry"
+	mayWait       statechart.Guard  = "may_wait"
+	stFinished    statechart.State  = "finished"
+	stCancelled   statechart.State  = "cancelled"
+)
+
+// nothing says that no event is there yet.
+const nothing statechart.Event = ""
+
+// Answer is one request under way, and its tokens. Only its owner calls its
+// methods, one at a time.
+type Answer struct {
+	*Runner
+	req     Request
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	free    context.CancelFunc
+	machine *statechart.Machine
+	watch   *watch
+	start   time.Time
+
+	// event is the next one for the chart.
+	event    statechart.Event
+	assembly *stream.Assembly
+	text     resumeText
+	chunk    []byte
+	ready    bool
+
+	tried    map[string]bool
+	attempt  attempt
+	attempts int
+	// handed says that the last attempt went to an endpoint.
+	handed bool
+	pauses int
+	pause  time.Duration
+
+	ran     errcode.Ran
+	cause   error
+	failure error
+	closed  bool
+}
+
+// attempt is the current try.
+type attempt struct {
+	endpoint  string
+	address   string
+	predicted time.Duration
+	// pending says that the fleet counts it as waiting for its first token.
+	pending bool
+	sent    bool
+	stream  *endpoint.Stream
+	cancel  context.CancelCauseFunc
+}
+
+// Next returns the data of the answer's next token, valid until the next call.
+// It returns io.EOF after a whole answer, and a typed failure otherwise. With
+// wait false it returns nil where it would have to wait.
+func (a *Answer) Next(wait bool) ([]byte, error) {
+	a.watch.reading(true)
+	defer a.watch.reading(false)
+	for !a.machine.Done() {
+		if a.event == nothing {
+			a.event = a.await(wait)
+		}
+		if a.event == nothing {
+			return nil, nil
+		}
+		if err := a.step(); err != nil {
+			return nil, err
+		}
+		if a.ready {
+			a.ready = false
+			return a.chunk, nil
+		}
+	}
+	return nil, a.end()
+}
+
+// step hands the event to the chart and carries out its actions.
+func (a *Answer) step() error {
+	actions, err := a.machine.Fire(a.event)
+	if err != nil {
+		return err
+	}
+	a.event = nothing
+	for _, action := range actions {
+		if next := a.do(action); next != nothing {
+			a.event = next
+		}
+	}
+	return nil
+}
+
+func (a *Answer) do(action statechart.Action) statechart.Event {
+	switch action {
+	case doPlace:
+		return a.place()
+	case doReserve:
+		return a.reserve()
+	case doSend:
+		return a.send()
+	case doDeliver:
+		a.deliver()
+	case doCancel:
+		a.cancelAttempt()
+	case doRelease:
+		a.release()
+	case doBackOff:
+		a.backOff()
+	case doFail:
+		a.failure = a.classify()
+	}
+	return nothing
+}
+
+// await waits for the next event: of the stream, or of the pause before a
+// retry.
+func (a *Answer) await(wait bool) statechart.Event {
+	if a.attempt.stream != nil {
+		return a.read(wait)
+	}
+	if !wait {
+		return nothing
+	}
+	timer := time.NewTimer(a.pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return evRetryDue
+	case <-a.ctx.Done():
+		return a.interrupted()
+	}
+}
+
+// read returns what the stream's next event of this answer means.
+func (a *Answer) read(wait bool) statechart.Event {
+	s := a.attempt.stream
+	for wait || s.Ready() {
+		e, err := s.Next()
+		if err != nil {
+			return a.failed(err)
+		}
+		a.watch.progress()
+		verdict := a.judge(e)
+		switch verdict {
+		case stream.Deliver:
+			a.chunk = e.Data
+			return evToken
+		case stream.Whole:
+			return evEnd
+		case stream.Gap:
+			return a.failed(errors.WithStack(&GapError{}))
+		}
+	}
+	return nothing
+}
+
+func (a *Answer) judge(e endpoint.Event) stream.Verdict {
+	if string(e.Data) == wire.StreamDone {
+		return a.assembly.End(e.ID)
+	}
+	return a.assembly.Token(e.ID)
+}
+
+func (a *Answer) deliver() {
+	a.ready = true
+	a.text.add(a.chunk)
+	if !a.attempt.pending {
+		return
+	}
+	a.started()
+	a.succeeded(a.attempt.endpoint)
+	if a.assembly.Delivered() == 1 {
+		a.metrics.FirstToken(a.req.Organisation, a.req.Class.Name, time.Since(a.start))
+	}
+}
+
+// started tells the fleet that the attempt no longer waits.
+func (a *Answer) started() {
+	if a.attempt.pending {
+		a.attempt.pending = false
+		a.fleet.Started(a.attempt.endpoint, a.req.ID)
+	}
+}
+
+// failed tells a failed attempt from a passed deadline and a vanished caller.
+func (a *Answer) failed(err error) statechart.Event {
+	if a.ctx.Err() != nil {
+		return a.interrupted()
+	}
+	a.cause = err
+	if stalled := a.watch.stall(); stalled != nil {
+		a.cause = stalled
+	}
+	if isFault(a.cause) {
+		a.fleet.Failed(a.attempt.endpoint)
+		a.endpointFailed(a.attempt.endpoint)
+	}
+	return evFailed
+}
+
+func (a *Answer) interrupted() statechart.Event {
+	if errors.Is(a.ctx.Err(), context.DeadlineExceeded) {
+		return evDeadline
+	}
+	return evCallerGone
+}
+
+// mayRetry reports whether a failed attempt may be followed by another.
+func (a *Answer) mayRetry() bool {
+	if a.assembly.Delivered() > 0 && !a.text.whole {
+		return false
+	}
+	return a.Runner.mayRetry(a.attempts, time.Until(a.req.Deadline))
+}
+
+// mayWait reports whether a request that could not be sent looks at the fleet
+// again: not one that found no endpoint at all, which is told so at once.
+func (a *Answer) mayWait() bool {
+	if a.attempts == 0 && a.attempt.endpoint == "" {
+		return false
+	}
+	return time.Until(a.req.Deadline) > a.cfg.Retry.MinLeft
+}
+
+// backOff draws the pause before the next attempt. Only a retry of what was
+// handed to an endpoint is paid from the budget.
+func (a *Answer) backOff() {
+	a.log.Emit(event.AttemptFailed{Request: a.req.ID, Attempt: a.attempts, Endpoint: a.attempt.endpoint, Reason: a.reason()})
+	a.pauses++
+	a.pause = a.delay(a.pauses, time.Until(a.req.Deadline), a.handed)
+	a.handed = false
+}
+
+// Close ends the request, whatever its state. It may be called again.
+func (a *Answer) Close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	a.watch.stop()
+	a.cancel(errors.WithStack(&ClosedError{}))
+	a.event = evCallerGone
+	_ = a.step()
+	a.started()
+	a.free()
+}
+
+// end is the outcome of a request whose chart is done.
+func (a *Answer) end() error {
+	a.started()
+	a.closeStream()
+	switch a.machine.State() {
+	case stFinished:
+		return io.EOF
+	case stCancelled:
+		return errcode.New(errcode.Cancelled, "the caller went away").WithRan(a.ranSoFar())
+	}
+	return a.failure
+}
--- a/internal/prompt/body.go
+++ b/internal/prompt/body.go
@@ -2,19 +2,88 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"cornelsaddle.example/cornelsaddle/core/stream"
 )
 
-// resumeBody asks the engine to go on after the tokens already delivered. The
-// first attempt's body passes unchanged.
-func resumeBody(body []byte, delivered int64) []byte {
+// The fields of a body that the VM sets.
+const (
+	fieldStream    = "stream"
+	fieldDelivered = "delivered"
+	fieldResume    = "resume"
+)
+
+// FirstBody is the body of a request's first attempt: the caller's, with
+// streaming on and without the fields that only the VM may set. The other
+// fields pass unchanged.
+func FirstBody(body []byte) ([]byte, error) {
+	return rewrite(body, map[string]json.RawMessage{fieldStream: json.RawMessage("true")})
+}
+
+// rewrite replaces the fields that the VM sets, and drops those that set does
+// not have.
+func rewrite(body []byte, set map[string]json.RawMessage) ([]byte, error) {
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	for name := range fields {
+		if ownField(name) {
+			delete(fields, name)
+		}
+	}
+	for name, value := range set {
+		fields[name] = value
+	}
+	var out bytes.Buffer
+	enc := json.NewEncoder(&out)
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(fields); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return bytes.TrimSpace(out.Bytes()), nil
+}
+
+// ownField reports whether an engine could read the name as one of the VM's
+// fields; decoders differ in whether they tell upper case from lower.
+func ownField(name string) bool {
+	return strings.EqualFold(name, fieldStream) ||
+		strings.EqualFold(name, fieldDelivered) ||
+		strings.EqualFold(name, fieldResume)
+}
+
+// resumeText is the answer's text so far, as it stood in the chunks, with its
+// JSON escapes. It is whole as long as the text alone is the answer.
+type resumeText struct {
+	escaped []byte
+	whole   bool
+}
+
+func (t *resumeText) add(chunk []byte) {
+	if !t.whole {
+		return
+	}
+	t.escaped, t.whole = stream.AppendText(t.escaped, chunk)
+}
+
+// body is the body of an attempt after so many tokens were delivered: the first
+// one passes unchanged.
+func (t *resumeText) body(body []byte, delivered int64) ([]byte, error) {
 	if delivered == 0 {
-		return body
+		return body, nil
 	}
-	trimmed := bytes.TrimRight(body, " \t\r\n}")
-	out := make([]byte, 0, len(trimmed)+32)
-	out = append(out, trimmed...)
-	out = append(out, `,"delivered":`...)
-	out = strconv.AppendInt(out, delivered, 10)
-	return append(out, '}')
+	text := make([]byte, 0, len(t.escaped)+2)
+	text = append(text, '"')
+	text = append(text, t.escaped...)
+	text = append(text, '"')
+	return rewrite(body, map[string]json.RawMessage{
+		fieldStream:    json.RawMessage("true"),
+		fieldDelivered: json.RawMessage(strconv.FormatInt(delivered, 10)),
+		fieldResume:    text,
+	})
 }
--- /dev/null
+++ b/internal/prompt/watch.go
@@ -0,0 +1,112 @@
+package prompt
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// watch looks at a request's progress from a timer, as its own goroutine may be
+// waiting for the engine or for the caller. It cancels a stalled attempt, and
+// the request when its caller is gone or does not read.
+type watch struct {
+	cfg      Config
+	caller   Caller
+	deadline time.Time
+	cancel   context.CancelCauseFunc
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+	// waiting says that the request waits for the engine, and not for its
+	// caller to read.
+	waiting bool
+	// events counts the stream's; seen is their number at the last look, and
+	// since when it has not changed.
+	events uint64
+	seen   uint64
+	since  time.Time
+	// abort ends the attempt, which may take so long to its next token.
+	abort    context.CancelCauseFunc
+	patience time.Duration
+	stalled  error
+}
+
+func newWatch(a *Answer) *watch {
+	w := &watch{cfg: a.cfg, caller: a.req.Caller, deadline: a.req.Deadline, cancel: a.cancel, since: a.start}
+	w.timer = time.AfterFunc(w.cfg.Watch, w.look)
+	return w
+}
+
+// reading notes whether the request waits for the engine.
+func (w *watch) reading(waiting bool) {
+	w.mu.Lock()
+	w.waiting = waiting
+	w.events++
+	w.mu.Unlock()
+}
+
+// progress notes an event of the stream.
+func (w *watch) progress() {
+	w.mu.Lock()
+	w.events++
+	w.patience = w.cfg.StallBetween
+	w.mu.Unlock()
+}
+
+// attempt begins to watch an attempt; nil for none.
+func (w *watch) attempt(abort context.CancelCauseFunc, patience time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.abort, w.patience = abort, patience
+	w.stalled = nil
+	w.events++
+}
+
+// stall is the StallError of an attempt that was cancelled for it; nil if not.
+func (w *watch) stall() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stalled
+}
+
+// stop ends the watch. Nothing is cancelled or aborted after it returns.
+func (w *watch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
+
+func (w *watch) look() {
+	gone := w.caller.Gone()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	w.timer.Reset(w.cfg.Watch)
+	if gone {
+		w.cancel(&CallerGoneError{})
+	}
+	now := time.Now()
+	if w.events != w.seen {
+		w.seen, w.since = w.events, now
+	}
+	w.judge(now.Sub(w.since), now)
+}
+
+// judge acts on a request that has not moved for so long.
+func (w *watch) judge(idle time.Duration, now time.Time) {
+	if w.waiting {
+		if w.abort != nil && idle > w.patience {
+			w.stalled = &StallError{}
+			w.abort(w.stalled)
+		}
+		return
+	}
+	if idle > w.cfg.CallerStall || now.Sub(w.deadline) > w.cfg.Watch {
+		w.cancel(&CallerGoneError{})
+		w.caller.Abort()
+	}
+}
--- a/standin/engine/reservations.go
+++ b/standin/engine/reservations.go
@@ -14,6 +14,8 @@
 type held struct {
 	wire.Reservation
 	end time.Time
+	// released says that its owner gave it up while a stream used it.
+	released bool
 }
 
 // reservations are the memory held for owners.
@@ -24,10 +26,11 @@
 
 func (r *reservations) init() { r.byID = make(map[string]*held) }
 
-// use marks the reservation as used by a stream.
+// use marks the reservation as used by a stream. A reservation that was given
+// up, or is in use, can't be used.
 func (r *reservations) use(id string) (wire.Reservation, bool) {
 	h, ok := r.byID[id]
-	if !ok {
+	if !ok || h.released || h.InUse {
 		return wire.Reservation{}, false
 	}
 	h.InUse = true
@@ -43,7 +46,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	end := time.Now().Add(time.Duration(r.TTLMs) * time.Millisecond)
-	if h, ok := s.reservations.byID[r.ID]; ok {
+	if h, ok := s.reservations.byID[r.ID]; ok && !h.released {
 		h.end = end
 		httpjson.Write(ctx, fasthttp.StatusOK, h.Reservation)
 		return
@@ -62,11 +65,29 @@
 	httpjson.Write(ctx, fasthttp.StatusOK, r)
 }
 
+// unuse notes that the stream that used the reservation ended.
+func (s *Server) unuse(id string) {
+	h, ok := s.reservations.byID[id]
+	if !ok {
+		return
+	}
+	h.InUse = false
+	if h.released {
+		s.drop(id)
+	}
+}
+
+// release gives a reservation up: at once, or at the end of the stream that
+// uses it.
 func (s *Server) release(ctx *fasthttp.RequestCtx) {
 	id, _ := ctx.UserValue("id").(string)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.drop(id)
+	if h := s.reservations.byID[id]; h != nil && h.InUse {
+		h.released = true
+	} else {
+		s.drop(id)
+	}
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
 
@@ -82,7 +103,7 @@
 func (s *Server) expireReservations() {
 	now := time.Now()
 	for id, h := range s.reservations.byID {
-		if now.After(h.end) {
+		if now.After(h.end) && !h.InUse {
 			s.drop(id)
 		}
 	}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -68,6 +68,8 @@
 	seed    uint64
 	seq     *Sequence
 	tokens  chan Token
+	// reservation is the memory that it uses; empty for none.
+	reservation string
 }
 
 // Start starts a stand-in engine.
@@ -116,9 +118,8 @@
 	close(s.stop)
 	<-s.done
 	s.mu.Lock()
-	for id, st := range s.streams {
-		close(st.tokens)
-		delete(s.streams, id)
+	for _, st := range s.streams {
+		s.forget(st)
 	}
 	s.mu.Unlock()
 	s.Server.Close()
@@ -188,16 +189,21 @@
 	case st.tokens <- t:
 	default:
 		s.model.Cancel(t.Sequence.ID)
-		delete(s.streams, t.Sequence.ID)
-		close(st.tokens)
+		s.forget(st)
 		return
 	}
 	if t.Last {
-		delete(s.streams, t.Sequence.ID)
-		close(st.tokens)
+		s.forget(st)
 	}
 }
 
+// forget ends a stream, and its reservation where its owner gave it up.
+func (s *Server) forget(st *stream) {
+	delete(s.streams, st.seq.ID)
+	close(st.tokens)
+	s.unuse(st.reservation)
+}
+
 // report remembers the load, so that it can be told with a lag.
 func (s *Server) report() {
 	r := s.model.Load()
@@ -261,8 +267,7 @@
 	defer s.mu.Unlock()
 	s.model.Cancel(id)
 	if st := s.streams[id]; st != nil {
-		delete(s.streams, id)
-		close(st.tokens)
+		s.forget(st)
 	}
 }
 
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -28,6 +28,7 @@
 		return
 	}
 	ctx.Response.Header.SetContentType("text/event-stream")
+	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer s.cut(st.seq.ID)
 		s.write(w, st, faults)
@@ -51,6 +52,7 @@
 	s.faults.CutAfterTokens = 0
 	s.faults.Cross = false
 	s.faults.Duplicate = false
+	s.faults.Interleave = false
 	return faults, true
 }
 
@@ -65,15 +67,19 @@
 		return "another model"
 	case s.streams[st.seq.ID] != nil:
 		return "attempt exists"
+	case st.request.Resume != st.answered():
+		return "resume is not what was delivered"
 	}
 	if reservation != "" {
 		r, ok := s.reservations.use(reservation)
 		if !ok {
 			return "no such reservation"
 		}
-		st.seq.Reserved = r.Group
+		st.seq.Reserved = max(r.Tokens, r.Group)
+		st.reservation = reservation
 	}
 	if st.seq.own() > s.cfg.Model.MemoryTokens {
+		s.unuse(reservation)
 		return "over the memory"
 	}
 	return ""
@@ -91,6 +97,9 @@
 		if faults.Duplicate {
 			copies = 2
 		}
+		if faults.Interleave {
+			writeForeign(w, st, t)
+		}
 		for range copies {
 			writeEvent(w, st, t, faults.Cross)
 		}
@@ -103,21 +112,43 @@
 	if !last {
 		return
 	}
-	fmt.Fprintf(w, "data: %s\n\n", wire.StreamDone)
+	fmt.Fprintf(w, "id: %s/%d\ndata: %s\n\n", st.eventName(faults.Cross), st.seq.Answer, wire.StreamDone)
 	_ = w.Flush()
 }
 
-// writeEvent sends one token. The event's id is request/attempt/index.
-func writeEvent(w *bufio.Writer, st *stream, t Token, cross bool) {
-	name := st.seq.ID
+// eventName is the part of an event's id that all events of a stream share.
+func (st *stream) eventName(cross bool) string {
 	if cross {
-		name = attemptName("crossed-"+st.name, st.attempt)
+		return attemptName("crossed-"+st.name, st.attempt)
+	}
+	return st.seq.ID
+}
+
+// writeForeign sends a token and an end marker of another request, and of
+// another attempt of the same one.
+func writeForeign(w *bufio.Writer, st *stream, t Token) {
+	for _, name := range []string{st.eventName(true), attemptName(st.name, st.attempt+1)} {
+		fmt.Fprintf(w, "id: %s/%d\ndata: {\"choices\":[{\"text\":\"foreign \"}]}\n\n", name, t.Index)
+		fmt.Fprintf(w, "id: %s/%d\ndata: %s\n\n", name, t.Index, wire.StreamDone)
+	}
+}
+
+// answered is the text of the tokens that the caller has already.
+func (st *stream) answered() string {
+	var text strings.Builder
+	for i := range st.seq.Delivered {
+		text.WriteString(tokenText(st.seed, i))
 	}
+	return text.String()
+}
+
+// writeEvent sends one token. The event's id is request/attempt/index.
+func writeEvent(w *bufio.Writer, st *stream, t Token, cross bool) {
 	data, err := json.Marshal(st.chunk(t))
 	if err != nil {
 		return
 	}
-	fmt.Fprintf(w, "id: %s/%d\ndata: %s\n\n", name, t.Index, data)
+	fmt.Fprintf(w, "id: %s/%d\ndata: %s\n\n", st.eventName(cross), t.Index, data)
 }
 
 func (st *stream) chunk(t Token) wire.Chunk {
