--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -64,11 +64,19 @@
 	http *http.Client
 }
 
+// DialFunc connects to an endpoint.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // New returns a client.
 func New() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	return NewWithDial(dialer.DialContext)
+}
+
+// NewWithDial returns a client that connects through dial.
+func NewWithDial(dial DialFunc) *Client {
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/internal/prompt/attempt.go
+++ b/internal/prompt/attempt.go
@@ -148,7 +148,7 @@
 	a.attempt.sent = false
 	address := a.attempt.address
 	order := wire.Cancel{Request: a.req.ID, Attempt: a.attempts}
-	a.orders.Go(func() { _ = a.caller.Cancel(address, order, a.cfg.CancelTimeout) })
+	a.orders.Go(func() { _ = a.orderer.Cancel(address, order, a.cfg.CancelTimeout) })
 }
 
 func (a *Answer) closeStream() {
--- /dev/null
+++ b/internal/prompt/body_test.go
@@ -0,0 +1,46 @@
+package prompt
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func fieldsOf(t *testing.T, body []byte) map[string]json.RawMessage {
+	t.Helper()
+	var fields map[string]json.RawMessage
+	require.NoError(t, json.Unmarshal(body, &fields))
+	return fields
+}
+
+func TestFirstBodyKeepsUnknownFields(t *testing.T) {
+	body, err := FirstBody([]byte(`{"model":"m","Delivered":9,"resume":"x","stream":false,"temperature":0.10,"tools":[{"a":"<b>"}]}`))
+	require.NoError(t, err)
+	require.JSONEq(t, `{"model":"m","stream":true,"temperature":0.10,"tools":[{"a":"<b>"}]}`, string(body))
+	require.Equal(t, "0.10", string(fieldsOf(t, body)["temperature"]))
+	require.Contains(t, string(body), `"<b>"`)
+}
+
+func TestResumedBodyCarriesTheText(t *testing.T) {
+	text := resumeText{whole: true}
+	want := ""
+	for _, piece := range []string{"ash ", `"spruce" `, "tab\t", "řeka ", `\`} {
+		data, err := json.Marshal(map[string]any{"choices": []any{map[string]any{"index": 0, "text": piece}}})
+		require.NoError(t, err)
+		text.add(data)
+		want += piece
+	}
+	require.True(t, text.whole)
+	body, err := text.body([]byte(`{"model":"m","stream":true,"stream":true,"seed":7}`), 5)
+	require.NoError(t, err)
+	var got struct {
+		Delivered int
+		Resume    string
+		Seed      int
+	}
+	require.NoError(t, json.Unmarshal(body, &got))
+	require.Equal(t, 5, got.Delivered)
+	require.Equal(t, want, got.Resume)
+	require.Equal(t, 7, got.Seed)
+}
--- /dev/null
+++ b/internal/prompt/fake_test.go
@@ -0,0 +1,271 @@
+package prompt
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/configuration"
+	"cornelsaddle.example/cornelsaddle/core/placement"
+	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/internal/confsync"
+)
+
+// finish is how a fake engine's attempt ends.
+type finish int
+
+const (
+	finishWhole finish = iota
+	finishCut
+	finishStall
+	finishGap
+	finishForeignEnd
+	finishes
+)
+
+// behaviour is what a fake engine does with one attempt.
+type behaviour struct {
+	// Unreachable, Refuse and Broken answer before anything streams; a broken
+	// engine has started the attempt all the same.
+	Unreachable, Refuse, Broken bool
+	// Queue is the time before the headers, Pace that between tokens.
+	Queue, Pace time.Duration
+	// Tokens are sent before Finish.
+	Tokens int
+	Finish finish
+	// Noise mixes in duplicates and the events of others.
+	Noise bool
+}
+
+// world is a set of fake engines that share a script, and what they saw.
+type world struct {
+	script []behaviour
+	answer int
+
+	mu        sync.Mutex
+	dials     int
+	started   []string
+	cancelled map[string]int
+	active    int
+}
+
+func token(request string, i int) string { return fmt.Sprintf("%s:%d", request, i) }
+
+// dial connects to a fake engine over a pipe. Each dial takes the script's
+// next behaviour.
+func (w *world) dial(_ context.Context, _, _ string) (net.Conn, error) {
+	w.mu.Lock()
+	b := w.script[min(w.dials, len(w.script)-1)]
+	w.dials++
+	w.mu.Unlock()
+	if b.Unreachable {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
+	}
+	client, server := net.Pipe()
+	l := &oneConn{conns: make(chan net.Conn, 1)}
+	l.conns <- server
+	srv := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serve(rw, r, b) })}
+	go func() { _ = srv.Serve(l) }()
+	return client, nil
+}
+
+// oneConn is a listener with a single connection.
+type oneConn struct{ conns chan net.Conn }
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	default:
+		return nil, net.ErrClosed
+	}
+}
+func (l *oneConn) Close() error   { return nil }
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (w *world) count(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.active += n
+}
+
+func (w *world) serve(rw http.ResponseWriter, r *http.Request, b behaviour) {
+	rw.Header().Set("Connection", "close")
+	if b.Refuse {
+		rw.Header().Set(wire.HeaderRan, "no")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	name := r.Header.Get(wire.HeaderRequestID) + "/" + r.Header.Get(wire.HeaderAttempt)
+	w.mu.Lock()
+	w.started = append(w.started, name)
+	w.mu.Unlock()
+	if b.Broken {
+		rw.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	// The server notices a closed connection only after the body was read.
+	var body wire.CompletionRequest
+	if !decode(r, &body) {
+		rw.WriteHeader(http.StatusTeapot)
+		return
+	}
+	w.count(1)
+	defer w.count(-1)
+	if !sleep(r.Context(), b.Queue) {
+		return
+	}
+	w.stream(rw, r, b, name, body)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (w *world) stream(rw http.ResponseWriter, r *http.Request, b behaviour, name string, body wire.CompletionRequest) {
+	request := r.Header.Get(wire.HeaderRequestID)
+	if body.Resume != w.prefix(request, body.Delivered) {
+		rw.WriteHeader(http.StatusTeapot)
+		return
+	}
+	send := func(id string, i int, data string) {
+		_, _ = fmt.Fprintf(rw, "id: %s/%d\ndata: %s\n\n", id, i, data)
+		rw.(http.Flusher).Flush()
+	}
+	rw.(http.Flusher).Flush()
+	last := w.answer
+	if b.Finish != finishWhole {
+		last = min(w.answer, body.Delivered+b.Tokens)
+	}
+	for i := body.Delivered; i < last; i++ {
+		if !sleep(r.Context(), b.Pace) {
+			return
+		}
+		if b.Noise {
+			send("other/1", i, chunk("stolen"))
+			send(request+"/99", i, chunk("late"))
+			send("other/1", i, wire.StreamDone)
+		}
+		send(name, i, chunk(token(request, i)))
+		if b.Noise {
+			send(name, i, chunk("again"))
+		}
+	}
+	switch b.Finish {
+	case finishWhole:
+		send(name, w.answer, wire.StreamDone)
+	case finishStall:
+		<-r.Context().Done()
+	case finishGap:
+		send(name, last+1, chunk("gap"))
+		send(name, w.answer, wire.StreamDone)
+	case finishForeignEnd:
+		send("other/1", w.answer, wire.StreamDone)
+	}
+}
+
+func (w *world) prefix(request string, n int) string {
+	var text strings.Builder
+	for i := range n {
+		text.WriteString(token(request, i))
+	}
+	return text.String()
+}
+
+func chunk(text string) string {
+	return fmt.Sprintf(`{"choices":[{"index":0,"text":%q}]}`, text)
+}
+
+// Cancel implements Canceller.
+func (w *world) Cancel(_ string, order wire.Cancel, _ time.Duration) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancelled[fmt.Sprintf("%s/%d", order.Request, order.Attempt)]++
+	return nil
+}
+
+// fixedFleet has the same endpoints at all times.
+type fixedFleet struct {
+	mu      sync.Mutex
+	views   []placement.View
+	pending int
+}
+
+func (f *fixedFleet) Views(_ *confsync.Snapshot, _ string, except map[string]bool) []placement.View {
+	var out []placement.View
+	for _, v := range f.views {
+		if !except[v.ID] {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+func (f *fixedFleet) Sent(string, string, int64, wire.Priority) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pending++
+}
+
+func (f *fixedFleet) Started(string, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pending--
+}
+
+func (f *fixedFleet) Failed(string) {}
+
+// fakeCaller goes away at a time, or never.
+type fakeCaller struct {
+	leaves time.Time
+	mu     sync.Mutex
+	aborts int
+}
+
+func (c *fakeCaller) Gone() bool {
+	return !c.leaves.IsZero() && !time.Now().Before(c.leaves)
+}
+
+func (c *fakeCaller) Abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborts++
+}
+
+func fixedViews(n int) []placement.View {
+	views := make([]placement.View, 0, n)
+	for i := range n {
+		views = append(views, placement.View{ID: fmt.Sprintf("e%d", i), Rate: 1e6, Memory: 1 << 20})
+	}
+	return views
+}
+
+func snapshotOf(views []placement.View, addresses []string) *confsync.Snapshot {
+	doc := &configuration.Document{
+		Services:  map[string]configuration.Service{"pool": {Kind: configuration.KindModel, MaxTimeoutMs: 30_000}},
+		Endpoints: make(map[string]configuration.Endpoint),
+		Limits:    configuration.Limits{RetryBudget: 0.2},
+	}
+	for i, v := range views {
+		doc.Endpoints[v.ID] = configuration.Endpoint{Service: "pool", Address: addresses[i], MemoryTokens: v.Memory}
+	}
+	return &confsync.Snapshot{Version: 1, Document: doc}
+}
+
+// contextOf bounds a naive forwarder well after its deadline, so that a test of
+// it ends.
+func contextOf(tr trial) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), tr.Deadline+time.Minute)
+	context.AfterFunc(ctx, cancel)
+	return ctx
+}
--- /dev/null
+++ b/internal/prompt/fuzz_test.go
@@ -0,0 +1,334 @@
+package prompt
+
+import (
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"cornelsaddle.example/cornelsaddle/core/errcode"
+	"cornelsaddle.example/cornelsaddle/core/retry"
+	"cornelsaddle.example/cornelsaddle/internal/endpoint"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/metrics"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20260104", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		if !isSet(name) {
+			_ = flag.Set(name, value)
+		}
+	}
+	code := m.Run()
+	if code == 0 {
+		if err := goleak.Find(); err != nil {
+			fmt.Println(err)
+			code = 1
+		}
+	}
+	os.Exit(code)
+}
+
+func isSet(name string) bool {
+	found := false
+	flag.Visit(func(f *flag.Flag) { found = found || f.Name == name })
+	return found
+}
+
+func decode(r *http.Request, v any) bool {
+	return json.NewDecoder(r.Body).Decode(v) == nil
+}
+
+// trial is one request and what happens to it.
+type trial struct {
+	Script []behaviour
+	Answer int
+	// Leaves is when the caller goes away; zero for never.
+	Leaves time.Duration
+	// Pause is what the caller takes to read a token.
+	Pause    time.Duration
+	Deadline time.Duration
+}
+
+// outcome is what the caller and the engines saw.
+type outcome struct {
+	tokens    []string
+	err       error
+	took      time.Duration
+	started   []string
+	active    int
+	pending   int
+	cancelled map[string]int
+	aborts    int
+}
+
+// runner forwards one request.
+type runner func(w *world, f *fixedFleet, c *fakeCaller, tr trial) (tokens []string, err error)
+
+func drawTrial(t *rapid.T) trial {
+	duration := func(label string, most time.Duration) time.Duration {
+		return time.Duration(rapid.Int64Range(0, int64(most/time.Millisecond)).Draw(t, label)) * time.Millisecond
+	}
+	one := rapid.Custom(func(t *rapid.T) behaviour {
+		kind := rapid.IntRange(0, 9).Draw(t, "kind")
+		return behaviour{
+			Unreachable: kind == 0,
+			Refuse:      kind == 1,
+			Broken:      kind == 2,
+			Queue:       duration("queue", 3*time.Second) * time.Duration(rapid.SampledFrom([]int{0, 0, 1, 10}).Draw(t, "queued")),
+			Pace:        duration("pace", 200*time.Millisecond),
+			Tokens:      rapid.IntRange(0, 8).Draw(t, "tokens"),
+			Finish:      finish(rapid.IntRange(0, int(finishes)-1).Draw(t, "finish")),
+			Noise:       rapid.Bool().Draw(t, "noise"),
+		}
+	})
+	tr := trial{
+		Script:   rapid.SliceOfN(one, 1, 7).Draw(t, "script"),
+		Answer:   rapid.IntRange(1, 12).Draw(t, "answer"),
+		Deadline: 100*time.Millisecond + duration("deadline", 40*time.Second),
+	}
+	if rapid.IntRange(0, 3).Draw(t, "leaves") == 0 {
+		tr.Leaves = time.Millisecond + duration("left", 20*time.Second)
+	}
+	if rapid.IntRange(0, 3).Draw(t, "slow") == 0 {
+		tr.Pause = duration("pause", 2*time.Second)
+	}
+	return tr
+}
+
+func play(t *testing.T, tr trial, run runner) (out outcome) {
+	synctest.Test(t, func(*testing.T) {
+		w := &world{script: tr.Script, answer: tr.Answer, cancelled: make(map[string]int)}
+		f := &fixedFleet{views: fixedViews(3)}
+		c := &fakeCaller{}
+		begin := time.Now()
+		if tr.Leaves > 0 {
+			c.leaves = begin.Add(tr.Leaves)
+		}
+		out.tokens, out.err = run(w, f, c, tr)
+		out.took = time.Since(begin)
+		synctest.Wait()
+		out.started, out.active, out.pending = w.started, w.active, f.pending
+		out.cancelled, out.aborts = w.cancelled, c.aborts
+		// A connection that was dialled for an attempt already cancelled idles
+		// until its timeout.
+		time.Sleep(time.Minute)
+	})
+	return out
+}
+
+// product runs the request as a VM does.
+func product(w *world, f *fixedFleet, c *fakeCaller, tr trial) ([]string, error) {
+	client := endpoint.NewWithDial(w.dial)
+	defer client.Close()
+	log, err := event.New(io.Discard, "json", "error", "vm")
+	if err != nil {
+		return nil, err
+	}
+	r := NewRunner(DefaultConfig(), f, client, w, log, metrics.New())
+	defer r.Close()
+	r.rng = rand.New(rand.NewPCG(1, uint64(tr.Answer)))
+	a, err := r.Start(Request{
+		ID: "mine", Organisation: "framers", Service: "pool", Path: "/v1/completions",
+		Body: []byte(`{"model":"pool","stream":true}`), Tokens: 100, MaxTokens: 12,
+		Deadline: time.Now().Add(tr.Deadline), Caller: c,
+		Snapshot: snapshotOf(f.views, []string{"a:1", "b:1", "c:1"}),
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer a.Close()
+	return drain(a.Next, tr.Pause)
+}
+
+func drain(next func(bool) ([]byte, error), pause time.Duration) ([]string, error) {
+	var tokens []string
+	for {
+		data, err := next(true)
+		if err != nil {
+			return tokens, err
+		}
+		tokens = append(tokens, string(data))
+		time.Sleep(pause)
+	}
+}
+
+// oracle says what is wrong with the outcome; empty if nothing.
+func oracle(tr trial, out outcome) string {
+	latest := tr.Deadline + DefaultConfig().Watch + tr.Pause
+	if out.took > latest {
+		return fmt.Sprintf("took %v, over %v", out.took, latest)
+	}
+	for i, got := range out.tokens {
+		if want := chunk(token("mine", i)); got != want {
+			return fmt.Sprintf("token %d is %s, not %s", i, got, want)
+		}
+	}
+	if errors.Is(out.err, io.EOF) && len(out.tokens) != tr.Answer {
+		return "an end without the whole answer"
+	}
+	if out.active != 0 || out.pending != 0 {
+		return fmt.Sprintf("%d attempts still at the engines, %d counted as waiting", out.active, out.pending)
+	}
+	return oracleFailure(out)
+}
+
+func oracleFailure(out outcome) string {
+	if errors.Is(out.err, io.EOF) {
+		return ""
+	}
+	var e *errcode.Error
+	if !errors.As(out.err, &e) {
+		return fmt.Sprintf("an untyped failure: %v", out.err)
+	}
+	if e.Ran == errcode.RanNo && len(out.started) > 0 {
+		return "said not to have run, but started " + strings.Join(out.started, " ")
+	}
+	if e.Ran == errcode.RanYes && len(out.started) == 0 {
+		return "said to have run, but nothing was started"
+	}
+	if e.Code != errcode.Cancelled && e.RetryAfter <= 0 {
+		return "no time to come back"
+	}
+	return ""
+}
+
+// TestEveryRequestEnds is the fuzz behind P1, P3 and P4: engines die, refuse,
+// stall, cut, cross, repeat and lose events, and callers leave or read slowly.
+func TestEveryRequestEnds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tr := drawTrial(rt)
+		if reason := oracle(tr, play(t, tr, product)); reason != "" {
+			rt.Fatalf("%+v: %s", tr, reason)
+		}
+	})
+}
+
+// naive forwards events as they come, tries again on any failure, knows no
+// stall, and calls what delivered nothing not run.
+func naive(w *world, _ *fixedFleet, _ *fakeCaller, tr trial) ([]string, error) {
+	client := endpoint.NewWithDial(w.dial)
+	defer client.Close()
+	var tokens []string
+	for attempt := 1; attempt <= 3; attempt++ {
+		s, err := client.Open(contextOf(tr), endpoint.Attempt{
+			Address: "a:1", Path: "/v1/completions", Request: "mine", Number: attempt, Body: []byte(`{}`),
+		})
+		if err != nil {
+			continue
+		}
+		for err == nil {
+			var e endpoint.Event
+			if e, err = s.Next(); err == nil && string(e.Data) == "[DONE]" {
+				s.Close()
+				return tokens, io.EOF
+			}
+			if err == nil {
+				tokens = append(tokens, string(e.Data))
+			}
+		}
+		s.Close()
+	}
+	ran := errcode.RanNo
+	if len(tokens) > 0 {
+		ran = errcode.RanYes
+	}
+	return tokens, errcode.New(errcode.EndpointFailed, "failed").WithRan(ran).WithRetryAfter(time.Second)
+}
+
+func TestOracleCatchesNaive(t *testing.T) {
+	cases := []struct {
+		name   string
+		script behaviour
+		reason string
+	}{
+		{"P1 a stall is waited for", behaviour{Finish: finishStall, Tokens: 2}, "took"},
+		{"P3 a foreign token is delivered", behaviour{Noise: true}, "token 0 is"},
+		{"P3 a foreign end is believed", behaviour{Finish: finishForeignEnd, Tokens: 2}, "an end without"},
+		{"P3 a resumed answer repeats", behaviour{Finish: finishCut, Tokens: 2}, "token 2 is"},
+		{"P4 started but said not to have run", behaviour{Broken: true}, "said not to have run"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tr := trial{Script: []behaviour{c.script}, Answer: 4, Deadline: 10 * time.Second}
+			require.Contains(t, oracle(tr, play(t, tr, naive)), c.reason)
+			require.Empty(t, oracle(tr, play(t, tr, product)))
+		})
+	}
+}
+
+func TestRecovers(t *testing.T) {
+	cases := map[string]behaviour{
+		"unreachable":                      {Unreachable: true},
+		"refused":                          {Refuse: true},
+		"broken":                           {Broken: true},
+		"stalled before the first token":   {Queue: time.Hour},
+		"stalled after the first token":    {Finish: finishStall, Tokens: 2},
+		"cut":                              {Finish: finishCut, Tokens: 2},
+		"cut before the first token":       {Finish: finishCut},
+		"a token lost":                     {Finish: finishGap, Tokens: 2},
+		"another's end marker":             {Finish: finishForeignEnd, Tokens: 2},
+		"another's end and others' events": {Finish: finishForeignEnd, Tokens: 3, Noise: true},
+	}
+	for name, first := range cases {
+		t.Run(name, func(t *testing.T) {
+			tr := trial{Script: []behaviour{first, first, {}}, Answer: 6, Deadline: 5 * time.Minute}
+			out := play(t, tr, product)
+			require.ErrorIs(t, out.err, io.EOF)
+			require.Empty(t, oracle(tr, out))
+			require.Len(t, out.tokens, tr.Answer)
+		})
+	}
+}
+
+func TestLostAttemptsAreCancelled(t *testing.T) {
+	tr := trial{Script: []behaviour{{Finish: finishStall, Tokens: 2}, {Unreachable: true}, {}}, Answer: 4, Deadline: time.Minute}
+	out := play(t, tr, product)
+	require.ErrorIs(t, out.err, io.EOF)
+	require.Equal(t, map[string]int{"mine/1": 1}, out.cancelled)
+}
+
+func TestCallerLeavesWhileThePromptQueues(t *testing.T) {
+	tr := trial{Script: []behaviour{{Queue: time.Hour}}, Answer: 4, Deadline: time.Hour, Leaves: time.Second}
+	out := play(t, tr, product)
+	require.True(t, errcode.Is(out.err, errcode.Cancelled))
+	require.LessOrEqual(t, out.took, tr.Leaves+2*DefaultConfig().Watch)
+	require.Zero(t, out.active)
+	require.Equal(t, map[string]int{"mine/1": 1}, out.cancelled)
+}
+
+func TestSlowCallerIsCutOff(t *testing.T) {
+	tr := trial{Script: []behaviour{{}}, Answer: 4, Deadline: time.Hour, Pause: 10 * time.Minute}
+	out := play(t, tr, product)
+	require.Positive(t, out.aborts)
+	require.Zero(t, out.active)
+}
+
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Retry.BudgetFloor = 2
+	r := &Runner{cfg: cfg, rng: rand.New(rand.NewPCG(1, 2)), budget: retry.NewBudget(cfg.Retry)}
+	made := 0
+	for range 100 {
+		r.admitted(0.1)
+		for r.mayRetry(1, time.Minute) {
+			r.delay(1, time.Minute, true)
+			made++
+		}
+	}
+	require.LessOrEqual(t, made, 2+10)
+	require.GreaterOrEqual(t, made, 10)
+}
--- a/internal/prompt/prompt.go
+++ b/internal/prompt/prompt.go
@@ -71,6 +71,11 @@
 	Failed(id string)
 }
 
+// Canceller ends attempts at endpoints.
+type Canceller interface {
+	Cancel(address string, order wire.Cancel, timeout time.Duration) error
+}
+
 // Request is one admitted prompt.
 type Request struct {
 	ID           string
@@ -103,7 +108,7 @@
 	chart   *statechart.Chart
 	fleet   Fleet
 	streams *endpoint.Client
-	caller  *endpoint.Caller
+	orderer Canceller
 	log     *event.Logger
 	metrics *metrics.Metrics
 
@@ -115,13 +120,13 @@
 }
 
 // NewRunner returns a Runner.
-func NewRunner(cfg Config, f Fleet, streams *endpoint.Client, caller *endpoint.Caller, log *event.Logger, m *metrics.Metrics) *Runner {
+func NewRunner(cfg Config, f Fleet, streams *endpoint.Client, orderer Canceller, log *event.Logger, m *metrics.Metrics) *Runner {
 	return &Runner{
 		cfg:      cfg,
 		chart:    statechart.MustLoad("request"),
 		fleet:    f,
 		streams:  streams,
-		caller:   caller,
+		orderer:  orderer,
 		log:      log,
 		metrics:  m,
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
