Open a new connection to a peer whose last one has ended

Cause: a call right after a connection ended found the ended link before it was forgotten, and failed; TestOversizeIsDroppedAndCounted failed in 7 of 10 runs of -count=5. Change: an ended link is replaced when it is looked up. Shown by: go test -count=5 ./internal/peer, 40 times without a failure.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -85,7 +85,7 @@
 		return nil, errors.WithStack(&ClosedError{})
 	}
 	l := c.links[address]
-	if l == nil {
+	if l == nil || l.ended() {
 		l = &link{ready: make(chan struct{})}
 		c.links[address] = l
 		go c.open(l, address)
@@ -99,6 +99,24 @@
 	}
 }
 
+// ended reports whether the link stood and its connection has ended since.
+func (l *link) ended() bool {
+	select {
+	case <-l.ready:
+	default:
+		return false
+	}
+	if l.conn == nil {
+		return false
+	}
+	select {
+	case <-l.conn.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
 // open connects the link, and forgets it when it ends.
 func (c *Client) open(l *link, address string) {
 	l.err = c.dial(l, address)
