Set memory aside for long prompts, and share oversize ones out over groups

Cause: a prompt over one engine's memory was refused, long ones could block what came after them at a full engine, and nothing gave back what a dead VM held. The owner chooses the id of a reservation, so that a lost answer can be taken back. Ruled out: an account kept by the accountant besides the engine's, which would have to be rebuilt at each change of members and could only agree or be wrong. Shown by: go test ./core/reservation ./internal/reserve ./internal/prompt

--- a/core/wire/engine.go
+++ b/core/wire/engine.go
@@ -119,12 +119,16 @@
 	Request     string `json:"request"`
 }
 
-// Reservation is KV memory held at an engine for an owner.
+// Reservation is KV memory held at an engine for an owner, who chooses its id:
+// asking for the same id again renews it.
 type Reservation struct {
 	ID     string `json:"id"`
 	Owner  Owner  `json:"owner"`
 	Tokens int64  `json:"tokens"`
-	TTLMs  int64  `json:"ttl_ms"`
+	// TTLMs is the time limit, counted from the last renewal.
+	TTLMs int64 `json:"ttl_ms"`
+	// Renew says that the reservation must exist already.
+	Renew bool `json:"renew,omitempty"`
 	// Group is the memory of the whole group that the reservation is part of,
 	// in tokens: what its lead engine may count on.
 	Group int64 `json:"group,omitempty"`
@@ -134,6 +138,13 @@
 	InUse bool `json:"in_use,omitempty"`
 }
 
+// ReservationRefusal is the answer to a reservation that does not fit, or that
+// does not exist any more.
+type ReservationRefusal struct {
+	Error      string `json:"error"`
+	FreeTokens int64  `json:"free_tokens"`
+}
+
 // ReservationList is what an engine holds.
 type ReservationList struct {
 	Reservations []Reservation `json:"reservations"`
--- /dev/null
+++ b/internal/endpoint/reservations.go
@@ -0,0 +1,93 @@
+package endpoint
+
+import (
+	"encoding/json"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"cornelsaddle.example/cornelsaddle/core/wire"
+)
+
+// FullError says that an engine has not enough memory for a reservation.
+type FullError struct {
+	// Free is what it has, in tokens.
+	Free int64
+}
+
+// Error implements error.
+func (*FullError) Error() string { return "endpoint: not enough memory" }
+
+// NoReservationError says that an engine does not hold a reservation.
+type NoReservationError struct{}
+
+// Error implements error.
+func (*NoReservationError) Error() string { return "endpoint: no such reservation" }
+
+// Reserve sets memory aside at an engine, or renews what is set aside. A
+// FullError or a NoReservationError says that the engine holds nothing for it;
+// any other error leaves that open.
+func (c *Caller) Reserve(address string, r wire.Reservation, timeout time.Duration) error {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	status, body, err := c.send(fasthttp.MethodPost, address+wire.PathReservations, data, timeout)
+	if err != nil {
+		return err
+	}
+	var refusal wire.ReservationRefusal
+	switch status {
+	case fasthttp.StatusOK:
+		return nil
+	case fasthttp.StatusNotFound:
+		return errors.WithStack(&NoReservationError{})
+	case fasthttp.StatusConflict:
+		if err := json.Unmarshal(body, &refusal); err != nil {
+			return errors.WithStack(err)
+		}
+		return errors.WithStack(&FullError{refusal.FreeTokens})
+	}
+	return errors.WithStack(&StatusError{status})
+}
+
+// Release gives a reservation up. One that the engine does not hold is no
+// failure.
+func (c *Caller) Release(address, id string, timeout time.Duration) error {
+	path := address + wire.PathReservations + "/" + url.PathEscape(id)
+	status, _, err := c.send(fasthttp.MethodDelete, path, nil, timeout)
+	if err == nil && status >= fasthttp.StatusBadRequest && status != fasthttp.StatusNotFound {
+		return errors.WithStack(&StatusError{status})
+	}
+	return err
+}
+
+// Reservations lists what an engine holds.
+func (c *Caller) Reservations(address string, timeout time.Duration) ([]wire.Reservation, error) {
+	status, body, err := c.send(fasthttp.MethodGet, address+wire.PathReservations, nil, timeout)
+	if err != nil {
+		return nil, err
+	}
+	if status != fasthttp.StatusOK {
+		return nil, errors.WithStack(&StatusError{status})
+	}
+	var list wire.ReservationList
+	return list.Reservations, errors.WithStack(json.Unmarshal(body, &list))
+}
+
+// send makes one request and returns its status and body.
+func (c *Caller) send(method, path string, body []byte, timeout time.Duration) (int, []byte, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	res := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(res)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + path)
+	req.SetBody(body)
+	if err := c.http.DoTimeout(req, res, timeout); err != nil {
+		return 0, nil, errors.WithStack(err)
+	}
+	return res.StatusCode(), append([]byte(nil), res.Body()...), nil
+}
--- a/internal/event/prompts.go
+++ b/internal/event/prompts.go
@@ -3,7 +3,7 @@
 import "github.com/apex/log"
 
 // promptsEvents lists one event of each kind of this file.
-var promptsEvents = []Event{RequestFailed{}, AttemptFailed{}}
+var promptsEvents = []Event{RequestFailed{}, AttemptFailed{}, ReservationSwept{}}
 
 // RequestFailed is written when a request ends in a failure.
 type RequestFailed struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
 	"cornelsaddle.example/cornelsaddle/internal/prompt"
+	"cornelsaddle.example/cornelsaddle/internal/reserve"
 	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
 
@@ -45,6 +46,8 @@
 	Streams  *endpoint.Client
 	Caller   *endpoint.Caller
 	Prompts  *prompt.Runner
+	Holder   *reserve.Holder
+	Sweeper  *reserve.Sweeper
 	Mux      *peer.Mux
 	Peers    *peer.Client
 	Identity peer.Identity
@@ -64,6 +67,8 @@
 	}
 	n.parts.Follower.Start()
 	n.parts.Fleet.Start()
+	n.parts.Holder.Start()
+	n.parts.Sweeper.Start()
 	if err := n.listen(); err != nil {
 		n.Close()
 		return nil, err
@@ -88,6 +93,11 @@
 		metrics.New,
 		prompt.DefaultConfig,
 		newPrompts,
+		reserve.DefaultConfig,
+		newMembers,
+		newAccountant,
+		newHolder,
+		newSweeper,
 		call.NewRunner,
 		api.New,
 	}
@@ -97,8 +107,22 @@
 	return platform.New(s.Platform.Address, s.Platform.Timeout())
 }
 
-func newPrompts(cfg prompt.Config, f *fleet.Fleet, streams *endpoint.Client, caller *endpoint.Caller, log *event.Logger, m *metrics.Metrics) *prompt.Runner {
-	return prompt.NewRunner(cfg, f, streams, caller, log, m)
+func newPrompts(cfg prompt.Config, f *fleet.Fleet, streams *endpoint.Client, caller *endpoint.Caller, h *reserve.Holder, log *event.Logger, m *metrics.Metrics) *prompt.Runner {
+	return prompt.NewRunner(cfg, f, streams, caller, h, log, m)
+}
+
+func newMembers(self peer.Identity) reserve.Members { return reserve.Solo{Self: self} }
+
+func newAccountant(cfg reserve.Config, caller *endpoint.Caller, mux *peer.Mux) *reserve.Accountant {
+	return reserve.NewAccountant(cfg, caller, mux)
+}
+
+func newHolder(cfg reserve.Config, self peer.Identity, book *reserve.Accountant, peers *peer.Client, members reserve.Members, mux *peer.Mux) *reserve.Holder {
+	return reserve.NewHolder(cfg, self, book, peers, members, mux)
+}
+
+func newSweeper(h *reserve.Holder, f *confsync.Follower, log *event.Logger) *reserve.Sweeper {
+	return reserve.NewSweeper(h, f.Current, log)
 }
 
 func newFollower(store *platform.Client, log *event.Logger, s settings.Settings) *confsync.Follower {
@@ -171,6 +195,8 @@
 	n.parts.Fleet.Stop()
 	n.parts.Follower.Stop()
 	n.parts.Prompts.Close()
+	n.parts.Sweeper.Stop()
+	n.parts.Holder.Stop()
 	n.parts.Streams.Close()
 	n.parts.Caller.Close()
 	n.parts.Store.Close()
--- a/internal/prompt/answer.go
+++ b/internal/prompt/answer.go
@@ -8,11 +8,13 @@
 	"github.com/pkg/errors"
 
 	"cornelsaddle.example/cornelsaddle/core/errcode"
+	"cornelsaddle.example/cornelsaddle/core/reservation"
 	"cornelsaddle.example/cornelsaddle/core/statechart"
 	"cornelsaddle.example/cornelsaddle/core/stream"
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/reserve"
 )
 
 // The request chart's names.
@@ -21,6 +23,7 @@
 	evPlaced      statechart.Event  = "placed"
 	evUnplaceable statechart.Event  = "unplaceable"
 	evReserved    statechart.Event  = "reserved"
+	evUnreserved  statechart.Event  = "unreserved"
 	evToken       statechart.Event  = "token"
 	evEnd         statechart.Event  = "end"
 	evFailed      statechart.Event  = "failed"
@@ -51,7 +54,7 @@
 	req     Request
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
-	free    context.CancelFunc
+	done    context.CancelFunc
 	machine *statechart.Machine
 	watch   *watch
 	start   time.Time
@@ -63,7 +66,10 @@
 	chunk    []byte
 	ready    bool
 
-	tried    map[string]bool
+	tried map[string]bool
+	// free is what endpoints said to have, when they refused a share.
+	free     map[string]int64
+	placed   bool
 	attempt  attempt
 	attempts int
 	// handed says that the last attempt went to an endpoint.
@@ -87,6 +93,11 @@
 	sent    bool
 	stream  *endpoint.Stream
 	cancel  context.CancelCauseFunc
+	// shares are to be set aside; grant holds them. Its loss ends ctx.
+	shares []reservation.Share
+	grant  *reserve.Grant
+	ctx    context.Context
+	lost   context.CancelCauseFunc
 }
 
 // Next returns the data of the answer's next token, valid until the next call.
@@ -229,6 +240,9 @@
 	if stalled := a.watch.stall(); stalled != nil {
 		a.cause = stalled
 	}
+	if a.attempt.grant != nil && a.attempt.ctx.Err() != nil {
+		a.cause = context.Cause(a.attempt.ctx)
+	}
 	if isFault(a.cause) {
 		a.fleet.Failed(a.attempt.endpoint)
 		a.endpointFailed(a.attempt.endpoint)
@@ -254,7 +268,7 @@
 // mayWait reports whether a request that could not be sent looks at the fleet
 // again: not one that found no endpoint at all, which is told so at once.
 func (a *Answer) mayWait() bool {
-	if a.attempts == 0 && a.attempt.endpoint == "" {
+	if !a.placed {
 		return false
 	}
 	return time.Until(a.req.Deadline) > a.cfg.Retry.MinLeft
@@ -280,7 +294,7 @@
 	a.event = evCallerGone
 	_ = a.step()
 	a.started()
-	a.free()
+	a.done()
 }
 
 // end is the outcome of a request whose chart is done.
--- a/internal/prompt/attempt.go
+++ b/internal/prompt/attempt.go
@@ -1,49 +1,121 @@
 package prompt
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"cornelsaddle.example/cornelsaddle/core/errcode"
 	"cornelsaddle.example/cornelsaddle/core/placement"
+	"cornelsaddle.example/cornelsaddle/core/reservation"
 	"cornelsaddle.example/cornelsaddle/core/statechart"
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
+	"cornelsaddle.example/cornelsaddle/internal/reserve"
 )
 
-// place chooses an endpoint, if possible one that was not tried yet.
+// place chooses an endpoint, or a group of them for a prompt that none can hold
+// alone; if possible ones that were not tried yet.
 func (a *Answer) place() statechart.Event {
 	if a.ctx.Err() != nil {
 		return a.interrupted()
 	}
 	a.attempt = attempt{}
 	blocked := a.blocked()
-	choice, view := a.pick(union(a.tried, blocked))
-	if choice.Index < 0 && len(a.tried) > 0 {
+	placed := a.placeOne(union(a.tried, blocked))
+	if !placed && len(a.tried) > 0 {
 		clear(a.tried)
-		choice, view = a.pick(blocked)
+		placed = a.placeOne(blocked)
 	}
-	if choice.Index < 0 {
+	if !placed && !a.placeGroup(blocked) {
 		return evUnplaceable
 	}
-	a.attempt = attempt{
-		endpoint:  view.ID,
-		address:   a.req.Snapshot.Endpoints[view.ID].Address,
-		predicted: choice.FirstToken,
-	}
+	a.placed = true
 	return evPlaced
 }
 
-func (a *Answer) pick(except map[string]bool) (placement.Choice, placement.View) {
+// need is the memory that the next attempt takes, in tokens: the engine reads
+// the delivered part of the answer like a prompt.
+func (a *Answer) need() int64 {
+	return a.req.Tokens + a.req.MaxTokens + a.assembly.Delivered()
+}
+
+func (a *Answer) placeOne(except map[string]bool) bool {
+	choice, view := a.pick(except)
+	if choice.Index < 0 {
+		return false
+	}
+	a.choose(view.ID, choice.FirstToken)
+	if a.req.Class.Low {
+		a.attempt.shares = []reservation.Share{{Endpoint: view.ID, Tokens: a.need()}}
+	}
+	return true
+}
+
+// placeGroup shares the prompt out where no endpoint is large enough. What an
+// endpoint said to have free, when it refused a share, holds for one round.
+func (a *Answer) placeGroup(except map[string]bool) bool {
 	views := a.fleet.Views(a.req.Snapshot, a.req.Service, except)
-	choice := placement.Pick(placement.Prompt{
-		Tokens:      a.req.Tokens,
+	if a.fits(views) {
+		return false
+	}
+	a.sortByWait(views)
+	candidates := make([]reservation.Candidate, 0, len(views))
+	for _, v := range views {
+		memory := v.Memory
+		if free, ok := a.free[v.ID]; ok {
+			memory = min(memory, free)
+		}
+		candidates = append(candidates, reservation.Candidate{ID: v.ID, Memory: memory})
+	}
+	clear(a.free)
+	shares, lead := reservation.Plan(a.need(), candidates)
+	if shares == nil {
+		return false
+	}
+	i := slices.IndexFunc(views, func(v placement.View) bool { return v.ID == lead })
+	a.choose(lead, a.firstToken(&views[i]))
+	a.attempt.shares = shares
+	return true
+}
+
+// fits reports whether one endpoint is large enough, if not free now.
+func (a *Answer) fits(views []placement.View) bool {
+	return slices.ContainsFunc(views, func(v placement.View) bool { return v.Memory >= a.need() })
+}
+
+func (a *Answer) sortByWait(views []placement.View) {
+	slices.SortStableFunc(views, func(x, y placement.View) int {
+		return cmp.Compare(a.firstToken(&x), a.firstToken(&y))
+	})
+}
+
+// firstToken predicts the time to the first token at the endpoint.
+func (a *Answer) firstToken(v *placement.View) time.Duration {
+	return time.Duration(placement.FirstToken(a.prompt(), v) * float64(time.Second))
+}
+
+func (a *Answer) choose(id string, firstToken time.Duration) {
+	a.attempt.endpoint = id
+	a.attempt.address = a.req.Snapshot.Endpoints[id].Address
+	a.attempt.predicted = firstToken
+}
+
+func (a *Answer) prompt() placement.Prompt {
+	return placement.Prompt{
+		Tokens:      a.req.Tokens + a.assembly.Delivered(),
 		MaxTokens:   a.req.MaxTokens,
 		Priority:    a.priority(),
 		DelayWeight: a.req.Snapshot.Services[a.req.Service].DelayWeight,
-	}, views)
+	}
+}
+
+func (a *Answer) pick(except map[string]bool) (placement.Choice, placement.View) {
+	views := a.fleet.Views(a.req.Snapshot, a.req.Service, except)
+	choice := placement.Pick(a.prompt(), views)
 	if choice.Index < 0 {
 		return choice, placement.View{}
 	}
@@ -76,10 +148,61 @@
 }
 
 // reserve sets memory aside where the prompt needs it.
-func (a *Answer) reserve() statechart.Event { return evReserved }
+func (a *Answer) reserve() statechart.Event {
+	if len(a.attempt.shares) == 0 {
+		return evReserved
+	}
+	ctx, cancel := context.WithCancelCause(a.ctx)
+	a.attempt.lost = cancel
+	grant, err := a.holder.Take(ctx, reserve.Claim{
+		Request:   a.req.ID,
+		Attempt:   a.pauses + 1,
+		Shares:    a.attempt.shares,
+		Lead:      a.attempt.endpoint,
+		Need:      a.need(),
+		Addresses: a.addresses(),
+		Lost:      cancel,
+	})
+	if err == nil {
+		a.attempt.grant = grant
+		a.attempt.ctx = ctx
+		return evReserved
+	}
+	cancel(nil)
+	if a.ctx.Err() != nil {
+		return a.interrupted()
+	}
+	a.cause = err
+	a.noteRefusal(err)
+	return evUnreserved
+}
+
+// noteRefusal remembers what a refusal said, for the next placement.
+func (a *Answer) noteRefusal(err error) {
+	var refused *reserve.RefusedError
+	if len(a.attempt.shares) == 1 {
+		a.tried[a.attempt.endpoint] = true
+	} else if errors.As(err, &refused) {
+		a.free[refused.Endpoint] = refused.Free
+	}
+}
+
+func (a *Answer) addresses() map[string]string {
+	out := make(map[string]string, len(a.attempt.shares))
+	for _, s := range a.attempt.shares {
+		out[s.Endpoint] = a.req.Snapshot.Endpoints[s.Endpoint].Address
+	}
+	return out
+}
 
 // release gives back the memory set aside.
-func (a *Answer) release() {}
+func (a *Answer) release() {
+	if a.attempt.grant != nil {
+		a.attempt.grant.Release()
+		a.attempt.lost(nil)
+		a.attempt.grant = nil
+	}
+}
 
 // send opens the attempt's stream.
 func (a *Answer) send() statechart.Event {
@@ -95,16 +218,18 @@
 	}
 	a.assembly.Attempt(a.attempts)
 	var ctx context.Context
-	ctx, a.attempt.cancel = context.WithCancelCause(a.ctx)
+	ctx, a.attempt.cancel = context.WithCancelCause(a.attemptContext())
 	a.watch.attempt(a.attempt.cancel, a.patience())
 	a.attempt.sent = true
 	s, err := a.streams.Open(ctx, endpoint.Attempt{
-		Address:  a.attempt.address,
-		Path:     a.req.Path,
-		Request:  a.req.ID,
-		Number:   a.attempts,
-		Priority: a.priority(),
-		Body:     body,
+		Address:     a.attempt.address,
+		Path:        a.req.Path,
+		Request:     a.req.ID,
+		Number:      a.attempts,
+		Owner:       a.holder.Owner(),
+		Priority:    a.priority(),
+		Reservation: a.attempt.reservation(),
+		Body:        body,
 	})
 	if err != nil {
 		a.noteRan(err)
@@ -115,6 +240,24 @@
 	return nothing
 }
 
+// attemptContext ends with the request, and with the loss of what was set aside
+// for the attempt.
+func (a *Answer) attemptContext() context.Context {
+	if a.attempt.grant == nil {
+		return a.ctx
+	}
+	return a.attempt.ctx
+}
+
+// reservation is the id of the memory that the attempt's stream uses; empty for
+// none.
+func (t *attempt) reservation() string {
+	if t.grant == nil {
+		return ""
+	}
+	return t.grant.ID()
+}
+
 // patience is how long the attempt may take to its first token.
 func (a *Answer) patience() time.Duration {
 	return a.cfg.StallBase + time.Duration(a.cfg.StallFactor*float64(a.attempt.predicted))
--- a/internal/prompt/failure.go
+++ b/internal/prompt/failure.go
@@ -7,6 +7,7 @@
 
 	"cornelsaddle.example/cornelsaddle/core/errcode"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
+	"cornelsaddle.example/cornelsaddle/internal/reserve"
 )
 
 // comeBack is when a caller may come back after a failure whose cause says
@@ -38,10 +39,12 @@
 func (*ClosedError) Error() string { return "prompt: closed" }
 
 // isFault reports whether the failure speaks against the endpoint. A refusal
-// does not: the endpoint is well, and full or loading.
+// does not: the endpoint is well, and full or loading. Neither does the loss of
+// a reservation, which may be another member's.
 func isFault(err error) bool {
 	var refused *endpoint.RefusedError
-	return !errors.As(err, &refused)
+	var lost *reserve.LostError
+	return !errors.As(err, &refused) && !errors.As(err, &lost)
 }
 
 func (a *Answer) reason() string {
@@ -61,15 +64,19 @@
 
 // classify says why the request failed, whether it ran and when to come back.
 func (a *Answer) classify() error {
-	wait := max(comeBack, a.reopens())
-	e := a.failureCode()
-	return e.WithRan(a.ranSoFar()).WithRetryAfter(wait)
+	e := a.failureCode().WithRan(a.ranSoFar())
+	if !errcode.Lookup(e.Code).Retry {
+		return e
+	}
+	return e.WithRetryAfter(max(comeBack, a.reopens()))
 }
 
 func (a *Answer) failureCode() *errcode.Error {
 	switch {
 	case a.ctx.Err() != nil:
 		return errcode.New(errcode.DeadlineExceeded, "the deadline passed")
+	case !a.placed && a.tooLong():
+		return errcode.New(errcode.PromptTooLong, "the endpoints of %s together can't hold %d tokens", a.req.Service, a.need())
 	case a.cause == nil:
 		return errcode.New(errcode.NoEndpoint, "no endpoint of %s takes the prompt", a.req.Service)
 	case a.assembly.Delivered() > 0:
@@ -77,3 +84,15 @@
 	}
 	return errcode.New(errcode.EndpointFailed, "%v", a.cause)
 }
+
+// tooLong reports whether not even all endpoints of the service together could
+// hold the prompt.
+func (a *Answer) tooLong() bool {
+	sum := int64(0)
+	for _, e := range a.req.Snapshot.Endpoints {
+		if e.Service == a.req.Service {
+			sum += e.MemoryTokens
+		}
+	}
+	return sum < a.need()
+}
--- a/internal/prompt/fake_test.go
+++ b/internal/prompt/fake_test.go
@@ -14,6 +14,7 @@
 	"cornelsaddle.example/cornelsaddle/core/placement"
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
+	"cornelsaddle.example/cornelsaddle/internal/reserve"
 )
 
 // finish is how a fake engine's attempt ends.
@@ -225,6 +226,15 @@
 
 func (f *fixedFleet) Failed(string) {}
 
+// noHolder holds nothing.
+type noHolder struct{}
+
+func (noHolder) Take(context.Context, reserve.Claim) (*reserve.Grant, error) {
+	return nil, &reserve.RefusedError{}
+}
+
+func (noHolder) Owner() string { return "vm/1" }
+
 // fakeCaller goes away at a time, or never.
 type fakeCaller struct {
 	leaves time.Time
--- a/internal/prompt/fuzz_test.go
+++ b/internal/prompt/fuzz_test.go
@@ -34,7 +34,7 @@
 	}
 	code := m.Run()
 	if code == 0 {
-		if err := goleak.Find(); err != nil {
+		if err := goleak.Find(fasthttpCleaners()...); err != nil {
 			fmt.Println(err)
 			code = 1
 		}
@@ -42,6 +42,16 @@
 	os.Exit(code)
 }
 
+// fasthttpCleaners close idle connections and end by themselves.
+func fasthttpCleaners() []goleak.Option {
+	return []goleak.Option{
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*TCPDialer).tcpAddrsClean"),
+	}
+}
+
 func isSet(name string) bool {
 	found := false
 	flag.Visit(func(f *flag.Flag) { found = found || f.Name == name })
@@ -138,7 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := NewRunner(DefaultConfig(), f, client, w, log, metrics.New())
+	r := NewRunner(DefaultConfig(), f, client, w, noHolder{}, log, metrics.New())
 	defer r.Close()
 	r.rng = rand.New(rand.NewPCG(1, uint64(tr.Answer)))
 	a, err := r.Start(Request{
@@ -200,7 +210,7 @@
 	if e.Ran == errcode.RanYes && len(out.started) == 0 {
 		return "said to have run, but nothing was started"
 	}
-	if e.Code != errcode.Cancelled && e.RetryAfter <= 0 {
+	if errcode.Lookup(e.Code).Retry && e.RetryAfter <= 0 {
 		return "no time to come back"
 	}
 	return ""
--- a/internal/prompt/prompt.go
+++ b/internal/prompt/prompt.go
@@ -25,6 +25,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
+	"cornelsaddle.example/cornelsaddle/internal/reserve"
 )
 
 // Config bounds what a request waits for.
@@ -76,6 +77,14 @@
 	Cancel(address string, order wire.Cancel, timeout time.Duration) error
 }
 
+// Holder sets memory aside at endpoints.
+type Holder interface {
+	// Take takes all shares of the claim or none.
+	Take(ctx context.Context, c reserve.Claim) (*reserve.Grant, error)
+	// Owner names the VM that holds them.
+	Owner() string
+}
+
 // Request is one admitted prompt.
 type Request struct {
 	ID           string
@@ -109,6 +118,7 @@
 	fleet   Fleet
 	streams *endpoint.Client
 	orderer Canceller
+	holder  Holder
 	log     *event.Logger
 	metrics *metrics.Metrics
 
@@ -120,13 +130,14 @@
 }
 
 // NewRunner returns a Runner.
-func NewRunner(cfg Config, f Fleet, streams *endpoint.Client, orderer Canceller, log *event.Logger, m *metrics.Metrics) *Runner {
+func NewRunner(cfg Config, f Fleet, streams *endpoint.Client, orderer Canceller, holder Holder, log *event.Logger, m *metrics.Metrics) *Runner {
 	return &Runner{
 		cfg:      cfg,
 		chart:    statechart.MustLoad("request"),
 		fleet:    f,
 		streams:  streams,
 		orderer:  orderer,
+		holder:   holder,
 		log:      log,
 		metrics:  m,
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -144,6 +155,7 @@
 		Runner:   r,
 		req:      req,
 		tried:    make(map[string]bool),
+		free:     make(map[string]int64),
 		start:    time.Now(),
 		assembly: stream.New(req.ID),
 		text:     resumeText{whole: true},
@@ -157,7 +169,7 @@
 	r.admitted(req.Snapshot.Limits.RetryBudget)
 	deadline, cancel := context.WithDeadline(context.Background(), req.Deadline)
 	a.ctx, a.cancel = context.WithCancelCause(deadline)
-	a.free = cancel
+	a.done = cancel
 	a.watch = newWatch(a)
 	return a, nil
 }
--- a/standin/engine/reservations.go
+++ b/standin/engine/reservations.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -20,7 +19,6 @@
 
 // reservations are the memory held for owners.
 type reservations struct {
-	next int64
 	byID map[string]*held
 }
 
@@ -46,25 +44,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	end := time.Now().Add(time.Duration(r.TTLMs) * time.Millisecond)
-	if h, ok := s.reservations.byID[r.ID]; ok && !h.released {
+	h, ok := s.reservations.byID[r.ID]
+	if ok && !h.released {
 		h.end = end
 		httpjson.Write(ctx, fasthttp.StatusOK, h.Reservation)
 		return
 	}
-	if r.ID != "" {
-		httpjson.Refuse(ctx, fasthttp.StatusNotFound, "no such reservation")
+	if ok || r.Renew {
+		s.refuseReservation(ctx, fasthttp.StatusNotFound, "no such reservation")
 		return
 	}
-	if !s.model.Reserve(r.Tokens) {
-		httpjson.Refuse(ctx, fasthttp.StatusConflict, "not enough memory")
+	if r.ID == "" || !s.model.Reserve(r.Tokens) {
+		s.refuseReservation(ctx, fasthttp.StatusConflict, "not enough memory")
 		return
 	}
-	s.reservations.next++
-	r.ID = s.incarnation + "-" + strconv.FormatInt(s.reservations.next, 10)
+	r.InUse = false
 	s.reservations.byID[r.ID] = &held{Reservation: r, end: end}
 	httpjson.Write(ctx, fasthttp.StatusOK, r)
 }
 
+func (s *Server) refuseReservation(ctx *fasthttp.RequestCtx, status int, reason string) {
+	httpjson.Write(ctx, status, wire.ReservationRefusal{Error: reason, FreeTokens: s.model.Free()})
+}
+
 // unuse notes that the stream that used the reservation ended.
 func (s *Server) unuse(id string) {
 	h, ok := s.reservations.byID[id]
