Predict first tokens from a carried-forward ledger and compare policies in virtual time

Cause: placement trusted lagging reports and knew nothing of caches, peers or learnt speeds; there was no measure of a policy. Change: core/placement keeps a ledger per endpoint, replayed on each report; speed, prefix cache and overtaking bound are learnt or kept per endpoint. standin/experiment drives the same decisions and three baselines over twenty engine models in virtual time. internal/fleet polls within a bound on control traffic, scopes endpoints by rendezvous hashing and has digests.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -95,6 +96,20 @@
 	return report, errors.WithStack(json.Unmarshal(body, &report))
 }
 
+// CacheEvents reads an engine's cache events after the sequence number.
+func (c *Caller) CacheEvents(address string, since int64, timeout time.Duration) (wire.CacheEvents, error) {
+	var events wire.CacheEvents
+	url := "http://" + address + wire.PathCacheEvents + "?since=" + strconv.FormatInt(since, 10)
+	status, body, err := c.http.GetTimeout(nil, url, timeout)
+	if err != nil {
+		return events, errors.WithStack(err)
+	}
+	if status != fasthttp.StatusOK {
+		return events, errors.WithStack(&StatusError{status})
+	}
+	return events, errors.WithStack(json.Unmarshal(body, &events))
+}
+
 // Cancel ends an attempt at an engine.
 func (c *Caller) Cancel(address string, cancel wire.Cancel, timeout time.Duration) error {
 	data, err := json.Marshal(cancel)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,61 +1,63 @@
-// Package fleet keeps what this VM knows of the endpoints: the last load report
-// of each, and what this VM sent since.
+// Package fleet keeps what this VM knows of the endpoints: their load reports
+// and cache events, what this VM and its peers sent since, and what answers
+// taught. It places prompts by core/placement.
 package fleet
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"cornelsaddle.example/cornelsaddle/core/configuration"
 	"cornelsaddle.example/cornelsaddle/core/placement"
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 )
 
-const (
-	pollInterval = 500 * time.Millisecond
-	pollTimeout  = 400 * time.Millisecond
-	// defaultRate is the prefill speed, in tokens a second, of an endpoint that
-	// has told none.
-	defaultRate = 10_000
-)
-
 // state is what is known of one endpoint.
 type state struct {
-	report  wire.LoadReport
-	alive   bool
-	pending map[string]sent
-}
-
-// sent is a prompt that this VM sent and that has no first token yet.
-type sent struct {
-	at       time.Time
-	tokens   int64
-	priority wire.Priority
+	known       *placement.Endpoint
+	alive       bool
+	leaving     bool
+	incarnation string
+	// polled is when the last poll was begun.
+	polled time.Time
+	// sent sums up, by priority, what this VM sent since the last digest.
+	sent [2]int64
 }
 
 // Fleet is safe for concurrent use.
 type Fleet struct {
 	caller   *endpoint.Caller
 	follower *confsync.Follower
-	mu       sync.Mutex
-	states   map[string]*state
+	cfg      placement.Config
 	stop     chan struct{}
 	done     chan struct{}
+
+	mu     sync.Mutex
+	states map[string]*state
+	picker *placement.Picker
+	scope  *scope
+	views  []placement.View
 }
 
 // New returns a Fleet over the endpoints of the configuration in force.
 func New(caller *endpoint.Caller, follower *confsync.Follower) *Fleet {
+	cfg := placement.DefaultConfig()
 	return &Fleet{
 		caller:   caller,
 		follower: follower,
+		cfg:      cfg,
 		states:   make(map[string]*state),
+		scope:    &scope{},
+		picker:   placement.NewPicker(cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		stop:     make(chan struct{}),
 		done:     make(chan struct{}),
 	}
 }
 
-// Start begins to poll load reports.
+// Start begins to poll the endpoints.
 func (f *Fleet) Start() { go f.run() }
 
 // Stop ends it.
@@ -64,109 +66,115 @@
 	<-f.done
 }
 
-func (f *Fleet) run() {
-	defer close(f.done)
-	for {
-		f.pollAll()
-		select {
-		case <-f.stop:
-			return
-		case <-time.After(pollInterval):
-		}
-	}
-}
-
-func (f *Fleet) pollAll() {
-	snap := f.follower.Current()
-	if snap == nil {
-		return
-	}
-	var wg sync.WaitGroup
-	for id, e := range snap.Endpoints {
-		if snap.Services[e.Service].Kind != "model" {
-			continue
-		}
-		wg.Go(func() {
-			report, err := f.caller.Load(e.Address, pollTimeout)
-			f.note(id, report, err)
-		})
-	}
-	wg.Wait()
-}
-
-func (f *Fleet) note(id string, report wire.LoadReport, err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	st := f.state(id)
-	st.alive = err == nil
-	if err == nil {
-		st.report = report
-	}
-}
-
-func (f *Fleet) state(id string) *state {
+// state returns what is known of the endpoint. The lock is held.
+func (f *Fleet) state(id string, e configuration.Endpoint) *state {
 	st := f.states[id]
 	if st == nil {
-		st = &state{alive: true, pending: make(map[string]sent)}
+		st = &state{alive: true, known: newKnown(f.cfg, id, e)}
 		f.states[id] = st
 	}
 	return st
 }
 
+func newKnown(cfg placement.Config, id string, e configuration.Endpoint) *placement.Endpoint {
+	return placement.NewEndpoint(cfg, id, e.MemoryTokens, e.PrefillRate)
+}
+
+// known returns the endpoint that an attempt went to. The lock is held.
+func (f *Fleet) known(id string) *placement.Endpoint {
+	return f.state(id, configuration.Endpoint{}).known
+}
+
 // Views returns the endpoints of the service that take work.
 func (f *Fleet) Views(snap *confsync.Snapshot, service string, except map[string]bool) []placement.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var views []placement.View
-	for id, e := range snap.Endpoints {
-		if e.Service != service || e.Leaving || except[id] {
+	return f.appendViews(nil, time.Now(), snap, service, except, &placement.Prompt{})
+}
+
+// appendViews appends the service's open endpoints as the prompt sees them. The
+// lock is held.
+func (f *Fleet) appendViews(views []placement.View, now time.Time, snap *confsync.Snapshot, service string, except map[string]bool, p *placement.Prompt) []placement.View {
+	for _, id := range f.scope.of(snap, service) {
+		e := snap.Endpoints[id]
+		if e.Leaving || except[id] {
 			continue
 		}
-		st := f.state(id)
-		if !st.alive || st.report.Leaving {
+		st := f.state(id, e)
+		if !st.alive || st.leaving {
 			continue
 		}
-		views = append(views, st.view(id, e.MemoryTokens, e.PrefillRate))
+		views = append(views, st.known.View(now, p))
 	}
 	return views
 }
 
-func (s *state) view(id string, memory int64, rate float64) placement.View {
-	v := placement.View{ID: id, Queued: s.report.QueuedTokens, Rate: s.report.PrefillRate, Memory: memory}
-	if v.Rate == 0 {
-		v.Rate = rate
-	}
-	if v.Rate == 0 {
-		v.Rate = defaultRate
-	}
-	for _, p := range s.pending {
-		if p.at.UnixMilli() > s.report.AtMs {
-			v.Queued[p.priority] += p.tokens
-		}
-		if p.priority == wire.PriorityLow {
-			v.Waiting++
-		}
+// Place chooses an endpoint of the service for the prompt, other than those in
+// except. The view is the chosen endpoint's; it means nothing where the
+// choice's index is negative.
+func (f *Fleet) Place(snap *confsync.Snapshot, service string, except map[string]bool, p placement.Prompt) (placement.Choice, placement.View) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.views = f.appendViews(f.views[:0], time.Now(), snap, service, except, &p)
+	choice := f.picker.Pick(&p, f.views)
+	if choice.Index < 0 {
+		return choice, placement.View{}
 	}
-	return v
+	return choice, f.views[choice.Index]
 }
 
 // Sent notes an attempt that was sent to the endpoint.
 func (f *Fleet) Sent(id, attempt string, tokens int64, priority wire.Priority) {
+	f.SentPrompt(id, attempt, placement.Prompt{Tokens: tokens, Priority: priority}, priority)
+}
+
+// SentPrompt notes an attempt that was sent to the endpoint at the priority.
+func (f *Fleet) SentPrompt(id, attempt string, p placement.Prompt, priority wire.Priority) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	st := f.state(id, configuration.Endpoint{})
+	st.sent[priority] += st.known.Sent(time.Now(), attempt, &p, priority)
+}
+
+// FirstToken notes that the attempt had its first token.
+func (f *Fleet) FirstToken(id, attempt string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.state(id).pending[attempt] = sent{time.Now(), tokens, priority}
+	f.known(id).FirstToken(time.Now(), attempt)
 }
 
-// Started notes that the attempt had its first token, or ended.
+// Started notes that the attempt had its first token, or ended: it no longer
+// waits, and nothing is learnt from it.
 func (f *Fleet) Started(id, attempt string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.state(id).pending, attempt)
+	f.known(id).Ended(attempt)
+}
+
+// Answer is a whole answer's account of itself.
+type Answer struct {
+	// Blocks are the prompt's.
+	Blocks []uint64
+	// Cached is the part of the prompt that the endpoint found cached.
+	Cached int64
+	// Tokens is the number of tokens after the first, and Took their time.
+	Tokens int64
+	Took   time.Duration
+}
+
+// Answered notes a whole answer of the endpoint.
+func (f *Fleet) Answered(id string, a Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	known := f.known(id)
+	known.Answered(a.Tokens, a.Took)
+	known.Prefixes.Observe(now, a.Blocks, a.Cached)
 }
 
 // Failed notes that the endpoint failed; it gets no work until it reports.
 func (f *Fleet) Failed(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.state(id).alive = false
+	f.state(id, configuration.Endpoint{}).alive = false
 }
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -76,6 +76,10 @@
 	}
 }
 
+// CacheEvents lists the cache events after the sequence number that are still
+// kept.
+func (m *Model) CacheEvents(since int64) []wire.CacheEvent { return m.cache.since(since) }
+
 // since lists the events after the sequence number that are still kept.
 func (c *prefixCache) since(seq int64) []wire.CacheEvent {
 	var events []wire.CacheEvent
--- /dev/null
+++ b/standin/experiment/cell.go
@@ -0,0 +1,126 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/placement"
+	"cornelsaddle.example/cornelsaddle/standin/engine"
+)
+
+// PolicyName names a policy.
+type PolicyName string
+
+// The policies.
+const (
+	RoundRobin       PolicyName = "round-robin"
+	Random           PolicyName = "random"
+	LeastOutstanding PolicyName = "least-outstanding"
+	Predictive       PolicyName = "predictive"
+)
+
+// Cell is one run: a policy under conditions. The result depends on nothing
+// else.
+type Cell struct {
+	Mix  Mix
+	Load float64
+	// Lag is the age of load reports.
+	Lag time.Duration
+	// VMs decide independently of each other.
+	VMs int
+	// LoseEngine ends one of the faster engines after a third of the time.
+	LoseEngine bool
+	// Alone leaves out long and oversize prompts; the others stay the same.
+	Alone bool
+	Seed  uint64
+	// Duration is the time over which prompts arrive.
+	Duration time.Duration
+
+	Policy PolicyName
+	// Priorities says whether the engines are given priorities.
+	Priorities bool
+	// Placement and DelayWeight are the predictive policy's parameters.
+	Placement   placement.Config
+	DelayWeight float64
+	// Admission refuses what is predicted to miss its deadline.
+	Admission bool
+
+	// NoDigests and NoCacheEvents take parts of the VMs' knowledge away.
+	NoDigests     bool
+	NoCacheEvents bool
+
+	shapes []engine.ModelConfig
+}
+
+const (
+	// warmUp is the time at the start whose prompts are not counted.
+	warmUp = 60 * time.Second
+	// lostEngine is the one that LoseEngine ends.
+	lostEngine = engines - 4
+	// drain is the time after the last arrival until all is over.
+	drain = 11 * time.Minute
+)
+
+func (c *Cell) horizon() time.Duration { return c.Duration + drain }
+
+// Run carries out the cell.
+func Run(c Cell) Result {
+	c.shapes = fleetShape(c.Priorities)
+	r := &run{
+		cell:  c,
+		bySeq: make(map[*engine.Sequence]*job),
+		rng:   rand.New(rand.NewPCG(c.Seed, 2)),
+	}
+	errors := rand.New(rand.NewPCG(shapeSeed, 1))
+	for i, s := range c.shapes {
+		off := 1/nominalError + errors.Float64()*(nominalError-1/nominalError)
+		r.nodes = append(r.nodes, &node{index: i, model: engine.NewModel(s), nominal: s.PrefillRate * off})
+	}
+	for i := range c.VMs {
+		r.vms = append(r.vms, c.policy(rand.New(rand.NewPCG(c.Seed, uint64(10+i)))))
+	}
+	r.arrivals()
+	r.every(sampleInterval, r.sampleAll)
+	r.every(pollInterval, r.poll)
+	if !c.NoCacheEvents {
+		r.every(cacheInterval, r.pollCaches)
+	}
+	if !c.NoDigests {
+		r.every(digestInterval, r.gossip)
+	}
+	if c.LoseEngine {
+		r.at(c.Duration/3, func() { r.kill(lostEngine) })
+	}
+	r.loop()
+	return newResult(r.jobs)
+}
+
+func (c *Cell) policy(rng *rand.Rand) policy {
+	switch c.Policy {
+	case RoundRobin:
+		return &roundRobin{next: rng.IntN(engines)}
+	case Random:
+		return &random{rng: rng}
+	case LeastOutstanding:
+		return &leastOutstanding{rng: rng}
+	}
+	return newPredictive(c.Placement, c.DelayWeight, c.Admission, c.shapes, rng)
+}
+
+// arrivals draws the prompts: a Poisson process whose mean work is Load times
+// the fleet's capacity, long prompts included.
+func (r *run) arrivals() {
+	rng := rand.New(rand.NewPCG(r.cell.Seed, 1))
+	g := &generator{rng: rng, mix: r.cell.Mix}
+	rate := r.cell.Load * capacity(r.cell.shapes) / r.cell.Mix.meanTokens()
+	for at := time.Duration(0); at < r.cell.Duration; {
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		j := g.job(at, r.cell.VMs)
+		if r.cell.Alone && j.class >= Long {
+			continue
+		}
+		r.jobs = append(r.jobs, j)
+		r.at(j.arrive, func() { r.dispatch(j) })
+		r.at(j.deadline, func() { r.expire(j) })
+	}
+}
--- /dev/null
+++ b/standin/experiment/result.go
@@ -0,0 +1,91 @@
+package experiment
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// ClassResult is what became of the prompts of one class.
+type ClassResult struct {
+	Count int
+	// Refused, Late and InTime count the prompts; those that were admitted and
+	// not whole by their deadline are late.
+	Refused, Late, InTime int
+	// P50, P95 and P99 are of the time to the first token of what was not
+	// refused; a prompt that never had one counts with its whole time limit.
+	P50, P95, P99 time.Duration
+}
+
+// Result is what became of the prompts of a cell, by class.
+type Result struct {
+	Classes [classes]ClassResult
+	// InTimeTokens are the prompt tokens of the requests that were whole in
+	// their time, and Tokens those of all.
+	InTimeTokens, Tokens int64
+}
+
+// Goodput is the share of the requests that were whole in their time.
+func (r *Result) Goodput() float64 {
+	in, all := 0, 0
+	for _, c := range r.Classes {
+		in += c.InTime
+		all += c.Count
+	}
+	return float64(in) / float64(max(1, all))
+}
+
+// RefusedShare is the share of the requests that were refused.
+func (r *Result) RefusedShare() float64 {
+	refused, all := 0, 0
+	for _, c := range r.Classes {
+		refused += c.Refused
+		all += c.Count
+	}
+	return float64(refused) / float64(max(1, all))
+}
+
+func newResult(jobs []*job) Result {
+	var res Result
+	var firsts [classes][]time.Duration
+	for _, j := range jobs {
+		if j.arrive < warmUp {
+			continue
+		}
+		c := &res.Classes[j.class]
+		c.Count++
+		res.Tokens += j.prompt
+		switch {
+		case j.refused:
+			c.Refused++
+			continue
+		case j.failed || j.end == 0:
+			c.Late++
+		default:
+			c.InTime++
+			res.InTimeTokens += j.prompt
+		}
+		first := j.first - j.arrive
+		if j.first == 0 {
+			first = j.deadline - j.arrive
+		}
+		firsts[j.class] = append(firsts[j.class], first)
+	}
+	for i := range firsts {
+		slices.Sort(firsts[i])
+		c := &res.Classes[i]
+		c.P50 = quantile(firsts[i], 0.50)
+		c.P95 = quantile(firsts[i], 0.95)
+		c.P99 = quantile(firsts[i], 0.99)
+	}
+	return res
+}
+
+// quantile reads the nearest rank from sorted values.
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	i := int(math.Ceil(q*float64(len(sorted)))) - 1
+	return sorted[max(0, i)]
+}
--- /dev/null
+++ b/standin/experiment/study.go
@@ -0,0 +1,149 @@
+package experiment
+
+import (
+	"sync"
+	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/placement"
+)
+
+// Study runs cells over several seeds.
+type Study struct {
+	Seeds    []uint64
+	Duration time.Duration
+	// Workers is the number of runs at a time; it does not change the results.
+	Workers int
+}
+
+// condition is one column of the study: what the policies are put through.
+type condition struct {
+	name string
+	set  func(*Cell)
+}
+
+var conditions = []condition{
+	{"no faults", func(*Cell) {}},
+	{"one engine lost", func(c *Cell) { c.LoseEngine = true }},
+	{"reports 1 s late", func(c *Cell) { c.Lag = time.Second }},
+	{"reports 5 s late", func(c *Cell) { c.Lag = 5 * time.Second }},
+	{"four VMs", func(c *Cell) { c.VMs = 4 }},
+	{"four VMs, 1 s late, one lost", func(c *Cell) { c.VMs, c.Lag, c.LoseEngine = 4, time.Second, true }},
+}
+
+var loads = []float64{0.75, 0.9}
+
+// contender is a policy with its parameters.
+type contender struct {
+	name string
+	set  func(*Cell)
+}
+
+// baselines are run on engines that serve first come first served, and on
+// engines that are given priorities.
+func baselines() []contender {
+	var list []contender
+	for _, p := range []PolicyName{RoundRobin, Random, LeastOutstanding} {
+		list = append(list,
+			contender{string(p) + ", fcfs", func(c *Cell) { c.Policy = p }},
+			contender{string(p) + ", priorities", func(c *Cell) { c.Policy, c.Priorities = p, true }})
+	}
+	return list
+}
+
+// DefaultWeight is the delay weight of a deployment.
+func DefaultWeight(m Mix) float64 {
+	if m.Name == Kivukoni.Name {
+		return kivukoniWeight
+	}
+	return vltavskeWeight
+}
+
+// The delay weights of the two deployments.
+const (
+	kivukoniWeight = 0.3
+	vltavskeWeight = 0.3
+)
+
+// predictiveWith is the product's policy at the weight; a negative one stands
+// for the deployment's default.
+func predictiveWith(weight float64, change func(*Cell)) func(*Cell) {
+	return func(c *Cell) {
+		c.Policy, c.Priorities = Predictive, true
+		c.Placement = placement.DefaultConfig()
+		c.DelayWeight = weight
+		if weight < 0 {
+			c.DelayWeight = DefaultWeight(c.Mix)
+		}
+		if change != nil {
+			change(c)
+		}
+	}
+}
+
+// task is one cell of a table, run over all seeds.
+type task struct {
+	cell    Cell
+	results []Result
+}
+
+// task prepares a cell.
+func (s *Study) task(m Mix, load float64, sets ...func(*Cell)) *task {
+	c := Cell{Mix: m, Load: load, VMs: 1, Duration: s.Duration}
+	for _, set := range sets {
+		set(&c)
+	}
+	return &task{cell: c, results: make([]Result, len(s.Seeds))}
+}
+
+// alone is the same cell without its long prompts.
+func (s *Study) alone(t *task) *task {
+	c := t.cell
+	c.Alone = true
+	return &task{cell: c, results: make([]Result, len(s.Seeds))}
+}
+
+// run carries out the tasks, in parallel; each run is deterministic.
+func (s *Study) run(tasks []*task) {
+	work := make(chan func())
+	var wg sync.WaitGroup
+	for range s.Workers {
+		wg.Go(func() {
+			for do := range work {
+				do()
+			}
+		})
+	}
+	for _, t := range tasks {
+		for i, seed := range s.Seeds {
+			work <- func() {
+				c := t.cell
+				c.Seed = seed
+				t.results[i] = Run(c)
+			}
+		}
+	}
+	close(work)
+	wg.Wait()
+}
+
+// mean averages a figure over the seeds.
+func (t *task) mean(of func(*Result) float64) float64 {
+	sum := 0.0
+	for i := range t.results {
+		sum += of(&t.results[i])
+	}
+	return sum / float64(len(t.results))
+}
+
+// first is the mean over the seeds of a percentile of the time to the first
+// token, in seconds.
+func (t *task) first(c Class, of func(*ClassResult) time.Duration) float64 {
+	return t.mean(func(r *Result) float64 { return of(&r.Classes[c]).Seconds() })
+}
+
+func p50(r *ClassResult) time.Duration { return r.P50 }
+func p95(r *ClassResult) time.Duration { return r.P95 }
+func p99(r *ClassResult) time.Duration { return r.P99 }
+
+func (t *task) goodput() float64 { return t.mean((*Result).Goodput) }
+func (t *task) refused() float64 { return t.mean((*Result).RefusedShare) }
--- /dev/null
+++ b/standin/experiment/tables.go
@@ -0,0 +1,184 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"math"
+)
+
+// The targets of the two deployments.
+const (
+	maxShortSlowdown = 1.5
+	maxLongRatio     = 0.9
+)
+
+// Print runs and prints a table; it reports whether there is one of that name.
+func (s *Study) Print(w io.Writer, table string) bool {
+	tables := []struct {
+		name  string
+		print func(io.Writer)
+	}{
+		{"targets", s.targets},
+		{"weights", s.weights},
+		{"ablation", s.ablation},
+	}
+	found := false
+	for _, t := range tables {
+		if table == t.name || table == "all" {
+			t.print(w)
+			found = true
+		}
+	}
+	return found
+}
+
+// entry is a contender's runs with long prompts and without.
+type entry struct {
+	name        string
+	with, alone *task
+}
+
+func (e *entry) slowdown() float64 {
+	return e.with.first(Short, p99) / e.alone.first(Short, p99)
+}
+
+// targets compares the product's policy with the best baseline, condition by
+// condition, and says whether the deployments' targets are met.
+func (s *Study) targets(w io.Writer) {
+	for _, m := range allMixes {
+		for _, load := range loads {
+			for _, cond := range conditions {
+				s.condition(w, m, load, cond)
+			}
+		}
+	}
+}
+
+func (s *Study) condition(w io.Writer, m Mix, load float64, cond condition) {
+	var entries []*entry
+	var tasks []*task
+	own := contender{"predictive", predictiveWith(-1, nil)}
+	for _, c := range append(baselines(), own) {
+		with := s.task(m, load, c.set, cond.set)
+		e := &entry{c.name, with, s.alone(with)}
+		entries = append(entries, e)
+		tasks = append(tasks, e.with, e.alone)
+	}
+	s.run(tasks)
+	fmt.Fprintf(w, "\n### %s, load %.2f, %s\n\n", m.Name, load, cond.name)
+	fmt.Fprintln(w, "| policy | short p50/p95/p99 s | short p99 alone s | slowdown | medium p50/p95/p99 s | long p50/p95/p99 s | oversize p50/p95 s | goodput | refused |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|")
+	for _, e := range entries {
+		e.print(w)
+	}
+	last := len(entries) - 1
+	s.verdict(w, m, entries[last], entries[:last])
+}
+
+func (e *entry) print(w io.Writer) {
+	t := e.with
+	fmt.Fprintf(w, "| %s | %s | %.2f | %.2f | %s | %s | %.1f/%.1f | %.4f | %.4f |\n", e.name,
+		t.percentiles(Short), e.alone.first(Short, p99), e.slowdown(),
+		t.percentiles(Medium), t.percentiles(Long),
+		t.first(Oversize, p50), t.first(Oversize, p95), t.goodput(), t.refused())
+}
+
+func (t *task) percentiles(c Class) string {
+	return fmt.Sprintf("%.2f/%.2f/%.2f", t.first(c, p50), t.first(c, p95), t.first(c, p99))
+}
+
+// verdict prints the targets and what was reached.
+func (s *Study) verdict(w io.Writer, m Mix, own *entry, others []*entry) {
+	goodput, alone := 0.0, math.Inf(1)
+	median, tail := math.Inf(1), math.Inf(1)
+	for _, e := range others {
+		goodput = max(goodput, e.with.goodput())
+		alone = min(alone, e.alone.first(Short, p99))
+		median = min(median, e.with.first(Long, p50))
+		tail = min(tail, e.with.first(Long, p95))
+	}
+	fmt.Fprintln(w)
+	check(w, "goodput", own.with.goodput(), ">=", goodput, own.with.goodput() >= goodput)
+	if m.Name == Kivukoni.Name {
+		check(w, "short p99 slowdown", own.slowdown(), "<=", maxShortSlowdown, own.slowdown() <= maxShortSlowdown)
+		p := own.with.first(Short, p99)
+		check(w, "short p99 against the best baseline's alone", p, "<=", alone, p <= alone)
+		return
+	}
+	check(w, "long median ratio", own.with.first(Long, p50)/median, "<=", maxLongRatio, own.with.first(Long, p50) <= maxLongRatio*median)
+	check(w, "long p95 ratio", own.with.first(Long, p95)/tail, "<=", maxLongRatio, own.with.first(Long, p95) <= maxLongRatio*tail)
+}
+
+func check(w io.Writer, name string, got float64, op string, want float64, met bool) {
+	verdict := "met"
+	if !met {
+		verdict = "MISSED"
+	}
+	fmt.Fprintf(w, "- %s: %.4f %s %.4f: %s\n", name, got, op, want, verdict)
+}
+
+// weights shows how the delay weight moves the result.
+func (s *Study) weights(w io.Writer) {
+	values := []float64{0, 0.1, 0.3, 1, 3, 10}
+	for _, m := range allMixes {
+		for _, load := range loads {
+			fmt.Fprintf(w, "\n### %s, load %.2f, by delay weight\n\n", m.Name, load)
+			fmt.Fprintln(w, "| w | short p50/p95/p99 s | slowdown | medium p50/p95/p99 s | long p50/p95/p99 s | goodput |")
+			fmt.Fprintln(w, "|---|---|---|---|---|---|")
+			s.sweep(w, m, load, values)
+		}
+	}
+}
+
+func (s *Study) sweep(w io.Writer, m Mix, load float64, values []float64) {
+	var entries []*entry
+	var tasks []*task
+	for _, v := range values {
+		with := s.task(m, load, predictiveWith(v, nil))
+		e := &entry{fmt.Sprint(v), with, s.alone(with)}
+		entries = append(entries, e)
+		tasks = append(tasks, e.with, e.alone)
+	}
+	s.run(tasks)
+	for _, e := range entries {
+		fmt.Fprintf(w, "| %s | %s | %.2f | %s | %s | %.4f |\n", e.name, e.with.percentiles(Short),
+			e.slowdown(), e.with.percentiles(Medium), e.with.percentiles(Long), e.with.goodput())
+	}
+}
+
+// ablation takes one part of the policy away at a time.
+func (s *Study) ablation(w io.Writer) {
+	parts := []contender{
+		{"whole", predictiveWith(-1, nil)},
+		{"no draw among near-equal scores", predictiveWith(-1, func(c *Cell) { c.Placement.TieMargin = 0 })},
+		{"a sample of 5 endpoints", predictiveWith(-1, func(c *Cell) { c.Placement.Sample = 5 })},
+		{"no bound on overtaking", predictiveWith(-1, func(c *Cell) { c.Placement.OvertakeFactor = 0 })},
+		{"w = 0", predictiveWith(0, nil)},
+		{"no digests", predictiveWith(-1, func(c *Cell) { c.NoDigests = true })},
+		{"no cache knowledge", predictiveWith(-1, func(c *Cell) { c.NoCacheEvents = true })},
+	}
+	cond := conditions[len(conditions)-1]
+	for _, m := range allMixes {
+		for _, load := range loads {
+			s.ablate(w, m, load, cond, parts)
+		}
+	}
+}
+
+func (s *Study) ablate(w io.Writer, m Mix, load float64, cond condition, parts []contender) {
+	var entries []*entry
+	var tasks []*task
+	for _, c := range parts {
+		with := s.task(m, load, c.set, cond.set)
+		e := &entry{c.name, with, s.alone(with)}
+		entries = append(entries, e)
+		tasks = append(tasks, e.with, e.alone)
+	}
+	s.run(tasks)
+	fmt.Fprintf(w, "\n### %s, load %.2f, %s: parts taken away\n\n", m.Name, load, cond.name)
+	fmt.Fprintln(w, "| policy | short p50/p95/p99 s | short p99 alone s | slowdown | medium p50/p95/p99 s | long p50/p95/p99 s | oversize p50/p95 s | goodput | refused |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|")
+	for _, e := range entries {
+		e.print(w)
+	}
+}
--- /dev/null
+++ b/standin/experiment/workload.go
@@ -0,0 +1,186 @@
+package experiment
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/standin/engine"
+)
+
+// Class is a length class of prompts.
+type Class int
+
+// The length classes.
+const (
+	Short Class = iota
+	Medium
+	Long
+	Oversize
+	classes
+)
+
+// String implements fmt.Stringer.
+func (c Class) String() string { return [...]string{"short", "medium", "long", "oversize"}[c] }
+
+// Priority is the level at which prompts of the class are sent.
+func (c Class) Priority() wire.Priority {
+	if c >= Long {
+		return wire.PriorityLow
+	}
+	return wire.PriorityHigh
+}
+
+// shape is what the prompts of a class look like; lengths are log-uniform.
+type shape struct {
+	minTokens, maxTokens float64
+	minAnswer, maxAnswer float64
+	deadline             time.Duration
+}
+
+var shapes = [classes]shape{
+	Short:    {1_000, 4_000, 20, 100, 20 * time.Second},
+	Medium:   {4_000, 32_000, 50, 200, 45 * time.Second},
+	Long:     {32_000, 180_000, 50, 300, 180 * time.Second},
+	Oversize: {600_000, 1_000_000, 100, 300, 600 * time.Second},
+}
+
+// Mix is the share of each class among the prompts.
+type Mix struct {
+	Name   string
+	Shares [classes]float64
+}
+
+// The mixes of the two deployments.
+var (
+	Kivukoni  = Mix{"kivukoni", [classes]float64{0.74, 0.22, 0.0392, 0.0008}}
+	Vltavske  = Mix{"vltavske", [classes]float64{0.60, 0.30, 0.0992, 0.0008}}
+	allMixes  = []Mix{Kivukoni, Vltavske}
+	boundOver = 1.1
+)
+
+const (
+	organisations = 10
+	// templateBlocks is the prefix that the prompts of an organisation share.
+	templateBlocks = 3
+	// followUps is the share of medium and long prompts that go on from an
+	// earlier one, with all of its prompt as their prefix.
+	followUps = 0.3
+	// recentPrompts is how far back a follow-up reaches.
+	recentPrompts = 40
+	// maxTokensOver is the most by which callers overstate their answers.
+	maxTokensOver = 1.0
+)
+
+// job is one prompt and what became of it.
+type job struct {
+	id           int
+	class        Class
+	organisation int
+	prompt       int64
+	answer       int64
+	maxTokens    int64
+	blocks       []uint64
+	arrive       time.Duration
+	deadline     time.Duration
+	vm           int
+
+	attempt  int
+	engine   int
+	seq      *engine.Sequence
+	members  []int
+	got      int64
+	sentAt   time.Duration
+	first    time.Duration
+	end      time.Duration
+	refused  bool
+	failed   bool
+	resolved bool
+	retryAt  time.Duration
+}
+
+// bound is the upper bound on the prompt's tokens before it is tokenised.
+func (j *job) bound() int64 { return int64(float64(j.prompt) * boundOver) }
+
+// generator draws arrivals.
+type generator struct {
+	rng    *rand.Rand
+	mix    Mix
+	recent [classes][]*job
+	nextID int
+}
+
+func (g *generator) logUniform(low, high float64) int64 {
+	return int64(low * math.Exp(g.rng.Float64()*math.Log(high/low)))
+}
+
+func (g *generator) class() Class {
+	u := g.rng.Float64()
+	for c, share := range g.mix.Shares {
+		if u < share {
+			return Class(c)
+		}
+		u -= share
+	}
+	return Short
+}
+
+// job draws the prompt that arrives at the time.
+func (g *generator) job(at time.Duration, vms int) *job {
+	c := g.class()
+	s := shapes[c]
+	g.nextID++
+	j := &job{
+		id:           g.nextID,
+		class:        c,
+		organisation: g.rng.IntN(organisations),
+		prompt:       g.logUniform(s.minTokens, s.maxTokens),
+		answer:       g.logUniform(s.minAnswer, s.maxAnswer),
+		arrive:       at,
+		deadline:     at + s.deadline,
+		vm:           g.rng.IntN(vms),
+		engine:       -1,
+	}
+	j.maxTokens = int64(float64(j.answer) * (1 + maxTokensOver*g.rng.Float64()))
+	g.content(j)
+	return j
+}
+
+// content draws the prompt's blocks.
+func (g *generator) content(j *job) {
+	prefix := templateOf(j.organisation)
+	followUp := g.rng.Float64() < followUps
+	if recent := g.recent[j.class]; (j.class == Medium || j.class == Long) && followUp && len(recent) > 0 {
+		earlier := recent[g.rng.IntN(len(recent))]
+		prefix = earlier.blocks
+		extra := g.logUniform(engine.BlockTokens, 8*engine.BlockTokens)
+		j.prompt = min(earlier.prompt+extra, int64(shapes[j.class].maxTokens))
+	}
+	n := int(j.prompt / engine.BlockTokens)
+	j.blocks = make([]uint64, n)
+	copy(j.blocks, prefix)
+	for i := min(n, len(prefix)); i < n; i++ {
+		j.blocks[i] = g.rng.Uint64()
+	}
+	r := append(g.recent[j.class], j)
+	g.recent[j.class] = r[max(0, len(r)-recentPrompts):]
+}
+
+func templateOf(organisation int) []uint64 {
+	blocks := make([]uint64, templateBlocks)
+	for i := range blocks {
+		blocks[i] = uint64(organisation*templateBlocks + i + 1)
+	}
+	return blocks
+}
+
+// meanTokens is the mean length of the mix's prompts.
+func (m Mix) meanTokens() float64 {
+	sum := 0.0
+	for c, share := range m.Shares {
+		low, high := shapes[c].minTokens, shapes[c].maxTokens
+		sum += share * (high - low) / math.Log(high/low)
+	}
+	return sum
+}
