Predict waits for memory and cap what groups of endpoints hold

Cause: a trace of the worst cells showed engines whose memory was held by groups for minutes: prompts of both priorities waited behind them, their first tokens were learnt as slow engines, and the high-priority share scared long prompts onto the same few engines.

--- a/core/placement/endpoint.go
+++ b/core/placement/endpoint.go
@@ -30,6 +30,8 @@
 	// the nominal rate, in seconds.
 	nominal float64
 	running int
+	// crowded says that it had to wait for memory, by prediction.
+	crowded bool
 	// allowance is the count of high-priority tokens up to which it may be
 	// overtaken.
 	allowance int64
@@ -49,6 +51,10 @@
 	speed   speed
 	ledger  ledger
 	pending map[string]pendingPrompt
+	// inFlight is the memory of the attempts of this VM that have not ended,
+	// in tokens, and inFlightSum its sum.
+	inFlight    map[string]int64
+	inFlightSum int64
 	// waitingLow counts the pending prompts of low priority.
 	waitingLow int
 	// overtaken is the prefill of high priority that this VM sent, in all.
@@ -75,6 +81,7 @@
 		memory:   memory,
 		speed:    newSpeed(),
 		pending:  make(map[string]pendingPrompt),
+		inFlight: make(map[string]int64),
 		interval: defaultInterval,
 	}
 }
@@ -108,8 +115,11 @@
 		at: now, work: work, need: p.Need(), priority: priority,
 		nominal:   (ahead + float64(work)) / e.nominal,
 		running:   e.running,
+		crowded:   e.held()+p.Need() > e.memory,
 		allowance: e.overtaken + int64(e.cfg.OvertakeFactor*float64(p.Tokens)),
 	}
+	e.inFlight[attempt] += p.Need()
+	e.inFlightSum += p.Need()
 	e.ledger.send(sendRecord{now, work, p.Need(), priority}, rate)
 	e.countHigh(now, work, priority)
 	if priority == wire.PriorityLow {
@@ -120,6 +130,18 @@
 	return work
 }
 
+// Reserved notes memory, in tokens, that was set aside for the attempt at the
+// endpoint; Ended gives it back.
+func (e *Endpoint) Reserved(attempt string, tokens int64) {
+	e.inFlightSum += tokens - e.inFlight[attempt]
+	e.inFlight[attempt] = tokens
+}
+
+// held is the memory that is taken or waited for, in tokens.
+func (e *Endpoint) held() int64 {
+	return max(e.ledger.held+e.ledger.heldSince, e.inFlightSum)
+}
+
 // PeerSent notes prefill that peers sent to the endpoint, from their digests.
 func (e *Endpoint) PeerSent(at time.Time, work int64, priority wire.Priority) {
 	if !at.After(e.ledger.reported) {
@@ -157,14 +179,15 @@
 	e.ledger.computed(p.at, p.priority)
 	// A prompt of low priority is overtaken by an unknown amount, and one that
 	// waits for memory does not wait for prefill.
-	if p.priority == wire.PriorityHigh && p.work >= minObserved {
+	if p.priority == wire.PriorityHigh && p.work >= minObserved && !p.crowded {
 		e.speed.observe(now.Sub(p.at).Seconds()/p.nominal, p.running)
 	}
 }
 
-// Ended notes that the attempt ended before its first token; it does nothing
-// after that.
+// Ended notes that the attempt ended, with or without a first token.
 func (e *Endpoint) Ended(attempt string) {
+	e.inFlightSum -= e.inFlight[attempt]
+	delete(e.inFlight, attempt)
 	if p, ok := e.take(attempt); ok {
 		e.ledger.withdraw(p.at, p.work, p.need, p.priority)
 	}
@@ -200,7 +223,7 @@
 		ID:            e.ID,
 		Rate:          rate,
 		Memory:        e.memory,
-		Held:          e.ledger.held + e.ledger.heldSince,
+		Held:          e.held(),
 		Cached:        e.Prefixes.Cached(now, p.Blocks),
 		Waiting:       e.waitingLow,
 		HighShare:     min(e.highRate/rate, maxHighShare),
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -13,7 +13,9 @@
 	Tokens int64
 	// MaxTokens is the longest answer.
 	MaxTokens int64
-	Priority  wire.Priority
+	// Reserved is the part of its memory that was set aside beforehand.
+	Reserved int64
+	Priority wire.Priority
 	// DelayWeight is the weight of the delay put on others.
 	DelayWeight float64
 	// Blocks are the hashes of the prompt's whole blocks, each over all of the
@@ -21,8 +23,9 @@
 	Blocks []uint64
 }
 
-// Need is the KV memory that the prompt takes, in tokens.
-func (p *Prompt) Need() int64 { return p.Tokens + p.MaxTokens }
+// Need is the KV memory that the prompt takes beyond what was reserved, in
+// tokens.
+func (p *Prompt) Need() int64 { return max(0, p.Tokens+p.MaxTokens-p.Reserved) }
 
 // View is what is known of one endpoint at the time of a placement.
 type View struct {
--- a/core/placement/predict.go
+++ b/core/placement/predict.go
@@ -7,7 +7,13 @@
 	maxSeconds = 1e6
 	// maxHighShare keeps the rate that is left to prompts of low priority from
 	// vanishing.
-	maxHighShare = 0.9
+	maxHighShare = 0.6
+	// memoryHeadroom is the share of the memory that prompts of low priority
+	// leave to those of high priority, where others can take them.
+	memoryHeadroom = 0.1
+	// answerPause is the time, in seconds, that a sequence holds its memory
+	// while it is answered.
+	answerPause = 4
 )
 
 // Score is the prompt's own predicted first token plus the weighted delay that
@@ -24,21 +30,28 @@
 		return wait + float64(v.Queued[wire.PriorityHigh]+own)/v.Rate
 	}
 	ahead := v.Queued[wire.PriorityHigh] + v.Queued[wire.PriorityLow]
-	// High-priority prompts still to come will overtake this one.
-	left := v.Rate * (1 - min(v.HighShare, maxHighShare))
-	return wait + float64(ahead+own)/left
+	return max(wait, float64(ahead)/v.left()) + float64(own)/v.left()
 }
 
-// memoryWait predicts how long the prompt waits for KV memory: running
-// sequences give it back about as fast as prefill takes it.
+// memoryWait predicts how long the prompt waits for KV memory: a sequence gives
+// its memory back once it was computed and answered. Prompts of low priority
+// leave headroom for those of high priority.
 func memoryWait(p *Prompt, v *View) float64 {
-	missing := p.Need() - (v.Memory - v.Held)
-	if missing <= 0 {
+	usable := v.Memory
+	if p.Priority == wire.PriorityLow {
+		usable -= int64(memoryHeadroom * float64(v.Memory))
+	}
+	missing := p.Need() - (usable - v.Held)
+	if missing <= 0 || v.Held == 0 {
 		return 0
 	}
-	return float64(missing) / v.Rate
+	return answerPause + float64(missing)/v.left()
 }
 
+// left is the prefill speed that is left to prompts of low priority, in tokens
+// a second: those of high priority still to come will overtake them.
+func (v *View) left() float64 { return v.Rate * (1 - min(v.HighShare, maxHighShare)) }
+
 // sendPriority is the level that the prompt would be sent at.
 func sendPriority(p *Prompt, v *View) wire.Priority {
 	if v.Exhausted {
--- a/core/placement/speed.go
+++ b/core/placement/speed.go
@@ -8,11 +8,11 @@
 	speedPrior = 0.1
 	// runningUnit scales the number of running sequences to about one.
 	runningUnit = 16
-	minSlowness = 0.25
-	maxSlowness = 8
-	// maxObserved bounds one observation, so that a stall does not wreck the
-	// estimate.
-	maxObserved = 16
+	minSlowness = 0.5
+	maxSlowness = 4
+	// maxResidual bounds what one observation moves, so that a stall does not
+	// wreck the estimate.
+	maxResidual = 0.5
 	// interferenceGuess is the first guess of what runningUnit running
 	// sequences add to the time of a prefill, relative to the time alone.
 	interferenceGuess = 0.1
@@ -39,13 +39,12 @@
 
 // observe takes the ratio of a prefill's time to its nominal time.
 func (s *speed) observe(ratio float64, running int) {
-	ratio = min(ratio, maxObserved)
 	x := float64(running) / runningUnit
 	g0 := s.p00 + s.p01*x
 	g1 := s.p01 + s.p11*x
 	den := speedForget + g0 + g1*x
-	residual := ratio - s.constant - s.perRunning*x
-	s.constant += g0 / den * residual
+	residual := min(max(ratio-s.constant-s.perRunning*x, -maxResidual), maxResidual)
+	s.constant = min(max(s.constant+g0/den*residual, minSlowness), maxSlowness)
 	s.perRunning = max(0, s.perRunning+g1/den*residual)
 	// The covariance is kept from growing where nothing excites it.
 	s.p00 = min((s.p00-g0*g0/den)/speedForget, speedPrior)
--- a/standin/experiment/policy.go
+++ b/standin/experiment/policy.go
@@ -24,6 +24,11 @@
 	// group orders the open engines by how well they suit the group of a prompt
 	// that no engine holds; the first leads it.
 	group(now time.Time, j *job, open []int) []int
+	// groupCap is the most of the fleet's memory that groups may take beyond
+	// the first one.
+	groupCap() float64
+	// reserved is told of a group's memory, part by part.
+	reserved(j *job, engine int, tokens int64)
 	sent(now time.Time, j *job, d decision)
 	firstToken(now time.Time, j *job)
 	// ended is told of every end of an attempt.
@@ -47,6 +52,8 @@
 // blind is the part of the baselines that learns nothing.
 type blind struct{}
 
+func (blind) groupCap() float64                            { return 1 }
+func (blind) reserved(*job, int, int64)                    {}
 func (blind) sent(time.Time, *job, decision)               {}
 func (blind) firstToken(time.Time, *job)                   {}
 func (blind) ended(time.Time, *job)                        {}
--- a/standin/experiment/sim.go
+++ b/standin/experiment/sim.go
@@ -89,6 +89,8 @@
 	jobs   []*job
 	bySeq  map[*engine.Sequence]*job
 	rng    *rand.Rand
+	// grouped is the memory that groups hold, in tokens.
+	grouped int64
 }
 
 func (r *run) at(t time.Duration, do func()) {
@@ -175,11 +177,18 @@
 // its lead; it tries again until the job's deadline.
 func (r *run) dispatchGroup(j *job) {
 	need := j.bound() + j.maxTokens
+	if r.grouped > 0 && float64(r.grouped+need) > r.vms[j.vm].groupCap()*float64(r.memory()) {
+		r.at(r.now+groupRetry, func() { r.dispatch(j) })
+		return
+	}
 	order := r.vms[j.vm].group(r.wall(), j, r.open(0))
 	if !r.reserve(j, order, need) {
 		r.at(r.now+groupRetry, func() { r.dispatch(j) })
 		return
 	}
+	for _, e := range j.members {
+		r.vms[j.vm].reserved(j, e, r.groupPart(e))
+	}
 	r.submit(j, decision{engine: order[0], priority: j.class.Priority()}, need)
 }
 
@@ -196,6 +205,7 @@
 			continue
 		}
 		j.members = append(j.members, e)
+		r.grouped += r.groupPart(e)
 		left -= r.groupPart(e)
 	}
 	if left <= 0 && j.members[0] == order[0] {
@@ -205,6 +215,17 @@
 	return false
 }
 
+// memory is the fleet's, in tokens.
+func (r *run) memory() int64 {
+	sum := int64(0)
+	for _, n := range r.nodes {
+		if !n.dead {
+			sum += r.cell.shapes[n.index].MemoryTokens
+		}
+	}
+	return sum
+}
+
 func (r *run) groupPart(e int) int64 {
 	return int64(groupShare * float64(r.cell.shapes[e].MemoryTokens))
 }
@@ -213,6 +234,7 @@
 func (r *run) release(j *job) {
 	for _, e := range j.members {
 		r.nodes[e].model.Release(r.groupPart(e))
+		r.grouped -= r.groupPart(e)
 		r.kick(r.nodes[e])
 	}
 	j.members = nil
