--- a/internal/prompt/attempt.go
+++ b/internal/prompt/attempt.go
@@ -95,7 +95,8 @@
 
 // firstToken predicts the time to the first token at the endpoint.
 func (a *Answer) firstToken(v *placement.View) time.Duration {
-	return time.Duration(placement.FirstToken(a.prompt(), v) * float64(time.Second))
+	p := a.prompt()
+	return time.Duration(placement.FirstToken(&p, v) * float64(time.Second))
 }
 
 func (a *Answer) choose(id string, firstToken time.Duration) {
