Run a sample deployment in one process

Cause: nobody could see the system work without starting a dozen processes.

cornelsaddle demo starts the stand-in platform, 20 engines, 3 instances of the plain service and four entry VMs of either deployment over loopback, drives a planned load (internal/loadgen: seeded Poisson arrivals, log-uniform lengths, HdrHistograms, every answer checked against the stand-in's text) and prints the time to first token by class and organisation and the slowdown of short prompts.

Tests: go test -race ./internal/loadgen ./internal/demo; the judge of answers is shown on a server that cuts, garbles, falsifies and fails late.

--- a/cmd/cornelsaddle/main.go
+++ b/cmd/cornelsaddle/main.go
@@ -19,6 +19,7 @@
 const usage = `usage: cornelsaddle COMMAND [flags]
 
 commands:
+  demo      run a sample deployment with its stand-ins in this process
   serve     run one entry VM
   version   print the version
 
@@ -35,6 +36,8 @@
 		return exitUsage
 	}
 	switch args[0] {
+	case "demo":
+		return runDemo(args[1:])
 	case "serve":
 		return serve(args[1:])
 	case "version":
--- /dev/null
+++ b/internal/demo/system.go
@@ -0,0 +1,242 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cornelsaddle.example/cornelsaddle/core/configuration"
+	"cornelsaddle.example/cornelsaddle/internal/confapply"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/node"
+	"cornelsaddle.example/cornelsaddle/internal/platform"
+	"cornelsaddle.example/cornelsaddle/internal/settings"
+	"cornelsaddle.example/cornelsaddle/standin/engine"
+	standinplatform "cornelsaddle.example/cornelsaddle/standin/platform"
+	"cornelsaddle.example/cornelsaddle/standin/service"
+)
+
+const (
+	loopback = "127.0.0.1:0"
+	entryVMs = 4
+	// engineSpeed divides the stand-in engines' times.
+	engineSpeed = 5
+	// reportLag is the age of the engines' load reports.
+	reportLag       = 200 * time.Millisecond
+	decodeStep      = 10 * time.Millisecond
+	decodePerStream = 200 * time.Microsecond
+	pieceTokens     = 2048
+	writesPerSecond = 500
+	readsPerSecond  = 2000
+	platformTimeout = 2 * time.Second
+	readyTimeout    = 15 * time.Second
+	readyInterval   = 20 * time.Millisecond
+	adminToken      = "demo-admin-token"
+	peerKey         = "demo-peer-key-0001"
+	logLevel        = "info"
+)
+
+// shape is the size and speed of an engine.
+type shape struct {
+	memoryTokens int64
+	prefillRate  float64
+}
+
+// shapes are those of machines of unlike age; the engines take them in turn.
+var shapes = []shape{
+	{400_000, 32_000},
+	{400_000, 24_000},
+	{300_000, 24_000},
+	{300_000, 16_000},
+	{200_000, 12_000},
+}
+
+// closer is a running part of the system.
+type closer interface{ Close() }
+
+// system is everything that runs.
+type system struct {
+	deployment Deployment
+	platform   *standinplatform.Server
+	engines    []*engine.Server
+	nodes      []*node.Node
+	parts      []closer
+}
+
+// NotReadyError says that a VM did not become ready in time.
+type NotReadyError struct{ Address string }
+
+// Error implements error.
+func (e *NotReadyError) Error() string { return "the VM at " + e.Address + " did not become ready" }
+
+// start starts all parts; on failure it closes those that run.
+func start(d Deployment, logs io.Writer) (*system, error) {
+	s := &system{deployment: d}
+	if err := s.startParts(logs); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *system) startParts(logs io.Writer) error {
+	var err error
+	s.platform, err = standinplatform.Start(standinplatform.Config{
+		Address:         loopback,
+		WritesPerSecond: writesPerSecond,
+		ReadsPerSecond:  readsPerSecond,
+	})
+	if err != nil {
+		return err
+	}
+	s.parts = append(s.parts, s.platform)
+	doc := s.deployment.document()
+	if err := s.startEndpoints(&doc); err != nil {
+		return err
+	}
+	if err := apply(s.platform.Addr(), &doc); err != nil {
+		return err
+	}
+	for i := range entryVMs {
+		if err := s.startNode(i, logs); err != nil {
+			return err
+		}
+	}
+	return s.waitReady()
+}
+
+// startEndpoints starts the engines and services and enters them in doc.
+func (s *system) startEndpoints(doc *configuration.Document) error {
+	d := &s.deployment
+	for i := range d.Engines {
+		shape := shapes[i%len(shapes)]
+		e, err := engine.Start(engineConfig(d.Model, shape))
+		if err != nil {
+			return err
+		}
+		s.engines = append(s.engines, e)
+		s.parts = append(s.parts, e)
+		doc.Endpoints[fmt.Sprintf("%s-%02d", d.Model, i+1)] = configuration.Endpoint{
+			Service:       d.Model,
+			Address:       e.Addr(),
+			FailureDomain: d.FailureDomains[i%len(d.FailureDomains)],
+			MemoryTokens:  shape.memoryTokens,
+			PrefillRate:   shape.prefillRate * engineSpeed,
+			ChecksFencing: true,
+		}
+	}
+	for i := range d.Instances {
+		p, err := service.Start(loopback)
+		if err != nil {
+			return err
+		}
+		s.parts = append(s.parts, p)
+		doc.Endpoints[fmt.Sprintf("%s-%d", d.Service, i+1)] = configuration.Endpoint{
+			Service:       d.Service,
+			Address:       p.Addr(),
+			FailureDomain: d.FailureDomains[i%len(d.FailureDomains)],
+		}
+	}
+	return nil
+}
+
+func engineConfig(model string, s shape) engine.Config {
+	return engine.Config{
+		Address: loopback,
+		Serves:  model,
+		Model: engine.ModelConfig{
+			MemoryTokens:      s.memoryTokens,
+			PrefillRate:       s.prefillRate,
+			DecodeStep:        decodeStep,
+			DecodePerSequence: decodePerStream,
+			PieceTokens:       pieceTokens,
+			Priorities:        true,
+		},
+		Speed:         engineSpeed,
+		ReportLag:     reportLag,
+		ChecksFencing: true,
+	}
+}
+
+// apply puts the document in force as version 1.
+func apply(address string, doc *configuration.Document) error {
+	data, err := json.Marshal(doc)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	store := platform.New(address, platformTimeout)
+	defer store.Close()
+	_, err = confapply.Apply(store, []configuration.File{{Name: "10-demo.json", Data: data}}, 0)
+	return err
+}
+
+func (s *system) startNode(i int, logs io.Writer) error {
+	conf := settings.Default()
+	conf.VM = settings.VM{
+		ID:            fmt.Sprintf("entry-%d", i+1),
+		Region:        s.deployment.Region,
+		FailureDomain: s.deployment.FailureDomains[i%len(s.deployment.FailureDomains)],
+	}
+	conf.Callers.Address = loopback
+	conf.Admin = settings.Admin{Address: loopback, Token: adminToken}
+	conf.Peers.Address = loopback
+	conf.Peers.Keys = []string{peerKey}
+	conf.Platform.Address = s.platform.Addr()
+	log, err := event.New(logs, conf.Log.Format, logLevel, conf.VM.ID)
+	if err != nil {
+		return err
+	}
+	n, err := node.Start(conf, log)
+	if err != nil {
+		return err
+	}
+	s.nodes = append(s.nodes, n)
+	return nil
+}
+
+// waitReady waits until every VM has the configuration in force.
+func (s *system) waitReady() error {
+	limit := time.Now().Add(readyTimeout)
+	for _, n := range s.nodes {
+		for !ready(n.Admin()) {
+			if time.Now().After(limit) {
+				return errors.WithStack(&NotReadyError{n.Admin()})
+			}
+			time.Sleep(readyInterval)
+		}
+	}
+	return nil
+}
+
+func ready(admin string) bool {
+	res, err := http.Get("http://" + admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// callers lists the VMs' addresses for callers.
+func (s *system) callers() []string {
+	list := make([]string, 0, len(s.nodes))
+	for _, n := range s.nodes {
+		list = append(list, n.Callers())
+	}
+	return list
+}
+
+// close drains the VMs and stops everything.
+func (s *system) close() {
+	for _, n := range s.nodes {
+		n.Drain()
+		n.Close()
+	}
+	for i := len(s.parts) - 1; i >= 0; i-- {
+		s.parts[i].Close()
+	}
+}
--- /dev/null
+++ b/internal/demo/table.go
@@ -0,0 +1,82 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"cornelsaddle.example/cornelsaddle/internal/loadgen"
+)
+
+// tableClasses are the columns, in order.
+var tableClasses = []string{classShort, classMedium, classLong, classOversize}
+
+// printTables prints the time to first token by length class and organisation,
+// and the slowdown of short prompts.
+func printTables(out io.Writer, d *Deployment, alone, together *loadgen.Result) {
+	fmt.Fprintf(out, "\nTime to first token in ms, p50 / p95 (engines run %d times as fast as real ones)\n\n", engineSpeed)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	row(w, "organisation", func(class string) string { return class })
+	for _, o := range d.Organisations {
+		row(w, o.Name, func(class string) string { return cell(find(together, class, o.Name)) })
+	}
+	row(w, "all", func(class string) string { return cell(together.Class(class)) })
+	row(w, "requests", func(class string) string { return fmt.Sprint(together.Class(class).Counts.Requests) })
+	row(w, "answered whole", func(class string) string { return fmt.Sprint(together.Class(class).Counts.Whole) })
+	_ = w.Flush()
+	printSlowdown(out, alone.Class(classShort).FirstToken, together.Class(classShort).FirstToken)
+	printEnds(out, together)
+}
+
+func row(w io.Writer, name string, value func(class string) string) {
+	fmt.Fprintf(w, "%s\t", name)
+	for _, class := range tableClasses {
+		fmt.Fprintf(w, "%s\t", value(class))
+	}
+	fmt.Fprintln(w)
+}
+
+func cell(g loadgen.Group) string {
+	if g.FirstToken.Count == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.0f / %.0f", g.FirstToken.P50Ms, g.FirstToken.P95Ms)
+}
+
+func find(r *loadgen.Result, class, organisation string) loadgen.Group {
+	for _, g := range r.Organisations {
+		if g.Class == class && g.Organisation == organisation {
+			return g
+		}
+	}
+	return loadgen.Group{}
+}
+
+func printSlowdown(out io.Writer, alone, together loadgen.Quantiles) {
+	fmt.Fprint(out, "\nShort prompts' time to first token, alone ÷ with long ones (1 is no slowdown)\n\n")
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "\tp50\tp95\tp99\t")
+	fmt.Fprintf(w, "alone, ms\t%.1f\t%.1f\t%.1f\t\n", alone.P50Ms, alone.P95Ms, alone.P99Ms)
+	fmt.Fprintf(w, "with long, ms\t%.1f\t%.1f\t%.1f\t\n", together.P50Ms, together.P95Ms, together.P99Ms)
+	fmt.Fprintf(w, "alone ÷ with long\t%.2f\t%.2f\t%.2f\t\n",
+		ratio(alone.P50Ms, together.P50Ms), ratio(alone.P95Ms, together.P95Ms), ratio(alone.P99Ms, together.P99Ms))
+	_ = w.Flush()
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+func printEnds(out io.Writer, r *loadgen.Result) {
+	t := r.Totals
+	fmt.Fprintf(out, "\n%d requests in %.1f s: %d whole and right, %d refused or failed, %d broken, %d wrong, %d not sent\n",
+		t.Requests, float64(r.ElapsedMs)/1000, t.Whole, t.Failed, t.Broken, t.Wrong, t.Skipped)
+	for _, g := range r.Classes {
+		for _, c := range g.Codes {
+			fmt.Fprintf(out, "  %s: %d × %s\n", g.Class, c.Count, c.Code)
+		}
+	}
+}
--- /dev/null
+++ b/internal/loadgen/histogram.go
@@ -0,0 +1,66 @@
+package loadgen
+
+import (
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// A histogram holds from a microsecond to an hour, within 1%.
+	lowest             = time.Microsecond
+	highest            = time.Hour
+	significantFigures = 2
+)
+
+// Quantiles sums up a distribution of times, in milliseconds.
+type Quantiles struct {
+	Count  int64   `json:"count"`
+	MeanMs float64 `json:"mean_ms"`
+	P50Ms  float64 `json:"p50_ms"`
+	P90Ms  float64 `json:"p90_ms"`
+	P95Ms  float64 `json:"p95_ms"`
+	P99Ms  float64 `json:"p99_ms"`
+	MaxMs  float64 `json:"max_ms"`
+	// Bars are the distribution itself, without its empty bars.
+	Bars []Bar `json:"bars,omitempty"`
+}
+
+// Bar counts the times up to ToMs that are over those of the bar before.
+type Bar struct {
+	ToMs  float64 `json:"to_ms"`
+	Count int64   `json:"count"`
+}
+
+// histogram collects times.
+type histogram struct{ h *hdr.Histogram }
+
+func newHistogram() histogram {
+	return histogram{hdr.New(lowest.Microseconds(), highest.Microseconds(), significantFigures)}
+}
+
+func (h histogram) record(d time.Duration) {
+	d = min(max(d, lowest), highest)
+	_ = h.h.RecordValue(d.Microseconds())
+}
+
+func (h histogram) quantiles() Quantiles {
+	q := Quantiles{Count: h.h.TotalCount()}
+	if q.Count == 0 {
+		return q
+	}
+	q.MeanMs = h.h.Mean() / 1000
+	q.P50Ms = ms(h.h.ValueAtQuantile(50))
+	q.P90Ms = ms(h.h.ValueAtQuantile(90))
+	q.P95Ms = ms(h.h.ValueAtQuantile(95))
+	q.P99Ms = ms(h.h.ValueAtQuantile(99))
+	q.MaxMs = ms(h.h.Max())
+	for _, b := range h.h.Distribution() {
+		if b.Count > 0 {
+			q.Bars = append(q.Bars, Bar{ToMs: ms(b.To), Count: b.Count})
+		}
+	}
+	return q
+}
+
+func ms(us int64) float64 { return float64(us) / 1000 }
