Add load, report and chart to cornelsaddlectl

Cause: a load could only be driven from Go code, and nothing drew its results or the state charts.

load drives callers' addresses with a mix file and judges every answer; report turns one or several results into one HTML page (gonum/plot, SVG); chart draws a state chart as Mermaid or DOT text. The subcommands share a table, -h, -json and exit codes 0, 1 and 2.

--- a/cmd/cornelsaddlectl/apply.go
+++ b/cmd/cornelsaddlectl/apply.go
@@ -1,13 +1,9 @@
 package main
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"cornelsaddle.example/cornelsaddle/internal/confapply"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
 )
@@ -16,30 +12,24 @@
 
 // apply puts a folder in force.
 func apply(args []string) int {
-	flags := flag.NewFlagSet("apply", flag.ContinueOnError)
+	flags := flagSet("apply", "-platform IP:PORT [-base N] DIR")
 	address := flags.String("platform", "", "platform's address, IP and port")
 	base := flags.Int64("base", 0, "version that the change is made against; 0 for the first")
-	if err := flags.Parse(args); err != nil {
-		if errors.Is(err, flag.ErrHelp) {
-			return exitDone
-		}
-		return exitUsage
+	if code, ok := parse(flags, args); !ok {
+		return code
 	}
 	if *address == "" || flags.NArg() != 1 {
-		fmt.Fprintln(os.Stderr, "usage: cornelsaddlectl apply -platform IP:PORT [-base N] DIR")
-		return exitUsage
+		return misuse(flags, "-platform and one folder are required")
 	}
 	files, err := confapply.ReadFolder(flags.Arg(0))
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "cornelsaddlectl apply:", err)
-		return exitFailed
+		return fail(flags, err)
 	}
 	store := platform.New(*address, platformTimeout)
 	defer store.Close()
 	next, err := confapply.Apply(store, files, *base)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "cornelsaddlectl apply:", err)
-		return exitFailed
+		return fail(flags, err)
 	}
 	fmt.Println("version", next, "accepted")
 	return exitDone
--- a/cmd/cornelsaddlectl/main.go
+++ b/cmd/cornelsaddlectl/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 )
 
@@ -16,14 +17,23 @@
 	exitUsage  = 2
 )
 
-const usage = `usage: cornelsaddlectl COMMAND [flags]
-
-commands:
-  apply     merge a folder and put it in force
-  version   print the version
+// command is one subcommand; run returns an exit code.
+type command struct {
+	name    string
+	summary string
+	run     func(args []string) int
+}
 
-"cornelsaddlectl COMMAND -h" lists a command's flags.
-`
+// commands lists the subcommands in the order of the usage text.
+func commands() []command {
+	return []command{
+		{"apply", "merge a folder and put it in force", apply},
+		{"load", "send a mix of prompts and calls and measure the answers", load},
+		{"report", "turn results of load into a page with plots", runReport},
+		{"chart", "draw a state chart as text", chart},
+		{"version", "print the version", printVersion},
+	}
+}
 
 func main() {
 	os.Exit(run(os.Args[1:]))
@@ -31,19 +41,31 @@
 
 func run(args []string) int {
 	if len(args) == 0 {
-		fmt.Fprint(os.Stderr, usage)
+		usage(os.Stderr)
 		return exitUsage
 	}
+	for _, c := range commands() {
+		if c.name == args[0] {
+			return c.run(args[1:])
+		}
+	}
 	switch args[0] {
-	case "apply":
-		return apply(args[1:])
-	case "version":
-		fmt.Println("cornelsaddlectl", version)
-		return exitDone
 	case "-h", "--help", "help":
-		fmt.Print(usage)
+		usage(os.Stdout)
 		return exitDone
 	}
-	fmt.Fprintf(os.Stderr, "cornelsaddlectl: unknown command %q\n%s", args[0], usage)
+	fmt.Fprintf(os.Stderr, "cornelsaddlectl: unknown command %q\n", args[0])
+	usage(os.Stderr)
 	return exitUsage
 }
+
+func usage(w io.Writer) {
+	fmt.Fprint(w, "usage: cornelsaddlectl COMMAND [flags]\n\ncommands:\n")
+	for _, c := range commands() {
+		fmt.Fprintf(w, "  %-9s %s\n", c.name, c.summary)
+	}
+	fmt.Fprint(w, `
+"cornelsaddlectl COMMAND -h" lists a command's flags.
+Exit codes: 0 done, 1 failed, 2 wrong usage.
+`)
+}
--- /dev/null
+++ b/internal/report/plot.go
@@ -0,0 +1,106 @@
+package report
+
+import (
+	"bytes"
+	"html/template"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	_ "gonum.org/v1/plot/vg/vgsvg" // registers the format "svg"
+
+	"cornelsaddle.example/cornelsaddle/internal/loadgen"
+)
+
+const (
+	plotWidth  = 450 * vg.Length(1) // points
+	plotHeight = 255 * vg.Length(1) // points
+	lineWidth  = 1.5
+	// axisMargin is the room on both sides of the lines, as a factor.
+	axisMargin = 1.25
+)
+
+// series is one line of a plot.
+type series struct {
+	name string
+	bars []loadgen.Bar
+}
+
+// cumulative draws the share of requests, from 0 to 1, that took at most so
+// many milliseconds. It returns an SVG element; empty when no series has
+// anything to show.
+func cumulative(title string, list []series) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "ms"
+	p.X.Scale = plot.LogScale{}
+	p.X.Tick.Marker = plot.LogTicks{Prec: -1}
+	p.Y.Label.Text = "share of requests"
+	p.Y.Min = 0
+	p.Y.Max = 1
+	p.Legend.Left = true
+	p.Legend.Top = true
+	shown := 0
+	for i, s := range list {
+		xys := points(s.bars)
+		if len(xys) == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(xys)
+		if err != nil {
+			return "", errors.WithStack(err)
+		}
+		line.Color = plotutil.Color(i) //nolint:misspell // the library's names
+		line.Dashes = plotutil.Dashes(i)
+		line.Width = vg.Points(lineWidth)
+		p.Add(line)
+		p.Legend.Add(s.name, line)
+		shown++
+	}
+	if shown == 0 {
+		return "", nil
+	}
+	// A logarithmic axis needs a range that is not empty.
+	p.X.Min /= axisMargin
+	p.X.Max *= axisMargin
+	return render(p)
+}
+
+// points turns bars into the steps of a cumulative distribution. Bars that a
+// logarithmic axis can't show are left out.
+func points(bars []loadgen.Bar) plotter.XYs {
+	total := int64(0)
+	for _, b := range bars {
+		total += max(0, b.Count)
+	}
+	xys := make(plotter.XYs, 0, 2*len(bars))
+	sum := int64(0)
+	for _, b := range bars {
+		if b.ToMs <= 0 || b.Count <= 0 {
+			continue
+		}
+		xys = append(xys, plotter.XY{X: b.ToMs, Y: float64(sum) / float64(total)})
+		sum += b.Count
+		xys = append(xys, plotter.XY{X: b.ToMs, Y: float64(sum) / float64(total)})
+	}
+	return xys
+}
+
+// render draws the plot as an SVG element without the XML prologue.
+func render(p *plot.Plot) (template.HTML, error) {
+	w, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	var b bytes.Buffer
+	if _, err := w.WriteTo(&b); err != nil {
+		return "", errors.WithStack(err)
+	}
+	svg := b.Bytes()
+	if i := bytes.Index(svg, []byte("<svg")); i > 0 {
+		svg = svg[i:]
+	}
+	return template.HTML(svg), nil
+}
