Refuse bad settings and bad input with typed answers, and check the pages

Cause: a settings error named the schema's rule, not what was expected, and an address was checked by a pattern that took 999.0.0.1:99999. What fasthttp could not read got its plain-text errors, a slow reader held its connection for ever, and EVENTS.md, ERRORS.md and the settings' page did not exist.

Settings: a format for IPv4 address and port, messages with file, JSON pointer and expectation, limits on headers and on the time of a write. Listener: its own limit on connections with a typed answer, a deadline for each write (kept from overriding an abort), fasthttp's own errors in the one JSON shape without a quote of the request. docs/EVENTS.md, ERRORS.md, operations/settings.md and charts/ are written by cornelsaddlectl docs and compared by a test.

Tests: go test -race ./internal/node (19 kinds of bad input, connection limit, idle connections, a vanished caller, no prompt and no key in a debug log, no goroutine left but fasthttp's cleaners), ./internal/settings, ./internal/event, ./internal/docpages, core/errcode.

--- a/cmd/cornelsaddlectl/main.go
+++ b/cmd/cornelsaddlectl/main.go
@@ -31,6 +31,7 @@
 		{"load", "send a mix of prompts and calls and measure the answers", load},
 		{"report", "turn results of load into a page with plots", runReport},
 		{"chart", "draw a state chart as text", chart},
+		{"docs", "write the generated pages: events, errors, settings, charts", docs},
 		{"version", "print the version", printVersion},
 	}
 }
--- a/core/errcode/table.go
+++ b/core/errcode/table.go
@@ -6,6 +6,11 @@
 const (
 	BadRequest          Code = "bad_request"
 	BodyTooLarge        Code = "body_too_large"
+	HeaderTooLarge      Code = "header_too_large"
+	RequestTimeout      Code = "request_timeout"
+	TooManyConnections  Code = "too_many_connections"
+	UnknownRoute        Code = "unknown_route"
+	MethodNotAllowed    Code = "method_not_allowed"
 	Unauthorized        Code = "unauthorized"
 	Forbidden           Code = "forbidden"
 	UnknownModel        Code = "unknown_model"
@@ -51,6 +56,11 @@
 var table = map[Code]Info{
 	BadRequest:          {400, RanNo, false, "The request is malformed."},
 	BodyTooLarge:        {413, RanNo, false, "The body is over the listener's limit."},
+	HeaderTooLarge:      {431, RanNo, false, "The request line and headers are over the listener's limit."},
+	RequestTimeout:      {408, RanNo, true, "The request took too long to arrive."},
+	TooManyConnections:  {503, RanNo, true, "The VM has as many connections open as it may."},
+	UnknownRoute:        {404, RanNo, false, "There is no such path."},
+	MethodNotAllowed:    {405, RanNo, false, "The path does not take the method."},
 	Unauthorized:        {401, RanNo, false, "The key is missing or belongs to no organisation."},
 	Forbidden:           {403, RanNo, false, "The organisation may not use the service."},
 	UnknownModel:        {404, RanNo, false, "No service of the configuration has the model."},
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -3,11 +3,10 @@
 package api
 
 import (
-	"encoding/json"
-	"math"
 	"strconv"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/fasthttp/router"
 	"github.com/google/uuid"
@@ -42,8 +41,10 @@
 // Handler routes callers' requests.
 func (a *API) Handler() fasthttp.RequestHandler {
 	r := router.New()
-	r.POST(wire.PathCompletions, a.guard(a.completions))
-	r.POST(wire.PathChatCompletions, a.guard(a.completions))
+	r.NotFound = a.refuse(errcode.UnknownRoute, "no such path")
+	r.MethodNotAllowed = a.refuse(errcode.MethodNotAllowed, "the path does not take the method")
+	r.POST(wire.PathCompletions, a.guard(a.textual(a.completions)))
+	r.POST(wire.PathChatCompletions, a.guard(a.textual(a.completions)))
 	r.POST("/v1/services/{service}/{operation}", a.guard(a.service))
 	return r.Handler
 }
@@ -96,6 +97,19 @@
 	}
 }
 
+// textual refuses a body that is not UTF-8, which decoding would change
+// silently.
+func (a *API) textual(next func(*fasthttp.RequestCtx, scope)) func(*fasthttp.RequestCtx, scope) {
+	return func(ctx *fasthttp.RequestCtx, s scope) {
+		if !utf8.Valid(ctx.PostBody()) {
+			a.leave()
+			a.fail(ctx, s, errcode.New(errcode.BadRequest, "the body is not valid UTF-8"))
+			return
+		}
+		next(ctx, s)
+	}
+}
+
 // enter counts a request in, unless the VM is draining.
 func (a *API) enter() bool {
 	a.mu.Lock()
@@ -116,41 +130,6 @@
 	a.inFlight.Done()
 }
 
-// body is the shape of every failure.
-type body struct {
-	Error failure `json:"error"`
-}
-
-type failure struct {
-	Code         errcode.Code `json:"code"`
-	Message      string       `json:"message"`
-	Ran          errcode.Ran  `json:"ran"`
-	RequestID    string       `json:"request_id"`
-	RetryAfterMs int64        `json:"retry_after_ms,omitempty"`
-}
-
-// failBody encodes a failure.
-func failBody(id string, e *errcode.Error) []byte {
-	data, err := json.Marshal(body{failure{e.Code, e.Message, e.Ran, id, e.RetryAfter.Milliseconds()}})
-	if err != nil {
-		return nil
-	}
-	return data
-}
-
-// fail answers with a failure.
-func (a *API) fail(ctx *fasthttp.RequestCtx, s scope, err error) {
-	e := errcode.From(err)
-	a.log.Emit(event.RequestFailed{Request: s.id, Organisation: s.organisation, Code: string(e.Code)})
-	ctx.Response.Header.Set(wire.HeaderRan, string(e.Ran))
-	if e.RetryAfter > 0 {
-		ctx.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
-	}
-	ctx.Response.Header.SetContentType("application/json")
-	ctx.SetStatusCode(errcode.Lookup(e.Code).Status)
-	ctx.SetBody(failBody(s.id, e))
-}
-
 // deadline is the time by which the request must end.
 func deadline(ctx *fasthttp.RequestCtx, maxMs int64) (time.Time, error) {
 	ms := maxMs
--- /dev/null
+++ b/internal/docpages/docpages.go
@@ -0,0 +1,68 @@
+// Package docpages has the pages of docs that are generated from the code: the
+// catalogue of events, the table of errors, the settings and the state charts.
+package docpages
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"cornelsaddle.example/cornelsaddle/core/errcode"
+	"cornelsaddle.example/cornelsaddle/core/statechart"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/settings"
+)
+
+const (
+	pageMode      = 0o644
+	directoryMode = 0o755
+)
+
+// Page is one generated page.
+type Page struct {
+	// Path is relative to the directory docs, with slashes.
+	Path string
+	Text string
+}
+
+// Pages generates all pages.
+func Pages() ([]Page, error) {
+	pages := []Page{
+		{"EVENTS.md", event.Document()},
+		{"ERRORS.md", errcode.Document()},
+		{"operations/settings.md", settings.Document()},
+	}
+	for _, name := range statechart.Names() {
+		c, err := statechart.Load(name)
+		if err != nil {
+			return nil, err
+		}
+		pages = append(pages, Page{"charts/" + name + ".md", chartPage(c)})
+	}
+	return pages, nil
+}
+
+func chartPage(c *statechart.Chart) string {
+	return fmt.Sprintf("# State chart: %s\n\n%s\n\nEdges are labelled event [guard] / actions. Drawn by "+
+		"`cornelsaddlectl chart %s`.\n\n```mermaid\n%s```\n", c.Name, c.Doc, c.Name, statechart.Mermaid(c))
+}
+
+// Write writes all pages below the directory.
+func Write(dir string) error {
+	pages, err := Pages()
+	if err != nil {
+		return err
+	}
+	for _, p := range pages {
+		file := filepath.Join(dir, filepath.FromSlash(p.Path))
+		if err := os.MkdirAll(filepath.Dir(file), directoryMode); err != nil {
+			return errors.WithStack(err)
+		}
+		if err := os.WriteFile(file, []byte(p.Text), pageMode); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return nil
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -1,18 +1,10 @@
 package event
 
-import "slices"
-
-// Catalogue lists one event of each kind, in the order of their numbers.
+// Catalogue lists one event of each kind, in the order of their areas.
 func Catalogue() []Event {
-	return slices.Concat(
-		lifecycleEvents,
-		configurationEvents,
-		promptsEvents,
-		placementEvents,
-		callsEvents,
-		ordersEvents,
-		membershipEvents,
-		peersEvents,
-		toolsEvents,
-	)
+	var all []Event
+	for _, a := range areas() {
+		all = append(all, a.events...)
+	}
+	return all
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,11 +3,9 @@
 package node
 
 import (
-	"net"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/dig"
 
 	"cornelsaddle.example/cornelsaddle/internal/api"
@@ -94,7 +92,7 @@
 
 func (n *Node) listen() error {
 	var err error
-	if n.callers, err = serve(n.settings.Callers.Address, n.callerServer()); err != nil {
+	if n.callers, err = n.serveCallers(); err != nil {
 		return err
 	}
 	if n.admin, err = serve(n.settings.Admin.Address, n.adminServer()); err != nil {
@@ -104,19 +102,6 @@
 	return err
 }
 
-func (n *Node) callerServer() *fasthttp.Server {
-	c := n.settings.Callers
-	return &fasthttp.Server{
-		Handler:               n.parts.API.Handler(),
-		MaxRequestBodySize:    c.MaxBodyBytes,
-		Concurrency:           c.MaxConnections,
-		IdleTimeout:           time.Duration(c.IdleTimeoutMs) * time.Millisecond,
-		ReadTimeout:           time.Duration(c.ReadTimeoutMs) * time.Millisecond,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-	}
-}
-
 // Ping implements peer.Handler.
 func (n *Node) Ping() peer.Pong {
 	pong := peer.Pong{VM: n.settings.VM.ID, Incarnation: n.started.UnixNano()}
@@ -149,34 +134,3 @@
 	n.parts.Store.Close()
 	n.log.Emit(event.Stopped{})
 }
-
-// listener is a running fasthttp server.
-type listener struct {
-	net.Listener
-	server *fasthttp.Server
-	done   chan struct{}
-}
-
-func serve(address string, server *fasthttp.Server) (*listener, error) {
-	l, err := net.Listen("tcp4", address)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	s := &listener{Listener: l, server: server, done: make(chan struct{})}
-	go func() {
-		defer close(s.done)
-		_ = server.Serve(l)
-	}()
-	return s, nil
-}
-
-func (l *listener) addr() string { return l.Addr().String() }
-
-// close stops the server; it may be called on nil.
-func (l *listener) close() {
-	if l == nil {
-		return
-	}
-	_ = l.server.Shutdown()
-	<-l.done
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,22 +5,14 @@
 
 import (
 	"bytes"
-	"embed"
 	"encoding/json"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/santhosh-tekuri/jsonschema/v6"
 )
 
-//go:embed schema.json
-var schemaFile embed.FS
-
-// schemaName is the embedded schema's file.
-const schemaName = "schema.json"
-
 // Settings of one entry VM.
 type Settings struct {
 	VM       VM       `json:"vm"`
@@ -41,12 +33,23 @@
 // Callers is the listener for callers.
 type Callers struct {
 	Address        string `json:"address"`
-	MaxBodyBytes   int    `json:"max_body_bytes"`
-	MaxConnections int    `json:"max_connections"`
-	IdleTimeoutMs  int64  `json:"idle_timeout_ms"`
-	ReadTimeoutMs  int64  `json:"read_timeout_ms"`
+	MaxBodyBytes   int    `json:"max_body_bytes,omitempty"`
+	MaxHeaderBytes int    `json:"max_header_bytes,omitempty"`
+	MaxConnections int    `json:"max_connections,omitempty"`
+	IdleTimeoutMs  int64  `json:"idle_timeout_ms,omitempty"`
+	ReadTimeoutMs  int64  `json:"read_timeout_ms,omitempty"`
+	WriteTimeoutMs int64  `json:"write_timeout_ms,omitempty"`
 }
 
+// IdleTimeout is the life of a connection without a request.
+func (c Callers) IdleTimeout() time.Duration { return milliseconds(c.IdleTimeoutMs) }
+
+// ReadTimeout bounds the arrival of one request.
+func (c Callers) ReadTimeout() time.Duration { return milliseconds(c.ReadTimeoutMs) }
+
+// WriteTimeout bounds one write of an answer.
+func (c Callers) WriteTimeout() time.Duration { return milliseconds(c.WriteTimeoutMs) }
+
 // Admin is the listener for operators.
 type Admin struct {
 	Address string `json:"address"`
@@ -63,33 +66,23 @@
 // Platform is the platform's table service, object store and VM list.
 type Platform struct {
 	Address   string `json:"address"`
-	TimeoutMs int64  `json:"timeout_ms"`
+	TimeoutMs int64  `json:"timeout_ms,omitempty"`
 	// PollMs is the time between two reads of the configuration's head.
-	PollMs int64 `json:"poll_ms"`
+	PollMs int64 `json:"poll_ms,omitempty"`
 }
 
 // Timeout bounds one request to the platform.
-func (p Platform) Timeout() time.Duration { return time.Duration(p.TimeoutMs) * time.Millisecond }
+func (p Platform) Timeout() time.Duration { return milliseconds(p.TimeoutMs) }
 
 // Poll is the time between two reads of the configuration's head.
-func (p Platform) Poll() time.Duration { return time.Duration(p.PollMs) * time.Millisecond }
+func (p Platform) Poll() time.Duration { return milliseconds(p.PollMs) }
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // Log is the form of the log.
 type Log struct {
-	Format string `json:"format"`
-	Level  string `json:"level"`
-}
-
-// FieldError says which setting is wrong and what was expected.
-type FieldError struct {
-	File     string
-	Pointer  string
-	Expected string
-}
-
-// Error implements error.
-func (e *FieldError) Error() string {
-	return e.File + ": " + e.Pointer + ": " + e.Expected
+	Format string `json:"format,omitempty"`
+	Level  string `json:"level,omitempty"`
 }
 
 // Default returns the settings that hold where a file is silent.
@@ -97,9 +90,11 @@
 	return Settings{
 		Callers: Callers{
 			MaxBodyBytes:   16 << 20,
+			MaxHeaderBytes: 16 << 10,
 			MaxConnections: 10_000,
 			IdleTimeoutMs:  60_000,
 			ReadTimeoutMs:  30_000,
+			WriteTimeoutMs: 30_000,
 		},
 		Platform: Platform{TimeoutMs: 2_000, PollMs: 1_000},
 		Log:      Log{Format: "json", Level: "info"},
@@ -134,37 +129,3 @@
 	}
 	return s, nil
 }
-
-func compile() (*jsonschema.Schema, error) {
-	f, err := schemaFile.Open(schemaName)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	defer func() { _ = f.Close() }()
-	doc, err := jsonschema.UnmarshalJSON(f)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	c := jsonschema.NewCompiler()
-	if err := c.AddResource(schemaName, doc); err != nil {
-		return nil, errors.WithStack(err)
-	}
-	schema, err := c.Compile(schemaName)
-	return schema, errors.WithStack(err)
-}
-
-// fieldError finds the innermost cause of a failed check.
-func fieldError(file string, err error) *FieldError {
-	var v *jsonschema.ValidationError
-	if !errors.As(err, &v) {
-		return &FieldError{file, "/", err.Error()}
-	}
-	for len(v.Causes) > 0 {
-		v = v.Causes[0]
-	}
-	text := v.Error()
-	if i := strings.LastIndex(text, ": "); i >= 0 {
-		text = text[i+2:]
-	}
-	return &FieldError{file, "/" + strings.Join(v.InstanceLocation, "/"), text}
-}
