Keep histograms in fixed buckets and serve them to Prometheus

Cause: each series held a go-metrics sample of 1028 values and their number had no bound; /metrics spoke JSON only.

A sample's quantiles can't be added up over VMs, bucket counts can. /metrics gives the Prometheus text format, ?format=json the registry. Failures are counted by code.

Tests: go test -race ./internal/metrics ./internal/node; quantiles against a sorted list of 5,000 values.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -17,6 +17,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/call"
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/metrics"
 	"cornelsaddle.example/cornelsaddle/internal/prompt"
 )
 
@@ -26,6 +27,7 @@
 	prompts  *prompt.Runner
 	calls    *call.Runner
 	log      *event.Logger
+	metrics  *metrics.Metrics
 
 	mu       sync.Mutex
 	draining bool
@@ -34,8 +36,8 @@
 }
 
 // New returns an API.
-func New(follower *confsync.Follower, prompts *prompt.Runner, calls *call.Runner, log *event.Logger) *API {
-	return &API{follower: follower, prompts: prompts, calls: calls, log: log}
+func New(follower *confsync.Follower, prompts *prompt.Runner, calls *call.Runner, log *event.Logger, m *metrics.Metrics) *API {
+	return &API{follower: follower, prompts: prompts, calls: calls, log: log, metrics: m}
 }
 
 // Handler routes callers' requests.
--- a/internal/api/failure.go
+++ b/internal/api/failure.go
@@ -44,6 +44,7 @@
 func (a *API) fail(ctx *fasthttp.RequestCtx, s scope, err error) {
 	e := errcode.From(err)
 	a.log.Emit(event.RequestFailed{Request: s.id, Organisation: s.organisation, Code: string(e.Code)})
+	a.metrics.Failed(string(e.Code))
 	writeFailure(&ctx.Response, s.id, e)
 }
 
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,142 @@
+package metrics
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"regexp"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+)
+
+func text(t *testing.T, m *Metrics) string {
+	t.Helper()
+	var b strings.Builder
+	require.NoError(t, m.WritePrometheus(&b))
+	return b.String()
+}
+
+// TestHistogramAgreesWithASortedList compares with the naive histogram that
+// keeps every value.
+func TestHistogramAgreesWithASortedList(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var h Histogram
+	all := make([]int64, 0, 5_000)
+	for range 5_000 {
+		us := int64(math.Exp(rng.Float64() * 20))
+		h.Update(us)
+		all = append(all, us)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
+	sum := int64(0)
+	for _, us := range all {
+		sum += us
+	}
+	require.Equal(t, int64(len(all)), h.Count())
+	require.Equal(t, sum, h.Sum())
+	require.Equal(t, all[0], h.Min())
+	require.Equal(t, all[len(all)-1], h.Max())
+	require.InEpsilon(t, float64(sum)/float64(len(all)), h.Mean(), 1e-9)
+	for _, p := range []float64{0.01, 0.25, 0.5, 0.9, 0.95, 0.99, 1} {
+		exact := all[int(math.Ceil(p*float64(len(all))))-1]
+		got := h.Percentile(p)
+		require.Equal(t, bucketOf(exact), bucketOf(int64(math.Ceil(got))), "p%v: %v, not %d", p, got, exact)
+	}
+}
+
+func bucketOf(us int64) int {
+	return sort.Search(len(bounds), func(i int) bool { return us <= bounds[i] })
+}
+
+func TestEmptyHistogram(t *testing.T) {
+	var h Histogram
+	require.Zero(t, h.Mean())
+	require.Zero(t, h.StdDev())
+	require.Zero(t, h.Percentile(0.5))
+}
+
+func TestBucketsAreCumulativeAndInSeconds(t *testing.T) {
+	m := New()
+	for _, d := range []time.Duration{time.Millisecond, 480 * time.Millisecond, 481 * time.Millisecond, time.Hour} {
+		m.FirstToken("framers", "short", d)
+	}
+	out := text(t, m)
+	const name = `cornelsaddle_first_token_seconds_bucket{organisation="framers",class="short",le=`
+	for le, n := range map[string]int{"0.0005": 0, "0.001": 1, "0.48": 2, "0.7": 3, "500": 3, "+Inf": 4} {
+		require.Contains(t, out, fmt.Sprintf("%s%q} %d\n", name, le, n))
+	}
+	require.Contains(t, out, `cornelsaddle_first_token_seconds_count{organisation="framers",class="short"} 4`)
+	require.Contains(t, out, `cornelsaddle_between_tokens_seconds_count{organisation="framers",class="short"} 0`)
+}
+
+func TestSeriesAreBounded(t *testing.T) {
+	m := New()
+	for i := range 3 * maxPairs {
+		m.FirstToken(fmt.Sprintf("organisation-%d", i), "short", time.Millisecond)
+	}
+	for i := range 3 * maxOverflow {
+		m.FirstToken("late", fmt.Sprintf("class-%d", i), time.Millisecond)
+	}
+	require.LessOrEqual(t, len(m.pairs), maxPairs+maxOverflow+1)
+	total := int64(0)
+	for _, s := range m.pairs {
+		total += s.firstToken.Count()
+	}
+	require.Equal(t, int64(3*maxPairs+3*maxOverflow), total)
+	require.Equal(t, int64(2*maxPairs), m.pairs[pair{Other, "short"}].firstToken.Count())
+	require.Positive(t, m.pairs[pair{Other, Other}].firstToken.Count())
+}
+
+func TestRegistryIsServedAsJSON(t *testing.T) {
+	m := New()
+	m.Queueing("framers", "short", 2*time.Millisecond)
+	m.Failed("no_endpoint")
+	data, err := json.Marshal(m.Registry.GetAll())
+	require.NoError(t, err)
+	require.Contains(t, string(data), `"queueing_us.framers.short":{`)
+	require.Contains(t, string(data), `"failures.no_endpoint":{"count":1}`)
+}
+
+// TestTextFormat checks every line against the format's grammar.
+func TestTextFormat(t *testing.T) {
+	m := New()
+	m.FirstToken(`a"b\c`, "short", time.Second)
+	m.Failed("no_endpoint")
+	gometrics.GetOrRegisterCounter("peer.bytes-sent", m.Registry).Inc(3)
+	gometrics.GetOrRegisterGauge("members", m.Registry).Update(4)
+	gometrics.GetOrRegisterHistogram("sizes", m.Registry, gometrics.NewUniformSample(10)).Update(5)
+	line := regexp.MustCompile(`^(# (HELP|TYPE) [a-z_]+ .+|[a-z_]+(\{([a-z]+="([^"\\]|\\.)*",?)+\})? [0-9.e+-]+)$`)
+	for _, l := range strings.Split(strings.TrimSpace(text(t, m)), "\n") {
+		require.Regexp(t, line, l)
+	}
+	out := text(t, m)
+	require.Contains(t, out, "cornelsaddle_failures_total{code=\"no_endpoint\"} 1\n")
+	require.Contains(t, out, "cornelsaddle_peer_bytes_sent 3\n")
+	require.Contains(t, out, "cornelsaddle_members 4\n")
+	require.Contains(t, out, "cornelsaddle_sizes_count 1\n")
+	require.Equal(t, out, text(t, m))
+}
+
+func TestConcurrentUse(t *testing.T) {
+	m := New()
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for range 200 {
+				m.FirstToken("framers", "short", time.Millisecond)
+				m.BetweenTokens(fmt.Sprint(i), "short", time.Millisecond)
+				m.Failed("no_endpoint")
+				_ = m.Registry.GetAll()
+			}
+		})
+	}
+	wg.Wait()
+	require.Equal(t, int64(1600), m.series("framers", "short").firstToken.Count())
+}
--- /dev/null
+++ b/internal/metrics/prometheus.go
@@ -0,0 +1,139 @@
+package metrics
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// ContentType is that of the Prometheus text format.
+const ContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+const (
+	namespace      = "cornelsaddle_"
+	usPerSecond    = 1e6
+	helpFirstToken = "Time from a request's arrival to its first token."
+	helpBetween    = "Time between two tokens of an answer."
+	helpQueueing   = "Time from a request's arrival until it was first sent to an endpoint."
+	helpFailures   = "Failures by code."
+	failuresMetric = namespace + "failures_total"
+)
+
+// WritePrometheus writes all metrics in the Prometheus text format, in a fixed
+// order.
+func (m *Metrics) WritePrometheus(w io.Writer) error {
+	b := bufio.NewWriter(w)
+	m.writeHistograms(b, kindFirstToken, helpFirstToken, func(s *series) *Histogram { return s.firstToken })
+	m.writeHistograms(b, kindBetween, helpBetween, func(s *series) *Histogram { return s.between })
+	m.writeHistograms(b, kindQueueing, helpQueueing, func(s *series) *Histogram { return s.queueing })
+	m.writeOthers(b)
+	return errors.WithStack(b.Flush())
+}
+
+func (m *Metrics) writeHistograms(w io.Writer, k kind, help string, of func(*series) *Histogram) {
+	name := namespace + string(k) + "_seconds"
+	fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s histogram\n", name, help, name)
+	for _, p := range m.sortedPairs() {
+		d := of(m.series(p.organisation, p.class)).copy()
+		labels := fmt.Sprintf("organisation=%s,class=%s", label(p.organisation), label(p.class))
+		sum := int64(0)
+		for i, bound := range bounds {
+			sum += d.counts[i]
+			fmt.Fprintf(w, "%s_bucket{%s,le=\"%s\"} %d\n", name, labels, seconds(bound), sum)
+		}
+		fmt.Fprintf(w, "%s_bucket{%s,le=\"+Inf\"} %d\n", name, labels, d.count)
+		fmt.Fprintf(w, "%s_sum{%s} %s\n%s_count{%s} %d\n", name, labels, seconds(d.sum), name, labels, d.count)
+	}
+}
+
+func (m *Metrics) sortedPairs() []pair {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	list := make([]pair, 0, len(m.pairs))
+	for p := range m.pairs {
+		list = append(list, p)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].organisation != list[j].organisation {
+			return list[i].organisation < list[j].organisation
+		}
+		return list[i].class < list[j].class
+	})
+	return list
+}
+
+// writeOthers writes the failures and what other packages registered.
+func (m *Metrics) writeOthers(w io.Writer) {
+	all := make(map[string]any)
+	m.Registry.Each(func(name string, metric any) { all[name] = metric })
+	names := make([]string, 0, len(all))
+	for name := range all {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s counter\n", failuresMetric, helpFailures, failuresMetric)
+	for _, name := range names {
+		if code, ok := strings.CutPrefix(name, failuresPrefix); ok {
+			if c, ok := all[name].(gometrics.Counter); ok {
+				fmt.Fprintf(w, "%s{code=%s} %d\n", failuresMetric, label(code), c.Count())
+			}
+			continue
+		}
+		writeOther(w, namespace+identifier(name), all[name])
+	}
+}
+
+// writeOther writes a metric of another package. Histograms of pairs were
+// written before.
+func writeOther(w io.Writer, name string, metric any) {
+	switch x := metric.(type) {
+	case *Histogram:
+	case gometrics.Counter:
+		fmt.Fprintf(w, "# TYPE %s counter\n%s %d\n", name, name, x.Count())
+	case gometrics.Meter:
+		fmt.Fprintf(w, "# TYPE %s counter\n%s %d\n", name, name, x.Count())
+	case gometrics.Gauge:
+		fmt.Fprintf(w, "# TYPE %s gauge\n%s %d\n", name, name, x.Value())
+	case gometrics.GaugeFloat64:
+		fmt.Fprintf(w, "# TYPE %s gauge\n%s %g\n", name, name, x.Value())
+	case gometrics.Histogram:
+		writeSummary(w, name, x.Snapshot())
+	}
+}
+
+// writeSummary writes a histogram that keeps samples.
+func writeSummary(w io.Writer, name string, h gometrics.Histogram) {
+	fmt.Fprintf(w, "# TYPE %s summary\n", name)
+	for _, q := range []float64{0.5, 0.95, 0.99} {
+		fmt.Fprintf(w, "%s{quantile=\"%g\"} %g\n", name, q, h.Percentile(q))
+	}
+	fmt.Fprintf(w, "%s_sum %d\n%s_count %d\n", name, h.Sum(), name, h.Count())
+}
+
+// seconds writes microseconds as seconds.
+func seconds(us int64) string {
+	return strconv.FormatFloat(float64(us)/usPerSecond, 'g', -1, 64)
+}
+
+// label quotes a label's value.
+func label(value string) string {
+	r := strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+	return `"` + r.Replace(value) + `"`
+}
+
+// identifier replaces what a metric's name can't have.
+func identifier(name string) string {
+	return strings.Map(func(r rune) rune {
+		switch {
+		case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9', r == '_':
+			return r
+		}
+		return '_'
+	}, name)
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -7,6 +7,8 @@
 
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
+
+	"cornelsaddle.example/cornelsaddle/internal/metrics"
 )
 
 // Status is what a VM says of itself to operators.
@@ -48,8 +50,16 @@
 	ctx.SetBodyString("ok\n")
 }
 
+// metrics answers in the Prometheus text format, or in JSON with ?format=json.
 func (n *Node) metrics(ctx *fasthttp.RequestCtx) {
-	writeJSON(ctx, n.parts.Metrics.Registry.GetAll())
+	if string(ctx.QueryArgs().Peek("format")) == "json" {
+		writeJSON(ctx, n.parts.Metrics.Registry.GetAll())
+		return
+	}
+	ctx.Response.Header.SetContentType(metrics.ContentType)
+	if err := n.parts.Metrics.WritePrometheus(ctx); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	}
 }
 
 func (n *Node) status(ctx *fasthttp.RequestCtx) {
