--- a/core/statechart/chart.go
+++ b/core/statechart/chart.go
@@ -1,9 +1,11 @@
 package statechart
 
 import (
+	"bytes"
 	"embed"
 	"encoding/json"
 	"sort"
+	"strconv"
 
 	"github.com/pkg/errors"
 )
@@ -96,9 +98,14 @@
 // Parse reads and checks a chart.
 func Parse(name string, data []byte) (*Chart, error) {
 	var c Chart
-	if err := json.Unmarshal(data, &c); err != nil {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&c); err != nil {
 		return nil, errors.WithStack(&ChartError{name, err.Error()})
 	}
+	if c.Name != name {
+		return nil, errors.WithStack(&ChartError{name, "is named " + strconv.Quote(c.Name)})
+	}
 	if reason := c.check(); reason != "" {
 		return nil, errors.WithStack(&ChartError{name, reason})
 	}
--- a/core/statechart/check.go
+++ b/core/statechart/check.go
@@ -15,6 +15,9 @@
 			return reason
 		}
 	}
+	if reason := c.checkUsed(); reason != "" {
+		return reason
+	}
 	return c.checkReachable()
 }
 
@@ -31,6 +34,14 @@
 			return reason
 		}
 	}
+	for _, ev := range node.Ignore {
+		if !slices.Contains(c.Events, ev) {
+			return fmt.Sprintf("state %q ignores undeclared event %q", s, ev)
+		}
+		if _, handled := node.On[ev]; handled {
+			return fmt.Sprintf("state %q both handles and ignores event %q", s, ev)
+		}
+	}
 	if node.Final {
 		return ""
 	}
@@ -47,7 +58,10 @@
 	if len(edges) == 0 {
 		return fmt.Sprintf("state %q has no edge for event %q", s, ev)
 	}
-	for _, e := range edges {
+	for i, e := range edges {
+		if e.Guard == "" && i < len(edges)-1 {
+			return fmt.Sprintf("state %q has an edge for event %q that is never taken", s, ev)
+		}
 		if _, ok := c.States[e.To]; e.To != "" && !ok {
 			return fmt.Sprintf("state %q goes to unknown state %q", s, e.To)
 		}
@@ -66,6 +80,41 @@
 	return ""
 }
 
+// checkUsed finds what is declared twice, or declared and never used.
+func (c *Chart) checkUsed() string {
+	guards := make(map[Guard]int)
+	actions := make(map[Action]int)
+	for _, node := range c.States {
+		for _, edges := range node.On {
+			for _, e := range edges {
+				guards[e.Guard]++
+				for _, a := range e.Do {
+					actions[a]++
+				}
+			}
+		}
+	}
+	if name := unused(c.Guards, guards); name != "" {
+		return fmt.Sprintf("guard %q is declared twice or used nowhere", name)
+	}
+	if name := unused(c.Actions, actions); name != "" {
+		return fmt.Sprintf("action %q is declared twice or used nowhere", name)
+	}
+	return ""
+}
+
+// unused returns the first name that is declared twice or has no use.
+func unused[N ~string](declared []N, uses map[N]int) N {
+	seen := make(map[N]bool, len(declared))
+	for _, name := range declared {
+		if seen[name] || uses[name] == 0 {
+			return name
+		}
+		seen[name] = true
+	}
+	return ""
+}
+
 func (c *Chart) checkReachable() string {
 	seen := map[State]bool{c.Initial: true}
 	queue := []State{c.Initial}
--- a/core/statechart/doc.go
+++ b/core/statechart/doc.go
@@ -6,7 +6,8 @@
 // Machine.Fire, which returns the actions to carry out, in order. A Machine has
 // no clock, no goroutine and no I/O.
 //
-// Load refuses a chart with an unknown action or guard, an unreachable state,
-// a state from which a declared event has no edge, or an edge to a state that
-// does not exist.
+// Load refuses a chart with an unknown field, action, guard or event, a guard or
+// action that is declared and never used, an unreachable state, a state that
+// neither handles nor ignores a declared event, an edge that is never taken, or
+// an edge to a state that does not exist.
 package statechart
