--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -39,6 +40,16 @@
 	require.Equal(t, Default().Platform.TimeoutMs, s.Platform.TimeoutMs)
 }
 
+func TestExampleFilesAreTaken(t *testing.T) {
+	files, err := filepath.Glob("../../examples/settings/*.json")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		_, err := Load(file)
+		require.NoError(t, err)
+	}
+}
+
 func TestRefusalsNameFilePointerAndExpectation(t *testing.T) {
 	const address = "expected an IPv4 address and port such as 127.0.0.1:8080"
 	for name, c := range map[string]struct {
