--- a/cmd/cornelsaddlectl/invocation.go
+++ b/cmd/cornelsaddlectl/invocation.go
@@ -59,8 +59,8 @@
 	return exitUsage
 }
 
-// report is the JSON form of a failure.
-type report struct {
+// failure is the JSON form of a failure.
+type failure struct {
 	Error      string                    `json:"error"`
 	Violations []configuration.Violation `json:"violations,omitempty"`
 }
@@ -71,7 +71,7 @@
 		fmt.Fprintf(os.Stderr, "cornelsaddlectl %s: %v\n", c.Name(), err)
 		return exitFailed
 	}
-	r := report{Error: err.Error()}
+	r := failure{Error: err.Error()}
 	var invalid *configuration.InvalidError
 	if errors.As(err, &invalid) {
 		r.Violations = invalid.Violations
--- a/core/configuration/validate.go
+++ b/core/configuration/validate.go
@@ -89,8 +89,7 @@
 // leaves lists the innermost causes of a failed check.
 func leaves(failed *jsonschema.ValidationError, found *origins) []Violation {
 	var list []Violation
-	_, name := failed.ErrorKind.(*kind.PropertyNames)
-	if len(failed.Causes) == 0 || name {
+	if len(failed.Causes) == 0 {
 		return append(list, describe(failed, found)...)
 	}
 	for _, cause := range failed.Causes {
@@ -108,9 +107,13 @@
 	}
 	switch k := failed.ErrorKind.(type) {
 	case *kind.AdditionalProperties:
+		expected := "expected no such field"
+		if len(failed.InstanceLocation) == 1 && failed.InstanceLocation[0] != partLimits {
+			expected = "expected a name of lower-case letters, digits and hyphens"
+		}
 		list := make([]Violation, 0, len(k.Properties))
 		for _, name := range k.Properties {
-			list = append(list, at(within(name), "expected no such field"))
+			list = append(list, at(within(name), expected))
 		}
 		return list
 	case *kind.Required:
@@ -119,8 +122,6 @@
 			list = append(list, at(within(name), "expected a value, got none"))
 		}
 		return list
-	case *kind.PropertyNames:
-		return []Violation{at(within(k.Property), "expected a name of lower-case letters, digits and hyphens")}
 	}
 	text := failed.ErrorKind.LocalizedString(message.NewPrinter(language.English))
 	return []Violation{at(failed.InstanceLocation, strings.TrimSpace(text))}
--- a/core/endpointhealth/tracker.go
+++ b/core/endpointhealth/tracker.go
@@ -1,6 +1,6 @@
 // Package endpointhealth decides whether an endpoint gets new work: not while
-// it leaves or fails, and little at first after it has come back. The endpoint
-// chart has the states.
+// it leaves or fails, and little at first after it has come back. The
+// endpoint_leaving chart has the states.
 package endpointhealth
 
 import (
@@ -9,7 +9,7 @@
 	"cornelsaddle.example/cornelsaddle/core/statechart"
 )
 
-// The names of the endpoint chart.
+// The names of the endpoint_leaving chart.
 const (
 	evReported statechart.Event = "reported"
 	evReturned statechart.Event = "returned"
@@ -60,7 +60,7 @@
 
 // NewTracker returns a Tracker that knows no endpoint; an unknown one is up.
 func NewTracker() *Tracker {
-	return &Tracker{chart: statechart.MustLoad("endpoint"), endpoints: make(map[string]*endpoint)}
+	return &Tracker{chart: statechart.MustLoad("endpoint_leaving"), endpoints: make(map[string]*endpoint)}
 }
 
 // Reported takes an endpoint's own report: its incarnation, and whether it says
--- a/core/errcode/table.go
+++ b/core/errcode/table.go
@@ -6,6 +6,11 @@
 const (
 	BadRequest          Code = "bad_request"
 	BodyTooLarge        Code = "body_too_large"
+	HeaderTooLarge      Code = "header_too_large"
+	RequestTimeout      Code = "request_timeout"
+	TooManyConnections  Code = "too_many_connections"
+	UnknownRoute        Code = "unknown_route"
+	MethodNotAllowed    Code = "method_not_allowed"
 	Unauthorized        Code = "unauthorized"
 	Forbidden           Code = "forbidden"
 	UnknownModel        Code = "unknown_model"
@@ -16,6 +21,7 @@
 	KeyReused           Code = "idempotency_key_reused"
 	CallInProgress      Code = "call_in_progress"
 	CallOutcomeUnknown  Code = "call_outcome_unknown"
+	ResultTooLarge      Code = "result_too_large"
 	StoreUnavailable    Code = "store_unavailable"
 	NotReady            Code = "not_ready"
 	Draining            Code = "draining"
@@ -51,16 +57,22 @@
 var table = map[Code]Info{
 	BadRequest:          {400, RanNo, false, "The request is malformed."},
 	BodyTooLarge:        {413, RanNo, false, "The body is over the listener's limit."},
+	HeaderTooLarge:      {431, RanNo, false, "The request line and headers are over the listener's limit."},
+	RequestTimeout:      {408, RanNo, true, "The request took too long to arrive."},
+	TooManyConnections:  {503, RanNo, true, "The VM has as many connections open as it may."},
+	UnknownRoute:        {404, RanNo, false, "There is no such path."},
+	MethodNotAllowed:    {405, RanNo, false, "The path does not take the method."},
 	Unauthorized:        {401, RanNo, false, "The key is missing or belongs to no organisation."},
 	Forbidden:           {403, RanNo, false, "The organisation may not use the service."},
 	UnknownModel:        {404, RanNo, false, "No service of the configuration has the model."},
 	UnknownService:      {404, RanNo, false, "The configuration has no such service."},
 	UnknownOperation:    {404, RanNo, false, "The service has no such operation."},
-	UnknownCall:         {404, RanNo, false, "No call is recorded under the key."},
+	UnknownCall:         {404, RanUnknown, false, "No call is recorded under the key, or its record has expired."},
 	KeyRequired:         {400, RanNo, false, "The operation is not idempotent and needs an Idempotency-Key."},
 	KeyReused:           {422, RanNo, false, "The Idempotency-Key was used with another body."},
 	CallInProgress:      {409, RanNo, true, "A call with the key is in progress; this request sent nothing."},
 	CallOutcomeUnknown:  {409, RanUnknown, false, "The call's process died, or the service's answer was lost."},
+	ResultTooLarge:      {502, RanYes, false, "The call ran; its answer is over the limit and was not kept."},
 	StoreUnavailable:    {503, RanNo, true, "The platform's store does not answer; nothing was sent."},
 	NotReady:            {503, RanNo, true, "The VM has no confirmed configuration."},
 	Draining:            {503, RanNo, true, "The VM is shutting down."},
--- a/core/membership/cluster_test.go
+++ b/core/membership/cluster_test.go
@@ -72,7 +72,7 @@
 
 // start starts a VM, whose list names all that were started before.
 func (c *cluster) start(id string, incarnation int64) {
-	self := Record{ID: id, Address: id + ":7000", FailureDomain: "upanga", Incarnation: incarnation}
+	self := Record{ID: id, Address: id + ":7000", FailureDomain: "upanga", Region: "dar-coast", Incarnation: incarnation}
 	n := New(DefaultConfig(), self, rand.New(rand.NewPCG(c.rnd.Uint64(), 1)))
 	for _, other := range c.ids {
 		n.Hint(other, other+":7000", "upanga")
--- a/core/membership/record.go
+++ b/core/membership/record.go
@@ -26,6 +26,7 @@
 	ID            string `json:"id"`
 	Address       string `json:"a"`
 	FailureDomain string `json:"d,omitempty"`
+	Region        string `json:"r,omitempty"`
 	// Incarnation grows with every start of the VM.
 	Incarnation int64 `json:"i"`
 	// Beat grows when the VM refutes a suspicion; it starts at zero in every
@@ -66,8 +67,10 @@
 		return pick(a.Status > b.Status, a, b)
 	case a.Address != b.Address:
 		return pick(a.Address > b.Address, a, b)
+	case a.FailureDomain != b.FailureDomain:
+		return pick(a.FailureDomain > b.FailureDomain, a, b)
 	}
-	return pick(a.FailureDomain >= b.FailureDomain, a, b)
+	return pick(a.Region >= b.Region, a, b)
 }
 
 func pick(first bool, a, b Record) Record {
@@ -103,7 +106,7 @@
 func (n News) size() int {
 	const framing = 80
 	if n.Record != nil {
-		return framing + len(n.Record.ID) + len(n.Record.Address) + len(n.Record.FailureDomain)
+		return framing + len(n.Record.ID) + len(n.Record.Address) + len(n.Record.FailureDomain) + len(n.Record.Region)
 	}
 	return framing/2 + len(n.Mark.Endpoint) + len(n.Mark.Incarnation)
 }
--- a/internal/confsync/follower.go
+++ b/internal/confsync/follower.go
@@ -26,7 +26,8 @@
 	newsTimeout = time.Second
 )
 
-// Peers is what a follower needs of the other VMs.
+// Peers is what a follower needs of the other VMs. It is not called under the
+// follower's lock.
 type Peers interface {
 	// Address is where this VM answers peers.
 	Address() string
@@ -118,7 +119,8 @@
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
-		f.do(func(now time.Time) []configuration.Action { return f.tracker.Tick(now, f.count()) })
+		peers := f.count()
+		f.do(func(now time.Time) []configuration.Action { return f.tracker.Tick(now, peers) })
 		f.noteStanding()
 		select {
 		case <-f.ctx.Done():
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -126,8 +126,10 @@
 
 // do hands the node an event, carries out its actions and tells what changed.
 func (s *Service) do(decide func(now time.Time) []membership.Action) {
+	version, digest := s.own()
 	s.mu.Lock()
-	s.refresh()
+	s.node.SetConfiguration(version)
+	s.node.SetDigest(digest)
 	actions := decide(time.Now())
 	changes, marks := s.node.Changes()
 	if urgent(changes, marks) {
@@ -154,12 +156,13 @@
 	return len(marks) > 0
 }
 
-// refresh gives the node what this VM tells of itself; the lock is held.
-func (s *Service) refresh() {
-	s.node.SetConfiguration(s.version())
+// own is what this VM tells of itself. It is asked for outside the lock, as who
+// answers may have a lock of its own.
+func (s *Service) own() (version int64, digest []byte) {
 	if s.digest != nil {
-		s.node.SetDigest(s.digest())
+		digest = s.digest()
 	}
+	return s.version(), digest
 }
 
 // report logs what changed and tells the observer.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,11 +3,9 @@
 package node
 
 import (
-	"net"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/dig"
 
 	"cornelsaddle.example/cornelsaddle/internal/api"
@@ -22,6 +20,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
 	"cornelsaddle.example/cornelsaddle/internal/prompt"
+	"cornelsaddle.example/cornelsaddle/internal/reserve"
 	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
 
@@ -48,10 +47,14 @@
 	Store    *platform.Client
 	Streams  *endpoint.Client
 	Caller   *endpoint.Caller
+	Prompts  *prompt.Runner
+	Holder   *reserve.Holder
+	Sweeper  *reserve.Sweeper
 	Mux      *peer.Mux
 	Peers    *peer.Client
 	Identity peer.Identity
 	Health   *health.Health
+	View     *view
 }
 
 // Start wires the VM and begins to listen.
@@ -93,6 +96,8 @@
 	}
 	n.join()
 	n.parts.Fleet.Start()
+	n.parts.Holder.Start()
+	n.parts.Sweeper.Start()
 	return n.listen()
 }
 
@@ -111,7 +116,14 @@
 		endpoint.New,
 		endpoint.NewCaller,
 		metrics.New,
-		prompt.NewRunner,
+		prompt.DefaultConfig,
+		newPrompts,
+		reserve.DefaultConfig,
+		newView,
+		func(v *view) reserve.Members { return v },
+		newAccountant,
+		newHolder,
+		newSweeper,
 		call.NewRunner,
 		api.New,
 	}
@@ -121,6 +133,22 @@
 	return platform.New(s.Platform.Address, s.Platform.Timeout())
 }
 
+func newPrompts(cfg prompt.Config, f *fleet.Fleet, streams *endpoint.Client, caller *endpoint.Caller, h *reserve.Holder, log *event.Logger, m *metrics.Metrics) *prompt.Runner {
+	return prompt.NewRunner(cfg, f, streams, caller, h, log, m)
+}
+
+func newAccountant(cfg reserve.Config, caller *endpoint.Caller, mux *peer.Mux) *reserve.Accountant {
+	return reserve.NewAccountant(cfg, caller, mux)
+}
+
+func newHolder(cfg reserve.Config, self peer.Identity, book *reserve.Accountant, peers *peer.Client, members reserve.Members, mux *peer.Mux) *reserve.Holder {
+	return reserve.NewHolder(cfg, self, book, peers, members, mux)
+}
+
+func newSweeper(h *reserve.Holder, f *confsync.Follower, log *event.Logger) *reserve.Sweeper {
+	return reserve.NewSweeper(h, f.Current, log)
+}
+
 func newFollower(store *platform.Client, log *event.Logger, s settings.Settings) *confsync.Follower {
 	return confsync.New(store, log, s.Platform.Poll())
 }
@@ -139,7 +167,7 @@
 
 func (n *Node) listen() error {
 	var err error
-	if n.callers, err = serve(n.settings.Callers.Address, n.callerServer()); err != nil {
+	if n.callers, err = n.serveCallers(); err != nil {
 		return err
 	}
 	n.admin, err = serve(n.settings.Admin.Address, n.adminServer())
@@ -153,19 +181,6 @@
 	return err
 }
 
-func (n *Node) callerServer() *fasthttp.Server {
-	c := n.settings.Callers
-	return &fasthttp.Server{
-		Handler:               n.parts.API.Handler(),
-		MaxRequestBodySize:    c.MaxBodyBytes,
-		Concurrency:           c.MaxConnections,
-		IdleTimeout:           time.Duration(c.IdleTimeoutMs) * time.Millisecond,
-		ReadTimeout:           time.Duration(c.ReadTimeoutMs) * time.Millisecond,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-	}
-}
-
 // configuration is the version in force; zero for none.
 func (n *Node) configuration() int64 {
 	if snap := n.parts.Follower.Current(); snap != nil {
@@ -188,44 +203,16 @@
 		n.members.Stop()
 		n.parts.Follower.Stop()
 		n.parts.Fleet.Stop()
+		n.parts.Sweeper.Stop()
+		n.parts.Holder.Stop()
 	}
 	if n.peers != nil {
 		n.peers.Close()
 	}
 	n.parts.Peers.Close()
+	n.parts.Prompts.Close()
 	n.parts.Streams.Close()
 	n.parts.Caller.Close()
 	n.parts.Store.Close()
 	n.log.Emit(event.Stopped{})
 }
-
-// listener is a running fasthttp server.
-type listener struct {
-	net.Listener
-	server *fasthttp.Server
-	done   chan struct{}
-}
-
-func serve(address string, server *fasthttp.Server) (*listener, error) {
-	l, err := net.Listen("tcp4", address)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	s := &listener{Listener: l, server: server, done: make(chan struct{})}
-	go func() {
-		defer close(s.done)
-		_ = server.Serve(l)
-	}()
-	return s, nil
-}
-
-func (l *listener) addr() string { return l.Addr().String() }
-
-// close stops the server; it may be called on nil.
-func (l *listener) close() {
-	if l == nil {
-		return
-	}
-	_ = l.server.Shutdown()
-	<-l.done
-}
