Let long prompts wait for memory at their VM and count what ended

Cause: long prompts were handed to engines whose memory was full, so that short prompts waited behind them; a late report's memory missed what had ended since, so that engines looked full for as long as the report was old. Ruled out: a fixed share of memory for long prompts (0.3 to 0.65): short prompts gain, long ones wait ten times as long; strict order among the waiting: one prompt that fits few engines holds back all others. Change: a long prompt is granted an engine when it fits beside a headroom of 0.05; after 5 s it claims one engine. Ends since a report are taken off.

--- a/core/placement/config.go
+++ b/core/placement/config.go
@@ -13,6 +13,9 @@
 	// past a waiting prompt of low priority, as a multiple of its length; zero
 	// for no bound.
 	OvertakeFactor float64
+	// Headroom is the share of an endpoint's memory that is kept from prompts of
+	// low priority; from 0 to 1.
+	Headroom float64
 	// DefaultRate is the prefill speed, in tokens a second, of an endpoint that
 	// has told none.
 	DefaultRate float64
@@ -20,7 +23,7 @@
 
 // DefaultConfig returns the parameters that the service runs with.
 func DefaultConfig() Config {
-	return Config{Sample: 64, TieMargin: 0.1, OvertakeFactor: 8, DefaultRate: 10_000}
+	return Config{Sample: 64, TieMargin: 0.1, OvertakeFactor: 8, Headroom: 0.05, DefaultRate: 10_000}
 }
 
 // ConfigError says which field is out of its range.
@@ -38,6 +41,8 @@
 		return errors.WithStack(&ConfigError{"TieMargin"})
 	case c.OvertakeFactor < 0:
 		return errors.WithStack(&ConfigError{"OvertakeFactor"})
+	case c.Headroom < 0 || c.Headroom > 1:
+		return errors.WithStack(&ConfigError{"Headroom"})
 	case c.DefaultRate <= 0:
 		return errors.WithStack(&ConfigError{"DefaultRate"})
 	}
--- a/core/placement/endpoint.go
+++ b/core/placement/endpoint.go
@@ -132,9 +132,10 @@
 
 // Reserved notes memory, in tokens, that was set aside for the attempt at the
 // endpoint; Ended gives it back.
-func (e *Endpoint) Reserved(attempt string, tokens int64) {
-	e.inFlightSum += tokens - e.inFlight[attempt]
-	e.inFlight[attempt] = tokens
+func (e *Endpoint) Reserved(now time.Time, attempt string, tokens int64) {
+	e.inFlightSum += tokens
+	e.inFlight[attempt] += tokens
+	e.ledger.send(sendRecord{at: now, need: tokens}, e.rate())
 }
 
 // held is the memory that is taken or waited for, in tokens.
@@ -142,12 +143,13 @@
 	return max(e.ledger.held+e.ledger.heldSince, e.inFlightSum)
 }
 
-// PeerSent notes prefill that peers sent to the endpoint, from their digests.
-func (e *Endpoint) PeerSent(at time.Time, work int64, priority wire.Priority) {
+// PeerSent notes, from a peer's digest, prefill that was sent to the endpoint
+// and by how much the memory that the peer holds there changed, in tokens.
+func (e *Endpoint) PeerSent(at time.Time, work, need int64, priority wire.Priority) {
 	if !at.After(e.ledger.reported) {
 		return
 	}
-	e.ledger.send(sendRecord{at, work, work, priority}, e.rate())
+	e.ledger.send(sendRecord{at, work, need, priority}, e.rate())
 	e.countHigh(at, work, priority)
 }
 
@@ -184,13 +186,19 @@
 	}
 }
 
-// Ended notes that the attempt ended, with or without a first token.
-func (e *Endpoint) Ended(attempt string) {
-	e.inFlightSum -= e.inFlight[attempt]
-	delete(e.inFlight, attempt)
+// Ended notes that the attempt ended, with or without a first token. It returns
+// the memory that it held, in tokens.
+func (e *Endpoint) Ended(now time.Time, attempt string) int64 {
 	if p, ok := e.take(attempt); ok {
-		e.ledger.withdraw(p.at, p.work, p.need, p.priority)
+		e.ledger.withdraw(p.at, p.work, p.priority)
+	}
+	need := e.inFlight[attempt]
+	delete(e.inFlight, attempt)
+	if need > 0 {
+		e.inFlightSum -= need
+		e.ledger.send(sendRecord{at: now, need: -need}, e.rate())
 	}
+	return need
 }
 
 func (e *Endpoint) take(attempt string) (pendingPrompt, bool) {
--- a/core/placement/ledger.go
+++ b/core/placement/ledger.go
@@ -7,7 +7,8 @@
 	"cornelsaddle.example/cornelsaddle/core/wire"
 )
 
-// sendRecord is prefill that was sent to an endpoint, by this VM or a peer.
+// sendRecord is prefill that was sent to an endpoint, by this VM or a peer, and
+// the change of the memory held there; at the end of an attempt it is negative.
 type sendRecord struct {
 	at       time.Time
 	work     int64
@@ -122,14 +123,13 @@
 }
 
 // withdraw takes back prefill of an attempt that ended before its first token.
-func (l *ledger) withdraw(at time.Time, work, need int64, priority wire.Priority) {
+func (l *ledger) withdraw(at time.Time, work int64, priority wire.Priority) {
 	i := slices.IndexFunc(l.sends, func(s sendRecord) bool {
 		return s.at.Equal(at) && s.work == work && s.priority == priority
 	})
 	if i < 0 {
 		return
 	}
-	l.sends = slices.Delete(l.sends, i, i+1)
+	l.sends[i].work = 0
 	l.queued[priority] = max(0, l.queued[priority]-float64(work))
-	l.heldSince = max(0, l.heldSince-need)
 }
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -54,7 +54,7 @@
 		}
 		for priority, tokens := range e.Tokens {
 			if tokens > 0 {
-				st.known.PeerSent(at, tokens, wire.Priority(priority))
+				st.known.PeerSent(at, tokens, tokens, wire.Priority(priority))
 			}
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -148,7 +148,7 @@
 func (f *Fleet) Started(id, attempt string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.known(id).Ended(attempt)
+	f.known(id).Ended(time.Now(), attempt)
 }
 
 // Answer is a whole answer's account of itself.
--- a/standin/experiment/policy.go
+++ b/standin/experiment/policy.go
@@ -24,11 +24,16 @@
 	// group orders the open engines by how well they suit the group of a prompt
 	// that no engine holds; the first leads it.
 	group(now time.Time, j *job, open []int) []int
+	// headroom is the share of an engine's memory that is kept from prompts of
+	// low priority; without room, they wait at their VM. Zero for no waiting.
+	headroom() float64
+	// held is the memory believed taken at the engine.
+	held(now time.Time, engine int) int64
 	// groupCap is the most of the fleet's memory that groups may take beyond
 	// the first one.
 	groupCap() float64
 	// reserved is told of a group's memory, part by part.
-	reserved(j *job, engine int, tokens int64)
+	reserved(now time.Time, j *job, engine int, tokens int64)
 	sent(now time.Time, j *job, d decision)
 	firstToken(now time.Time, j *job)
 	// ended is told of every end of an attempt.
@@ -41,19 +46,23 @@
 	peer(d []sentDigest)
 }
 
-// sentDigest is prefill that a VM sent to an engine.
+// sentDigest is prefill that a VM sent to an engine, and the change of the
+// memory that it holds there.
 type sentDigest struct {
 	engine   int
 	at       time.Time
 	work     int64
+	need     int64
 	priority wire.Priority
 }
 
 // blind is the part of the baselines that learns nothing.
 type blind struct{}
 
+func (blind) headroom() float64                            { return 0 }
+func (blind) held(time.Time, int) int64                    { return 0 }
 func (blind) groupCap() float64                            { return 1 }
-func (blind) reserved(*job, int, int64)                    {}
+func (blind) reserved(time.Time, *job, int, int64)         {}
 func (blind) sent(time.Time, *job, decision)               {}
 func (blind) firstToken(time.Time, *job)                   {}
 func (blind) ended(time.Time, *job)                        {}
--- a/standin/experiment/predictive.go
+++ b/standin/experiment/predictive.go
@@ -24,12 +24,13 @@
 	admit  bool
 	// maxGrouped is the most of the fleet's memory that groups may take.
 	maxGrouped float64
+	room       float64
 	views      []placement.View
 	sends      []sentDigest
 }
 
 func newPredictive(cfg placement.Config, weight float64, admit bool, shapes []engine.ModelConfig, rng *rand.Rand) *predictive {
-	p := &predictive{picker: placement.NewPicker(cfg, rng), weight: weight, admit: admit, maxGrouped: maxGrouped}
+	p := &predictive{picker: placement.NewPicker(cfg, rng), weight: weight, admit: admit, maxGrouped: maxGrouped, room: cfg.Headroom}
 	for i, s := range shapes {
 		p.known[i] = placement.NewEndpoint(cfg, strconv.Itoa(i), s.MemoryTokens, 0)
 	}
@@ -74,17 +75,25 @@
 	return order
 }
 
+func (p *predictive) headroom() float64 { return p.room }
+
+func (p *predictive) held(now time.Time, engine int) int64 {
+	var none placement.Prompt
+	return p.known[engine].View(now, &none).Held
+}
+
 func (p *predictive) groupCap() float64 { return p.maxGrouped }
 
-func (p *predictive) reserved(j *job, engine int, tokens int64) {
-	p.known[engine].Reserved(strconv.Itoa(j.id), tokens)
+func (p *predictive) reserved(now time.Time, j *job, engine int, tokens int64) {
+	p.sends = append(p.sends, sentDigest{engine: engine, at: now, need: tokens})
+	p.known[engine].Reserved(now, strconv.Itoa(j.id), tokens)
 }
 
 func (p *predictive) sent(now time.Time, j *job, d decision) {
 	prompt := p.prompt(j)
 	prompt.Reserved = j.seq.Reserved
 	work := p.known[d.engine].Sent(now, strconv.Itoa(j.id), &prompt, d.priority)
-	p.sends = append(p.sends, sentDigest{d.engine, now, work, d.priority})
+	p.sends = append(p.sends, sentDigest{d.engine, now, work, prompt.Need(), d.priority})
 }
 
 func (p *predictive) firstToken(now time.Time, j *job) {
@@ -93,16 +102,21 @@
 
 func (p *predictive) ended(now time.Time, j *job) {
 	for _, m := range j.members {
-		p.known[m].Ended(strconv.Itoa(j.id))
+		p.end(now, j, m)
 	}
+	p.end(now, j, j.engine)
 	e := p.known[j.engine]
-	e.Ended(strconv.Itoa(j.id))
 	if j.end > 0 && j.got > 1 && j.attempt == 1 {
 		e.Answered(j.got-1, j.end-j.first)
 		e.Prefixes.Observe(now, j.blocks, j.seq.Cached())
 	}
 }
 
+func (p *predictive) end(now time.Time, j *job, engine int) {
+	freed := p.known[engine].Ended(now, strconv.Itoa(j.id))
+	p.sends = append(p.sends, sentDigest{engine: engine, at: now, need: -freed})
+}
+
 func (p *predictive) report(now time.Time, engine int, r wire.LoadReport) {
 	p.known[engine].Report(now, r)
 }
@@ -121,6 +135,6 @@
 
 func (p *predictive) peer(sends []sentDigest) {
 	for _, s := range sends {
-		p.known[s.engine].PeerSent(s.at, s.work, s.priority)
+		p.known[s.engine].PeerSent(s.at, s.work, s.need, s.priority)
 	}
 }
--- a/standin/experiment/sim.go
+++ b/standin/experiment/sim.go
@@ -25,6 +25,10 @@
 	groupRetry = 250 * time.Millisecond
 	// groupShare is the part of an engine's memory that a group takes.
 	groupShare = 0.5
+	// grantRetry is the time between two tries of prompts that wait for memory.
+	grantRetry = 50 * time.Millisecond
+	// maxPassed is how long others may pass a prompt that waits for memory.
+	maxPassed = 5 * time.Second
 	// retryPause is the wait before another attempt after an engine's death.
 	retryPause = 10 * time.Millisecond
 )
@@ -89,6 +93,14 @@
 	jobs   []*job
 	bySeq  map[*engine.Sequence]*job
 	rng    *rand.Rand
+	// lowHeld is the memory of prompts of low priority by engine, in tokens, as
+	// the VMs that grant reservations keep it.
+	lowHeld [engines]int64
+	// waiting are prompts of low priority that got no reservation yet, in order
+	// of arrival.
+	waiting []*job
+	// claims are the engines kept for a prompt that waited for long.
+	claims [engines]*job
 	// grouped is the memory that groups hold, in tokens.
 	grouped int64
 }
@@ -142,6 +154,12 @@
 		r.dispatchGroup(j)
 		return
 	}
+	if headroom := p.headroom(); headroom > 0 && j.class.Priority() == wire.PriorityLow {
+		if open = r.grantable(j, open, headroom); len(open) == 0 {
+			r.wait(j)
+			return
+		}
+	}
 	d := p.place(r.wall(), j, open)
 	if d.refused {
 		j.refused = true
@@ -152,6 +170,75 @@
 	r.submit(j, d, 0)
 }
 
+// grantable keeps the engines at which a reservation would be granted: the
+// granting VM adds its account of prompts of low priority to what the asking VM
+// knows of the memory.
+func (r *run) grantable(j *job, open []int, headroom float64) []int {
+	var granted []int
+	for _, e := range open {
+		if c := r.claims[e]; c != nil && c != j && !c.resolved {
+			continue
+		}
+		if r.missing(j, e, headroom) <= 0 {
+			granted = append(granted, e)
+		}
+	}
+	return granted
+}
+
+// missing is the memory that the engine lacks for the job, in tokens. A prompt
+// that leaves no headroom even alone needs an engine without others of low
+// priority.
+func (r *run) missing(j *job, e int, headroom float64) int64 {
+	need := j.bound() + j.maxTokens
+	limit := int64((1 - headroom) * float64(r.cell.shapes[e].MemoryTokens))
+	if need > limit {
+		return r.lowHeld[e]
+	}
+	return max(r.lowHeld[e], r.vms[j.vm].held(r.wall(), e)) + need - limit
+}
+
+// wait queues the job until memory is granted.
+func (r *run) wait(j *job) {
+	if len(r.waiting) == 0 {
+		r.at(r.now+grantRetry, r.grant)
+	}
+	r.waiting = append(r.waiting, j)
+}
+
+// grant tries the waiting jobs in order. One that has waited for long claims an
+// engine: no other prompt of low priority goes there before it.
+func (r *run) grant() {
+	jobs := r.waiting
+	r.waiting = nil
+	for _, j := range jobs {
+		if r.now-j.arrive > maxPassed && !j.resolved {
+			r.claim(j)
+		}
+		r.dispatch(j)
+	}
+}
+
+// claim keeps the engine that will have memory for the job soonest.
+func (r *run) claim(j *job) {
+	best, bestWait := -1, 0.0
+	for _, e := range r.open(j.bound() + j.maxTokens) {
+		if r.claims[e] == j {
+			return
+		}
+		if c := r.claims[e]; c != nil && !c.resolved {
+			continue
+		}
+		wait := float64(r.missing(j, e, r.vms[j.vm].headroom())) / r.cell.shapes[e].PrefillRate
+		if best < 0 || wait < bestWait {
+			best, bestWait = e, wait
+		}
+	}
+	if best >= 0 {
+		r.claims[best] = j
+	}
+}
+
 // submit hands the job to the engine, with memory reserved beforehand.
 func (r *run) submit(j *job, d decision, reserved int64) {
 	j.attempt++
@@ -167,6 +254,14 @@
 		Reserved:  reserved,
 	}
 	r.bySeq[j.seq] = j
+	for e := range r.claims {
+		if r.claims[e] == j {
+			r.claims[e] = nil
+		}
+	}
+	if d.priority == wire.PriorityLow {
+		r.lowHeld[d.engine] += j.lowNeed()
+	}
 	r.vms[j.vm].sent(r.wall(), j, d)
 	n := r.nodes[d.engine]
 	n.model.Submit(j.seq)
@@ -187,7 +282,7 @@
 		return
 	}
 	for _, e := range j.members {
-		r.vms[j.vm].reserved(j, e, r.groupPart(e))
+		r.vms[j.vm].reserved(r.wall(), j, e, r.groupPart(e))
 	}
 	r.submit(j, decision{engine: order[0], priority: j.class.Priority()}, need)
 }
@@ -230,6 +325,15 @@
 	return int64(groupShare * float64(r.cell.shapes[e].MemoryTokens))
 }
 
+// lowNeed is the memory that the job takes at the engine that it runs on; a
+// group's is accounted apart.
+func (j *job) lowNeed() int64 {
+	if j.seq.Reserved > 0 {
+		return 0
+	}
+	return j.bound() + j.maxTokens
+}
+
 // release gives a group's memory back.
 func (r *run) release(j *job) {
 	for _, e := range j.members {
@@ -293,6 +397,9 @@
 // endAttempt frees what the attempt holds.
 func (r *run) endAttempt(j *job) {
 	delete(r.bySeq, j.seq)
+	if j.seq.Priority == wire.PriorityLow {
+		r.lowHeld[j.engine] -= j.lowNeed()
+	}
 	r.vms[j.vm].ended(r.wall(), j)
 	r.release(j)
 	if n := r.nodes[j.engine]; !n.dead {
