Let the capacity measurement's source end answers and hold reservations

Cause: an answer is whole only after an end marker with the next token's id, and long prompts set memory aside; the source did neither, so the measured requests failed or waited.

Change: the source names its end marker and answers reservations.

--- a/test/capacity/roles.go
+++ b/test/capacity/roles.go
@@ -48,7 +48,14 @@
 func runSource() error {
 	r := router.New()
 	r.POST(wire.PathCompletions, sourceStream)
-	r.POST(wire.PathCancel, func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusNoContent) })
+	r.POST(wire.PathCancel, accept)
+	r.POST(wire.PathReservations, func(ctx *fasthttp.RequestCtx) {
+		httpjson.Write(ctx, fasthttp.StatusOK, wire.Reservation{})
+	})
+	r.GET(wire.PathReservations, func(ctx *fasthttp.RequestCtx) {
+		httpjson.Write(ctx, fasthttp.StatusOK, wire.ReservationList{})
+	})
+	r.DELETE(wire.PathReservations+"/{id}", accept)
 	r.GET(wire.PathEngineLoad, func(ctx *fasthttp.RequestCtx) {
 		httpjson.Write(ctx, fasthttp.StatusOK, wire.LoadReport{
 			AtMs:        time.Now().UnixMilli(),
@@ -67,6 +74,9 @@
 	return nil
 }
 
+// accept answers without a body.
+func accept(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusNoContent) }
+
 // prompt is the part of a request that the source reads. User carries the
 // interval, since it passes unchanged through every forwarder.
 type prompt struct {
@@ -101,7 +111,7 @@
 			return
 		}
 	}
-	_, _ = w.WriteString("data: " + wire.StreamDone + "\n\n")
+	_, _ = w.WriteString("id: " + prefix + strconv.Itoa(tokens) + "\ndata: " + wire.StreamDone + "\n\n")
 	_ = w.Flush()
 }
 
