--- a/internal/api/services.go
+++ b/internal/api/services.go
@@ -1,10 +1,12 @@
 package api
 
 import (
+	"encoding/json"
 	"slices"
 
 	"github.com/valyala/fasthttp"
 
+	"cornelsaddle.example/cornelsaddle/core/calls"
 	"cornelsaddle.example/cornelsaddle/core/errcode"
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/call"
@@ -33,6 +35,47 @@
 	ctx.SetBody(answer.Body)
 }
 
+// callState is the body that answers a question about a recorded call.
+type callState struct {
+	Status calls.Status `json:"status"`
+	Ran    errcode.Ran  `json:"ran"`
+	// HTTPStatus and Body are the service's answer, when done.
+	HTTPStatus int    `json:"http_status,omitempty"`
+	Body       string `json:"body,omitempty"`
+}
+
+// callState answers with what is recorded of a call.
+func (a *API) callState(ctx *fasthttp.RequestCtx, s scope) {
+	defer a.leave()
+	service, _ := ctx.UserValue("service").(string)
+	key, _ := ctx.UserValue("key").(string)
+	state, err := a.calls.State(s.organisation, service, key)
+	if err != nil {
+		a.fail(ctx, s, err)
+		return
+	}
+	data, err := json.Marshal(callState{state.Status, state.Ran, state.Answer.Status, string(state.Answer.Body)})
+	if err != nil {
+		a.fail(ctx, s, err)
+		return
+	}
+	ctx.Response.Header.Set(wire.HeaderRan, string(state.Ran))
+	ctx.Response.Header.SetContentType("application/json")
+	ctx.SetBody(data)
+}
+
+// maxKeyBytes is the longest idempotency key.
+const maxKeyBytes = 255
+
+func validKey(key string) bool {
+	for _, c := range []byte(key) {
+		if c <= ' ' || c >= 0x7f {
+			return false
+		}
+	}
+	return len(key) <= maxKeyBytes
+}
+
 // callRequest reads and checks a caller's call.
 func (a *API) callRequest(ctx *fasthttp.RequestCtx, s scope) (call.Request, bool, error) {
 	name, _ := ctx.UserValue("service").(string)
@@ -52,6 +95,9 @@
 	if key == "" && !op.Idempotent {
 		return call.Request{}, false, errcode.New(errcode.KeyRequired, "operation %s needs an %s", operation, wire.HeaderIdempotencyKey)
 	}
+	if !validKey(key) {
+		return call.Request{}, false, errcode.New(errcode.BadRequest, "an %s has at most %d visible ASCII characters", wire.HeaderIdempotencyKey, maxKeyBytes)
+	}
 	end, err := deadline(ctx, service.MaxTimeoutMs)
 	return call.Request{
 		ID:           s.id,
