Place prompts through the fleet, and pass tokens on with fewer copies and looks

Change: prompts are placed by fleet.Place at the priority it chose, and the fleet hears of first tokens and whole answers. A chunk in the frame of the last one is compared and not searched; the watch counts with atomics and looks at a caller only when nothing moves; tokens that are ready go out in one write. Shown by: go test -race ./... ./core/... ./standin/...

--- a/core/stream/doc.go
+++ b/core/stream/doc.go
@@ -7,6 +7,6 @@
 // attempt. An answer is whole only after an end marker that carries the id of
 // the token that would come next.
 //
-// AppendText finds the text of a chunk without decoding it, so that an answer
-// can be resumed elsewhere.
+// Text gathers the text of an answer's chunks without decoding them, so that the
+// answer can be resumed elsewhere.
 package stream
--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -129,41 +129,70 @@
 	require.Positive(t, caught)
 }
 
-// TestAppendTextEqualsDecoding compares the text found without decoding with
-// the decoded one.
-func TestAppendTextEqualsDecoding(t *testing.T) {
+// TestTextEqualsDecoding compares the text of several chunks with the decoded
+// one; they are in one frame or not.
+func TestTextEqualsDecoding(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		text := rapid.OneOf(rapid.String(), rapid.SampledFrom([]string{`"text":"x"`, `\"content":`, "\\", "\u2028<&>"})).Draw(t, "text")
-		choice := map[string]any{"index": 0, "finish_reason": nil, "logprobs": map[string]any{"content": []int{1}}}
-		if rapid.Bool().Draw(t, "chat") {
-			choice["delta"] = map[string]any{"role": "assistant", "content": text}
-		} else {
-			choice["text"] = text
-		}
-		chunk := map[string]any{"id": `"text":"`, "choices": []any{choice}, "usage": nil}
-		data, err := json.Marshal(chunk)
-		require.NoError(t, err)
-		if rapid.Bool().Draw(t, "indent") {
-			data, err = json.MarshalIndent(chunk, "", "\t")
+		var text Text
+		var want string
+		for range rapid.IntRange(1, 6).Draw(t, "chunks") {
+			piece := rapid.OneOf(rapid.String(), rapid.SampledFrom([]string{`"text":"x"`, `\"content":`, "\\", "\u2028<&>"})).Draw(t, "text")
+			choice := map[string]any{"index": 0, "finish_reason": nil, "logprobs": map[string]any{"content": []int{1}}}
+			if rapid.Bool().Draw(t, "chat") {
+				choice["delta"] = map[string]any{"role": "assistant", "content": piece}
+			} else {
+				choice["text"] = piece
+			}
+			chunk := map[string]any{"id": `"text":"`, "choices": []any{choice}, "usage": nil}
+			data, err := json.Marshal(chunk)
 			require.NoError(t, err)
+			if rapid.Bool().Draw(t, "indent") {
+				data, err = json.MarshalIndent(chunk, "", "\t")
+				require.NoError(t, err)
+			}
+			text.Add(data)
+			want += decoded(t, piece)
 		}
-		escaped, ok := AppendText(nil, data)
-		require.True(t, ok)
-		var got, want string
-		require.NoError(t, json.Unmarshal([]byte(`"`+string(escaped)+`"`), &got))
-		plain, err := json.Marshal(text)
-		require.NoError(t, err)
-		require.NoError(t, json.Unmarshal(plain, &want))
+		require.True(t, text.Whole())
+		var got string
+		require.NoError(t, json.Unmarshal([]byte(`"`+string(text.Escaped())+`"`), &got))
 		require.Equal(t, want, got)
 	})
 }
 
-func TestAppendTextKnowsWhatItCannotResume(t *testing.T) {
+// decoded is the string after a passage through JSON, which replaces invalid
+// bytes.
+func decoded(t require.TestingT, s string) string {
+	data, err := json.Marshal(s)
+	require.NoError(t, err)
+	var out string
+	require.NoError(t, json.Unmarshal(data, &out))
+	return out
+}
+
+func TestTextKnowsWhatItCannotResume(t *testing.T) {
+	plain := `{"choices":[{"index":0,"text":"a"}]}`
 	for _, chunk := range []string{
 		`{"choices":[{"index":0,"delta":{"tool_calls":[]}}]}`,
 		`{"choices":[{"index":0,"text":"a"},{"index":1,"text":"b"}]}`,
+		`{"choices":[{"index":0,"text":"a"}],"more":[{"index":1,"text":"b"}]}`,
 	} {
-		_, ok := AppendText(nil, []byte(chunk))
-		require.False(t, ok, chunk)
+		var text Text
+		text.Add([]byte(plain))
+		text.Add([]byte(plain))
+		require.True(t, text.Whole())
+		require.Equal(t, "aa", string(text.Escaped()))
+		text.Add([]byte(chunk))
+		require.False(t, text.Whole(), chunk)
+	}
+}
+
+func BenchmarkText(b *testing.B) {
+	var text Text
+	chunk := []byte(`{"id":"6f1c2d9e-8a41-4a53-9f0e-3f8f6f0a7a11","object":"text_completion","model":"scribe-pool","choices":[{"index":0,"text":"3w5e11264sgsf ","finish_reason":null}]}`)
+	b.ReportAllocs()
+	for range b.N {
+		text.Add(chunk)
+		text.escaped = text.escaped[:0]
 	}
 }
--- a/core/stream/text.go
+++ b/core/stream/text.go
@@ -10,32 +10,87 @@
 	choiceKey  = []byte(`"index"`)
 )
 
-// AppendText appends the text of one chunk to dst as it stands there, with its
-// JSON escapes, and returns the extended slice. It reports false for a chunk
-// that is more than one choice's text, such as a tool call: an answer with such
-// a chunk can't be resumed from its text. The chunk is not decoded: inside a
-// JSON string the quotes of a key would be escaped, so a key found is a key.
-func AppendText(dst, chunk []byte) ([]byte, bool) {
+// Text is an answer's text so far, as it stood in the chunks, with its JSON
+// escapes. The zero value is empty.
+//
+// Chunks are not decoded. The chunks of one answer differ in their text alone,
+// so that what stands before and after the text is remembered, and a chunk in
+// the same frame costs two comparisons.
+type Text struct {
+	escaped []byte
+	before  []byte
+	after   []byte
+	broken  bool
+}
+
+// Escaped is the text with its JSON escapes, valid until the next Add.
+func (t *Text) Escaped() []byte { return t.escaped }
+
+// Whole reports whether the text alone is the answer. It is not after a chunk
+// with a tool call or with several choices: such an answer can't be resumed.
+func (t *Text) Whole() bool { return !t.broken }
+
+// Add appends one chunk's text.
+func (t *Text) Add(chunk []byte) {
+	if t.broken {
+		return
+	}
+	if value, ok := t.framed(chunk); ok {
+		t.escaped = append(t.escaped, value...)
+		return
+	}
+	from, to, ok := find(chunk)
+	if !ok {
+		t.broken = true
+		return
+	}
+	t.escaped = append(t.escaped, chunk[from:to]...)
+	t.before = append(t.before[:0], chunk[:from]...)
+	t.after = append(t.after[:0], chunk[to:]...)
+}
+
+// framed returns the text of a chunk in the same frame as the last one.
+func (t *Text) framed(chunk []byte) ([]byte, bool) {
+	if len(t.before) == 0 {
+		return nil, false
+	}
+	rest, ok := bytes.CutPrefix(chunk, t.before)
+	if !ok {
+		return nil, false
+	}
+	end := closingQuote(rest)
+	if end < 0 || !bytes.Equal(rest[end:], t.after) {
+		return nil, false
+	}
+	return rest[:end], true
+}
+
+// find returns where the chunk's text begins and ends; both are zero where it
+// has none. It reports false for a chunk that is more than one choice's text.
+// The chunk is not decoded: inside a JSON string the quotes of a key would be
+// escaped, so a key found is a key.
+func find(chunk []byte) (from, to int, ok bool) {
 	if bytes.Contains(chunk, toolCalls) || bytes.Count(chunk, choiceKey) > 1 {
-		return dst, false
+		return 0, 0, false
 	}
 	for _, key := range [][]byte{textKey, contentKey} {
-		if value, ok := stringAfter(chunk, key); ok {
-			return append(dst, value...), true
+		if from, to, ok = stringAfter(chunk, key); ok {
+			return from, to, true
 		}
 	}
-	return dst, true
+	return 0, 0, true
 }
 
-// stringAfter is the inside of the first string that is the key's value.
-func stringAfter(chunk, key []byte) ([]byte, bool) {
-	for {
-		i := bytes.Index(chunk, key)
+// stringAfter is where the inside of the first string that is the key's value
+// begins and ends.
+func stringAfter(chunk, key []byte) (from, to int, ok bool) {
+	for at := 0; ; {
+		i := bytes.Index(chunk[at:], key)
 		if i < 0 {
-			return nil, false
+			return 0, 0, false
 		}
-		chunk = chunk[i+len(key):]
-		rest := skipSpace(chunk)
+		at += i + len(key)
+		rest := skipSpace(chunk[at:])
 		if len(rest) == 0 || rest[0] != ':' {
 			continue
 		}
@@ -44,7 +99,8 @@
 			continue
 		}
 		if end := closingQuote(rest[1:]); end >= 0 {
-			return rest[1 : 1+end], true
+			from = len(chunk) - len(rest) + 1
+			return from, from + end, true
 		}
 	}
 }
--- a/internal/api/completions_test.go
+++ b/internal/api/completions_test.go
@@ -21,6 +21,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/fleet"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
 	"cornelsaddle.example/cornelsaddle/internal/prompt"
 	"cornelsaddle.example/cornelsaddle/internal/reserve"
@@ -41,9 +42,18 @@
 	}
 	return []placement.View{{ID: "e", Rate: 1e6, Memory: engineMemory}}
 }
-func (oneEngine) Sent(string, string, int64, wire.Priority) {}
-func (oneEngine) Started(string, string)                    {}
-func (oneEngine) Failed(string)                             {}
+func (e oneEngine) Place(snap *confsync.Snapshot, service string, except map[string]bool, p placement.Prompt) (placement.Choice, placement.View) {
+	views := e.Views(snap, service, except)
+	if len(views) == 0 {
+		return placement.Choice{Index: -1}, placement.View{}
+	}
+	return placement.Choice{Priority: p.Priority}, views[0]
+}
+func (oneEngine) SentPrompt(string, string, placement.Prompt, wire.Priority) {}
+func (oneEngine) FirstToken(string, string)                                  {}
+func (oneEngine) Started(string, string)                                     {}
+func (oneEngine) Answered(string, fleet.Answer)                              {}
+func (oneEngine) Failed(string)                                              {}
 
 // noHolder holds nothing.
 type noHolder struct{}
@@ -69,7 +79,7 @@
 	require.NoError(t, err)
 	streams, caller := endpoint.New(), endpoint.NewCaller()
 	runner := prompt.NewRunner(cfg, oneEngine{}, streams, caller, noHolder{}, log, metrics.New())
-	f := &front{API: New(nil, runner, nil, log), engine: e}
+	f := &front{API: New(nil, runner, nil, log, metrics.New()), engine: e}
 	snapshot := &confsync.Snapshot{Version: 1, Document: &configuration.Document{
 		Organisations: map[string]configuration.Organisation{"framers": {Services: []string{"pool"}}},
 		Services:      map[string]configuration.Service{"pool": {Kind: configuration.KindModel, MaxTimeoutMs: time.Hour.Milliseconds()}},
--- a/internal/api/eventstream.go
+++ b/internal/api/eventstream.go
@@ -15,63 +15,74 @@
 	eventEnd   = "\n\n"
 )
 
-// eventStream is an answer as the body of a response. Each Read waits for one
+// maxBatchBytes bounds what is gathered for one write.
+const maxBatchBytes = 32 << 10
+
+// eventStream is an answer as the body of a response. Each write waits for one
 // token and takes those that are ready with it, so that tokens that come
-// together go out in one write.
+// together go out together.
 type eventStream struct {
 	answer *prompt.Answer
-	// rest is what did not fit into the last Read.
-	rest []byte
-	done bool
+	// batch is what was gathered, and sent what of it Read handed out.
+	batch []byte
+	sent  int
+	done  bool
 	// failed encodes the last event of a failed answer.
 	failed func(error) []byte
 	// closed is called once, by Close.
 	closed func()
 }
 
-// Read implements io.Reader.
-func (s *eventStream) Read(p []byte) (int, error) {
-	n := s.flush(p)
-	for n < len(p) && !s.done {
-		data, err := s.answer.Next(n == 0)
+// SupportsBodyWriteTo tells fasthttp that WriteTo writes what Read reads.
+func (s *eventStream) SupportsBodyWriteTo() bool { return true }
+
+// WriteTo implements io.WriterTo: each batch is one write.
+func (s *eventStream) WriteTo(w io.Writer) (int64, error) {
+	total := int64(0)
+	for s.gather() {
+		n, err := w.Write(s.batch)
+		total += int64(n)
 		if err != nil {
-			s.end(err)
-			return n + s.flush(p[n:]), nil
+			return total, errors.WithStack(err)
 		}
-		if data == nil {
-			return n, nil
-		}
-		n += s.write(p[n:], data)
+		s.batch = s.batch[:0]
 	}
-	if n == 0 && s.done {
-		return 0, io.EOF
+	return total, nil
+}
+
+// Read implements io.Reader.
+func (s *eventStream) Read(p []byte) (int, error) {
+	if s.sent == len(s.batch) {
+		s.batch, s.sent = s.batch[:0], 0
+		if !s.gather() {
+			return 0, io.EOF
+		}
 	}
+	n := copy(p, s.batch[s.sent:])
+	s.sent += n
 	return n, nil
 }
 
-// write frames the data straight into p where it fits, and over rest otherwise.
-func (s *eventStream) write(p, data []byte) int {
-	if size := len(eventStart) + len(data) + len(eventEnd); size > len(p) {
+// gather fills an empty batch. It reports false at the end.
+func (s *eventStream) gather() bool {
+	for !s.done && len(s.batch) < maxBatchBytes {
+		data, err := s.answer.Next(len(s.batch) == 0)
+		if err != nil {
+			s.end(err)
+			break
+		}
+		if data == nil {
+			break
+		}
 		s.add(data)
-		return s.flush(p)
 	}
-	n := copy(p, eventStart)
-	n += copy(p[n:], data)
-	return n + copy(p[n:], eventEnd)
+	return len(s.batch) > 0
 }
 
-// add frames the data into rest.
 func (s *eventStream) add(data []byte) {
-	s.rest = append(s.rest, eventStart...)
-	s.rest = append(s.rest, data...)
-	s.rest = append(s.rest, eventEnd...)
-}
-
-// flush moves what it can of rest into p.
-func (s *eventStream) flush(p []byte) int {
-	n := copy(p, s.rest)
-	s.rest = s.rest[:copy(s.rest, s.rest[n:])]
-	return n
+	s.batch = append(s.batch, eventStart...)
+	s.batch = append(s.batch, data...)
+	s.batch = append(s.batch, eventEnd...)
 }
 
 // end adds the last event.
@@ -84,7 +95,7 @@
 	s.add(s.failed(err))
 }
 
-// Close implements io.Closer; fasthttp calls it after the last Read.
+// Close implements io.Closer; fasthttp calls it after the last write.
 func (s *eventStream) Close() error {
 	s.answer.Close()
 	if s.closed != nil {
--- a/internal/endpoint/events.go
+++ b/internal/endpoint/events.go
@@ -10,6 +10,8 @@
 const (
 	// firstEventBytes is the buffer that a stream starts with.
 	firstEventBytes = 4 << 10
+	// maxReadBytes is the buffer of a stream that fills a smaller one at once.
+	maxReadBytes = 32 << 10
 	// maxEventBytes is the longest event of a stream.
 	maxEventBytes = 1 << 20
 )
@@ -34,6 +36,8 @@
 	to   int
 	// scanned is how far the search for the event's end has come.
 	scanned int
+	// full says that the last read filled the buffer.
+	full bool
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -82,7 +86,7 @@
 // fill reads more into the buffer, which it shifts or grows when it is full.
 func (e *eventReader) fill() error {
 	if e.from == e.to {
-		e.from, e.to, e.scanned = 0, 0, 0
+		e.empty()
 	}
 	if e.to == len(e.buf) {
 		if err := e.makeRoom(); err != nil {
@@ -91,6 +95,7 @@
 	}
 	n, err := e.r.Read(e.buf[e.to:])
 	e.to += n
+	e.full = e.to == len(e.buf)
 	if n > 0 {
 		return nil
 	}
@@ -100,12 +105,20 @@
 	return err
 }
 
+// empty starts the buffer anew, a larger one where reads fill it.
+func (e *eventReader) empty() {
+	e.from, e.to, e.scanned = 0, 0, 0
+	if e.full && len(e.buf) < maxReadBytes {
+		e.buf = make([]byte, 2*len(e.buf))
+	}
+}
+
 func (e *eventReader) makeRoom() error {
 	if e.from == 0 && len(e.buf) >= maxEventBytes {
 		return errors.WithStack(&EventSizeError{})
 	}
 	buf := e.buf
-	if e.from == 0 {
+	if e.from == 0 || e.full && len(e.buf) < maxReadBytes {
 		buf = make([]byte, 2*len(e.buf))
 	}
 	e.to = copy(buf, e.buf[e.from:e.to])
--- a/internal/prompt/answer.go
+++ b/internal/prompt/answer.go
@@ -14,6 +14,7 @@
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/fleet"
 	"cornelsaddle.example/cornelsaddle/internal/reserve"
 )
 
@@ -62,7 +63,7 @@
 	// event is the next one for the chart.
 	event    statechart.Event
 	assembly *stream.Assembly
-	text     resumeText
+	text     stream.Text
 	chunk    []byte
 	ready    bool
 
@@ -87,12 +88,16 @@
 type attempt struct {
 	endpoint  string
 	address   string
+	priority  wire.Priority
 	predicted time.Duration
 	// pending says that the fleet counts it as waiting for its first token.
 	pending bool
 	sent    bool
-	stream  *endpoint.Stream
-	cancel  context.CancelCauseFunc
+	// first is when its first token came; from is that token's index.
+	first  time.Time
+	from   int64
+	stream *endpoint.Stream
+	cancel context.CancelCauseFunc
 	// shares are to be set aside; grant holds them. Its loss ends ctx.
 	shares []reservation.Share
 	grant  *reserve.Grant
@@ -212,11 +217,15 @@
 
 func (a *Answer) deliver() {
 	a.ready = true
-	a.text.add(a.chunk)
+	a.text.Add(a.chunk)
 	if !a.attempt.pending {
 		return
 	}
-	a.started()
+	a.attempt.pending = false
+	a.watch.firstToken()
+	a.attempt.first = time.Now()
+	a.attempt.from = a.assembly.Delivered() - 1
+	a.fleet.FirstToken(a.attempt.endpoint, a.req.ID)
 	a.succeeded(a.attempt.endpoint)
 	if a.assembly.Delivered() == 1 {
 		a.metrics.FirstToken(a.req.Organisation, a.req.Class.Name, time.Since(a.start))
@@ -259,7 +268,7 @@
 
 // mayRetry reports whether a failed attempt may be followed by another.
 func (a *Answer) mayRetry() bool {
-	if a.assembly.Delivered() > 0 && !a.text.whole {
+	if a.assembly.Delivered() > 0 && !a.text.Whole() {
 		return false
 	}
 	return a.Runner.mayRetry(a.attempts, time.Until(a.req.Deadline))
@@ -297,12 +306,22 @@
 	a.done()
 }
 
+// account tells the fleet what the whole answer says of itself.
+func (a *Answer) account() {
+	tokens := a.assembly.Delivered() - a.attempt.from - 1
+	if a.attempt.first.IsZero() || tokens <= 0 {
+		return
+	}
+	a.fleet.Answered(a.attempt.endpoint, fleet.Answer{Tokens: tokens, Took: time.Since(a.attempt.first)})
+}
+
 // end is the outcome of a request whose chart is done.
 func (a *Answer) end() error {
 	a.started()
 	a.closeStream()
 	switch a.machine.State() {
 	case stFinished:
+		a.account()
 		return io.EOF
 	case stCancelled:
 		return errcode.New(errcode.Cancelled, "the caller went away").WithRan(a.ranSoFar())
--- a/internal/prompt/attempt.go
+++ b/internal/prompt/attempt.go
@@ -44,11 +44,11 @@
 }
 
 func (a *Answer) placeOne(except map[string]bool) bool {
-	choice, view := a.pick(except)
+	choice, view := a.fleet.Place(a.req.Snapshot, a.req.Service, except, a.prompt())
 	if choice.Index < 0 {
 		return false
 	}
-	a.choose(view.ID, choice.FirstToken)
+	a.choose(view.ID, choice.FirstToken, choice.Priority)
 	if a.req.Class.Low {
 		a.attempt.shares = []reservation.Share{{Endpoint: view.ID, Tokens: a.need()}}
 	}
@@ -77,7 +77,7 @@
 		return false
 	}
 	i := slices.IndexFunc(views, func(v placement.View) bool { return v.ID == lead })
-	a.choose(lead, a.firstToken(&views[i]))
+	a.choose(lead, a.firstToken(&views[i]), a.priority())
 	a.attempt.shares = shares
 	return true
 }
@@ -99,7 +99,8 @@
 	return time.Duration(placement.FirstToken(&p, v) * float64(time.Second))
 }
 
-func (a *Answer) choose(id string, firstToken time.Duration) {
+func (a *Answer) choose(id string, firstToken time.Duration, priority wire.Priority) {
+	a.attempt.priority = priority
 	a.attempt.endpoint = id
 	a.attempt.address = a.req.Snapshot.Endpoints[id].Address
 	a.attempt.predicted = firstToken
@@ -114,15 +115,6 @@
 	}
 }
 
-func (a *Answer) pick(except map[string]bool) (placement.Choice, placement.View) {
-	views := a.fleet.Views(a.req.Snapshot, a.req.Service, except)
-	choice := placement.Pick(a.prompt(), views)
-	if choice.Index < 0 {
-		return choice, placement.View{}
-	}
-	return choice, views[choice.Index]
-}
-
 // union joins two sets; it returns one of them where the other is empty.
 func union(a, b map[string]bool) map[string]bool {
 	if len(a) == 0 {
@@ -211,9 +203,9 @@
 	a.handed = true
 	a.tried[a.attempt.endpoint] = true
 	a.attempt.pending = true
-	a.fleet.Sent(a.attempt.endpoint, a.req.ID, a.req.Tokens, a.priority())
+	a.fleet.SentPrompt(a.attempt.endpoint, a.req.ID, a.prompt(), a.attempt.priority)
 	a.breakerSent(a.attempt.endpoint)
-	body, err := a.text.body(a.req.Body, a.assembly.Delivered())
+	body, err := resumeBody(a.req.Body, a.text.Escaped(), a.assembly.Delivered())
 	if err != nil {
 		return a.failed(err)
 	}
@@ -228,7 +220,7 @@
 		Request:     a.req.ID,
 		Number:      a.attempts,
 		Owner:       a.holder.Owner(),
-		Priority:    a.priority(),
+		Priority:    a.attempt.priority,
 		Reservation: a.attempt.reservation(),
 		Body:        body,
 	})
--- a/internal/prompt/body.go
+++ b/internal/prompt/body.go
@@ -7,8 +7,6 @@
 	"strings"
 
 	"github.com/pkg/errors"
-
-	"cornelsaddle.example/cornelsaddle/core/stream"
 )
 
 // The fields of a body that the VM sets.
@@ -57,29 +55,15 @@
 		strings.EqualFold(name, fieldResume)
 }
 
-// resumeText is the answer's text so far, as it stood in the chunks, with its
-// JSON escapes. It is whole as long as the text alone is the answer.
-type resumeText struct {
-	escaped []byte
-	whole   bool
-}
-
-func (t *resumeText) add(chunk []byte) {
-	if !t.whole {
-		return
-	}
-	t.escaped, t.whole = stream.AppendText(t.escaped, chunk)
-}
-
-// body is the body of an attempt after so many tokens were delivered: the first
-// one passes unchanged.
-func (t *resumeText) body(body []byte, delivered int64) ([]byte, error) {
+// resumeBody is the body of an attempt after so many tokens were delivered: the
+// first one passes unchanged. The text has its JSON escapes.
+func resumeBody(body, escaped []byte, delivered int64) ([]byte, error) {
 	if delivered == 0 {
 		return body, nil
 	}
-	text := make([]byte, 0, len(t.escaped)+2)
+	text := make([]byte, 0, len(escaped)+2)
 	text = append(text, '"')
-	text = append(text, t.escaped...)
+	text = append(text, escaped...)
 	text = append(text, '"')
 	return rewrite(body, map[string]json.RawMessage{
 		fieldStream:    json.RawMessage("true"),
--- a/internal/prompt/body_test.go
+++ b/internal/prompt/body_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/stream"
 )
 
 func fieldsOf(t *testing.T, body []byte) map[string]json.RawMessage {
@@ -23,16 +25,16 @@
 }
 
 func TestResumedBodyCarriesTheText(t *testing.T) {
-	text := resumeText{whole: true}
+	var text stream.Text
 	want := ""
 	for _, piece := range []string{"ash ", `"spruce" `, "tab\t", "řeka ", `\`} {
 		data, err := json.Marshal(map[string]any{"choices": []any{map[string]any{"index": 0, "text": piece}}})
 		require.NoError(t, err)
-		text.add(data)
+		text.Add(data)
 		want += piece
 	}
-	require.True(t, text.whole)
-	body, err := text.body([]byte(`{"model":"m","stream":true,"stream":true,"seed":7}`), 5)
+	require.True(t, text.Whole())
+	body, err := resumeBody([]byte(`{"model":"m","stream":true,"stream":true,"seed":7}`), text.Escaped(), 5)
 	require.NoError(t, err)
 	var got struct {
 		Delivered int
--- a/internal/prompt/fake_test.go
+++ b/internal/prompt/fake_test.go
@@ -14,6 +14,7 @@
 	"cornelsaddle.example/cornelsaddle/core/placement"
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
+	"cornelsaddle.example/cornelsaddle/internal/fleet"
 	"cornelsaddle.example/cornelsaddle/internal/reserve"
 )
 
@@ -212,12 +213,25 @@
 	return out
 }
 
-func (f *fixedFleet) Sent(string, string, int64, wire.Priority) {
+func (f *fixedFleet) Place(snap *confsync.Snapshot, service string, except map[string]bool, p placement.Prompt) (placement.Choice, placement.View) {
+	views := f.Views(snap, service, except)
+	choice := placement.Pick(p, views)
+	if choice.Index < 0 {
+		return choice, placement.View{}
+	}
+	return choice, views[choice.Index]
+}
+
+func (f *fixedFleet) SentPrompt(string, string, placement.Prompt, wire.Priority) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.pending++
 }
 
+func (f *fixedFleet) FirstToken(id, request string) { f.Started(id, request) }
+
+func (f *fixedFleet) Answered(string, fleet.Answer) {}
+
 func (f *fixedFleet) Started(string, string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/prompt/prompt.go
+++ b/internal/prompt/prompt.go
@@ -24,6 +24,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/fleet"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
 	"cornelsaddle.example/cornelsaddle/internal/reserve"
 )
@@ -55,20 +56,27 @@
 		StallFactor:   4,
 		StallBetween:  5 * time.Second,
 		CallerStall:   30 * time.Second,
-		Watch:         250 * time.Millisecond,
+		Watch:         500 * time.Millisecond,
 		CancelTimeout: time.Second,
 	}
 }
 
 // Fleet is what is known of the endpoints.
 type Fleet interface {
+	// Place chooses an endpoint of the service for the prompt, other than those
+	// in except.
+	Place(snap *confsync.Snapshot, service string, except map[string]bool, p placement.Prompt) (placement.Choice, placement.View)
 	// Views lists the service's endpoints that take work, but for those in
 	// except.
 	Views(snap *confsync.Snapshot, service string, except map[string]bool) []placement.View
-	// Sent notes an attempt that was sent, Started that it has its first token
-	// or ended, Failed that the endpoint failed it.
-	Sent(id, request string, tokens int64, priority wire.Priority)
+	// SentPrompt notes that the request was sent to the endpoint, FirstToken
+	// that its first token came, Started that it waits there no longer, and
+	// Answered the account of its whole answer.
+	SentPrompt(id, request string, p placement.Prompt, priority wire.Priority)
+	FirstToken(id, request string)
 	Started(id, request string)
+	Answered(id string, a fleet.Answer)
+	// Failed notes that the endpoint failed.
 	Failed(id string)
 }
 
@@ -158,7 +166,6 @@
 		free:     make(map[string]int64),
 		start:    time.Now(),
 		assembly: stream.New(req.ID),
-		text:     resumeText{whole: true},
 		event:    evAdmitted,
 	}
 	machine, err := statechart.NewMachine(r.chart, statechart.Guards{mayRetry: a.mayRetry, mayWait: a.mayWait})
--- a/internal/prompt/watch.go
+++ b/internal/prompt/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,17 +16,18 @@
 	deadline time.Time
 	cancel   context.CancelCauseFunc
 
+	// waiting says that the request waits for the engine, and not for its
+	// caller to read. events counts what moves the request on.
+	waiting atomic.Bool
+	events  atomic.Uint64
+
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
-	// waiting says that the request waits for the engine, and not for its
-	// caller to read.
-	waiting bool
-	// events counts the stream's; seen is their number at the last look, and
-	// since when it has not changed.
-	events uint64
-	seen   uint64
-	since  time.Time
+	// seen is the number of events at the last look, and since when it has not
+	// changed.
+	seen  uint64
+	since time.Time
 	// abort ends the attempt, which may take so long to its next token.
 	abort    context.CancelCauseFunc
 	patience time.Duration
@@ -40,19 +42,12 @@
 
 // reading notes whether the request waits for the engine.
 func (w *watch) reading(waiting bool) {
-	w.mu.Lock()
-	w.waiting = waiting
-	w.events++
-	w.mu.Unlock()
+	w.waiting.Store(waiting)
+	w.events.Add(1)
 }
 
 // progress notes an event of the stream.
-func (w *watch) progress() {
-	w.mu.Lock()
-	w.events++
-	w.patience = w.cfg.StallBetween
-	w.mu.Unlock()
-}
+func (w *watch) progress() { w.events.Add(1) }
 
 // attempt begins to watch an attempt; nil for none.
 func (w *watch) attempt(abort context.CancelCauseFunc, patience time.Duration) {
@@ -60,7 +55,14 @@
 	defer w.mu.Unlock()
 	w.abort, w.patience = abort, patience
 	w.stalled = nil
-	w.events++
+	w.events.Add(1)
+}
+
+// firstToken says that the attempt has had its first token.
+func (w *watch) firstToken() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.patience = w.cfg.StallBetween
 }
 
 // stall is the StallError of an attempt that was cancelled for it; nil if not.
@@ -78,27 +80,27 @@
 	w.timer.Stop()
 }
 
+// look is called by the timer. A request that moves needs no look at its
+// caller: a write tells.
 func (w *watch) look() {
-	gone := w.caller.Gone()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped {
 		return
 	}
 	w.timer.Reset(w.cfg.Watch)
-	if gone {
-		w.cancel(&CallerGoneError{})
-	}
 	now := time.Now()
-	if w.events != w.seen {
-		w.seen, w.since = w.events, now
+	if events := w.events.Load(); events != w.seen {
+		w.seen, w.since = events, now
+	} else if w.caller.Gone() {
+		w.cancel(&CallerGoneError{})
 	}
 	w.judge(now.Sub(w.since), now)
 }
 
 // judge acts on a request that has not moved for so long.
 func (w *watch) judge(idle time.Duration, now time.Time) {
-	if w.waiting {
+	if w.waiting.Load() {
 		if w.abort != nil && idle > w.patience {
 			w.stalled = &StallError{}
 			w.abort(w.stalled)
--- a/test/capacity/roles.go
+++ b/test/capacity/roles.go
@@ -101,7 +101,7 @@
 			return
 		}
 	}
-	_, _ = w.WriteString("data: " + wire.StreamDone + "\n\n")
+	_, _ = w.WriteString("id: " + prefix + strconv.Itoa(tokens) + "\ndata: " + wire.StreamDone + "\n\n")
 	_ = w.Flush()
 }
 
