Tell the fleet when an attempt is over, and peers of long prefills

Cause: the fleet counts the memory of attempts in flight, so it has to hear of their end; before, it heard only of the first token or of an early end. Change: Ended replaces Started; the fake fleet counts attempts that were not ended, which the stateful test checks to be none. A group's lead counts only its own share. Shown by: go test ./internal/prompt ./internal/api ./internal/node

--- a/internal/api/completions_test.go
+++ b/internal/api/completions_test.go
@@ -51,7 +51,7 @@
 }
 func (oneEngine) SentPrompt(string, string, placement.Prompt, wire.Priority) {}
 func (oneEngine) FirstToken(string, string)                                  {}
-func (oneEngine) Started(string, string)                                     {}
+func (oneEngine) Ended(string, string)                                       {}
 func (oneEngine) Answered(string, fleet.Answer)                              {}
 func (oneEngine) Failed(string)                                              {}
 
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -6,11 +6,16 @@
 	"cornelsaddle.example/cornelsaddle/core/wire"
 )
 
-// DigestEntry is the prefill that a VM sent to one endpoint, by priority, in
-// tokens.
+// noticeTokens is the prefill from which on peers are told of a prompt at once,
+// and not with the next digest.
+const noticeTokens = 8 << 10
+
+// DigestEntry is the prefill that a VM sent to one endpoint, by priority, and by
+// how much the memory that it holds there changed, in tokens.
 type DigestEntry struct {
 	Endpoint string   `json:"endpoint"`
 	Tokens   [2]int64 `json:"tokens"`
+	Held     int64    `json:"held,omitempty"`
 }
 
 // Digest is what a VM sent since its last digest, so that its peers need not
@@ -32,11 +37,11 @@
 		if len(d.Entries) == limit {
 			break
 		}
-		if st.sent == [2]int64{} {
+		if st.sent == [2]int64{} && st.held == 0 {
 			continue
 		}
-		d.Entries = append(d.Entries, DigestEntry{id, st.sent})
-		st.sent = [2]int64{}
+		d.Entries = append(d.Entries, DigestEntry{id, st.sent, st.held})
+		st.sent, st.held = [2]int64{}, 0
 	}
 	return d
 }
@@ -52,10 +57,23 @@
 		if st == nil {
 			continue
 		}
-		for priority, tokens := range e.Tokens {
-			if tokens > 0 {
-				st.known.PeerSent(at, tokens, tokens, wire.Priority(priority))
-			}
-		}
+		st.known.PeerSent(at, e.Tokens[wire.PriorityLow], e.Held, wire.PriorityLow)
+		st.known.PeerSent(at, e.Tokens[wire.PriorityHigh], 0, wire.PriorityHigh)
 	}
 }
+
+// SetNotify sets what tells the peers of a long prefill at once. It is called
+// with the fleet locked and must not wait.
+func (f *Fleet) SetNotify(notify func(DigestEntry)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.notify = notify
+}
+
+// entry is the notice of one long prefill, with the memory not told yet.
+func (s *state) entry(id string, priority wire.Priority, work int64) DigestEntry {
+	e := DigestEntry{Endpoint: id, Held: s.held}
+	e.Tokens[priority] = work
+	s.held = 0
+	return e
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,8 +23,10 @@
 	incarnation string
 	// polled is when the last poll was begun.
 	polled time.Time
-	// sent sums up, by priority, what this VM sent since the last digest.
+	// sent sums up, by priority, what this VM sent since the last digest, and
+	// held by how much the memory that it holds there changed.
 	sent [2]int64
+	held int64
 }
 
 // Fleet is safe for concurrent use.
@@ -39,6 +41,8 @@
 	states map[string]*state
 	picker *placement.Picker
 	scope  *scope
+	// notify tells the peers of a long prefill at once; nil for no peers.
+	notify func(DigestEntry)
 	views  []placement.View
 }
 
@@ -123,17 +127,18 @@
 	return choice, f.views[choice.Index]
 }
 
-// Sent notes an attempt that was sent to the endpoint.
-func (f *Fleet) Sent(id, attempt string, tokens int64, priority wire.Priority) {
-	f.SentPrompt(id, attempt, placement.Prompt{Tokens: tokens, Priority: priority}, priority)
-}
-
 // SentPrompt notes an attempt that was sent to the endpoint at the priority.
 func (f *Fleet) SentPrompt(id, attempt string, p placement.Prompt, priority wire.Priority) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	st := f.state(id, configuration.Endpoint{})
-	st.sent[priority] += st.known.Sent(time.Now(), attempt, &p, priority)
+	work := st.known.Sent(time.Now(), attempt, &p, priority)
+	st.held += p.Need()
+	if work >= noticeTokens && f.notify != nil {
+		f.notify(st.entry(id, priority, work))
+		return
+	}
+	st.sent[priority] += work
 }
 
 // FirstToken notes that the attempt had its first token.
@@ -143,12 +148,12 @@
 	f.known(id).FirstToken(time.Now(), attempt)
 }
 
-// Started notes that the attempt had its first token, or ended: it no longer
-// waits, and nothing is learnt from it.
-func (f *Fleet) Started(id, attempt string) {
+// Ended notes that the attempt is over, with or without an answer.
+func (f *Fleet) Ended(id, attempt string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.known(id).Ended(time.Now(), attempt)
+	st := f.state(id, configuration.Endpoint{})
+	st.held -= st.known.Ended(time.Now(), attempt)
 }
 
 // Answer is a whole answer's account of itself.
--- a/internal/prompt/answer.go
+++ b/internal/prompt/answer.go
@@ -90,8 +90,10 @@
 	address   string
 	priority  wire.Priority
 	predicted time.Duration
-	// pending says that the fleet counts it as waiting for its first token.
-	pending bool
+	// counted says that the fleet counts it as under way, waiting that it has no
+	// first token yet.
+	counted bool
+	waiting bool
 	sent    bool
 	// first is when its first token came; from is that token's index.
 	first  time.Time
@@ -218,10 +220,10 @@
 func (a *Answer) deliver() {
 	a.ready = true
 	a.text.Add(a.chunk)
-	if !a.attempt.pending {
+	if !a.attempt.waiting {
 		return
 	}
-	a.attempt.pending = false
+	a.attempt.waiting = false
 	a.watch.firstToken()
 	a.attempt.first = time.Now()
 	a.attempt.from = a.assembly.Delivered() - 1
@@ -232,11 +234,12 @@
 	}
 }
 
-// started tells the fleet that the attempt no longer waits.
-func (a *Answer) started() {
-	if a.attempt.pending {
-		a.attempt.pending = false
-		a.fleet.Started(a.attempt.endpoint, a.req.ID)
+// ended tells the fleet that the attempt is over.
+func (a *Answer) ended() {
+	if a.attempt.counted {
+		a.attempt.counted = false
+		a.attempt.waiting = false
+		a.fleet.Ended(a.attempt.endpoint, a.req.ID)
 	}
 }
 
@@ -302,7 +305,7 @@
 	a.cancel(errors.WithStack(&ClosedError{}))
 	a.event = evCallerGone
 	_ = a.step()
-	a.started()
+	a.ended()
 	a.done()
 }
 
@@ -317,7 +320,7 @@
 
 // end is the outcome of a request whose chart is done.
 func (a *Answer) end() error {
-	a.started()
+	a.ended()
 	a.closeStream()
 	switch a.machine.State() {
 	case stFinished:
--- a/internal/prompt/attempt.go
+++ b/internal/prompt/attempt.go
@@ -115,6 +115,18 @@
 	}
 }
 
+// leadPrompt is what the endpoint itself has to hold: of a group's memory, the
+// share of its lead.
+func (a *Answer) leadPrompt() placement.Prompt {
+	p := a.prompt()
+	for _, s := range a.attempt.shares {
+		if s.Endpoint != a.attempt.endpoint {
+			p.Reserved += s.Tokens
+		}
+	}
+	return p
+}
+
 // union joins two sets; it returns one of them where the other is empty.
 func union(a, b map[string]bool) map[string]bool {
 	if len(a) == 0 {
@@ -202,8 +214,9 @@
 	a.attempts++
 	a.handed = true
 	a.tried[a.attempt.endpoint] = true
-	a.attempt.pending = true
-	a.fleet.SentPrompt(a.attempt.endpoint, a.req.ID, a.prompt(), a.attempt.priority)
+	a.attempt.counted = true
+	a.attempt.waiting = true
+	a.fleet.SentPrompt(a.attempt.endpoint, a.req.ID, a.leadPrompt(), a.attempt.priority)
 	a.breakerSent(a.attempt.endpoint)
 	body, err := resumeBody(a.req.Body, a.text.Escaped(), a.assembly.Delivered())
 	if err != nil {
@@ -276,7 +289,7 @@
 
 // cancelAttempt ends the attempt's stream and frees what it holds.
 func (a *Answer) cancelAttempt() {
-	a.started()
+	a.ended()
 	a.closeStream()
 	if !a.attempt.sent {
 		return
--- a/internal/prompt/fake_test.go
+++ b/internal/prompt/fake_test.go
@@ -228,11 +228,11 @@
 	f.pending++
 }
 
-func (f *fixedFleet) FirstToken(id, request string) { f.Started(id, request) }
+func (f *fixedFleet) FirstToken(string, string) {}
 
 func (f *fixedFleet) Answered(string, fleet.Answer) {}
 
-func (f *fixedFleet) Started(string, string) {
+func (f *fixedFleet) Ended(string, string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.pending--
--- a/internal/prompt/prompt.go
+++ b/internal/prompt/prompt.go
@@ -70,11 +70,11 @@
 	// except.
 	Views(snap *confsync.Snapshot, service string, except map[string]bool) []placement.View
 	// SentPrompt notes that the request was sent to the endpoint, FirstToken
-	// that its first token came, Started that it waits there no longer, and
+	// that its first token came, Ended that its attempt there is over, and
 	// Answered the account of its whole answer.
 	SentPrompt(id, request string, p placement.Prompt, priority wire.Priority)
 	FirstToken(id, request string)
-	Started(id, request string)
+	Ended(id, request string)
 	Answered(id string, a fleet.Answer)
 	// Failed notes that the endpoint failed.
 	Failed(id string)
