Admit by calibrated predictions and enforce shares only under pressure

Cause: shares by the predicted wait alone refused large organisations where all could be served; predictions for long prompts erred high. Change: the controller learns its predictions' bias by priority and enforces shares in proportion to the part of the tokens that it turns away.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -1,9 +1,12 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"cornelsaddle.example/cornelsaddle/core/wire"
 )
 
 const (
@@ -13,6 +16,13 @@
 	// minPatience bounds how much earlier an organisation beyond its share is
 	// refused.
 	minPatience = 0.1
+	// biasGain is the weight of one first token in the learnt bias.
+	biasGain = 0.02
+	minBias  = 0.25
+	maxBias  = 2
+	// minJudged is the least prediction that teaches the bias: below it, fixed
+	// costs outweigh the queue.
+	minJudged = 200 * time.Millisecond
 )
 
 // Config has the parameters of admission.
@@ -24,9 +34,10 @@
 	// wait.
 	MinRetry time.Duration
 	MaxRetry time.Duration
-	// BusyAfter is the predicted first token from which on the service counts
-	// as busy and shares are enforced.
-	BusyAfter time.Duration
+	// FullPressure is the part of the tokens asked for that is refused, or would
+	// be, from which on shares are enforced in full; below it in proportion.
+	// Zero for no enforcement.
+	FullPressure float64
 	// ShareTime is the time constant over which tokens are counted.
 	ShareTime time.Duration
 }
@@ -34,11 +45,11 @@
 // DefaultConfig returns the parameters that the service runs with.
 func DefaultConfig() Config {
 	return Config{
-		Tolerance: 0.1,
-		MinRetry:  time.Second,
-		MaxRetry:  2 * time.Minute,
-		BusyAfter: 2 * time.Second,
-		ShareTime: time.Minute,
+		Tolerance:    0.1,
+		MinRetry:     time.Second,
+		MaxRetry:     2 * time.Minute,
+		FullPressure: 0.1,
+		ShareTime:    time.Minute,
 	}
 }
 
@@ -55,6 +66,8 @@
 		return errors.WithStack(&ConfigError{"Tolerance"})
 	case c.MinRetry <= 0 || c.MaxRetry < c.MinRetry:
 		return errors.WithStack(&ConfigError{"MinRetry"})
+	case c.FullPressure < 0 || c.FullPressure > 1:
+		return errors.WithStack(&ConfigError{"FullPressure"})
 	case c.ShareTime <= 0:
 		return errors.WithStack(&ConfigError{"ShareTime"})
 	}
@@ -78,6 +91,7 @@
 	Tokens int64
 	// Remaining is the time to its deadline.
 	Remaining time.Duration
+	Priority  wire.Priority
 }
 
 // Decision is the result of Decide.
@@ -97,30 +111,70 @@
 	shares *Shares
 	// answered is the learnt ratio of answers to the longest allowed.
 	answered float64
+	// bias is the learnt ratio of first tokens to their prediction, by priority.
+	bias [2]float64
+	// asked and refused are decayed counts of tokens.
+	asked, refused float64
+	countedAt      time.Time
 }
 
 // NewController returns a Controller that has learnt nothing.
 func NewController(cfg Config) *Controller {
-	return &Controller{cfg: cfg, shares: NewShares(cfg.ShareTime), answered: 1}
+	return &Controller{cfg: cfg, shares: NewShares(cfg.ShareTime), answered: 1, bias: [2]float64{1, 1}}
 }
 
 // Decide admits the request, and counts its tokens, or refuses it.
 func (c *Controller) Decide(now time.Time, r Request, p Prediction) Decision {
-	expected := p.FirstToken + time.Duration(c.answered*float64(p.Answer))
-	limit := time.Duration(float64(r.Remaining) * (1 + c.cfg.Tolerance))
+	expected := scale(p.FirstToken, c.bias[r.Priority]) + scale(p.Answer, c.answered)
+	limit := scale(r.Remaining, 1+c.cfg.Tolerance)
+	c.count(now, r.Tokens, expected > limit)
 	if expected > limit {
 		return Decision{RetryAfter: c.retryAfter(expected - r.Remaining)}
 	}
-	if p.FirstToken > c.cfg.BusyAfter {
-		patience := c.shares.Patience(now, r.Organisation, r.Weight)
-		if within := time.Duration(float64(limit) * patience); expected > within {
-			return Decision{OverShare: true, RetryAfter: c.retryAfter(expected - within)}
-		}
+	if within := scale(limit, c.patience(now, r)); expected > within {
+		return Decision{OverShare: true, RetryAfter: c.retryAfter(expected - within)}
 	}
 	c.shares.Count(now, r.Organisation, r.Weight, r.Tokens)
 	return Decision{Admitted: true}
 }
 
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
+// patience is the part of its time that the request may be predicted to take:
+// all of it, unless the service turns prompts away and the organisation is
+// beyond its share.
+func (c *Controller) patience(now time.Time, r Request) float64 {
+	if c.cfg.FullPressure == 0 || c.refused == 0 {
+		return 1
+	}
+	enforced := min(1, c.refused/c.asked/c.cfg.FullPressure)
+	return 1 - enforced*(1-c.shares.Patience(now, r.Organisation, r.Weight))
+}
+
+// count feeds the pressure.
+func (c *Controller) count(now time.Time, tokens int64, unreachable bool) {
+	if passed := now.Sub(c.countedAt); passed > 0 {
+		left := math.Exp(-passed.Seconds() / c.cfg.ShareTime.Seconds())
+		c.asked *= left
+		c.refused *= left
+		c.countedAt = now
+	}
+	c.asked += float64(tokens)
+	if unreachable {
+		c.refused += float64(tokens)
+	}
+}
+
+// FirstToken notes how long an admitted prompt took to its first token, and the
+// prediction that it was admitted by.
+func (c *Controller) FirstToken(priority wire.Priority, predicted, took time.Duration) {
+	if predicted < minJudged {
+		return
+	}
+	ratio := min(float64(took)/float64(predicted), maxBias)
+	c.bias[priority] = max(minBias, c.bias[priority]+biasGain*(ratio-c.bias[priority]))
+}
+
 // retryAfter is the time in which the queue drains by the excess.
 func (c *Controller) retryAfter(excess time.Duration) time.Duration {
 	return min(max(excess, c.cfg.MinRetry), c.cfg.MaxRetry)
--- a/core/placement/predict.go
+++ b/core/placement/predict.go
@@ -1,6 +1,10 @@
 package placement
 
-import "cornelsaddle.example/cornelsaddle/core/wire"
+import (
+	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/wire"
+)
 
 const (
 	// maxSeconds bounds a prediction, so that it fits a time.Duration.
@@ -80,3 +84,16 @@
 	}
 	return float64(v.Waiting) * float64(max(1, p.Tokens-v.Cached)) / v.Rate
 }
+
+// Backlog predicts how long prefill of low priority that waits at the VMs takes
+// to be computed by the endpoints together.
+func Backlog(tokens int64, views []View) time.Duration {
+	left := 0.0
+	for i := range views {
+		left += views[i].left()
+	}
+	if tokens <= 0 || left <= 0 {
+		return 0
+	}
+	return seconds(float64(tokens) / left)
+}
--- a/standin/experiment/cell.go
+++ b/standin/experiment/cell.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cornelsaddle.example/cornelsaddle/core/admission"
 	"cornelsaddle.example/cornelsaddle/core/placement"
 	"cornelsaddle.example/cornelsaddle/standin/engine"
 )
@@ -42,8 +43,8 @@
 	// Placement and DelayWeight are the predictive policy's parameters.
 	Placement   placement.Config
 	DelayWeight float64
-	// Admission refuses what is predicted to miss its deadline.
-	Admission bool
+	// Admission refuses what is predicted to miss its deadline; nil to take all.
+	Admission *admission.Config
 
 	// NoDigests, NoNotices and NoCacheEvents take parts of the VMs' knowledge
 	// away.
@@ -107,7 +108,11 @@
 	case LeastOutstanding:
 		return &leastOutstanding{rng: rng}
 	}
-	return newPredictive(c.Placement, c.DelayWeight, c.Admission, c.shapes, rng)
+	var admit *admission.Controller
+	if c.Admission != nil {
+		admit = admission.NewController(*c.Admission)
+	}
+	return newPredictive(c.Placement, c.DelayWeight, admit, c.shapes, rng)
 }
 
 // arrivals draws the prompts: a Poisson process whose mean work is Load times
--- a/standin/experiment/policy.go
+++ b/standin/experiment/policy.go
@@ -7,19 +7,19 @@
 	"cornelsaddle.example/cornelsaddle/core/wire"
 )
 
-// decision is where a prompt goes, or that it is refused.
+// decision is where a prompt goes.
 type decision struct {
-	// engine is the chosen one; -1 for none.
 	engine   int
 	priority wire.Priority
-	refused  bool
-	retry    time.Duration
 }
 
 // policy is what one VM decides and learns. Engines that are down or too small
 // are left out by the open argument.
 type policy interface {
-	// place decides on a prompt. A first attempt may be refused.
+	// admit decides whether to take a prompt on, with so many tokens of low
+	// priority waiting at the VMs.
+	admit(now time.Time, j *job, open []int, waiting int64) bool
+	// place chooses an engine.
 	place(now time.Time, j *job, open []int) decision
 	// group orders the open engines by how well they suit the group of a prompt
 	// that no engine holds; the first leads it.
@@ -61,6 +61,7 @@
 // blind is the part of the baselines that learns nothing.
 type blind struct{}
 
+func (blind) admit(time.Time, *job, []int, int64) bool     { return true }
 func (blind) headroom() float64                            { return 0 }
 func (blind) held(time.Time, int) int64                    { return 0 }
 func (blind) groupCap() float64                            { return 1 }
--- a/standin/experiment/predictive.go
+++ b/standin/experiment/predictive.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"cornelsaddle.example/cornelsaddle/core/admission"
 	"cornelsaddle.example/cornelsaddle/core/placement"
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/standin/engine"
@@ -25,7 +26,8 @@
 	known  [engines]*placement.Endpoint
 	picker *placement.Picker
 	weight float64
-	admit  bool
+	// admission decides on prompts; nil to take all.
+	admission *admission.Controller
 	// maxGrouped is the most of the fleet's memory that groups may take.
 	maxGrouped float64
 	room       float64
@@ -35,8 +37,8 @@
 	sends  []sentDigest
 }
 
-func newPredictive(cfg placement.Config, weight float64, admit bool, shapes []engine.ModelConfig, rng *rand.Rand) *predictive {
-	p := &predictive{picker: placement.NewPicker(cfg, rng), weight: weight, admit: admit, maxGrouped: maxGrouped, room: cfg.Headroom}
+func newPredictive(cfg placement.Config, weight float64, admit *admission.Controller, shapes []engine.ModelConfig, rng *rand.Rand) *predictive {
+	p := &predictive{picker: placement.NewPicker(cfg, rng), weight: weight, admission: admit, maxGrouped: maxGrouped, room: cfg.Headroom}
 	for i, s := range shapes {
 		p.known[i] = placement.NewEndpoint(cfg, strconv.Itoa(i), s.MemoryTokens, 0)
 	}
@@ -53,12 +55,41 @@
 	}
 }
 
-func (p *predictive) place(now time.Time, j *job, open []int) decision {
+func (p *predictive) admit(now time.Time, j *job, open []int, waiting int64) bool {
+	if p.admission == nil {
+		return true
+	}
 	prompt := p.prompt(j)
+	if j.class == Oversize {
+		prompt.Reserved = prompt.Need()
+	}
+	p.look(now, &prompt, open)
+	choice := p.picker.Pick(&prompt, p.views)
+	predicted := admission.Prediction{FirstToken: choice.FirstToken, Answer: choice.End - choice.FirstToken}
+	if prompt.Priority == wire.PriorityLow {
+		predicted.FirstToken += placement.Backlog(waiting, p.views)
+	}
+	j.predicted = predicted.FirstToken
+	return p.admission.Decide(now, admission.Request{
+		Organisation: strconv.Itoa(j.organisation),
+		Weight:       1,
+		Tokens:       j.bound() + j.maxTokens,
+		Remaining:    j.deadline - j.arrive,
+		Priority:     j.class.Priority(),
+	}, predicted).Admitted
+}
+
+// look fills the views of the open engines.
+func (p *predictive) look(now time.Time, prompt *placement.Prompt, open []int) {
 	p.views = p.views[:0]
 	for _, e := range open {
-		p.views = append(p.views, p.known[e].View(now, &prompt))
+		p.views = append(p.views, p.known[e].View(now, prompt))
 	}
+}
+
+func (p *predictive) place(now time.Time, j *job, open []int) decision {
+	prompt := p.prompt(j)
+	p.look(now, &prompt, open)
 	choice := p.picker.Pick(&prompt, p.views)
 	return decision{engine: open[choice.Index], priority: choice.Priority}
 }
@@ -109,6 +140,9 @@
 
 func (p *predictive) firstToken(now time.Time, j *job) {
 	p.known[j.engine].FirstToken(now, strconv.Itoa(j.id))
+	if p.admission != nil && j.attempt == 1 && j.class != Oversize {
+		p.admission.FirstToken(j.class.Priority(), j.predicted, j.first-j.arrive)
+	}
 }
 
 func (p *predictive) ended(now time.Time, j *job) {
@@ -119,6 +153,9 @@
 	e := p.known[j.engine]
 	if j.end > 0 && j.got > 1 && j.attempt == 1 {
 		e.Answered(j.got-1, j.end-j.first)
+		if p.admission != nil {
+			p.admission.Answered(j.answer, j.maxTokens)
+		}
 		e.Prefixes.Observe(now, j.blocks, j.seq.Cached())
 	}
 }
--- a/standin/experiment/result.go
+++ b/standin/experiment/result.go
@@ -12,6 +12,8 @@
 	// Refused, Late and InTime count the prompts; those that were admitted and
 	// not whole by their deadline are late.
 	Refused, Late, InTime int
+	// RefusedServable are those refused that the oracle saw a way to serve.
+	RefusedServable int
 	// P50, P95 and P99 are of the time to the first token of what was not
 	// refused; a prompt that never had one counts with its whole time limit.
 	P50, P95, P99 time.Duration
@@ -23,6 +25,36 @@
 	// InTimeTokens are the prompt tokens of the requests that were whole in
 	// their time, and Tokens those of all.
 	InTimeTokens, Tokens int64
+	// Large and Small are the requests of large and of small organisations.
+	Large, Small Outcome
+}
+
+// Outcome counts requests.
+type Outcome struct{ Count, InTime int }
+
+// Share is the part that was whole in its time.
+func (o Outcome) Share() float64 { return float64(o.InTime) / float64(max(1, o.Count)) }
+
+// LateShare is the part of the admitted requests that were not whole in their
+// time.
+func (r *Result) LateShare() float64 {
+	late, admitted := 0, 0
+	for _, c := range r.Classes {
+		late += c.Late
+		admitted += c.Count - c.Refused
+	}
+	return float64(late) / float64(max(1, admitted))
+}
+
+// ServableShare is the part of all requests that were refused though the oracle
+// saw a way to serve them.
+func (r *Result) ServableShare() float64 {
+	servable, all := 0, 0
+	for _, c := range r.Classes {
+		servable += c.RefusedServable
+		all += c.Count
+	}
+	return float64(servable) / float64(max(1, all))
 }
 
 // Goodput is the share of the requests that were whole in their time.
@@ -55,14 +87,23 @@
 		c := &res.Classes[j.class]
 		c.Count++
 		res.Tokens += j.prompt
+		group := &res.Small
+		if j.organisation < largeOrganisations {
+			group = &res.Large
+		}
+		group.Count++
 		switch {
 		case j.refused:
 			c.Refused++
+			if j.servable {
+				c.RefusedServable++
+			}
 			continue
 		case j.failed || j.end == 0:
 			c.Late++
 		default:
 			c.InTime++
+			group.InTime++
 			res.InTimeTokens += j.prompt
 		}
 		first := j.first - j.arrive
--- a/standin/experiment/sim.go
+++ b/standin/experiment/sim.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -154,6 +155,9 @@
 	}
 	p := r.vms[j.vm]
 	open := r.open(j.bound() + j.maxTokens)
+	if !j.asked && !r.admit(j, open) {
+		return
+	}
 	if len(open) == 0 {
 		r.dispatchGroup(j)
 		return
@@ -165,15 +169,57 @@
 		}
 	}
 	d := p.place(r.wall(), j, open)
-	if d.refused {
-		j.refused = true
-		j.retryAt = r.now + d.retry
-		j.resolved = true
-		return
-	}
 	r.submit(j, d, 0)
 }
 
+// admit asks the policy whether to take the job on.
+func (r *run) admit(j *job, open []int) bool {
+	j.asked = true
+	if len(open) == 0 {
+		open = r.open(0)
+	}
+	waiting := int64(0)
+	for _, w := range r.waiting {
+		if !w.resolved {
+			waiting += w.bound()
+		}
+	}
+	if r.vms[j.vm].admit(r.wall(), j, open, waiting) {
+		return true
+	}
+	j.refused, j.resolved = true, true
+	j.servable = r.oracle(j, open, waiting) <= j.deadline-r.now
+	return false
+}
+
+// oracle is the time to the job's end on the engine that could end it first, as
+// far as the true state tells: as if nothing came after it, and memory were given
+// back at the speed of prefill.
+func (r *run) oracle(j *job, open []int, waiting int64) time.Duration {
+	best := math.Inf(1)
+	queue := 0.0
+	if j.class.Priority() == wire.PriorityLow {
+		queue = float64(waiting) / capacity(r.cell.shapes)
+	}
+	for _, e := range open {
+		c := &r.cell.shapes[e]
+		load := r.nodes[e].model.Load()
+		ahead := load.QueuedTokens[wire.PriorityHigh]
+		if j.class.Priority() == wire.PriorityLow {
+			ahead += load.QueuedTokens[wire.PriorityLow]
+		}
+		step := c.DecodeStep + time.Duration(load.Running+1)*c.DecodePerSequence
+		piece := float64(c.PieceTokens) / c.PrefillRate
+		rate := float64(c.PieceTokens) / (piece + step.Seconds())
+		work := float64(ahead + j.prompt)
+		if missing := j.prompt + j.answer - load.FreeTokens; missing > 0 && j.class < Oversize {
+			work += float64(missing)
+		}
+		best = min(best, queue+work/rate+float64(j.answer)*step.Seconds())
+	}
+	return time.Duration(best * float64(time.Second))
+}
+
 // grantable keeps the engines at which a reservation would be granted: the
 // granting VM adds its account of prompts of low priority to what the asking VM
 // knows of the memory.
--- a/standin/experiment/tables.go
+++ b/standin/experiment/tables.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"io"
 	"math"
+	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/admission"
 )
 
 // The targets of the two deployments.
@@ -21,6 +24,7 @@
 		{"targets", s.targets},
 		{"weights", s.weights},
 		{"ablation", s.ablation},
+		{"admission", s.admission},
 	}
 	found := false
 	for _, t := range tables {
@@ -150,6 +154,8 @@
 func (s *Study) ablation(w io.Writer) {
 	parts := []contender{
 		{"whole", predictiveWith(-1, nil)},
+		{"long prompts do not wait for memory", predictiveWith(-1, func(c *Cell) { c.Placement.Headroom = 0 })},
+		{"peers told of long prefill with the digest", predictiveWith(-1, func(c *Cell) { c.NoNotices = true })},
 		{"no draw among near-equal scores", predictiveWith(-1, func(c *Cell) { c.Placement.TieMargin = 0 })},
 		{"a sample of 5 endpoints", predictiveWith(-1, func(c *Cell) { c.Placement.Sample = 5 })},
 		{"no bound on overtaking", predictiveWith(-1, func(c *Cell) { c.Placement.OvertakeFactor = 0 })},
@@ -182,3 +188,42 @@
 		e.print(w)
 	}
 }
+
+// admission compares policies of admission under overload.
+func (s *Study) admission(w io.Writer) {
+	with := func(change func(*admission.Config)) func(*Cell) {
+		cfg := admission.DefaultConfig()
+		if change != nil {
+			change(&cfg)
+		}
+		return predictiveWith(-1, func(c *Cell) { c.Admission = &cfg })
+	}
+	ways := []contender{
+		{"least-outstanding, priorities, all admitted", func(c *Cell) { c.Policy, c.Priorities = LeastOutstanding, true }},
+		{"predictive, all admitted", predictiveWith(-1, nil)},
+		{"by prediction alone", with(func(c *admission.Config) { c.FullPressure = 0 })},
+		{"by prediction and shares", with(nil)},
+	}
+	for _, m := range allMixes {
+		for _, load := range []float64{0.75, 0.9, 1.2, 1.5} {
+			s.admit(w, m, load, ways)
+		}
+	}
+}
+
+func (s *Study) admit(w io.Writer, m Mix, load float64, ways []contender) {
+	var tasks []*task
+	for _, c := range ways {
+		tasks = append(tasks, s.task(m, load, c.set, func(c *Cell) { c.VMs, c.Lag = 4, time.Second }))
+	}
+	s.run(tasks)
+	fmt.Fprintf(w, "\n### %s, load %.2f, four VMs, reports 1 s late: admission\n\n", m.Name, load)
+	fmt.Fprintln(w, "| admission | goodput | goodput in tokens | refused | refused though servable | admitted though missed | large organisations in time | small ones |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|")
+	for i, t := range tasks {
+		tokens := t.mean(func(r *Result) float64 { return float64(r.InTimeTokens) / float64(r.Tokens) })
+		fmt.Fprintf(w, "| %s | %.4f | %.4f | %.4f | %.4f | %.4f | %.4f | %.4f |\n", ways[i].name, t.goodput(), tokens, t.refused(),
+			t.mean((*Result).ServableShare), t.mean((*Result).LateShare),
+			t.mean(func(r *Result) float64 { return r.Large.Share() }), t.mean(func(r *Result) float64 { return r.Small.Share() }))
+	}
+}
--- a/standin/experiment/workload.go
+++ b/standin/experiment/workload.go
@@ -62,6 +62,10 @@
 
 const (
 	organisations = 10
+	// largeOrganisations send largeShare of all prompts; all have the same
+	// weight.
+	largeOrganisations = 3
+	largeShare         = 0.7
 	// templateBlocks is the prefix that the prompts of an organisation share.
 	templateBlocks = 3
 	// followUps is the share of medium and long prompts that go on from an
@@ -97,7 +101,12 @@
 	refused  bool
 	failed   bool
 	resolved bool
-	retryAt  time.Duration
+	// predicted is the time to the first token that admission went by.
+	predicted time.Duration
+	// asked says that admission has decided.
+	asked bool
+	// servable says of a refused job that the oracle saw a way to serve it.
+	servable bool
 }
 
 // bound is the upper bound on the prompt's tokens before it is tokenised.
@@ -126,6 +135,13 @@
 	return Short
 }
 
+func (g *generator) organisation() int {
+	if g.rng.Float64() < largeShare {
+		return g.rng.IntN(largeOrganisations)
+	}
+	return largeOrganisations + g.rng.IntN(organisations-largeOrganisations)
+}
+
 // job draws the prompt that arrives at the time.
 func (g *generator) job(at time.Duration, vms int) *job {
 	c := g.class()
@@ -134,7 +150,7 @@
 	j := &job{
 		id:           g.nextID,
 		class:        c,
-		organisation: g.rng.IntN(organisations),
+		organisation: g.organisation(),
 		prompt:       g.logUniform(s.minTokens, s.maxTokens),
 		answer:       g.logUniform(s.minAnswer, s.maxAnswer),
 		arrive:       at,
