Give orders under leases, one holder a service

Cause: what endpoints serve was declared in the configuration (deploy) and nothing ordered it.

Ruled out: leases on hashed sets of endpoints. Their number would change with the fleet, and an endpoint that moves between sets meets fencing numbers that can't be compared; and the share of a service that may be out of service would need rows of its own to be agreed on between holders. One lease a service keeps that share, and the order of changes, with one holder.

Change: core/orders and the chart order.json: absolute orders, given only right after a reading, by a holder that has read every endpoint and waited out the orders of the one before. internal/lease renews, hands over to the first candidate by rendezvous hashing, and releases on drain once nobody acts under the lease; internal/orders drives the reconcilers; the node starts both. An order is only given while the lease lasts as long as the order may take.

--- a/core/configuration/document.go
+++ b/core/configuration/document.go
@@ -95,6 +95,9 @@
 	RetryBudget float64 `json:"retry_budget"`
 	// CallRetentionHours is how long the rows of calls are kept.
 	CallRetentionHours int64 `json:"call_retention_hours"`
+	// WeightLoadsPerSecond limits the loads from the weight store by all VMs
+	// together; zero for no limit.
+	WeightLoadsPerSecond float64 `json:"weight_loads_per_second,omitempty"`
 }
 
 // DefaultLengthClasses are used when the document has none.
--- a/core/lease/fuzz_test.go
+++ b/core/lease/fuzz_test.go
@@ -118,7 +118,7 @@
 		return
 	}
 	if v.pending != nil {
-		v.answer = w.carryOut(t, v.pending)
+		v.answer = w.carryOut(v.pending)
 		v.pending = nil
 		v.readyAt = w.now + time.Duration(w.between(0, 900))*time.Millisecond
 		return
@@ -145,7 +145,7 @@
 	}
 }
 
-func (w *world) carryOut(t *testing.T, a Action) Event {
+func (w *world) carryOut(a Action) Event {
 	fate := w.between(0, 12)
 	read, ok := a.(Read)
 	if ok {
@@ -175,7 +175,7 @@
 }
 
 // disturb breaks something.
-func (w *world) disturb(t *testing.T) {
+func (w *world) disturb() {
 	v := w.vms[w.between(0, len(w.vms)-1)]
 	switch w.between(0, 60) {
 	case 0:
@@ -222,7 +222,7 @@
 	for range w.between(50, 400) {
 		d := time.Duration(w.between(10, 800)) * time.Millisecond
 		w.advance(d)
-		w.disturb(t)
+		w.disturb()
 		for _, v := range w.vms {
 			w.run(t, v)
 		}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -4,6 +4,7 @@
 package call
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -103,6 +104,22 @@
 // Wait waits until the outcomes of all calls are recorded or given up.
 func (r *Runner) Wait() { r.running.Wait() }
 
+// Drain is Wait with a limit. It returns ctx's error where outcomes are left
+// unrecorded, so that repeats of their keys are told that they are unknown.
+func (r *Runner) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Wait()
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // config is the Runner's configuration with the retention of the document.
 func (r *Runner) config(snap *confsync.Snapshot) calls.Config {
 	cfg := r.cfg
--- /dev/null
+++ b/internal/endpoint/orders.go
@@ -0,0 +1,69 @@
+package endpoint
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/internal/dial"
+)
+
+// StaleError says that the endpoint refused an order for its old fencing
+// number.
+type StaleError struct{ Fencing int64 }
+
+// Error implements error.
+func (*StaleError) Error() string { return "endpoint: order has an old fencing number" }
+
+// Describe reads what the endpoint says of itself.
+func (c *Caller) Describe(address string, timeout time.Duration) (wire.Description, error) {
+	var d wire.Description
+	status, body, err := c.http.GetTimeout(nil, "http://"+address+wire.PathDescription, timeout)
+	if err != nil {
+		return d, errors.WithStack(err)
+	}
+	if status != fasthttp.StatusOK {
+		return d, errors.WithStack(&StatusError{status})
+	}
+	return d, errors.WithStack(json.Unmarshal(body, &d))
+}
+
+// Order gives the order, once. A StaleError, RefusedError or NotSentError
+// proves that the endpoint did not take it; any other error leaves that open.
+func (c *Caller) Order(address string, order wire.Order, timeout time.Duration) error {
+	data, err := json.Marshal(order)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	res := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(res)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetConnectionClose()
+	req.SetRequestURI("http://" + address + wire.PathOrders)
+	req.SetBody(data)
+	err = c.fresh.DoTimeout(req, res, timeout)
+	switch {
+	case dial.NotSent(err):
+		return errors.WithStack(&NotSentError{err})
+	case err != nil:
+		return errors.WithStack(err)
+	}
+	return orderError(res.StatusCode(), order)
+}
+
+func orderError(status int, order wire.Order) error {
+	switch status {
+	case fasthttp.StatusNoContent, fasthttp.StatusOK:
+		return nil
+	case fasthttp.StatusConflict:
+		return errors.WithStack(&StaleError{order.Fencing})
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return errors.WithStack(&RefusedError{status})
+	}
+	return errors.WithStack(&StatusError{status})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -16,13 +17,23 @@
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/fleet"
+	"cornelsaddle.example/cornelsaddle/internal/lease"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
+	"cornelsaddle.example/cornelsaddle/internal/orders"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
 	"cornelsaddle.example/cornelsaddle/internal/prompt"
 	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
 
+// releaseLimit bounds the hand-over of leases; it is about as long as they take
+// to run out.
+const releaseLimit = 15 * time.Second
+
+// recordLimit bounds the wait for outcomes of calls to be recorded while the
+// store is down.
+const recordLimit = 20 * time.Second
+
 // Node is one running entry VM.
 type Node struct {
 	settings settings.Settings
@@ -44,6 +55,9 @@
 	Store    *platform.Client
 	Streams  *endpoint.Client
 	Caller   *endpoint.Caller
+	Calls    *call.Runner
+	Leases   *lease.Manager
+	Orders   *orders.Manager
 }
 
 // Start wires the VM and begins to listen.
@@ -60,6 +74,8 @@
 	}
 	n.parts.Follower.Start()
 	n.parts.Fleet.Start()
+	n.parts.Leases.Start()
+	n.parts.Orders.Start()
 	if err := n.listen(); err != nil {
 		n.Close()
 		return nil, err
@@ -80,6 +96,8 @@
 		metrics.New,
 		prompt.NewRunner,
 		call.NewRunner,
+		lease.New,
+		orders.New,
 		api.New,
 	}
 }
@@ -133,7 +151,25 @@
 func (n *Node) Admin() string { return n.admin.addr() }
 
 // Drain takes no new requests and waits for those in flight.
-func (n *Node) Drain() { n.parts.API.Drain() }
+func (n *Node) Drain() {
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		n.releaseLeases()
+	}()
+	n.parts.API.Drain()
+	<-released
+	ctx, cancel := context.WithTimeout(context.Background(), recordLimit)
+	defer cancel()
+	_ = n.parts.Calls.Drain(ctx)
+}
+
+// releaseLeases hands over this VM's leases, or lets them run out.
+func (n *Node) releaseLeases() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
+	defer cancel()
+	_ = n.parts.Leases.Release(ctx)
+}
 
 // Close stops the VM.
 func (n *Node) Close() {
@@ -142,6 +178,8 @@
 	if n.peers != nil {
 		n.peers.Close()
 	}
+	n.parts.Orders.Stop()
+	n.parts.Leases.Stop()
 	n.parts.Fleet.Stop()
 	n.parts.Follower.Stop()
 	n.parts.Streams.Close()
