--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -19,6 +19,7 @@
 
 	mu    sync.Mutex
 	lease *lease.Lease
+	rank  int
 	// closing lets nobody begin to act under the lease; users counts who does.
 	closing bool
 	users   sync.WaitGroup
@@ -56,7 +57,6 @@
 		case fencing := <-k.raise:
 			k.feed(lease.RaiseTo{Fencing: fencing})
 		case <-tick.C:
-			k.setRank(k.manager.rank(k.name))
 			if k.shouldMove() {
 				k.release()
 				continue
@@ -86,13 +86,14 @@
 func (k *keeper) setRank(rank int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.rank = rank
 	k.lease.SetRank(rank)
 }
 
 // shouldMove reports whether another VM has been the first candidate for so
 // long that the lease is handed over.
 func (k *keeper) shouldMove() bool {
-	if !k.valid(0) || k.manager.rank(k.name) == 0 {
+	if !k.misheld() {
 		k.misplaced = time.Time{}
 		return false
 	}
@@ -102,6 +103,14 @@
 	return time.Since(k.misplaced) > rebalanceAfter
 }
 
+// misheld reports whether this VM holds the lease without being its first
+// candidate.
+func (k *keeper) misheld() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.rank != 0 && k.lease.Valid(k.manager.now())
+}
+
 // release lets whoever acts under the lease finish, and then releases the row.
 // It ends at the latest with the lease itself.
 func (k *keeper) release() {
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,6 +93,7 @@
 		if err != nil {
 			return err
 		}
+		k.setRank(lease.Rank(name, m.vm, m.members))
 		m.keepers[name] = k
 		m.running.Go(k.run)
 	}
@@ -189,14 +191,13 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if slices.Equal(m.members, members) {
+		return
+	}
 	m.members = members
-}
-
-// rank is this VM's place among the candidates for the lease.
-func (m *Manager) rank(name string) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return lease.Rank(name, m.vm, m.members)
+	for name, k := range m.keepers {
+		k.setRank(lease.Rank(name, m.vm, members))
+	}
 }
 
 // now reads both clocks.
