--- a/cmd/cornelsaddle/demo.go
+++ b/cmd/cornelsaddle/demo.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"strings"
@@ -18,9 +17,11 @@
 // runDemo runs a deployment with its stand-ins in this process.
 func runDemo(args []string) int {
 	flags := flag.NewFlagSet("demo", flag.ContinueOnError)
-	deployment := flags.String("deployment", "kivukoni", "which deployment: "+strings.Join(demo.Names(), " or "))
-	once := flags.Bool("once", false, "end after the table")
-	seed := flags.Uint64("seed", 1, "seed of the sample load")
+	opts := demo.DefaultOptions()
+	opts.Out = os.Stdout
+	flags.StringVar(&opts.Deployment, "deployment", opts.Deployment, "which deployment: "+strings.Join(demo.Names(), " or "))
+	flags.BoolVar(&opts.Once, "once", false, "end after the table")
+	flags.Uint64Var(&opts.Seed, "seed", opts.Seed, "seed of the sample load")
 	verbose := flags.Bool("v", false, "write the VMs' logs to standard error")
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -29,19 +30,17 @@
 		return exitUsage
 	}
 	var unknown *demo.UnknownDeploymentError
-	if _, err := demo.Lookup(*deployment); errors.As(err, &unknown) || flags.NArg() > 0 {
+	if _, err := demo.Lookup(opts.Deployment); errors.As(err, &unknown) || flags.NArg() > 0 {
 		fmt.Fprintln(os.Stderr, "cornelsaddle demo: unknown deployment or argument")
 		flags.Usage()
 		return exitUsage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	logs := io.Discard
 	if *verbose {
-		logs = os.Stderr
+		opts.Logs = os.Stderr
 	}
-	err := demo.Run(ctx, demo.Options{Deployment: *deployment, Once: *once, Seed: *seed, Out: os.Stdout, Logs: logs})
-	if err != nil {
+	if err := demo.Run(ctx, opts); err != nil {
 		fmt.Fprintln(os.Stderr, "cornelsaddle demo:", err)
 		return exitFailed
 	}
--- a/cmd/cornelsaddle/main.go
+++ b/cmd/cornelsaddle/main.go
@@ -6,9 +6,6 @@
 	"os"
 )
 
-// version is set by the linker.
-var version = "dev"
-
 // Exit codes.
 const (
 	exitDone   = 0
@@ -24,6 +21,7 @@
   version   print the version
 
 "cornelsaddle COMMAND -h" lists a command's flags.
+Exit codes: 0 done, 1 failed, 2 wrong usage.
 `
 
 func main() {
@@ -41,8 +39,7 @@
 	case "serve":
 		return serve(args[1:])
 	case "version":
-		fmt.Println("cornelsaddle", version)
-		return exitDone
+		return printVersion(args[1:])
 	case "-h", "--help", "help":
 		fmt.Print(usage)
 		return exitDone
--- a/cmd/cornelsaddle/serve.go
+++ b/cmd/cornelsaddle/serve.go
@@ -17,29 +17,31 @@
 // serve runs an entry VM until it is told to stop.
 func serve(args []string) int {
 	flags := flag.NewFlagSet("serve", flag.ContinueOnError)
-	file := flags.String("settings", "", "settings file (JSON)")
+	file := flags.String("settings", "", "settings file (JSON), see docs/operations/settings.md")
+	check := flags.Bool("check", false, "check the settings file and end")
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return exitDone
 		}
 		return exitUsage
 	}
-	if *file == "" {
-		fmt.Fprintln(os.Stderr, "cornelsaddle serve: -settings is required")
+	if *file == "" || flags.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "cornelsaddle serve: -settings is required, and no arguments besides flags")
 		return exitUsage
 	}
-	if err := runNode(*file); err != nil {
+	s, err := settings.Load(*file)
+	if err == nil && !*check {
+		err = runNode(s)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "cornelsaddle serve:", err)
 		return exitFailed
 	}
 	return exitDone
 }
 
-func runNode(file string) error {
-	s, err := settings.Load(file)
-	if err != nil {
-		return err
-	}
+// runNode runs the VM until a signal; a second one cuts its drain short.
+func runNode(s settings.Settings) error {
 	log, err := event.New(os.Stdout, s.Log.Format, s.Log.Level, s.VM.ID)
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/cornelsaddle/version.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+
+	"github.com/pkg/errors"
+)
+
+// version is set by the linker.
+var version = "dev"
+
+// versionInfo is what version -json prints.
+type versionInfo struct {
+	Version string `json:"version"`
+	Go      string `json:"go"`
+}
+
+// printVersion prints the version.
+func printVersion(args []string) int {
+	flags := flag.NewFlagSet("version", flag.ContinueOnError)
+	asJSON := flags.Bool("json", false, "print JSON")
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return exitDone
+		}
+		return exitUsage
+	}
+	info := versionInfo{version, runtime.Version()}
+	if !*asJSON {
+		fmt.Println("cornelsaddle", info.Version, info.Go)
+		return exitDone
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(info); err != nil {
+		return exitFailed
+	}
+	return exitDone
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"runtime"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,9 +14,6 @@
 )
 
 const (
-	// aloneMs and togetherMs are the lengths of the two parts of the load.
-	aloneMs     = 4_000
-	togetherMs  = 10_000
 	maxRequests = 3_000
 	maxInFlight = 500
 )
@@ -25,13 +23,30 @@
 	Deployment string
 	// Once ends the demo after the table.
 	Once bool
+	// Seed of the sample load.
 	Seed uint64
+	// Alone and Together are the lengths of the two parts of the load: short
+	// prompts alone, and all lengths together.
+	Alone    time.Duration
+	Together time.Duration
 	// Out gets the progress, the table and the line to try.
 	Out io.Writer
 	// Logs gets the VMs' logs.
 	Logs io.Writer
 }
 
+// DefaultOptions are those of the command without flags.
+func DefaultOptions() Options {
+	return Options{
+		Deployment: "kivukoni",
+		Seed:       1,
+		Alone:      4 * time.Second,
+		Together:   10 * time.Second,
+		Out:        io.Discard,
+		Logs:       io.Discard,
+	}
+}
+
 // UnsoundError says that answers were broken or wrong.
 type UnsoundError struct{ Broken, Wrong int }
 
@@ -68,12 +83,12 @@
 // measure runs the load with the short prompts alone, then with all, and prints
 // the table.
 func (s *system) measure(ctx context.Context, opts Options) error {
-	mix := s.deployment.mix(opts.Seed, aloneMs)
+	mix := s.deployment.mix(opts.Seed, opts.Alone)
 	alone, err := s.load(ctx, opts.Out, "short prompts alone", mix.Only(classShort))
 	if err != nil || ctx.Err() != nil {
 		return err
 	}
-	mix.DurationMs = togetherMs
+	mix.DurationMs = opts.Together.Milliseconds()
 	together, err := s.load(ctx, opts.Out, "all lengths together", mix)
 	if err != nil || ctx.Err() != nil {
 		return err
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -3,41 +3,94 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"cornelsaddle.example/cornelsaddle/internal/loadgen"
-	"cornelsaddle.example/cornelsaddle/standin/engine"
 )
 
+// options are those of a short run.
+func options(deployment string, out io.Writer) Options {
+	opts := DefaultOptions()
+	opts.Deployment = deployment
+	opts.Once = true
+	opts.Alone = 300 * time.Millisecond
+	opts.Together = 700 * time.Millisecond
+	opts.Out = out
+	return opts
+}
+
 func TestEveryDeploymentAnswersItsOwnLoad(t *testing.T) {
 	for _, name := range Names() {
 		t.Run(name, func(t *testing.T) {
+			var out strings.Builder
+			require.NoError(t, Run(context.Background(), options(name, &out)))
 			d, err := Lookup(name)
 			require.NoError(t, err)
-			s, err := start(d, io.Discard)
-			require.NoError(t, err)
-			defer s.close()
-			m := d.mix(1, 1_000)
-			m.MaxRequests = 40
-			m = m.Only(classShort, classMedium)
-			r, err := loadgen.Run(context.Background(), m, loadgen.Options{Addresses: s.callers(), Oracle: engine.AnswerText})
-			require.NoError(t, err)
-			require.Equal(t, r.Planned, r.Totals.Whole, "%+v", r.Totals)
-			var out strings.Builder
-			printTables(&out, &d, &r, &r)
 			for _, o := range d.Organisations {
 				require.Contains(t, out.String(), o.Name)
 			}
-			require.Regexp(t, `alone ÷ with long +1\.00`, out.String())
+			require.Contains(t, out.String(), "Time to first token in ms")
+			require.Regexp(t, `alone ÷ with long +\d`, out.String())
+			require.Contains(t, out.String(), " 0 broken, 0 wrong")
+			require.NotContains(t, out.String(), "curl")
 		})
 	}
 }
 
+// lines passes on what is written to it.
+type lines chan string
+
+func (l lines) Write(p []byte) (int, error) {
+	l <- string(p)
+	return len(p), nil
+}
+
+func TestTheDemoServesOnUntilItIsInterrupted(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	out := make(lines)
+	opts := options("kivukoni", out)
+	opts.Once = false
+	result := make(chan error, 1)
+	go func() {
+		defer close(out)
+		result <- Run(ctx, opts)
+	}()
+	tried := false
+	for text := range out {
+		if !strings.Contains(text, "curl -N") {
+			continue
+		}
+		require.Contains(t, try(t, text), "data: [DONE]")
+		tried = true
+		cancel()
+	}
+	require.NoError(t, <-result)
+	require.True(t, tried)
+}
+
+// try sends what the printed curl line sends.
+func try(t *testing.T, text string) string {
+	t.Helper()
+	line := regexp.MustCompile(`(?s)curl -N (\S+) -H 'Authorization: ([^']+)'.*?-d '([^']+)'`).FindStringSubmatch(text)
+	require.Len(t, line, 4, text)
+	req, err := http.NewRequest(http.MethodPost, line[1], strings.NewReader(line[3]))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", line[2])
+	res, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	return string(data)
+}
+
 func TestUnknownDeployment(t *testing.T) {
-	err := Run(context.Background(), Options{Deployment: "elsewhere", Out: io.Discard})
+	err := Run(context.Background(), options("elsewhere", io.Discard))
 	var unknown *UnknownDeploymentError
 	require.ErrorAs(t, err, &unknown)
 	require.Equal(t, Names(), unknown.Known)
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -165,11 +166,11 @@
 }
 
 // mix is the sample load.
-func (d *Deployment) mix(seed uint64, durationMs int64) loadgen.Mix {
+func (d *Deployment) mix(seed uint64, duration time.Duration) loadgen.Mix {
 	m := loadgen.Mix{
 		Name:        d.Name,
 		Seed:        seed,
-		DurationMs:  durationMs,
+		DurationMs:  duration.Milliseconds(),
 		MaxRequests: maxRequests,
 		MaxInFlight: maxInFlight,
 		Prompts: []loadgen.Prompts{
