--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
 	"cornelsaddle.example/cornelsaddle/internal/prompt"
+	"cornelsaddle.example/cornelsaddle/internal/reserve"
 	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
 
@@ -42,6 +43,12 @@
 	Store    *platform.Client
 	Streams  *endpoint.Client
 	Caller   *endpoint.Caller
+	Prompts  *prompt.Runner
+	Holder   *reserve.Holder
+	Sweeper  *reserve.Sweeper
+	Mux      *peer.Mux
+	Peers    *peer.Client
+	Identity peer.Identity
 }
 
 // Start wires the VM and begins to listen.
@@ -58,6 +65,8 @@
 	}
 	n.parts.Follower.Start()
 	n.parts.Fleet.Start()
+	n.parts.Holder.Start()
+	n.parts.Sweeper.Start()
 	if err := n.listen(); err != nil {
 		n.Close()
 		return nil, err
@@ -72,11 +81,21 @@
 		func() *event.Logger { return n.log },
 		newStore,
 		newFollower,
+		n.identity,
+		peer.NewMux,
+		newPeerConfig,
+		newPeerClient,
 		fleet.New,
 		endpoint.New,
 		endpoint.NewCaller,
 		metrics.New,
-		prompt.NewRunner,
+		prompt.DefaultConfig,
+		newPrompts,
+		reserve.DefaultConfig,
+		newMembers,
+		newAccountant,
+		newHolder,
+		newSweeper,
 		call.NewRunner,
 		api.New,
 	}
@@ -86,10 +105,40 @@
 	return platform.New(s.Platform.Address, s.Platform.Timeout())
 }
 
+func newPrompts(cfg prompt.Config, f *fleet.Fleet, streams *endpoint.Client, caller *endpoint.Caller, h *reserve.Holder, log *event.Logger, m *metrics.Metrics) *prompt.Runner {
+	return prompt.NewRunner(cfg, f, streams, caller, h, log, m)
+}
+
+func newMembers(self peer.Identity) reserve.Members { return reserve.Solo{Self: self} }
+
+func newAccountant(cfg reserve.Config, caller *endpoint.Caller, mux *peer.Mux) *reserve.Accountant {
+	return reserve.NewAccountant(cfg, caller, mux)
+}
+
+func newHolder(cfg reserve.Config, self peer.Identity, book *reserve.Accountant, peers *peer.Client, members reserve.Members, mux *peer.Mux) *reserve.Holder {
+	return reserve.NewHolder(cfg, self, book, peers, members, mux)
+}
+
+func newSweeper(h *reserve.Holder, f *confsync.Follower, log *event.Logger) *reserve.Sweeper {
+	return reserve.NewSweeper(h, f.Current, log)
+}
+
 func newFollower(store *platform.Client, log *event.Logger, s settings.Settings) *confsync.Follower {
 	return confsync.New(store, log, s.Platform.Poll())
 }
 
+func (n *Node) identity() peer.Identity {
+	return peer.Identity{VM: n.settings.VM.ID, Incarnation: n.started.UnixNano()}
+}
+
+func newPeerConfig(self peer.Identity, s settings.Settings) peer.Config {
+	return peer.Config{Self: self, Keys: s.Peers.Keys}
+}
+
+func newPeerClient(cfg peer.Config, mux *peer.Mux, log *event.Logger, m *metrics.Metrics) (*peer.Client, error) {
+	return peer.NewClient(cfg, mux, log, m.Registry)
+}
+
 func (n *Node) listen() error {
 	var err error
 	if n.callers, err = n.serveCallers(); err != nil {
@@ -98,17 +147,17 @@
 	if n.admin, err = serve(n.settings.Admin.Address, n.adminServer()); err != nil {
 		return err
 	}
-	n.peers, err = peer.Listen(n.settings.Peers.Address, n)
+	cfg := newPeerConfig(n.parts.Identity, n.settings)
+	n.peers, err = peer.Listen(n.settings.Peers.Address, cfg, n.parts.Mux, n.log, n.parts.Metrics.Registry)
 	return err
 }
 
-// Ping implements peer.Handler.
-func (n *Node) Ping() peer.Pong {
-	pong := peer.Pong{VM: n.settings.VM.ID, Incarnation: n.started.UnixNano()}
+// configuration is the version in force; zero for none.
+func (n *Node) configuration() int64 {
 	if snap := n.parts.Follower.Current(); snap != nil {
-		pong.Configuration = snap.Version
+		return snap.Version
 	}
-	return pong
+	return 0
 }
 
 // Callers is the address of the callers' listener.
@@ -127,8 +176,12 @@
 	if n.peers != nil {
 		n.peers.Close()
 	}
+	n.parts.Peers.Close()
 	n.parts.Fleet.Stop()
 	n.parts.Follower.Stop()
+	n.parts.Prompts.Close()
+	n.parts.Sweeper.Stop()
+	n.parts.Holder.Stop()
 	n.parts.Streams.Close()
 	n.parts.Caller.Close()
 	n.parts.Store.Close()
