Measure queueing and the time between tokens, and the slowdown beside medium prompts

The demo now has a warm-up that is not counted, then short alone, short and medium, and all lengths, and prints the three ratios.

Tests: go test -race ./internal/demo ./internal/node ./internal/prompt.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -25,9 +25,12 @@
 	Once bool
 	// Seed of the sample load.
 	Seed uint64
-	// Alone and Together are the lengths of the two parts of the load: short
-	// prompts alone, and all lengths together.
+	// WarmUp, Alone, Medium and Together are the lengths of the parts of the load:
+	// what is not counted, short prompts alone, short and medium ones, and all
+	// lengths together.
+	WarmUp   time.Duration
 	Alone    time.Duration
+	Medium   time.Duration
 	Together time.Duration
 	// Out gets the progress, the table and the line to try.
 	Out io.Writer
@@ -40,8 +43,10 @@
 	return Options{
 		Deployment: "kivukoni",
 		Seed:       1,
+		WarmUp:     time.Second,
 		Alone:      4 * time.Second,
-		Together:   10 * time.Second,
+		Medium:     4 * time.Second,
+		Together:   9 * time.Second,
 		Out:        io.Discard,
 		Logs:       io.Discard,
 	}
@@ -80,24 +85,47 @@
 	return nil
 }
 
-// measure runs the load with the short prompts alone, then with all, and prints
-// the table.
+// measured are the results of the parts of the load.
+type measured struct {
+	alone, medium, together loadgen.Result
+}
+
+// measure runs the parts of the load and prints the tables.
 func (s *system) measure(ctx context.Context, opts Options) error {
-	mix := s.deployment.mix(opts.Seed, opts.Alone)
-	alone, err := s.load(ctx, opts.Out, "short prompts alone", mix.Only(classShort))
-	if err != nil || ctx.Err() != nil {
-		return err
+	all := s.deployment.mix(opts.Seed, opts.Together)
+	var warm loadgen.Result
+	var m measured
+	for _, part := range []struct {
+		title    string
+		mix      loadgen.Mix
+		duration time.Duration
+		result   *loadgen.Result
+	}{
+		{"warm-up", all, opts.WarmUp, &warm},
+		{"short prompts alone", all.Only(classShort), opts.Alone, &m.alone},
+		{"short and medium prompts", all.Only(classShort, classMedium), opts.Medium, &m.medium},
+		{"all lengths together", all, opts.Together, &m.together},
+	} {
+		part.mix.DurationMs = part.duration.Milliseconds()
+		result, err := s.load(ctx, opts.Out, part.title, part.mix)
+		if err != nil || ctx.Err() != nil {
+			return err
+		}
+		*part.result = result
 	}
-	mix.DurationMs = opts.Together.Milliseconds()
-	together, err := s.load(ctx, opts.Out, "all lengths together", mix)
-	if err != nil || ctx.Err() != nil {
-		return err
+	printTables(opts.Out, &s.deployment, &m)
+	return m.check()
+}
+
+// check fails when answers were broken or wrong.
+func (m *measured) check() error {
+	var unsound UnsoundError
+	for _, r := range []*loadgen.Result{&m.alone, &m.medium, &m.together} {
+		unsound.Broken += r.Totals.Broken
+		unsound.Wrong += r.Totals.Wrong
 	}
-	printTables(opts.Out, &s.deployment, &alone, &together)
-	broken := alone.Totals.Broken + together.Totals.Broken
-	wrong := alone.Totals.Wrong + together.Totals.Wrong
-	if broken+wrong > 0 {
-		return errors.WithStack(&UnsoundError{broken, wrong})
+	if unsound != (UnsoundError{}) {
+		return errors.WithStack(&unsound)
 	}
 	return nil
 }
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -17,7 +17,9 @@
 	opts := DefaultOptions()
 	opts.Deployment = deployment
 	opts.Once = true
+	opts.WarmUp = 100 * time.Millisecond
 	opts.Alone = 300 * time.Millisecond
+	opts.Medium = 300 * time.Millisecond
 	opts.Together = 700 * time.Millisecond
 	opts.Out = out
 	return opts
@@ -34,7 +36,7 @@
 				require.Contains(t, out.String(), o.Name)
 			}
 			require.Contains(t, out.String(), "Time to first token in ms")
-			require.Regexp(t, `alone ÷ with long +\d`, out.String())
+			require.Regexp(t, `alone ÷ with medium and long ones +\d`, out.String())
 			require.Contains(t, out.String(), " 0 broken, 0 wrong")
 			require.NotContains(t, out.String(), "curl")
 		})
--- a/internal/demo/table.go
+++ b/internal/demo/table.go
@@ -13,7 +13,8 @@
 
 // printTables prints the time to first token by length class and organisation,
 // and the slowdown of short prompts.
-func printTables(out io.Writer, d *Deployment, alone, together *loadgen.Result) {
+func printTables(out io.Writer, d *Deployment, m *measured) {
+	together := &m.together
 	fmt.Fprintf(out, "\nTime to first token in ms, p50 / p95 (engines run %d times as fast as real ones)\n\n", engineSpeed)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	row(w, "organisation", func(class string) string { return class })
@@ -24,7 +25,7 @@
 	row(w, "requests", func(class string) string { return fmt.Sprint(together.Class(class).Counts.Requests) })
 	row(w, "answered whole", func(class string) string { return fmt.Sprint(together.Class(class).Counts.Whole) })
 	_ = w.Flush()
-	printSlowdown(out, alone.Class(classShort).FirstToken, together.Class(classShort).FirstToken)
+	printSlowdown(out, m)
 	printEnds(out, together)
 }
 
@@ -52,17 +53,30 @@
 	return loadgen.Group{}
 }
 
-func printSlowdown(out io.Writer, alone, together loadgen.Quantiles) {
-	fmt.Fprint(out, "\nShort prompts' time to first token, alone ÷ with long ones (1 is no slowdown)\n\n")
+func printSlowdown(out io.Writer, m *measured) {
+	alone := m.alone.Class(classShort).FirstToken
+	medium := m.medium.Class(classShort).FirstToken
+	together := m.together.Class(classShort).FirstToken
+	fmt.Fprint(out, "\nShort prompts' time to first token, and its slowdown (1 is none)\n\n")
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "\tp50\tp95\tp99\t")
-	fmt.Fprintf(w, "alone, ms\t%.1f\t%.1f\t%.1f\t\n", alone.P50Ms, alone.P95Ms, alone.P99Ms)
-	fmt.Fprintf(w, "with long, ms\t%.1f\t%.1f\t%.1f\t\n", together.P50Ms, together.P95Ms, together.P99Ms)
-	fmt.Fprintf(w, "alone ÷ with long\t%.2f\t%.2f\t%.2f\t\n",
-		ratio(alone.P50Ms, together.P50Ms), ratio(alone.P95Ms, together.P95Ms), ratio(alone.P99Ms, together.P99Ms))
+	printTimes(w, "alone, ms", alone)
+	printTimes(w, "with medium ones, ms", medium)
+	printTimes(w, "with medium and long ones, ms", together)
+	printRatios(w, "alone ÷ with medium ones", alone, medium)
+	printRatios(w, "alone ÷ with medium and long ones", alone, together)
+	printRatios(w, "with medium ÷ with medium and long ones", medium, together)
 	_ = w.Flush()
 }
 
+func printTimes(w io.Writer, name string, q loadgen.Quantiles) {
+	fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.1f\t\n", name, q.P50Ms, q.P95Ms, q.P99Ms)
+}
+
+func printRatios(w io.Writer, name string, a, b loadgen.Quantiles) {
+	fmt.Fprintf(w, "%s\t%.2f\t%.2f\t%.2f\t\n", name, ratio(a.P50Ms, b.P50Ms), ratio(a.P95Ms, b.P95Ms), ratio(a.P99Ms, b.P99Ms))
+}
+
 func ratio(a, b float64) float64 {
 	if b == 0 {
 		return 0
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -35,6 +35,8 @@
 	status, text := r.admin(t, "/metrics", adminSecret)
 	require.Equal(t, http.StatusOK, status)
 	require.Contains(t, text, `cornelsaddle_first_token_seconds_count{organisation="framers",class="short"} 1`)
+	require.Contains(t, text, `cornelsaddle_between_tokens_seconds_count{organisation="framers",class="short"} 3`)
+	require.Contains(t, text, `cornelsaddle_queueing_seconds_count{organisation="framers",class="short"} 1`)
 	require.Contains(t, text, `cornelsaddle_failures_total{code="unknown_model"} 1`)
 
 	status, text = r.admin(t, "/metrics?format=json", adminSecret)
--- a/internal/prompt/answer.go
+++ b/internal/prompt/answer.go
@@ -58,6 +58,8 @@
 	machine *statechart.Machine
 	watch   *watch
 	start   time.Time
+	// last is when the last token was delivered.
+	last time.Time
 
 	// event is the next one for the chart.
 	event    statechart.Event
@@ -149,6 +151,7 @@
 		return a.send()
 	case doDeliver:
 		a.deliver()
+		a.measureToken(time.Now())
 	case doCancel:
 		a.cancelAttempt()
 	case doRelease:
--- a/internal/prompt/attempt.go
+++ b/internal/prompt/attempt.go
@@ -208,6 +208,7 @@
 // send opens the attempt's stream.
 func (a *Answer) send() statechart.Event {
 	a.attempts++
+	a.measureSend(time.Now())
 	a.handed = true
 	a.tried[a.attempt.endpoint] = true
 	a.attempt.pending = true
