Send mangled requests, and vanish before the first token

Tests: 300 mangled requests (fixed seed) get a typed failure, an answer or the end of the connection, and leave the engine its memory; a caller that vanishes during a prefill of minutes, streamed or whole, frees the engine at once. A test with a caller that does not read was tried over the whole path and dropped: with the race detector the VM reads slower than the stand-in engine writes, which cuts the stream, so what it showed was a retry. The write's deadline is tested on the connection itself.

--- a/internal/node/badinput_test.go
+++ b/internal/node/badinput_test.go
@@ -77,18 +77,24 @@
 	}
 }
 
+// engineModel is the rig's usual engine.
+func engineModel() engine.ModelConfig {
+	return engine.ModelConfig{
+		MemoryTokens: engineTotal, PrefillRate: 1_000_000, DecodeStep: 5 * time.Millisecond, PieceTokens: 2048, Priorities: true,
+	}
+}
+
 func startRig(t *testing.T) *rig {
+	t.Helper()
+	return startRigWith(t, engineModel())
+}
+
+func startRigWith(t *testing.T, model engine.ModelConfig) *rig {
 	t.Helper()
 	r := &rig{}
 	store, err := standinplatform.Start(standinplatform.Config{Address: "127.0.0.1:0"})
 	require.NoError(t, err)
-	r.engine, err = engine.Start(engine.Config{
-		Address: "127.0.0.1:0",
-		Serves:  "scribe-pool",
-		Model: engine.ModelConfig{
-			MemoryTokens: engineTotal, PrefillRate: 1_000_000, DecodeStep: 5 * time.Millisecond, PieceTokens: 2048, Priorities: true,
-		},
-	})
+	r.engine, err = engine.Start(engine.Config{Address: "127.0.0.1:0", Serves: "scribe-pool", Model: model})
 	require.NoError(t, err)
 	applyDocument(t, store.Addr(), r.engine.Addr())
 	log, err := event.New(&r.log, "json", "debug", "entry-1")
@@ -124,6 +130,7 @@
 	s.Callers.MaxConnections = connLimit
 	s.Callers.ReadTimeoutMs = 300
 	s.Callers.IdleTimeoutMs = 300
+	s.Callers.WriteTimeoutMs = 300
 	s.Admin = settings.Admin{Address: "127.0.0.1:0", Token: adminSecret}
 	s.Peers = settings.Peers{Address: "127.0.0.1:0", Keys: []string{peerSecret}}
 	s.Platform.Address = store
@@ -139,7 +146,7 @@
 			"framers": {KeyDigests: []string{calls.Digest([]byte(callerKey))}, Weight: 1, Services: []string{"scribe-pool", "ledger-desk"}},
 		},
 		Services: map[string]configuration.Service{
-			"scribe-pool": {Kind: configuration.KindModel, MaxTimeoutMs: 30_000},
+			"scribe-pool": {Kind: configuration.KindModel, MaxTimeoutMs: 600_000},
 			"closed-pool": {Kind: configuration.KindModel, MaxTimeoutMs: 30_000},
 			"ledger-desk": {Kind: configuration.KindPlain, MaxTimeoutMs: 10_000, Operations: map[string]configuration.Operation{"deposit": {}}},
 		},
@@ -292,6 +299,26 @@
 	require.NotContains(t, r.log.String(), "secret prompt text")
 }
 
+// TestACallerThatVanishesBeforeTheFirstToken leaves while its prompt, whose
+// prefill takes minutes, is computed.
+func TestACallerThatVanishesBeforeTheFirstToken(t *testing.T) {
+	for name, stream := range map[string]bool{"streamed": true, "whole": false} {
+		t.Run(name, func(t *testing.T) {
+			model := engineModel()
+			model.PrefillRate = 100
+			r := startRigWith(t, model)
+			body := fmt.Sprintf(`{"model":"scribe-pool","prompt":%q,"max_tokens":4,"stream":%v}`, strings.Repeat("ash ", 12_000), stream)
+			c := r.dial(t)
+			_, err := io.WriteString(c, request("POST", wire.PathCompletions, body))
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return r.engine.Free() < engineTotal }, waitLimit, 10*time.Millisecond)
+			require.NoError(t, c.Close())
+			require.Eventually(t, func() bool { return r.engine.Free() == engineTotal }, waitLimit, 10*time.Millisecond)
+			r.node.Drain()
+		})
+	}
+}
+
 func TestGoodRequestsLogNoPromptAndNoKey(t *testing.T) {
 	r := startRig(t)
 	good := `{"model":"scribe-pool","prompt":"secret prompt text","max_tokens":12}`
