Look keys up by their digest

Whole digests are still compared in constant time; the lookup's time depends on a digest's first bytes, from which no key follows.

Tests: the keyring against the search over all digests, digests that share a bucket, a new version; go test -race ./internal/api ./internal/node.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -28,6 +28,7 @@
 	calls    *call.Runner
 	log      *event.Logger
 	metrics  *metrics.Metrics
+	keys     keyrings
 
 	mu       sync.Mutex
 	draining bool
@@ -89,7 +90,7 @@
 		if s.snapshot == nil {
 			err = errcode.New(errcode.NotReady, "no configuration is in force yet").WithRetryAfter(time.Second)
 		} else {
-			s.organisation, err = authenticate(ctx, s.snapshot)
+			s.organisation, err = authenticate(ctx, a.keys.of(s.snapshot))
 		}
 		if err != nil {
 			a.leave()
