Serve histograms added up by length class

Cause: the page by organisation grows by 10 kB a pair (BenchmarkPrometheus), 10 MB at the bound, too much for a frequent scrape. ?by=class adds up the organisations: 7.5 kB a class. A pair costs 1.7 kB of memory and a measurement 85 ns (BenchmarkPair, BenchmarkFirstToken, busy machine).

Tests: the sum over organisations equals one histogram of all values.

--- a/internal/metrics/histogram.go
+++ b/internal/metrics/histogram.go
@@ -66,6 +66,23 @@
 	d.squares += float64(us) * float64(us)
 }
 
+// merge adds the other's values.
+func (d *distribution) merge(o *distribution) {
+	if o.count == 0 {
+		return
+	}
+	if d.count == 0 || o.min < d.min {
+		d.min = o.min
+	}
+	d.max = max(d.max, o.max)
+	d.count += o.count
+	d.sum += o.sum
+	d.squares += o.squares
+	for i, n := range o.counts {
+		d.counts[i] += n
+	}
+}
+
 func (h *Histogram) copy() distribution {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -17,9 +17,14 @@
 )
 
 func text(t *testing.T, m *Metrics) string {
+	t.Helper()
+	return textBy(t, m, ByOrganisation)
+}
+
+func textBy(t *testing.T, m *Metrics, detail Detail) string {
 	t.Helper()
 	var b strings.Builder
-	require.NoError(t, m.WritePrometheus(&b))
+	require.NoError(t, m.WritePrometheus(&b, detail))
 	return b.String()
 }
 
@@ -76,6 +81,32 @@
 	require.Contains(t, out, `cornelsaddle_between_tokens_seconds_count{organisation="framers",class="short"} 0`)
 }
 
+func TestClassesAddUpTheirOrganisations(t *testing.T) {
+	m := New()
+	var whole Histogram
+	for i := range 100 {
+		d := time.Duration(i) * 7 * time.Millisecond
+		m.FirstToken(fmt.Sprintf("organisation-%d", i%7), "short", d)
+		m.FirstToken("organisation-0", "long", time.Second)
+		whole.Record(d)
+	}
+	var want strings.Builder
+	d := whole.copy()
+	writeHistogram(&want, "cornelsaddle_first_token_seconds", `class="short"`, &d)
+	out := textBy(t, m, ByClass)
+	require.Contains(t, out, want.String())
+	require.Contains(t, out, `cornelsaddle_first_token_seconds_count{class="long"} 100`)
+	require.NotContains(t, out, "organisation=")
+	var sum distribution
+	for _, p := range m.sortedPairs() {
+		if p.class == "short" {
+			part := m.series(p.organisation, p.class).firstToken.copy()
+			sum.merge(&part)
+		}
+	}
+	require.Equal(t, d, sum)
+}
+
 func TestSeriesAreBounded(t *testing.T) {
 	m := New()
 	for i := range 3 * maxPairs {
@@ -140,3 +171,45 @@
 	wg.Wait()
 	require.Equal(t, int64(1600), m.series("framers", "short").firstToken.Count())
 }
+
+// BenchmarkFirstToken is the time of one measurement, with as many pairs as the
+// design size has.
+func BenchmarkFirstToken(b *testing.B) {
+	m := New()
+	for i := range maxPairs {
+		m.FirstToken(fmt.Sprintf("organisation-%d", i), "short", time.Millisecond)
+	}
+	for b.Loop() {
+		m.FirstToken("organisation-7", "short", 27*time.Millisecond)
+	}
+}
+
+// BenchmarkPair is what one more pair of organisation and length class costs.
+func BenchmarkPair(b *testing.B) {
+	b.ReportAllocs()
+	m := New()
+	for i := range b.N {
+		m.pairs[pair{fmt.Sprint(i), "short"}] = m.register(pair{fmt.Sprint(i), "short"})
+	}
+}
+
+// BenchmarkPrometheus is the page with one pair; its size is reported.
+func BenchmarkPrometheus(b *testing.B) {
+	for _, detail := range []Detail{ByOrganisation, ByClass} {
+		b.Run(string(detail), func(b *testing.B) {
+			m := New()
+			for i := range 100 {
+				m.FirstToken(fmt.Sprintf("organisation-%d", i), "short", time.Millisecond)
+			}
+			var size int
+			for b.Loop() {
+				var text strings.Builder
+				if err := m.WritePrometheus(&text, detail); err != nil {
+					b.Fatal(err)
+				}
+				size = text.Len()
+			}
+			b.ReportMetric(float64(size), "bytes/100pairs")
+		})
+	}
+}
--- a/internal/metrics/prometheus.go
+++ b/internal/metrics/prometheus.go
@@ -25,31 +25,67 @@
 	failuresMetric = namespace + "failures_total"
 )
 
+// Detail says how far histograms are told apart.
+type Detail string
+
+const (
+	// ByOrganisation has a histogram for each organisation and length class.
+	ByOrganisation Detail = "organisation"
+	// ByClass adds up the organisations of a length class.
+	ByClass Detail = "class"
+)
+
 // WritePrometheus writes all metrics in the Prometheus text format, in a fixed
 // order.
-func (m *Metrics) WritePrometheus(w io.Writer) error {
+func (m *Metrics) WritePrometheus(w io.Writer, detail Detail) error {
 	b := bufio.NewWriter(w)
-	m.writeHistograms(b, kindFirstToken, helpFirstToken, func(s *series) *Histogram { return s.firstToken })
-	m.writeHistograms(b, kindBetween, helpBetween, func(s *series) *Histogram { return s.between })
-	m.writeHistograms(b, kindQueueing, helpQueueing, func(s *series) *Histogram { return s.queueing })
+	m.writeHistograms(b, detail, kindFirstToken, helpFirstToken, func(s *series) *Histogram { return s.firstToken })
+	m.writeHistograms(b, detail, kindBetween, helpBetween, func(s *series) *Histogram { return s.between })
+	m.writeHistograms(b, detail, kindQueueing, helpQueueing, func(s *series) *Histogram { return s.queueing })
 	m.writeOthers(b)
 	return errors.WithStack(b.Flush())
 }
 
-func (m *Metrics) writeHistograms(w io.Writer, k kind, help string, of func(*series) *Histogram) {
+func (m *Metrics) writeHistograms(w io.Writer, detail Detail, k kind, help string, of func(*series) *Histogram) {
 	name := namespace + string(k) + "_seconds"
 	fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s histogram\n", name, help, name)
-	for _, p := range m.sortedPairs() {
+	pairs := m.sortedPairs()
+	if detail == ByClass {
+		m.writeClasses(w, name, pairs, of)
+		return
+	}
+	for _, p := range pairs {
 		d := of(m.series(p.organisation, p.class)).copy()
-		labels := fmt.Sprintf("organisation=%s,class=%s", label(p.organisation), label(p.class))
-		sum := int64(0)
-		for i, bound := range bounds {
-			sum += d.counts[i]
-			fmt.Fprintf(w, "%s_bucket{%s,le=\"%s\"} %d\n", name, labels, seconds(bound), sum)
+		writeHistogram(w, name, fmt.Sprintf("organisation=%s,class=%s", label(p.organisation), label(p.class)), &d)
+	}
+}
+
+// writeClasses writes the sums over organisations.
+func (m *Metrics) writeClasses(w io.Writer, name string, pairs []pair, of func(*series) *Histogram) {
+	sums := make(map[string]*distribution)
+	classes := make([]string, 0, len(pairs))
+	for _, p := range pairs {
+		if sums[p.class] == nil {
+			sums[p.class] = &distribution{}
+			classes = append(classes, p.class)
 		}
-		fmt.Fprintf(w, "%s_bucket{%s,le=\"+Inf\"} %d\n", name, labels, d.count)
-		fmt.Fprintf(w, "%s_sum{%s} %s\n%s_count{%s} %d\n", name, labels, seconds(d.sum), name, labels, d.count)
+		d := of(m.series(p.organisation, p.class)).copy()
+		sums[p.class].merge(&d)
+	}
+	sort.Strings(classes)
+	for _, class := range classes {
+		writeHistogram(w, name, "class="+label(class), sums[class])
+	}
+}
+
+func writeHistogram(w io.Writer, name, labels string, d *distribution) {
+	sum := int64(0)
+	for i, bound := range bounds {
+		sum += d.counts[i]
+		fmt.Fprintf(w, "%s_bucket{%s,le=\"%s\"} %d\n", name, labels, seconds(bound), sum)
 	}
+	fmt.Fprintf(w, "%s_bucket{%s,le=\"+Inf\"} %d\n", name, labels, d.count)
+	fmt.Fprintf(w, "%s_sum{%s} %s\n%s_count{%s} %d\n", name, labels, seconds(d.sum), name, labels, d.count)
 }
 
 func (m *Metrics) sortedPairs() []pair {
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -50,14 +50,19 @@
 	ctx.SetBodyString("ok\n")
 }
 
-// metrics answers in the Prometheus text format, or in JSON with ?format=json.
+// metrics answers in the Prometheus text format, with ?by=class added up over
+// organisations, or in JSON with ?format=json.
 func (n *Node) metrics(ctx *fasthttp.RequestCtx) {
 	if string(ctx.QueryArgs().Peek("format")) == "json" {
 		writeJSON(ctx, n.parts.Metrics.Registry.GetAll())
 		return
 	}
 	ctx.Response.Header.SetContentType(metrics.ContentType)
-	if err := n.parts.Metrics.WritePrometheus(ctx); err != nil {
+	detail := metrics.ByOrganisation
+	if string(ctx.QueryArgs().Peek("by")) == string(metrics.ByClass) {
+		detail = metrics.ByClass
+	}
+	if err := n.parts.Metrics.WritePrometheus(ctx, detail); err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 	}
 }
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -39,6 +39,9 @@
 	require.Contains(t, text, `cornelsaddle_queueing_seconds_count{organisation="framers",class="short"} 1`)
 	require.Contains(t, text, `cornelsaddle_failures_total{code="unknown_model"} 1`)
 
+	_, text = r.admin(t, "/metrics?by=class", adminSecret)
+	require.Contains(t, text, `cornelsaddle_first_token_seconds_count{class="short"} 1`)
+
 	status, text = r.admin(t, "/metrics?format=json", adminSecret)
 	require.Equal(t, http.StatusOK, status)
 	require.True(t, json.Valid([]byte(text)))
