Refuse a setting that stands twice, and load the separate processes with the tool

Tests: go test ./internal/settings ./test/process; the load sends prompts and calls, each call twice, through four entry VMs; all answers are whole and right.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -116,6 +116,9 @@
 	if err != nil {
 		return Settings{}, errors.WithStack(&FieldError{file, "/", err.Error()})
 	}
+	if at := duplicate(data); at != "" {
+		return Settings{}, errors.WithStack(&FieldError{file, at, "the field stands twice; expected once"})
+	}
 	schema, err := compile()
 	if err != nil {
 		return Settings{}, err
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -97,6 +97,22 @@
 	require.NotContains(t, err.Error(), secret)
 }
 
+func TestAFieldThatStandsTwiceIsRefused(t *testing.T) {
+	for _, c := range []struct{ from, to, pointer string }{
+		{`"vm":`, `"vm": {}, "vm":`, "/vm"},
+		{`"token":`, `"token": "0123456789abcdef", "token":`, "/admin/token"},
+		{`["change-me-change-me"]`, `[{"a": 1, "a": 2}]`, "/peers/keys/0/a"},
+	} {
+		require.Contains(t, Example, c.from)
+		_, err := Parse("vm.json", []byte(strings.Replace(Example, c.from, c.to, 1)))
+		var wrong *FieldError
+		require.ErrorAs(t, err, &wrong)
+		require.Equal(t, c.pointer, wrong.Pointer)
+		require.Contains(t, wrong.Expected, "twice")
+	}
+	require.Empty(t, duplicate([]byte(`{"a": {"b": [1, {"a": 1}]}, "b": "a"}`)))
+}
+
 func TestBrokenFilesAreRefused(t *testing.T) {
 	for _, text := range []string{"", "{", "[]", "null", Example + "{}"} {
 		_, err := Parse("vm.json", []byte(text))
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -41,6 +41,7 @@
 	vms     []*process
 	engines []string
 	service string
+	ctl     string
 }
 
 // process is one started program.
@@ -98,7 +99,7 @@
 	serveBin := build(t, dir, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddle")
 	ctlBin := build(t, dir, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddlectl")
 	platform := standin(t, standinBin, "-role", "platform")
-	s := &system{service: standin(t, standinBin, "-role", "service")}
+	s := &system{service: standin(t, standinBin, "-role", "service"), ctl: ctlBin}
 	doc := configuration.Document{
 		Organisations: map[string]configuration.Organisation{
 			"framers": {KeyDigests: []string{calls.Digest([]byte(key))}, Weight: 1, Services: []string{"scribe-pool", "ledger-desk"}},
@@ -286,6 +287,8 @@
 		require.Equal(t, map[string]int{"deposit-1": 1}, effects.Effects)
 	})
 
+	t.Run("a load through the tool is answered whole", s.load)
+
 	t.Run("SIGTERM ends cleanly", func(t *testing.T) {
 		p := s.vms[3]
 		require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
