--- a/internal/settings/duplicate.go
+++ b/internal/settings/duplicate.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"strconv"
 )
 
@@ -39,7 +40,7 @@
 			return ""
 		}
 		name, _ := token.(string)
-		at := append(path[:len(path):len(path)], name)
+		at := slices.Concat(path, []string{name})
 		if seen[name] {
 			return pointer(at)
 		}
@@ -55,7 +56,7 @@
 // duplicateItem reads the rest of an array.
 func duplicateItem(dec *json.Decoder, path []string) string {
 	for i := 0; dec.More(); i++ {
-		at := append(path[:len(path):len(path)], strconv.Itoa(i))
+		at := slices.Concat(path, []string{strconv.Itoa(i)})
 		if found := duplicateIn(dec, at); found != "" {
 			return found
 		}
