--- a/core/configuration/document.go
+++ b/core/configuration/document.go
@@ -98,6 +98,9 @@
 	// TokensPerSecond bounds the sum of the organisations' limits; zero for no
 	// bound.
 	TokensPerSecond float64 `json:"tokens_per_second,omitempty"`
+	// WeightLoadsPerSecond limits the loads from the weight store by all VMs
+	// together; zero for no limit.
+	WeightLoadsPerSecond float64 `json:"weight_loads_per_second,omitempty"`
 }
 
 // DefaultLengthClasses are used when the document has none.
--- a/core/endpointhealth/tracker.go
+++ b/core/endpointhealth/tracker.go
@@ -114,6 +114,17 @@
 	return m, false
 }
 
+// Listed takes the platform's word that the endpoint leaves. The list lags, so
+// it counts for an endpoint that has not come back since: one that ramps up or
+// has a known later incarnation is left alone.
+func (t *Tracker) Listed(now time.Time, id string) (Mark, bool) {
+	e := t.get(id)
+	if e.machine.State() == StateReturning || len(e.marks) > 0 && !e.marked(e.incarnation) {
+		return Mark{}, false
+	}
+	return t.Marked(now, Mark{id, e.incarnation})
+}
+
 // Failed notes that the endpoint did not answer.
 func (t *Tracker) Failed(now time.Time, id string) { t.fire(now, t.get(id), evFailed) }
 
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -29,6 +29,7 @@
 	calls    *call.Runner
 	log      *event.Logger
 	metrics  *metrics.Metrics
+	keys     keyrings
 
 	mu       sync.Mutex
 	draining bool
@@ -105,7 +106,7 @@
 		if standing := a.follower.Standing(); standing != configuration.StandingCurrent {
 			err = errcode.New(errcode.NotReady, "the VM's configuration is %s", standing).WithRetryAfter(time.Second)
 		} else {
-			s.organisation, err = authenticate(ctx, s.snapshot)
+			s.organisation, err = authenticate(ctx, a.keys.of(s.snapshot))
 		}
 		if err != nil {
 			a.leave()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,8 +23,10 @@
 	incarnation string
 	// polled is when the last poll was begun.
 	polled time.Time
-	// sent sums up, by priority, what this VM sent since the last digest.
+	// sent sums up, by priority, what this VM sent since the last digest, and
+	// held by how much the memory that it holds there changed.
 	sent [2]int64
+	held int64
 }
 
 // Fleet is safe for concurrent use.
@@ -39,7 +41,34 @@
 	states map[string]*state
 	picker *placement.Picker
 	scope  *scope
+	// notify tells the peers of a long prefill at once; nil for no peers.
+	notify func(DigestEntry)
 	views  []placement.View
+	health Health
+	rnd    *rand.Rand
+}
+
+// Health tells which endpoints get new work.
+type Health interface {
+	// Reported takes an endpoint's own report. It is not called under a lock.
+	Reported(id, incarnation string, leaving bool)
+	// Share is the part of its usual work that an endpoint gets, from 0 to 1.
+	Share(id string) float64
+}
+
+// SetHealth sets who is asked whether an endpoint gets new work; it is called
+// before Start.
+func (f *Fleet) SetHealth(h Health) { f.health = h }
+
+// admits reports whether the endpoint is offered to a prompt: never while it
+// leaves, and for a part of the prompts only after it has come back. The lock is
+// held.
+func (f *Fleet) admits(id string) bool {
+	if f.health == nil {
+		return true
+	}
+	share := f.health.Share(id)
+	return share >= 1 || f.rnd.Float64() < share
 }
 
 // New returns a Fleet over the endpoints of the configuration in force.
@@ -52,6 +81,7 @@
 		states:   make(map[string]*state),
 		scope:    &scope{},
 		picker:   placement.NewPicker(cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		rnd:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		stop:     make(chan struct{}),
 		done:     make(chan struct{}),
 	}
@@ -101,7 +131,7 @@
 			continue
 		}
 		st := f.state(id, e)
-		if !st.alive || st.leaving {
+		if !st.alive || st.leaving || !f.admits(id) {
 			continue
 		}
 		views = append(views, st.known.View(now, p))
@@ -123,17 +153,18 @@
 	return choice, f.views[choice.Index]
 }
 
-// Sent notes an attempt that was sent to the endpoint.
-func (f *Fleet) Sent(id, attempt string, tokens int64, priority wire.Priority) {
-	f.SentPrompt(id, attempt, placement.Prompt{Tokens: tokens, Priority: priority}, priority)
-}
-
 // SentPrompt notes an attempt that was sent to the endpoint at the priority.
 func (f *Fleet) SentPrompt(id, attempt string, p placement.Prompt, priority wire.Priority) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	st := f.state(id, configuration.Endpoint{})
-	st.sent[priority] += st.known.Sent(time.Now(), attempt, &p, priority)
+	work := st.known.Sent(time.Now(), attempt, &p, priority)
+	st.held += p.Need()
+	if work >= noticeTokens && f.notify != nil {
+		f.notify(st.entry(id, priority, work))
+		return
+	}
+	st.sent[priority] += work
 }
 
 // FirstToken notes that the attempt had its first token.
@@ -143,12 +174,12 @@
 	f.known(id).FirstToken(time.Now(), attempt)
 }
 
-// Started notes that the attempt had its first token, or ended: it no longer
-// waits, and nothing is learnt from it.
-func (f *Fleet) Started(id, attempt string) {
+// Ended notes that the attempt is over, with or without an answer.
+func (f *Fleet) Ended(id, attempt string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.known(id).Ended(attempt)
+	st := f.state(id, configuration.Endpoint{})
+	st.held -= st.known.Ended(time.Now(), attempt)
 }
 
 // Answer is a whole answer's account of itself.
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -47,6 +47,18 @@
 	h.tracker.Marked(time.Now(), endpointhealth.Mark{Endpoint: m.Endpoint, Incarnation: m.Incarnation})
 }
 
+// Listed takes the platform's word that an endpoint leaves: a hint that holds
+// for the incarnation that is known now.
+func (h *Health) Listed(id string) {
+	h.mu.Lock()
+	m, told := h.tracker.Listed(time.Now(), id)
+	tell := h.tell
+	h.mu.Unlock()
+	if told && tell != nil {
+		tell(membership.Mark{Endpoint: m.Endpoint, Incarnation: m.Incarnation})
+	}
+}
+
 // Failed notes that an endpoint did not answer.
 func (h *Health) Failed(id string) {
 	h.mu.Lock()
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cornelsaddle.example/cornelsaddle/core/membership"
+	"cornelsaddle.example/cornelsaddle/core/wire"
 )
 
 const (
@@ -22,10 +23,18 @@
 		if list, err := s.list.VMs(); err == nil {
 			s.do(func(time.Time) []membership.Action {
 				for _, vm := range list.VMs {
+					if vm.Peer == "" {
+						continue
+					}
 					s.node.Hint(vm.ID, vm.Peer, vm.FailureDomain)
 				}
 				return nil
 			})
+			for _, vm := range list.VMs {
+				if vm.State == wire.VMLeaving {
+					s.observer.ListedLeaving(vm.ID)
+				}
+			}
 		}
 		select {
 		case <-s.ctx.Done():
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -45,6 +45,8 @@
 	PeerDigest(vm string, digest []byte)
 	// EndpointLeaves takes a mark that another VM set.
 	EndpointLeaves(mark membership.Mark)
+	// ListedLeaving takes a VM that the platform's list calls leaving.
+	ListedLeaving(vm string)
 	// MembersChanged is called when a VM came, went, or began to leave.
 	MembersChanged()
 }
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -32,7 +32,7 @@
 
 // handOverTimeout bounds the hand-over; what was not handed over by then expires
 // by its own time limit.
-const handOverTimeout = 10 * time.Second
+const handOverTimeout = 15 * time.Second
 
 // HandOver gives up what this VM holds for all, such as leases, so that another
 // VM need not wait until it expires.
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -5,6 +5,7 @@
 
 	"cornelsaddle.example/cornelsaddle/core/membership"
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
+	"cornelsaddle.example/cornelsaddle/internal/fleet"
 	"cornelsaddle.example/cornelsaddle/internal/health"
 	"cornelsaddle.example/cornelsaddle/internal/member"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
@@ -14,6 +15,9 @@
 
 // observer hands what the probes bring to the parts that need it.
 type observer struct {
+	self     string
+	fleet    *fleet.Fleet
+	view     *view
 	follower *confsync.Follower
 	health   *health.Health
 }
@@ -28,7 +32,24 @@
 func (o *observer) EndpointLeaves(mark membership.Mark) { o.health.Marked(mark) }
 
 // MembersChanged implements member.Observer.
-func (o *observer) MembersChanged() {}
+func (o *observer) MembersChanged() {
+	live := o.view.Live()
+	ids := make([]string, 0, len(live))
+	for _, m := range live {
+		ids = append(ids, m.VM)
+	}
+	o.fleet.SetMembers(o.self, ids)
+}
+
+// ListedLeaving implements member.Observer. The list names VMs; those that are
+// endpoints get no new work.
+func (o *observer) ListedLeaving(vm string) {
+	if snap := o.follower.Current(); snap != nil {
+		if _, ok := snap.Endpoints[vm]; ok {
+			o.health.Listed(vm)
+		}
+	}
+}
 
 // join begins to probe the other VMs, and to follow the configuration with
 // them.
@@ -45,11 +66,12 @@
 		Caller:   p.Peers,
 		List:     p.Store,
 		Log:      n.log,
-		Observer: &observer{p.Follower, p.Health},
+		Observer: &observer{p.Identity.VM, p.Fleet, p.View, p.Follower, p.Health},
 		Version:  p.Follower.Known,
 	}, p.Mux))
 	n.members = n.parts.View.service.Load()
 	p.Health.Tell(n.members.MarkEndpoint)
+	p.Fleet.SetHealth(p.Health)
 	p.Follower.Join(n.members, p.Mux)
 	p.Follower.Start()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,8 +16,10 @@
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/fleet"
 	"cornelsaddle.example/cornelsaddle/internal/health"
+	"cornelsaddle.example/cornelsaddle/internal/lease"
 	"cornelsaddle.example/cornelsaddle/internal/member"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
+	"cornelsaddle.example/cornelsaddle/internal/orders"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
 	"cornelsaddle.example/cornelsaddle/internal/prompt"
@@ -24,6 +27,10 @@
 	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
 
+// recordLimit bounds the wait for outcomes of calls to be recorded while the
+// store is down.
+const recordLimit = 20 * time.Second
+
 // Node is one running entry VM.
 type Node struct {
 	settings settings.Settings
@@ -47,6 +54,9 @@
 	Store    *platform.Client
 	Streams  *endpoint.Client
 	Caller   *endpoint.Caller
+	Calls    *call.Runner
+	Leases   *lease.Manager
+	Orders   *orders.Manager
 	Prompts  *prompt.Runner
 	Holder   *reserve.Holder
 	Sweeper  *reserve.Sweeper
@@ -85,9 +95,10 @@
 		grace:    n.settings.Callers.DrainGrace(),
 		tell:     func() { n.members.Leave() },
 		refuse:   n.parts.API.Refuse,
-		wait:     n.parts.API.Drain,
+		wait:     n.finish,
 		inFlight: n.parts.API.InFlight,
 	}
+	n.OnHandOver(HandOver{"leases", n.parts.Leases.Release})
 	if err := n.life.start(); err != nil {
 		return err
 	}
@@ -96,11 +107,21 @@
 	}
 	n.join()
 	n.parts.Fleet.Start()
+	n.parts.Leases.Start()
+	n.parts.Orders.Start()
 	n.parts.Holder.Start()
 	n.parts.Sweeper.Start()
 	return n.listen()
 }
 
+// finish waits for the requests in flight and the records of their calls.
+func (n *Node) finish() {
+	n.parts.API.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), recordLimit)
+	defer cancel()
+	_ = n.parts.Calls.Drain(ctx)
+}
+
 func (n *Node) constructors() []any {
 	return []any{
 		func() settings.Settings { return n.settings },
@@ -125,6 +146,8 @@
 		newHolder,
 		newSweeper,
 		call.NewRunner,
+		lease.New,
+		orders.New,
 		api.New,
 	}
 }
@@ -209,6 +232,8 @@
 	if n.peers != nil {
 		n.peers.Close()
 	}
+	n.parts.Orders.Stop()
+	n.parts.Leases.Stop()
 	n.parts.Peers.Close()
 	n.parts.Prompts.Close()
 	n.parts.Streams.Close()
--- a/standin/experiment/cell.go
+++ b/standin/experiment/cell.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cornelsaddle.example/cornelsaddle/core/admission"
 	"cornelsaddle.example/cornelsaddle/core/placement"
 	"cornelsaddle.example/cornelsaddle/standin/engine"
 )
@@ -42,11 +43,13 @@
 	// Placement and DelayWeight are the predictive policy's parameters.
 	Placement   placement.Config
 	DelayWeight float64
-	// Admission refuses what is predicted to miss its deadline.
-	Admission bool
+	// Admission refuses what is predicted to miss its deadline; nil to take all.
+	Admission *admission.Config
 
-	// NoDigests and NoCacheEvents take parts of the VMs' knowledge away.
+	// NoDigests, NoNotices and NoCacheEvents take parts of the VMs' knowledge
+	// away.
 	NoDigests     bool
+	NoNotices     bool
 	NoCacheEvents bool
 
 	shapes []engine.ModelConfig
@@ -68,6 +71,7 @@
 	c.shapes = fleetShape(c.Priorities)
 	r := &run{
 		cell:  c,
+		late:  make(map[int][]sentDigest),
 		bySeq: make(map[*engine.Sequence]*job),
 		rng:   rand.New(rand.NewPCG(c.Seed, 2)),
 	}
@@ -104,7 +108,11 @@
 	case LeastOutstanding:
 		return &leastOutstanding{rng: rng}
 	}
-	return newPredictive(c.Placement, c.DelayWeight, c.Admission, c.shapes, rng)
+	var admit *admission.Controller
+	if c.Admission != nil {
+		admit = admission.NewController(*c.Admission)
+	}
+	return newPredictive(c.Placement, c.DelayWeight, admit, c.shapes, rng)
 }
 
 // arrivals draws the prompts: a Poisson process whose mean work is Load times
