--- a/core/wire/faults.go
+++ b/core/wire/faults.go
@@ -28,6 +28,9 @@
 	// Interleave mixes events of another request and of another attempt, each
 	// with an end marker, into the next stream.
 	Interleave bool `json:"interleave"`
+	// Leaving makes load reports say that the engine takes no new work; it still
+	// takes what is sent.
+	Leaving bool `json:"leaving"`
 	// Refuse answers new requests with 503 before anything starts.
 	Refuse bool `json:"refuse"`
 }
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -209,7 +209,7 @@
 	r := s.model.Load()
 	r.AtMs = time.Now().UnixMilli()
 	r.Incarnation = s.incarnation
-	r.Leaving = s.leaving
+	r.Leaving = s.leaving || s.faults.Leaving
 	if n := len(s.reports); n > 0 && s.reports[n-1].AtMs == r.AtMs {
 		s.reports[n-1] = r
 		return
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -44,6 +44,12 @@
 	engineProcesses []*process
 	service         string
 	ctl             string
+	// admins and peers are the VMs' other listeners; platform is the stand-in's
+	// address, folder the configuration's.
+	admins   []string
+	peers    []string
+	platform string
+	folder   string
 }
 
 // process is one started program.
@@ -101,7 +107,7 @@
 	serveBin := build(t, dir, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddle")
 	ctlBin := build(t, dir, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddlectl")
 	platform, _ := standin(t, standinBin, "-role", "platform")
-	s := &system{ctl: ctlBin}
+	s := &system{ctl: ctlBin, platform: platform, folder: filepath.Join(dir, "conf")}
 	s.service, _ = standin(t, standinBin, "-role", "service")
 	doc := configuration.Document{
 		Organisations: map[string]configuration.Organisation{
@@ -165,6 +171,7 @@
 		Fields struct {
 			Callers string `json:"callers"`
 			Admin   string `json:"admin"`
+			Peers   string `json:"peers"`
 		} `json:"fields"`
 	}
 	for line.Fields.Callers == "" {
@@ -175,6 +182,8 @@
 	go func() { _, _ = io.Copy(io.Discard, out) }()
 	s.vms = append(s.vms, p)
 	s.callers = append(s.callers, line.Fields.Callers)
+	s.admins = append(s.admins, line.Fields.Admin)
+	s.peers = append(s.peers, line.Fields.Peers)
 	require.Eventually(t, func() bool {
 		res, err := http.Get("http://" + line.Fields.Admin + "/readyz")
 		if err != nil {
