--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -227,7 +227,8 @@
 		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
 			c := newCluster(6, size, 0)
 			c.until(5*time.Minute, c.settled)
-			c.run(time.Minute)
+			// The news of the common start has been told.
+			c.run(5 * time.Minute)
 			c.bytes, c.messages = 0, 0
 			const window = 30 * time.Second
 			b.ResetTimer()
