Fuzz reservations together with streams, and notice a dead member of a group

Cause: a member that died while another engine streamed was noticed only after the time limit, and the request fuzz knew no reservations. Change: an engine where nothing listens has lost what it held; a group that loses a member is tried again whole.

--- a/internal/endpoint/reservations.go
+++ b/internal/endpoint/reservations.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/internal/dial"
 )
 
 // FullError says that an engine has not enough memory for a reservation.
@@ -27,8 +28,8 @@
 func (*NoReservationError) Error() string { return "endpoint: no such reservation" }
 
 // Reserve sets memory aside at an engine, or renews what is set aside. A
-// FullError or a NoReservationError says that the engine holds nothing for it;
-// any other error leaves that open.
+// FullError or a NoReservationError says that the engine holds nothing for it,
+// a NotSentError that nothing has changed; any other error leaves that open.
 func (c *Caller) Reserve(address string, r wire.Reservation, timeout time.Duration) error {
 	data, err := json.Marshal(r)
 	if err != nil {
@@ -86,7 +87,11 @@
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + path)
 	req.SetBody(body)
-	if err := c.http.DoTimeout(req, res, timeout); err != nil {
+	err := c.http.DoTimeout(req, res, timeout)
+	if dial.NotSent(err) {
+		return 0, nil, errors.WithStack(&NotSentError{err})
+	}
+	if err != nil {
 		return 0, nil, errors.WithStack(err)
 	}
 	return res.StatusCode(), append([]byte(nil), res.Body()...), nil
--- a/internal/prompt/engines_test.go
+++ b/internal/prompt/engines_test.go
@@ -54,7 +54,9 @@
 	require.NoError(t, err)
 	streams, caller, mux := endpoint.New(), endpoint.NewCaller(), peer.NewMux()
 	self := peer.Identity{VM: "vm", Incarnation: 1}
-	holder := reserve.NewHolder(reserve.DefaultConfig(), self, reserve.NewAccountant(reserve.DefaultConfig(), caller, mux), nil, reserve.Solo{Self: self}, mux)
+	cfg := reserve.DefaultConfig()
+	cfg.Renew = 50 * time.Millisecond
+	holder := reserve.NewHolder(cfg, self, reserve.NewAccountant(cfg, caller, mux), nil, reserve.Solo{Self: self}, mux)
 	holder.Start()
 	p.Runner = NewRunner(DefaultConfig(), &fixedFleet{views: p.views}, streams, caller, holder, log, metrics.New())
 	t.Cleanup(func() {
@@ -167,6 +169,45 @@
 	p.requireFree(t)
 }
 
+// TestAGroupIsTriedAgainAfterAMemberDied kills a member that does not stream.
+func TestAGroupIsTriedAgainAfterAMemberDied(t *testing.T) {
+	p := newPool(t, 5)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		text, want, err := p.ask(t, "archive", 9000, 1500, waitLimit)
+		if !errors.Is(err, io.EOF) || text != want {
+			t.Errorf("archive: %v", err)
+		}
+	}()
+	member := p.member(t)
+	member.Close()
+	<-done
+	for _, e := range p.engines {
+		if e != member {
+			require.Eventually(t, func() bool { return e.Free() == engineMemory }, waitLimit, 5*time.Millisecond)
+		}
+	}
+}
+
+// member waits until a group streams, and returns an engine that holds a share
+// and does not stream.
+func (p *pool) member(t *testing.T) *engine.Server {
+	t.Helper()
+	var found *engine.Server
+	require.Eventually(t, func() bool {
+		streams := false
+		for _, e := range p.engines {
+			streams = streams || len(e.Started()) > 0
+			if len(e.Started()) == 0 && e.Free() < engineMemory {
+				found = e
+			}
+		}
+		return streams && found != nil
+	}, waitLimit, time.Millisecond)
+	return found
+}
+
 func TestOversizePromptsTakeTurns(t *testing.T) {
 	p := newPool(t, 3)
 	var wg sync.WaitGroup
--- a/internal/prompt/fake_test.go
+++ b/internal/prompt/fake_test.go
@@ -48,6 +48,7 @@
 type world struct {
 	script []behaviour
 	answer int
+	bank   bank
 
 	mu        sync.Mutex
 	dials     int
@@ -98,7 +99,8 @@
 
 func (w *world) serve(rw http.ResponseWriter, r *http.Request, b behaviour) {
 	rw.Header().Set("Connection", "close")
-	if b.Refuse {
+	reserved := r.Header.Get(wire.HeaderReservation)
+	if b.Refuse || reserved != "" && !w.bank.holds(reserved) {
 		rw.Header().Set(wire.HeaderRan, "no")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/prompt/fuzz_test.go
+++ b/internal/prompt/fuzz_test.go
@@ -18,8 +18,10 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
+	"cornelsaddle.example/cornelsaddle/core/configuration"
 	"cornelsaddle.example/cornelsaddle/core/errcode"
 	"cornelsaddle.example/cornelsaddle/core/retry"
+	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
@@ -71,6 +73,10 @@
 	// Pause is what the caller takes to read a token.
 	Pause    time.Duration
 	Deadline time.Duration
+	// Long prompts need a group of three endpoints, whose accounts have these
+	// fates.
+	Long  bool
+	Fates []fate
 }
 
 // outcome is what the caller and the engines saw.
@@ -83,6 +89,8 @@
 	pending   int
 	cancelled map[string]int
 	aborts    int
+	// held is the memory set aside after the end and one sweep.
+	held int64
 }
 
 // runner forwards one request.
@@ -116,13 +124,24 @@
 	if rapid.IntRange(0, 3).Draw(t, "slow") == 0 {
 		tr.Pause = duration("pause", 2*time.Second)
 	}
+	if rapid.Bool().Draw(t, "long") {
+		tr.Long = true
+		tr.Fates = rapid.SliceOfN(rapid.Map(rapid.IntRange(-3, int(fates)-1), func(i int) fate { return fate(max(0, i)) }), 0, 20).Draw(t, "fates")
+	}
 	return tr
 }
 
 func play(t *testing.T, tr trial, run runner) (out outcome) {
 	synctest.Test(t, func(*testing.T) {
 		w := &world{script: tr.Script, answer: tr.Answer, cancelled: make(map[string]int)}
+		w.bank.script = append([]fate(nil), tr.Fates...)
+		w.bank.held = make(map[string]map[string]wire.Reservation)
 		f := &fixedFleet{views: fixedViews(3)}
+		if tr.Long {
+			for i := range f.views {
+				f.views[i].Memory = bankMemory
+			}
+		}
 		c := &fakeCaller{}
 		begin := time.Now()
 		if tr.Leaves > 0 {
@@ -132,7 +151,7 @@
 		out.took = time.Since(begin)
 		synctest.Wait()
 		out.started, out.active, out.pending = w.started, w.active, f.pending
-		out.cancelled, out.aborts = w.cancelled, c.aborts
+		out.cancelled, out.aborts, out.held = w.cancelled, c.aborts, w.bank.total()
 		// A connection that was dialled for an attempt already cancelled idles
 		// until its timeout.
 		time.Sleep(time.Minute)
@@ -148,14 +167,22 @@
 	if err != nil {
 		return nil, err
 	}
-	r := NewRunner(DefaultConfig(), f, client, w, noHolder{}, log, metrics.New())
+	snap := snapshotOf(f.views, []string{"a:1", "b:1", "c:1"})
+	holder, sweeper := newHolder(&w.bank, snap, log)
+	holder.Start()
+	defer func() {
+		holder.Stop()
+		w.bank.heal()
+		sweeper.Sweep()
+	}()
+	r := NewRunner(DefaultConfig(), f, client, w, holder, log, metrics.New())
 	defer r.Close()
 	r.rng = rand.New(rand.NewPCG(1, uint64(tr.Answer)))
 	a, err := r.Start(Request{
 		ID: "mine", Organisation: "framers", Service: "pool", Path: "/v1/completions",
 		Body: []byte(`{"model":"pool","stream":true}`), Tokens: 100, MaxTokens: 12,
-		Deadline: time.Now().Add(tr.Deadline), Caller: c,
-		Snapshot: snapshotOf(f.views, []string{"a:1", "b:1", "c:1"}),
+		Class: configuration.LengthClass{Low: tr.Long}, Deadline: time.Now().Add(tr.Deadline), Caller: c,
+		Snapshot: snap,
 	})
 	if err != nil {
 		return nil, err
@@ -193,6 +220,9 @@
 	if out.active != 0 || out.pending != 0 {
 		return fmt.Sprintf("%d attempts still at the engines, %d counted as waiting", out.active, out.pending)
 	}
+	if out.held != 0 {
+		return fmt.Sprintf("%d tokens of memory are still set aside", out.held)
+	}
 	return oracleFailure(out)
 }
 
@@ -217,7 +247,8 @@
 }
 
 // TestEveryRequestEnds is the fuzz behind P1, P3 and P4: engines die, refuse,
-// stall, cut, cross, repeat and lose events, and callers leave or read slowly.
+// stall, cut, cross, repeat and lose events, and callers leave or read slowly;
+// groups are refused and lose members, and their orders and answers are lost.
 func TestEveryRequestEnds(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		tr := drawTrial(rt)
@@ -304,6 +335,27 @@
 	}
 }
 
+func TestRecoversGroups(t *testing.T) {
+	cases := map[string][]fate{
+		"all granted":       nil,
+		"second refused":    {fateOK, fateFull},
+		"order lost":        {fateOK, fateOrderLost},
+		"answer lost":       {fateOK, fateAnswerLost},
+		"a member forgot":   {fateOK, fateOK, fateOK, fateForgets},
+		"freeing is lost":   {fateOK, fateFull, fateOrderLost, fateAnswerLost, fateOrderLost},
+		"all kinds at once": {fateFull, fateOK, fateAnswerLost, fateOrderLost, fateOK, fateOK, fateOK, fateForgets},
+	}
+	for name, script := range cases {
+		t.Run(name, func(t *testing.T) {
+			slow := behaviour{Pace: 3 * time.Second}
+			tr := trial{Script: []behaviour{slow}, Answer: 8, Deadline: 5 * time.Minute, Long: true, Fates: script}
+			out := play(t, tr, product)
+			require.ErrorIs(t, out.err, io.EOF)
+			require.Empty(t, oracle(tr, out))
+		})
+	}
+}
+
 func TestLostAttemptsAreCancelled(t *testing.T) {
 	tr := trial{Script: []behaviour{{Finish: finishStall, Tokens: 2}, {Unreachable: true}, {}}, Answer: 4, Deadline: time.Minute}
 	out := play(t, tr, product)
--- a/internal/reserve/accountant.go
+++ b/internal/reserve/accountant.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"syscall"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
@@ -85,12 +86,23 @@
 		return TakeResult{Outcome: reservation.Granted}
 	case errors.As(err, &full):
 		return TakeResult{Outcome: reservation.Refused, Free: full.Free}
-	case errors.As(err, &none):
+	case errors.As(err, &none) || holdsNothing(err, p.Reservation.Renew):
 		return TakeResult{Outcome: reservation.Refused}
 	}
 	return TakeResult{Outcome: reservation.Unknown}
 }
 
+// holdsNothing reports whether a failure to reach the engine proves that it
+// does not hold the reservation: a new one was not sent, and an engine where
+// nothing listens has lost an old one.
+func holdsNothing(err error, renew bool) bool {
+	var unsent *endpoint.NotSentError
+	if !errors.As(err, &unsent) {
+		return false
+	}
+	return !renew || errors.Is(unsent.Cause, syscall.ECONNREFUSED)
+}
+
 // Free gives memory back.
 func (a *Accountant) Free(p FreeParams) error {
 	defer a.lock(p.Address)()
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -55,8 +55,9 @@
 	reservations reservations
 	orders       orders
 
-	stop chan struct{}
-	done chan struct{}
+	closing sync.Once
+	stop    chan struct{}
+	done    chan struct{}
 }
 
 // stream is the answer of one attempt on its way out.
@@ -113,8 +114,10 @@
 	return r
 }
 
-// Close stops the engine: all streams are cut.
-func (s *Server) Close() {
+// Close stops the engine: all streams are cut. It may be called again.
+func (s *Server) Close() { s.closing.Do(s.close) }
+
+func (s *Server) close() {
 	close(s.stop)
 	<-s.done
 	s.mu.Lock()
