--- a/standin/experiment/sim.go
+++ b/standin/experiment/sim.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -21,10 +22,16 @@
 	cacheGap = 0.02
 	// digestInterval is how often VMs tell each other what they sent.
 	digestInterval = time.Second
+	// peerDelay is the time of a message between two VMs.
+	peerDelay = 2 * time.Millisecond
 	// groupRetry is the wait after a group that could not be reserved.
 	groupRetry = 250 * time.Millisecond
 	// groupShare is the part of an engine's memory that a group takes.
 	groupShare = 0.5
+	// grantRetry is the time between two tries of prompts that wait for memory.
+	grantRetry = 50 * time.Millisecond
+	// maxPassed is how long others may pass a prompt that waits for memory.
+	maxPassed = 5 * time.Second
 	// retryPause is the wait before another attempt after an engine's death.
 	retryPause = 10 * time.Millisecond
 )
@@ -89,6 +96,16 @@
 	jobs   []*job
 	bySeq  map[*engine.Sequence]*job
 	rng    *rand.Rand
+	// lowHeld is the memory of prompts of low priority by engine, in tokens, as
+	// the VMs that grant reservations keep it.
+	lowHeld [engines]int64
+	// waiting are prompts of low priority that got no reservation yet, in order
+	// of arrival.
+	waiting []*job
+	// claims are the engines kept for a prompt that waited for long.
+	claims [engines]*job
+	// late are notices that wait for the next digest.
+	late map[int][]sentDigest
 	// grouped is the memory that groups hold, in tokens.
 	grouped int64
 }
@@ -138,20 +155,140 @@
 	}
 	p := r.vms[j.vm]
 	open := r.open(j.bound() + j.maxTokens)
+	if !j.asked && !r.admit(j, open) {
+		return
+	}
 	if len(open) == 0 {
 		r.dispatchGroup(j)
 		return
 	}
-	d := p.place(r.wall(), j, open)
-	if d.refused {
-		j.refused = true
-		j.retryAt = r.now + d.retry
-		j.resolved = true
-		return
+	if headroom := p.headroom(); headroom > 0 && j.class.Priority() == wire.PriorityLow {
+		if open = r.grantable(j, open, headroom); len(open) == 0 {
+			r.wait(j)
+			return
+		}
 	}
+	d := p.place(r.wall(), j, open)
 	r.submit(j, d, 0)
 }
 
+// admit asks the policy whether to take the job on.
+func (r *run) admit(j *job, open []int) bool {
+	j.asked = true
+	if len(open) == 0 {
+		open = r.open(0)
+	}
+	waiting := int64(0)
+	for _, w := range r.waiting {
+		if !w.resolved {
+			waiting += w.bound()
+		}
+	}
+	if r.vms[j.vm].admit(r.wall(), j, open, waiting) {
+		return true
+	}
+	j.refused, j.resolved = true, true
+	j.servable = r.oracle(j, open, waiting) <= j.deadline-r.now
+	return false
+}
+
+// oracle is the time to the job's end on the engine that could end it first, as
+// far as the true state tells: as if nothing came after it, and memory were given
+// back at the speed of prefill.
+func (r *run) oracle(j *job, open []int, waiting int64) time.Duration {
+	best := math.Inf(1)
+	queue := 0.0
+	if j.class.Priority() == wire.PriorityLow {
+		queue = float64(waiting) / capacity(r.cell.shapes)
+	}
+	for _, e := range open {
+		c := &r.cell.shapes[e]
+		load := r.nodes[e].model.Load()
+		ahead := load.QueuedTokens[wire.PriorityHigh]
+		if j.class.Priority() == wire.PriorityLow {
+			ahead += load.QueuedTokens[wire.PriorityLow]
+		}
+		step := c.DecodeStep + time.Duration(load.Running+1)*c.DecodePerSequence
+		piece := float64(c.PieceTokens) / c.PrefillRate
+		rate := float64(c.PieceTokens) / (piece + step.Seconds())
+		work := float64(ahead + j.prompt)
+		if missing := j.prompt + j.answer - load.FreeTokens; missing > 0 && j.class < Oversize {
+			work += float64(missing)
+		}
+		best = min(best, queue+work/rate+float64(j.answer)*step.Seconds())
+	}
+	return time.Duration(best * float64(time.Second))
+}
+
+// grantable keeps the engines at which a reservation would be granted: the
+// granting VM adds its account of prompts of low priority to what the asking VM
+// knows of the memory.
+func (r *run) grantable(j *job, open []int, headroom float64) []int {
+	var granted []int
+	for _, e := range open {
+		if c := r.claims[e]; c != nil && c != j && !c.resolved {
+			continue
+		}
+		if r.missing(j, e, headroom) <= 0 {
+			granted = append(granted, e)
+		}
+	}
+	return granted
+}
+
+// missing is the memory that the engine lacks for the job, in tokens. A prompt
+// that leaves no headroom even alone needs an engine without others of low
+// priority.
+func (r *run) missing(j *job, e int, headroom float64) int64 {
+	need := j.bound() + j.maxTokens
+	limit := int64((1 - headroom) * float64(r.cell.shapes[e].MemoryTokens))
+	if need > limit {
+		return r.lowHeld[e]
+	}
+	return max(r.lowHeld[e], r.vms[j.vm].held(r.wall(), e)) + need - limit
+}
+
+// wait queues the job until memory is granted.
+func (r *run) wait(j *job) {
+	if len(r.waiting) == 0 {
+		r.at(r.now+grantRetry, r.grant)
+	}
+	r.waiting = append(r.waiting, j)
+}
+
+// grant tries the waiting jobs in order. One that has waited for long claims an
+// engine: no other prompt of low priority goes there before it.
+func (r *run) grant() {
+	jobs := r.waiting
+	r.waiting = nil
+	for _, j := range jobs {
+		if r.now-j.arrive > maxPassed && !j.resolved {
+			r.claim(j)
+		}
+		r.dispatch(j)
+	}
+}
+
+// claim keeps the engine that will have memory for the job soonest.
+func (r *run) claim(j *job) {
+	best, bestWait := -1, 0.0
+	for _, e := range r.open(j.bound() + j.maxTokens) {
+		if r.claims[e] == j {
+			return
+		}
+		if c := r.claims[e]; c != nil && !c.resolved {
+			continue
+		}
+		wait := float64(r.missing(j, e, r.vms[j.vm].headroom())) / r.cell.shapes[e].PrefillRate
+		if best < 0 || wait < bestWait {
+			best, bestWait = e, wait
+		}
+	}
+	if best >= 0 {
+		r.claims[best] = j
+	}
+}
+
 // submit hands the job to the engine, with memory reserved beforehand.
 func (r *run) submit(j *job, d decision, reserved int64) {
 	j.attempt++
@@ -167,7 +304,16 @@
 		Reserved:  reserved,
 	}
 	r.bySeq[j.seq] = j
+	for e := range r.claims {
+		if r.claims[e] == j {
+			r.claims[e] = nil
+		}
+	}
+	if d.priority == wire.PriorityLow {
+		r.lowHeld[d.engine] += j.lowNeed()
+	}
 	r.vms[j.vm].sent(r.wall(), j, d)
+	r.notify(j.vm)
 	n := r.nodes[d.engine]
 	n.model.Submit(j.seq)
 	r.kick(n)
@@ -187,7 +333,7 @@
 		return
 	}
 	for _, e := range j.members {
-		r.vms[j.vm].reserved(j, e, r.groupPart(e))
+		r.vms[j.vm].reserved(r.wall(), j, e, r.groupPart(e))
 	}
 	r.submit(j, decision{engine: order[0], priority: j.class.Priority()}, need)
 }
@@ -230,6 +376,15 @@
 	return int64(groupShare * float64(r.cell.shapes[e].MemoryTokens))
 }
 
+// lowNeed is the memory that the job takes at the engine that it runs on; a
+// group's is accounted apart.
+func (j *job) lowNeed() int64 {
+	if j.seq.Reserved > 0 {
+		return 0
+	}
+	return j.bound() + j.maxTokens
+}
+
 // release gives a group's memory back.
 func (r *run) release(j *job) {
 	for _, e := range j.members {
@@ -293,6 +448,9 @@
 // endAttempt frees what the attempt holds.
 func (r *run) endAttempt(j *job) {
 	delete(r.bySeq, j.seq)
+	if j.seq.Priority == wire.PriorityLow {
+		r.lowHeld[j.engine] -= j.lowNeed()
+	}
 	r.vms[j.vm].ended(r.wall(), j)
 	r.release(j)
 	if n := r.nodes[j.engine]; !n.dead {
@@ -381,14 +539,32 @@
 	}
 }
 
+// notify sends the VM's notices to its peers.
+func (r *run) notify(vm int) {
+	d := r.vms[vm].notices()
+	if len(d) == 0 || r.cell.NoDigests || len(r.vms) == 1 {
+		return
+	}
+	if r.cell.NoNotices {
+		r.late[vm] = append(r.late[vm], d...)
+		return
+	}
+	r.at(r.now+peerDelay, func() { r.tell(vm, d) })
+}
+
+// tell hands a digest to the VM's peers.
+func (r *run) tell(from int, d []sentDigest) {
+	for i, to := range r.vms {
+		if i != from {
+			to.peer(d)
+		}
+	}
+}
+
 // gossip hands the VMs' digests to their peers.
 func (r *run) gossip() {
 	for i, from := range r.vms {
-		d := from.digest()
-		for k, to := range r.vms {
-			if k != i {
-				to.peer(d)
-			}
-		}
+		r.tell(i, append(from.digest(), r.late[i]...))
+		r.late[i] = nil
 	}
 }
