Look the histogram between tokens up once a request

Cause: each token looked its pair of organisation and class up. Change: metrics.BetweenTokens returns the histogram.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -61,9 +61,10 @@
 	m.series(organisation, class).firstToken.Record(d)
 }
 
-// BetweenTokens notes the time between two tokens of an answer.
-func (m *Metrics) BetweenTokens(organisation, class string, d time.Duration) {
-	m.series(organisation, class).between.Record(d)
+// BetweenTokens is the histogram of the time between two tokens of an answer. A
+// request looks it up once, and not for each token.
+func (m *Metrics) BetweenTokens(organisation, class string) *Histogram {
+	return m.series(organisation, class).between
 }
 
 // Queueing notes the time from a request's arrival until it was first sent to
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -162,7 +162,7 @@
 		wg.Go(func() {
 			for range 200 {
 				m.FirstToken("framers", "short", time.Millisecond)
-				m.BetweenTokens(fmt.Sprint(i), "short", time.Millisecond)
+				m.BetweenTokens(fmt.Sprint(i), "short").Record(time.Millisecond)
 				m.Failed("no_endpoint")
 				_ = m.Registry.GetAll()
 			}
--- a/internal/prompt/answer.go
+++ b/internal/prompt/answer.go
@@ -15,6 +15,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/fleet"
+	"cornelsaddle.example/cornelsaddle/internal/metrics"
 	"cornelsaddle.example/cornelsaddle/internal/reserve"
 )
 
@@ -60,7 +61,8 @@
 	watch   *watch
 	start   time.Time
 	// last is when the last token was delivered.
-	last time.Time
+	last    time.Time
+	between *metrics.Histogram
 
 	// event is the next one for the chart.
 	event    statechart.Event
--- a/internal/prompt/measure.go
+++ b/internal/prompt/measure.go
@@ -13,7 +13,7 @@
 // two come from.
 func (a *Answer) measureToken(now time.Time) {
 	if a.assembly.Delivered() > 1 {
-		a.metrics.BetweenTokens(a.req.Organisation, a.req.Class.Name, now.Sub(a.last))
+		a.between.Record(now.Sub(a.last))
 	}
 	a.last = now
 }
--- a/internal/prompt/prompt.go
+++ b/internal/prompt/prompt.go
@@ -165,6 +165,7 @@
 		tried:    make(map[string]bool),
 		free:     make(map[string]int64),
 		start:    time.Now(),
+		between:  r.metrics.BetweenTokens(req.Organisation, req.Class.Name),
 		assembly: stream.New(req.ID),
 		event:    evAdmitted,
 	}
