--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,7 +15,9 @@
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/fleet"
+	"cornelsaddle.example/cornelsaddle/internal/health"
 	"cornelsaddle.example/cornelsaddle/internal/lease"
+	"cornelsaddle.example/cornelsaddle/internal/member"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
 	"cornelsaddle.example/cornelsaddle/internal/orders"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
@@ -25,10 +27,6 @@
 	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
 
-// releaseLimit bounds the hand-over of leases; it is about as long as they take
-// to run out.
-const releaseLimit = 15 * time.Second
-
 // recordLimit bounds the wait for outcomes of calls to be recorded while the
 // store is down.
 const recordLimit = 20 * time.Second
@@ -41,6 +39,8 @@
 	callers  *listener
 	admin    *listener
 	peers    *peer.Server
+	members  *member.Service
+	life     *lifecycle
 	started  time.Time
 }
 
@@ -63,6 +63,8 @@
 	Mux      *peer.Mux
 	Peers    *peer.Client
 	Identity peer.Identity
+	Health   *health.Health
+	View     *view
 }
 
 // Start wires the VM and begins to listen.
@@ -77,13 +79,7 @@
 	if err := c.Invoke(func(p parts) { n.parts = p }); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	n.parts.Follower.Start()
-	n.parts.Fleet.Start()
-	n.parts.Leases.Start()
-	n.parts.Orders.Start()
-	n.parts.Holder.Start()
-	n.parts.Sweeper.Start()
-	if err := n.listen(); err != nil {
+	if err := n.begin(); err != nil {
 		n.Close()
 		return nil, err
 	}
@@ -91,6 +87,41 @@
 	return n, nil
 }
 
+// begin listens and starts what runs by itself. The VM has its peers before it
+// has callers.
+func (n *Node) begin() error {
+	n.life = &lifecycle{
+		log:      n.log,
+		grace:    n.settings.Callers.DrainGrace(),
+		tell:     func() { n.members.Leave() },
+		refuse:   n.parts.API.Refuse,
+		wait:     n.finish,
+		inFlight: n.parts.API.InFlight,
+	}
+	n.OnHandOver(HandOver{"leases", n.parts.Leases.Release})
+	if err := n.life.start(); err != nil {
+		return err
+	}
+	if err := n.listenPeers(); err != nil {
+		return err
+	}
+	n.join()
+	n.parts.Fleet.Start()
+	n.parts.Leases.Start()
+	n.parts.Orders.Start()
+	n.parts.Holder.Start()
+	n.parts.Sweeper.Start()
+	return n.listen()
+}
+
+// finish waits for the requests in flight and the records of their calls.
+func (n *Node) finish() {
+	n.parts.API.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), recordLimit)
+	defer cancel()
+	_ = n.parts.Calls.Drain(ctx)
+}
+
 func (n *Node) constructors() []any {
 	return []any{
 		func() settings.Settings { return n.settings },
@@ -101,6 +132,7 @@
 		peer.NewMux,
 		newPeerConfig,
 		newPeerClient,
+		health.New,
 		fleet.New,
 		endpoint.New,
 		endpoint.NewCaller,
@@ -108,7 +140,8 @@
 		prompt.DefaultConfig,
 		newPrompts,
 		reserve.DefaultConfig,
-		newMembers,
+		newView,
+		func(v *view) reserve.Members { return v },
 		newAccountant,
 		newHolder,
 		newSweeper,
@@ -127,8 +160,6 @@
 	return prompt.NewRunner(cfg, f, streams, caller, h, log, m)
 }
 
-func newMembers(self peer.Identity) reserve.Members { return reserve.Solo{Self: self} }
-
 func newAccountant(cfg reserve.Config, caller *endpoint.Caller, mux *peer.Mux) *reserve.Accountant {
 	return reserve.NewAccountant(cfg, caller, mux)
 }
@@ -162,9 +193,12 @@
 	if n.callers, err = n.serveCallers(); err != nil {
 		return err
 	}
-	if n.admin, err = serve(n.settings.Admin.Address, n.adminServer()); err != nil {
-		return err
-	}
+	n.admin, err = serve(n.settings.Admin.Address, n.adminServer())
+	return err
+}
+
+func (n *Node) listenPeers() error {
+	var err error
 	cfg := newPeerConfig(n.parts.Identity, n.settings)
 	n.peers, err = peer.Listen(n.settings.Peers.Address, cfg, n.parts.Mux, n.log, n.parts.Metrics.Registry)
 	return err
@@ -184,42 +218,24 @@
 // Admin is the address of the operators' listener.
 func (n *Node) Admin() string { return n.admin.addr() }
 
-// Drain takes no new requests and waits for those in flight.
-func (n *Node) Drain() {
-	released := make(chan struct{})
-	go func() {
-		defer close(released)
-		n.releaseLeases()
-	}()
-	n.parts.API.Drain()
-	<-released
-	ctx, cancel := context.WithTimeout(context.Background(), recordLimit)
-	defer cancel()
-	_ = n.parts.Calls.Drain(ctx)
-}
-
-// releaseLeases hands over this VM's leases, or lets them run out.
-func (n *Node) releaseLeases() {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
-	defer cancel()
-	_ = n.parts.Leases.Release(ctx)
-}
-
 // Close stops the VM.
 func (n *Node) Close() {
 	n.callers.close()
 	n.admin.close()
+	if n.members != nil {
+		n.members.Stop()
+		n.parts.Follower.Stop()
+		n.parts.Fleet.Stop()
+		n.parts.Sweeper.Stop()
+		n.parts.Holder.Stop()
+	}
 	if n.peers != nil {
 		n.peers.Close()
 	}
 	n.parts.Orders.Stop()
 	n.parts.Leases.Stop()
 	n.parts.Peers.Close()
-	n.parts.Fleet.Stop()
-	n.parts.Follower.Stop()
 	n.parts.Prompts.Close()
-	n.parts.Sweeper.Stop()
-	n.parts.Holder.Stop()
 	n.parts.Streams.Close()
 	n.parts.Caller.Close()
 	n.parts.Store.Close()
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -58,7 +58,7 @@
 		pointer  string
 		expected string
 	}{
-		"unknown field":       {1, []string{"callers", "timeout_s"}, "/callers/timeout_s", "no such field; expected one of address, idle_timeout_ms"},
+		"unknown field":       {1, []string{"callers", "timeout_s"}, "/callers/timeout_s", "no such field; expected one of address, drain_grace_ms, idle_timeout_ms"},
 		"unknown group":       {1, []string{"colour"}, "/colour", "no such field; expected one of admin, callers"},
 		"escaped name":        {1, []string{"a/b~c"}, "/a~1b~0c", "no such field"},
 		"missing field":       {nil, []string{"vm", "id"}, "/vm/id", "required, but missing"},
