--- /dev/null
+++ b/internal/orders/manager_test.go
@@ -0,0 +1,155 @@
+package orders
+
+import (
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/configuration"
+	"cornelsaddle.example/cornelsaddle/core/orders"
+	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/internal/confsync"
+	"cornelsaddle.example/cornelsaddle/internal/endpoint"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/standin/engine"
+)
+
+const waitLimit = 30 * time.Second
+
+// fakeLeases holds the leases that it is told to.
+type fakeLeases struct {
+	mu      sync.Mutex
+	fencing int64
+	raised  int64
+}
+
+func (f *fakeLeases) Want([]string) error { return nil }
+
+func (f *fakeLeases) Use(string, time.Duration) (int64, func(), bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fencing, func() {}, f.fencing > 0
+}
+
+func (f *fakeLeases) Raise(_ string, above int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.raised = above
+	f.fencing = above + 1
+}
+
+// fakeConfiguration is a version in force.
+type fakeConfiguration struct {
+	mu   sync.Mutex
+	snap *confsync.Snapshot
+}
+
+func (f *fakeConfiguration) Current() *confsync.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snap
+}
+
+func (f *fakeConfiguration) deploy(version int64, engines map[string]*engine.Server, d configuration.Deploy) {
+	doc := &configuration.Document{
+		Services:  map[string]configuration.Service{"scribe-pool": {Kind: configuration.KindModel, Deploy: &d}},
+		Endpoints: make(map[string]configuration.Endpoint),
+	}
+	for id, e := range engines {
+		doc.Endpoints[id] = configuration.Endpoint{Service: "scribe-pool", Address: e.Addr()}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.snap = &confsync.Snapshot{Version: version, Document: doc}
+}
+
+func startEngines(t *testing.T, ids ...string) map[string]*engine.Server {
+	t.Helper()
+	engines := make(map[string]*engine.Server)
+	for _, id := range ids {
+		e, err := engine.Start(engine.Config{
+			Address:       "127.0.0.1:0",
+			Serves:        "scribe-pool",
+			ChecksFencing: true,
+			LoadTime:      50 * time.Millisecond,
+			Model:         engine.ModelConfig{MemoryTokens: 1000, PrefillRate: 1000, DecodeStep: time.Millisecond, PieceTokens: 100},
+		})
+		require.NoError(t, err)
+		t.Cleanup(e.Close)
+		engines[id] = e
+	}
+	return engines
+}
+
+func startManager(t *testing.T, conf *fakeConfiguration, leases *fakeLeases) {
+	t.Helper()
+	log, err := event.New(io.Discard, "json", "info", "test")
+	require.NoError(t, err)
+	caller := endpoint.NewCaller()
+	cfg := orders.DefaultConfig()
+	cfg.Settle = 0
+	cfg.WatchEvery = 20 * time.Millisecond
+	cfg.RestFor = 20 * time.Millisecond
+	m := newManager(cfg, conf, leases, caller, log)
+	m.Start()
+	t.Cleanup(func() { m.Stop(); caller.Close() })
+}
+
+func TestEnginesServeWhatIsDeclared(t *testing.T) {
+	engines := startEngines(t, "scribe-1", "scribe-2", "scribe-3")
+	conf := &fakeConfiguration{}
+	conf.deploy(1, engines, configuration.Deploy{Version: "v1", Adapters: []string{"silk"}, MaxUnavailable: 0.4})
+	leases := &fakeLeases{fencing: 7}
+	startManager(t, conf, leases)
+	requireAll(t, engines, wire.Order{Fencing: 7, Model: "scribe-pool", Version: "v1", Adapters: []string{"silk"}})
+	conf.deploy(2, engines, configuration.Deploy{Version: "v2", Role: "prefill", MaxUnavailable: 0.4})
+	requireAll(t, engines, wire.Order{Fencing: 7, Model: "scribe-pool", Version: "v2", Role: "prefill"})
+	for id, e := range engines {
+		require.Len(t, e.Orders(), 2, "%s was ordered more often than it changed", id)
+	}
+}
+
+// TestHigherNumberAtTheEndpoint moves an endpoint from a service with a higher
+// number: its orders are refused until the lease's number is raised.
+func TestHigherNumberAtTheEndpoint(t *testing.T) {
+	engines := startEngines(t, "scribe-1")
+	caller := endpoint.NewCaller()
+	defer caller.Close()
+	require.NoError(t, caller.Order(engines["scribe-1"].Addr(), wire.Order{Fencing: 50, Model: "other"}, time.Second))
+	var stale *endpoint.StaleError
+	require.ErrorAs(t, caller.Order(engines["scribe-1"].Addr(), wire.Order{Fencing: 49, Model: "other"}, time.Second), &stale)
+	conf := &fakeConfiguration{}
+	conf.deploy(1, engines, configuration.Deploy{Version: "v1"})
+	leases := &fakeLeases{fencing: 3}
+	startManager(t, conf, leases)
+	requireAll(t, engines, wire.Order{Fencing: 51, Model: "scribe-pool", Version: "v1"})
+	require.EqualValues(t, 50, leases.raised)
+}
+
+// TestNothingWithoutTheLease checks that a VM without the lease orders nothing.
+func TestNothingWithoutTheLease(t *testing.T) {
+	engines := startEngines(t, "scribe-1")
+	conf := &fakeConfiguration{}
+	conf.deploy(1, engines, configuration.Deploy{Version: "v1"})
+	leases := &fakeLeases{}
+	startManager(t, conf, leases)
+	time.Sleep(4 * tickInterval)
+	require.Empty(t, engines["scribe-1"].Orders())
+}
+
+func requireAll(t *testing.T, engines map[string]*engine.Server, want wire.Order) {
+	t.Helper()
+	for id, e := range engines {
+		require.Eventually(t, func() bool {
+			taken := e.Orders()
+			return len(taken) > 0 && assertOrder(taken[len(taken)-1], want)
+		}, waitLimit, 10*time.Millisecond, id)
+	}
+}
+
+func assertOrder(got, want wire.Order) bool {
+	return got.Fencing == want.Fencing && got.Model == want.Model && got.Version == want.Version && got.Role == want.Role && len(got.Adapters) == len(want.Adapters)
+}
