Remove expired records of calls, and measure what recording costs

Cause: rows of calls were never removed; ways of handing over a lease, the cost of a recorded call and the calls that the store allows had not been measured.

--- a/core/lease/fuzz_test.go
+++ b/core/lease/fuzz_test.go
@@ -70,6 +70,23 @@
 	delayed []wire.Txn
 	down    bool
 	vms     []*vm
+	// calm loses no message.
+	calm bool
+	// requests counts the reads and the writes.
+	requests [2]int
+}
+
+// Indexes of world.requests.
+const (
+	reads = iota
+	writes
+)
+
+func writeOrRead(a Action) int {
+	if _, ok := a.(Read); ok {
+		return reads
+	}
+	return writes
 }
 
 func newWorld(t *testing.T, seed uint64, build func(*Lease) holder) *world {
@@ -146,7 +163,11 @@
 }
 
 func (w *world) carryOut(a Action) Event {
+	w.requests[writeOrRead(a)]++
 	fate := w.between(0, 12)
+	if w.calm {
+		fate = 12
+	}
 	read, ok := a.(Read)
 	if ok {
 		if w.down || fate == 0 {
--- a/internal/call/system_test.go
+++ b/internal/call/system_test.go
@@ -37,7 +37,7 @@
 	return cfg
 }
 
-func newTestRun(t *testing.T, vms int) *testRun {
+func newTestRun(t testing.TB, vms int) *testRun {
 	t.Helper()
 	p, err := standinplatform.Start(standinplatform.Config{Address: "127.0.0.1:0"})
 	require.NoError(t, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,7 @@
 	Calls    *call.Runner
 	Leases   *lease.Manager
 	Orders   *orders.Manager
+	CallRows *call.Sweeper
 	Prompts  *prompt.Runner
 	Holder   *reserve.Holder
 	Sweeper  *reserve.Sweeper
@@ -80,7 +81,9 @@
 	n.parts.Follower.Start()
 	n.parts.Fleet.Start()
 	n.parts.Leases.Start()
+	n.parts.Orders.Also(call.SweepLease)
 	n.parts.Orders.Start()
+	n.parts.CallRows.Start()
 	n.parts.Holder.Start()
 	n.parts.Sweeper.Start()
 	if err := n.listen(); err != nil {
@@ -114,11 +117,16 @@
 		newSweeper,
 		call.NewRunner,
 		lease.New,
+		newCallSweeper,
 		orders.New,
 		api.New,
 	}
 }
 
+func newCallSweeper(runner *call.Runner, leases *lease.Manager) *call.Sweeper {
+	return call.NewSweeper(runner, leases)
+}
+
 func newStore(s settings.Settings) *platform.Client {
 	return platform.New(s.Platform.Address, s.Platform.Timeout())
 }
@@ -212,6 +220,7 @@
 	if n.peers != nil {
 		n.peers.Close()
 	}
+	n.parts.CallRows.Stop()
 	n.parts.Orders.Stop()
 	n.parts.Leases.Stop()
 	n.parts.Peers.Close()
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -125,6 +125,9 @@
 // Close frees idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
+// Address is the platform's, IP and port.
+func (c *Client) Address() string { return c.cfg.Address }
+
 // SetVMs tells the client how many VMs share the store.
 func (c *Client) SetVMs(n int) { c.limits.share(n) }
 
