--- a/core/lease/handover_test.go
+++ b/core/lease/handover_test.go
@@ -163,7 +163,7 @@
 		"all absent for 20 s":  {2, 20 * time.Second},
 	} {
 		for _, way := range []handover{byExpiry, byRelease, byEvidence} {
-			var idle []time.Duration
+			idle := make([]time.Duration, 0, handoverSeeds)
 			var drained time.Duration
 			requests := [2]int{}
 			for seed := range uint64(handoverSeeds) {
--- a/test/process/calls_test.go
+++ b/test/process/calls_test.go
@@ -45,10 +45,10 @@
 	standinBin := build(t, dir, "cornelsaddle.example/cornelsaddle/standin/cmd/standin")
 	serveBin := build(t, dir, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddle")
 	c := &callSystem{
-		system:   &system{service: standin(t, standinBin, "-role", "service")},
+		system:   &system{service: address(standin(t, standinBin, "-role", "service"))},
 		dir:      dir,
 		ctl:      build(t, dir, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddlectl"),
-		platform: standin(t, standinBin, "-role", "platform"),
+		platform: address(standin(t, standinBin, "-role", "platform")),
 	}
 	c.doc = configuration.Document{
 		Organisations: map[string]configuration.Organisation{
@@ -66,10 +66,10 @@
 		Limits: configuration.Limits{RetryBudget: 0.2, CallRetentionHours: 24},
 	}
 	for i, checks := range []string{"true", "false"} {
-		address := standin(t, standinBin, "-role", "engine", "-model", "scribe-pool", "-checks-fencing="+checks)
-		c.engines = append(c.engines, address)
+		engine := address(standin(t, standinBin, "-role", "engine", "-model", "scribe-pool", "-checks-fencing="+checks))
+		c.engines = append(c.engines, engine)
 		c.doc.Endpoints[fmt.Sprintf("scribe-%d", i+1)] = configuration.Endpoint{
-			Service: "scribe-pool", Address: address, FailureDomain: "upanga", MemoryTokens: 400_000,
+			Service: "scribe-pool", Address: engine, FailureDomain: "upanga", MemoryTokens: 400_000,
 		}
 	}
 	c.apply(t, 0, "v1")
@@ -79,6 +79,9 @@
 	return c
 }
 
+// address drops the process of a stand-in, which ends with the test.
+func address(a string, _ *process) string { return a }
+
 // apply puts the model version in force.
 func (c *callSystem) apply(t *testing.T, base int, version string) {
 	t.Helper()
@@ -94,7 +97,7 @@
 	require.NoError(t, err, string(out))
 }
 
-func getJSON(t *testing.T, address, path string, into any) {
+func fetch(t *testing.T, address, path string, into any) {
 	t.Helper()
 	res, err := http.Get("http://" + address + path)
 	require.NoError(t, err)
@@ -137,7 +140,7 @@
 func (c *callSystem) describe(t *testing.T, address string) wire.Description {
 	t.Helper()
 	var d wire.Description
-	getJSON(t, address, wire.PathDescription, &d)
+	fetch(t, address, wire.PathDescription, &d)
 	return d
 }
 
@@ -173,7 +176,7 @@
 func (c *callSystem) effects(t *testing.T, key string) int {
 	t.Helper()
 	var effects service.Effects
-	getJSON(t, c.service, wire.PathEffects, &effects)
+	fetch(t, c.service, wire.PathEffects, &effects)
 	return effects.Effects[key]
 }
 
