--- a/core/calls/fuzz_test.go
+++ b/core/calls/fuzz_test.go
@@ -162,14 +162,15 @@
 func TestOracleCatchesNaive(t *testing.T) {
 	for name, build := range map[string]func(*world, Request) caller{"send then record": naive, "lost answer taken for applied": optimistic} {
 		t.Run(name, func(t *testing.T) {
-			found := make(map[string]int)
+			found, runs := 0, 0
 			rapid.Check(t, func(t *rapid.T) {
+				runs++
 				if _, reason := drive(t, build); reason != "" {
-					found[reason]++
+					found++
 				}
 			})
-			require.NotEmpty(t, found)
-			t.Log(found)
+			require.Positive(t, found)
+			t.Logf("caught in %d of %d runs", found, runs)
 		})
 	}
 }
