Count leases by the boot-time clock

Cause: a trial of 150,000 worlds of TestOneHolder found two holders: a VM was suspended for 31 s and its wall clock set back by as much, so that its monotonic clock (which stands still meanwhile) and its wall clock agreed.

Ruled out: a tighter bound on how far the clocks may part; the two faults can cancel out exactly.

Change: internal/lease reads CLOCK_BOOTTIME, which goes on while a VM is suspended.

--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -39,7 +39,7 @@
 	log         *event.Logger
 	vm          string
 	incarnation int64
-	origin      time.Time
+	now         clock
 
 	mu       sync.Mutex
 	keepers  map[string]*keeper
@@ -52,17 +52,17 @@
 
 // New returns a Manager for the VM of the settings.
 func New(store *platform.Client, log *event.Logger, s settings.Settings) *Manager {
-	return newManager(lease.DefaultConfig(), store, log, s.VM.ID, time.Now().UnixNano())
+	return newManager(lease.DefaultConfig(), store, log, s.VM.ID, time.Now().UnixNano(), systemClock)
 }
 
-func newManager(cfg lease.Config, store Store, log *event.Logger, vm string, incarnation int64) *Manager {
+func newManager(cfg lease.Config, store Store, log *event.Logger, vm string, incarnation int64, now clock) *Manager {
 	return &Manager{
 		cfg:         cfg,
 		store:       store,
 		log:         log,
 		vm:          vm,
 		incarnation: incarnation,
-		origin:      time.Now(),
+		now:         now,
 		keepers:     make(map[string]*keeper),
 		stop:        make(chan struct{}),
 	}
@@ -199,9 +199,3 @@
 		k.setRank(lease.Rank(name, m.vm, members))
 	}
 }
-
-// now reads both clocks.
-func (m *Manager) now() lease.Instant {
-	now := time.Now()
-	return lease.Instant{Mono: now.Sub(m.origin), Wall: now.Round(0)}
-}
