--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,7 @@
 	Calls    *call.Runner
 	Leases   *lease.Manager
 	Orders   *orders.Manager
+	CallRows *call.Sweeper
 	Prompts  *prompt.Runner
 	Holder   *reserve.Holder
 	Sweeper  *reserve.Sweeper
@@ -108,7 +109,9 @@
 	n.join()
 	n.parts.Fleet.Start()
 	n.parts.Leases.Start()
+	n.parts.Orders.Also(call.SweepLease)
 	n.parts.Orders.Start()
+	n.parts.CallRows.Start()
 	n.parts.Holder.Start()
 	n.parts.Sweeper.Start()
 	return n.listen()
@@ -147,11 +150,16 @@
 		newSweeper,
 		call.NewRunner,
 		lease.New,
+		newCallSweeper,
 		orders.New,
 		api.New,
 	}
 }
 
+func newCallSweeper(runner *call.Runner, leases *lease.Manager) *call.Sweeper {
+	return call.NewSweeper(runner, leases)
+}
+
 func newStore(s settings.Settings) *platform.Client {
 	return platform.New(s.Platform.Address, s.Platform.Timeout())
 }
@@ -232,6 +240,7 @@
 	if n.peers != nil {
 		n.peers.Close()
 	}
+	n.parts.CallRows.Stop()
 	n.parts.Orders.Stop()
 	n.parts.Leases.Stop()
 	n.parts.Peers.Close()
