Claim an engine for a long prompt only after 30 s

Cause: in the cells with an engine lost, every prompt that waited 5 s closed an engine to the others until its own memory fitted. Change: ClaimAfter is 30 s; the weight of Vltavske bidlo is 1.

--- a/core/placement/config.go
+++ b/core/placement/config.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/pkg/errors"
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
 
 // Config has the parameters of the decisions of one VM.
 type Config struct {
@@ -16,6 +20,9 @@
 	// Headroom is the share of an endpoint's memory that is kept from prompts of
 	// low priority; from 0 to 1.
 	Headroom float64
+	// ClaimAfter is how long a prompt of low priority waits for memory before it
+	// claims an endpoint, to which no other of low priority is then sent.
+	ClaimAfter time.Duration
 	// DefaultRate is the prefill speed, in tokens a second, of an endpoint that
 	// has told none.
 	DefaultRate float64
@@ -23,7 +30,7 @@
 
 // DefaultConfig returns the parameters that the service runs with.
 func DefaultConfig() Config {
-	return Config{Sample: 64, TieMargin: 0.1, OvertakeFactor: 8, Headroom: 0.05, DefaultRate: 10_000}
+	return Config{Sample: 64, TieMargin: 0.1, OvertakeFactor: 8, Headroom: 0.05, ClaimAfter: 30 * time.Second, DefaultRate: 10_000}
 }
 
 // ConfigError says which field is out of its range.
@@ -43,6 +50,8 @@
 		return errors.WithStack(&ConfigError{"OvertakeFactor"})
 	case c.Headroom < 0 || c.Headroom > 1:
 		return errors.WithStack(&ConfigError{"Headroom"})
+	case c.ClaimAfter <= 0:
+		return errors.WithStack(&ConfigError{"ClaimAfter"})
 	case c.DefaultRate <= 0:
 		return errors.WithStack(&ConfigError{"DefaultRate"})
 	}
--- a/standin/experiment/sim.go
+++ b/standin/experiment/sim.go
@@ -30,8 +30,6 @@
 	groupShare = 0.5
 	// grantRetry is the time between two tries of prompts that wait for memory.
 	grantRetry = 50 * time.Millisecond
-	// maxPassed is how long others may pass a prompt that waits for memory.
-	maxPassed = 5 * time.Second
 	// retryPause is the wait before another attempt after an engine's death.
 	retryPause = 10 * time.Millisecond
 )
@@ -262,7 +260,7 @@
 	jobs := r.waiting
 	r.waiting = nil
 	for _, j := range jobs {
-		if r.now-j.arrive > maxPassed && !j.resolved {
+		if r.now-j.arrive > r.cell.Placement.ClaimAfter && !j.resolved {
 			r.claim(j)
 		}
 		r.dispatch(j)
--- a/standin/experiment/study.go
+++ b/standin/experiment/study.go
@@ -61,7 +61,7 @@
 // The delay weights of the two deployments.
 const (
 	kivukoniWeight = 0
-	vltavskeWeight = 0.3
+	vltavskeWeight = 1
 )
 
 // predictiveWith is the product's policy at the weight; a negative one stands
