--- /dev/null
+++ b/internal/lease/manager_test.go
@@ -0,0 +1,199 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/lease"
+	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/platform"
+	standinplatform "cornelsaddle.example/cornelsaddle/standin/platform"
+)
+
+// fakeStore is a Store over a table in memory that counts what it is asked.
+type fakeStore struct {
+	table  *standinplatform.Table
+	list   []wire.VM
+	down   bool
+	reads  int
+	writes int
+}
+
+func (f *fakeStore) Try(_ platform.Class, txn wire.Txn, _ time.Duration) (wire.TxnResult, platform.Outcome, error) {
+	if f.down {
+		return wire.TxnResult{}, platform.OutcomeNotApplied, &platform.NotSentError{Reason: platform.ReasonUnreachable}
+	}
+	f.writes++
+	result := f.table.Apply(txn)
+	if result.Applied {
+		return result, platform.OutcomeApplied, nil
+	}
+	return result, platform.OutcomeNotApplied, nil
+}
+
+func (f *fakeStore) Get(key string) (wire.Row, error) {
+	if f.down {
+		return wire.Row{}, &platform.NotSentError{Reason: platform.ReasonUnreachable}
+	}
+	f.reads++
+	return f.table.Get(key), nil
+}
+
+func (f *fakeStore) VMs() (wire.VMList, error) { return wire.VMList{VMs: f.list}, nil }
+
+func startManagers(t *testing.T, store *fakeStore, n int) []*Manager {
+	t.Helper()
+	log, err := event.New(io.Discard, "json", "info", "test")
+	require.NoError(t, err)
+	managers := make([]*Manager, 0, n)
+	for i := range n {
+		id := fmt.Sprint("entry-", i)
+		store.list = append(store.list, wire.VM{ID: id, State: wire.VMLive})
+		managers = append(managers, newManager(lease.DefaultConfig(), store, log, id, int64(i)))
+	}
+	for _, m := range managers {
+		m.Start()
+		synctest.Wait()
+	}
+	return managers
+}
+
+func names(n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprint("orders/service-", i)
+	}
+	return list
+}
+
+// TestRenewalsFitTheStore counts, in virtual time, what the leases of the
+// largest fleet cost: 8 models in each of 12 failure domains. The cost does not
+// depend on the number of VMs, as only the candidates of a lease read it.
+func TestRenewalsFitTheStore(t *testing.T) {
+	const (
+		vms         = 12
+		leases      = 8 * 12
+		seconds     = 60
+		writesBound = 30
+		readsBound  = 100
+	)
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{table: standinplatform.NewTable()}
+		managers := startManagers(t, store, vms)
+		for _, m := range managers {
+			require.NoError(t, m.Want(names(leases)))
+		}
+		time.Sleep(30 * time.Second)
+		synctest.Wait()
+		store.reads, store.writes = 0, 0
+		time.Sleep(seconds * time.Second)
+		synctest.Wait()
+		held := 0
+		for _, m := range managers {
+			held += len(m.Held())
+		}
+		require.Equal(t, leases, held)
+		t.Logf("%.1f writes/s, %.1f reads/s", float64(store.writes)/seconds, float64(store.reads)/seconds)
+		require.LessOrEqual(t, store.writes, writesBound*seconds)
+		require.LessOrEqual(t, store.reads, readsBound*seconds)
+		for _, m := range managers {
+			m.Stop()
+		}
+	})
+}
+
+func TestReleaseWaitsForUsersAndHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{table: standinplatform.NewTable()}
+		managers := startManagers(t, store, 2)
+		name := names(1)[0]
+		for _, m := range managers {
+			require.NoError(t, m.Want([]string{name}))
+		}
+		time.Sleep(10 * time.Second)
+		holder, other := managers[0], managers[1]
+		if len(holder.Held()) == 0 {
+			holder, other = other, holder
+		}
+		fencing, done, ok := holder.Use(name, time.Second)
+		require.True(t, ok)
+		released := make(chan error, 1)
+		go func() { released <- holder.Release(context.Background()) }()
+		time.Sleep(2 * time.Second)
+		require.Empty(t, released, "released while somebody acts under the lease")
+		_, _, ok = holder.Use(name, 0)
+		require.False(t, ok, "nothing new may begin under a lease that is being released")
+		done()
+		require.NoError(t, <-released)
+		time.Sleep(lease.DefaultConfig().PollEvery + lease.DefaultConfig().RankStep + time.Second)
+		next, done, ok := other.Use(name, time.Second)
+		require.True(t, ok, "the next holder need not wait for the lease to run out")
+		done()
+		require.Greater(t, next, fencing)
+		for _, m := range managers {
+			m.Stop()
+		}
+	})
+}
+
+// TestLongOutage shows what stops: the holder stops by itself, nobody takes
+// over, and once the store is back somebody holds the lease under a new number.
+func TestLongOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{table: standinplatform.NewTable()}
+		managers := startManagers(t, store, 3)
+		name := names(1)[0]
+		for _, m := range managers {
+			require.NoError(t, m.Want([]string{name}))
+		}
+		time.Sleep(10 * time.Second)
+		before := held(managers)
+		require.Equal(t, 1, before)
+		row := store.table.Get(lease.KeyPrefix + name)
+		store.down = true
+		time.Sleep(lease.DefaultConfig().TTL)
+		require.Zero(t, held(managers))
+		time.Sleep(time.Hour)
+		require.Zero(t, held(managers))
+		store.down = false
+		time.Sleep(2 * lease.DefaultConfig().TTL)
+		require.Equal(t, 1, held(managers))
+		require.Greater(t, store.table.Get(lease.KeyPrefix+name).Version, row.Version)
+		for _, m := range managers {
+			m.Stop()
+		}
+	})
+}
+
+func held(managers []*Manager) int {
+	n := 0
+	for _, m := range managers {
+		n += len(m.Held())
+	}
+	return n
+}
+
+func TestRankIsAPermutation(t *testing.T) {
+	members := []string{"a", "b", "c", "d", "e"}
+	first := make(map[string]int)
+	for _, name := range names(200) {
+		ranks := make(map[int]int)
+		for _, vm := range members {
+			r := lease.Rank(name, vm, members)
+			ranks[r]++
+			if r == 0 {
+				first[vm]++
+			}
+		}
+		require.Equal(t, map[int]int{0: 1, 1: 1, 2: 1, lease.NotCandidate: 2}, ranks)
+	}
+	require.Len(t, first, len(members))
+	require.Equal(t, 0, lease.Rank("x", "a", nil))
+}
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -43,6 +43,7 @@
 	// engineProcesses are the engines' own, in the same order.
 	engineProcesses []*process
 	service         string
+	ctl             string
 }
 
 // process is one started program.
@@ -100,7 +101,7 @@
 	serveBin := build(t, dir, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddle")
 	ctlBin := build(t, dir, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddlectl")
 	platform, _ := standin(t, standinBin, "-role", "platform")
-	s := &system{}
+	s := &system{ctl: ctlBin}
 	s.service, _ = standin(t, standinBin, "-role", "service")
 	doc := configuration.Document{
 		Organisations: map[string]configuration.Organisation{
@@ -290,6 +291,8 @@
 		require.Equal(t, map[string]int{"deposit-1": 1}, effects.Effects)
 	})
 
+	t.Run("a load through the tool is answered whole", s.load)
+
 	t.Run("SIGTERM ends cleanly", func(t *testing.T) {
 		p := s.vms[3]
 		require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
