Refuse at once what can't be served in time, and lease limits across VMs

Cause: nothing in the request path refused a prompt before it was placed. Ruled out: counting the longest answer that a caller allows: a test whose caller allows 20,000 tokens and takes few was refused; answers and token intervals count from the first that were seen. Change: the API asks a gate: fleet.Admit predicts with what placement knows, quota.Keeper spends the VM's leased share of the organisation's limit. Shown by: go test ./internal/node ./internal/api ./internal/prompt ./test/...

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -109,7 +109,8 @@
 type Controller struct {
 	cfg    Config
 	shares *Shares
-	// answered is the learnt ratio of answers to the longest allowed.
+	// answered is the learnt ratio of answers to the longest allowed: none until
+	// answers have shown it, because callers overstate.
 	answered float64
 	// bias is the learnt ratio of first tokens to their prediction, by priority.
 	bias [2]float64
@@ -120,7 +121,7 @@
 
 // NewController returns a Controller that has learnt nothing.
 func NewController(cfg Config) *Controller {
-	return &Controller{cfg: cfg, shares: NewShares(cfg.ShareTime), answered: 1, bias: [2]float64{1, 1}}
+	return &Controller{cfg: cfg, shares: NewShares(cfg.ShareTime), bias: [2]float64{1, 1}}
 }
 
 // Decide admits the request, and counts its tokens, or refuses it.
--- a/core/placement/endpoint.go
+++ b/core/placement/endpoint.go
@@ -15,9 +15,6 @@
 	shareTime = 30 * time.Second
 	// intervalGain is the weight of one answer in the learnt token interval.
 	intervalGain = 0.1
-	// defaultInterval is the first guess of the time between two tokens, in
-	// seconds.
-	defaultInterval = 0.05
 )
 
 // pendingPrompt is a prompt of this VM that has no first token yet.
@@ -63,7 +60,9 @@
 	// a second.
 	highRate   float64
 	highRateAt time.Time
-	interval   float64
+	// interval is the learnt time between two tokens, in seconds; zero until an
+	// answer has shown it.
+	interval float64
 }
 
 // NewEndpoint returns what is known of an endpoint before its first report:
@@ -82,7 +81,6 @@
 		speed:    newSpeed(),
 		pending:  make(map[string]pendingPrompt),
 		inFlight: make(map[string]int64),
-		interval: defaultInterval,
 	}
 }
 
@@ -219,7 +217,11 @@
 	if tokens <= 0 {
 		return
 	}
-	e.interval += intervalGain * (took.Seconds()/float64(tokens) - e.interval)
+	interval := took.Seconds() / float64(tokens)
+	if e.interval == 0 {
+		e.interval = interval
+	}
+	e.interval += intervalGain * (interval - e.interval)
 }
 
 // View returns what is known for placing the prompt now.
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -24,6 +24,7 @@
 // API answers callers. It is safe for concurrent use.
 type API struct {
 	follower *confsync.Follower
+	gate     Gate
 	prompts  *prompt.Runner
 	calls    *call.Runner
 	log      *event.Logger
@@ -37,8 +38,8 @@
 }
 
 // New returns an API.
-func New(follower *confsync.Follower, prompts *prompt.Runner, calls *call.Runner, log *event.Logger, m *metrics.Metrics) *API {
-	return &API{follower: follower, prompts: prompts, calls: calls, log: log, metrics: m}
+func New(follower *confsync.Follower, gate Gate, prompts *prompt.Runner, calls *call.Runner, log *event.Logger, m *metrics.Metrics) *API {
+	return &API{follower: follower, gate: gate, prompts: prompts, calls: calls, log: log, metrics: m}
 }
 
 // Handler routes callers' requests.
--- a/internal/api/completions.go
+++ b/internal/api/completions.go
@@ -30,6 +30,11 @@
 		a.fail(ctx, s, err)
 		return
 	}
+	if err := a.gate.Admit(req); err != nil {
+		a.leave()
+		a.fail(ctx, s, err)
+		return
+	}
 	answer, err := a.prompts.Start(req)
 	if err != nil {
 		a.leave()
--- a/internal/api/completions_test.go
+++ b/internal/api/completions_test.go
@@ -53,6 +53,7 @@
 func (oneEngine) FirstToken(string, string)                                  {}
 func (oneEngine) Ended(string, string)                                       {}
 func (oneEngine) Answered(string, fleet.Answer)                              {}
+func (oneEngine) Done(string, int64)                                         {}
 func (oneEngine) Failed(string)                                              {}
 
 // noHolder holds nothing.
@@ -79,7 +80,7 @@
 	require.NoError(t, err)
 	streams, caller := endpoint.New(), endpoint.NewCaller()
 	runner := prompt.NewRunner(cfg, oneEngine{}, streams, caller, noHolder{}, log, metrics.New())
-	f := &front{API: New(nil, runner, nil, log, metrics.New()), engine: e}
+	f := &front{API: New(nil, openGate{}, runner, nil, log, metrics.New()), engine: e}
 	snapshot := &confsync.Snapshot{Version: 1, Document: &configuration.Document{
 		Organisations: map[string]configuration.Organisation{"framers": {Services: []string{"pool"}}},
 		Services:      map[string]configuration.Service{"pool": {Kind: configuration.KindModel, MaxTimeoutMs: time.Hour.Milliseconds()}},
@@ -205,3 +206,8 @@
 	require.Equal(t, engine.AnswerText(req.Prompt, 200), text.String())
 	f.requireIdle(t)
 }
+
+// openGate admits all.
+type openGate struct{}
+
+func (openGate) Admit(prompt.Request) error { return nil }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,11 +8,13 @@
 	"sync"
 	"time"
 
+	"cornelsaddle.example/cornelsaddle/core/admission"
 	"cornelsaddle.example/cornelsaddle/core/configuration"
 	"cornelsaddle.example/cornelsaddle/core/placement"
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
+	"cornelsaddle.example/cornelsaddle/internal/event"
 )
 
 // state is what is known of one endpoint.
@@ -33,6 +35,7 @@
 type Fleet struct {
 	caller   *endpoint.Caller
 	follower *confsync.Follower
+	log      *event.Logger
 	cfg      placement.Config
 	stop     chan struct{}
 	done     chan struct{}
@@ -40,24 +43,33 @@
 	mu     sync.Mutex
 	states map[string]*state
 	picker *placement.Picker
-	scope  *scope
+	// controllers decide on admission, by service.
+	controllers map[string]*admission.Controller
+	// admitted are the prompts under way, by request.
+	admitted map[string]admitted
+	scope    *scope
 	// notify tells the peers of a long prefill at once; nil for no peers.
 	notify func(DigestEntry)
 	views  []placement.View
 }
 
 // New returns a Fleet over the endpoints of the configuration in force.
-func New(caller *endpoint.Caller, follower *confsync.Follower) *Fleet {
+func New(caller *endpoint.Caller, follower *confsync.Follower, log *event.Logger) *Fleet {
 	cfg := placement.DefaultConfig()
 	return &Fleet{
 		caller:   caller,
 		follower: follower,
+		log:      log,
 		cfg:      cfg,
 		states:   make(map[string]*state),
 		scope:    &scope{},
-		picker:   placement.NewPicker(cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		stop:     make(chan struct{}),
-		done:     make(chan struct{}),
+
+		controllers: make(map[string]*admission.Controller),
+		admitted:    make(map[string]admitted),
+
+		picker: placement.NewPicker(cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		stop:   make(chan struct{}),
+		done:   make(chan struct{}),
 	}
 }
 
@@ -132,6 +144,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	st := f.state(id, configuration.Endpoint{})
+	f.noteSent(attempt)
 	work := st.known.Sent(time.Now(), attempt, &p, priority)
 	st.held += p.Need()
 	if work >= noticeTokens && f.notify != nil {
@@ -145,7 +158,9 @@
 func (f *Fleet) FirstToken(id, attempt string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.known(id).FirstToken(time.Now(), attempt)
+	now := time.Now()
+	f.known(id).FirstToken(now, attempt)
+	f.judged(now, attempt)
 }
 
 // Ended notes that the attempt is over, with or without an answer.
@@ -181,5 +196,13 @@
 func (f *Fleet) Failed(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.state(id, configuration.Endpoint{}).alive = false
+	f.silent(id, f.state(id, configuration.Endpoint{}), "attempt failed")
+}
+
+// silent takes the endpoint out of placement until it reports. The lock is held.
+func (f *Fleet) silent(id string, st *state, reason string) {
+	if st.alive {
+		f.log.Emit(event.EndpointSilent{Endpoint: id, Reason: reason})
+	}
+	st.alive = false
 }
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -8,6 +8,7 @@
 	"cornelsaddle.example/cornelsaddle/core/configuration"
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
+	"cornelsaddle.example/cornelsaddle/internal/event"
 )
 
 const (
@@ -139,10 +140,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	st := f.state(id, e)
-	st.alive = err == nil
 	if err != nil {
+		f.silent(id, st, err.Error())
 		return
 	}
+	if !st.alive {
+		f.log.Emit(event.EndpointBack{Endpoint: id})
+	}
+	st.alive = true
 	if st.incarnation != "" && st.incarnation != report.Incarnation {
 		st.known = newKnown(f.cfg, id, e)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/dig"
 
+	corequota "cornelsaddle.example/cornelsaddle/core/quota"
 	"cornelsaddle.example/cornelsaddle/internal/api"
 	"cornelsaddle.example/cornelsaddle/internal/call"
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
@@ -21,6 +22,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
 	"cornelsaddle.example/cornelsaddle/internal/prompt"
+	"cornelsaddle.example/cornelsaddle/internal/quota"
 	"cornelsaddle.example/cornelsaddle/internal/reserve"
 	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
@@ -50,6 +52,7 @@
 	API      *api.API
 	Follower *confsync.Follower
 	Fleet    *fleet.Fleet
+	Quota    *quota.Keeper
 	Metrics  *metrics.Metrics
 	Store    *platform.Client
 	Streams  *endpoint.Client
@@ -79,6 +82,7 @@
 	}
 	n.parts.Follower.Start()
 	n.parts.Fleet.Start()
+	n.parts.Quota.Start()
 	n.parts.Leases.Start()
 	n.parts.Orders.Start()
 	n.parts.Holder.Start()
@@ -115,6 +119,8 @@
 		call.NewRunner,
 		lease.New,
 		orders.New,
+		newQuota,
+		newGate,
 		api.New,
 	}
 }
@@ -127,6 +133,13 @@
 	return prompt.NewRunner(cfg, f, streams, caller, h, log, m)
 }
 
+func newQuota(self peer.Identity, store *platform.Client, follower *confsync.Follower, log *event.Logger) *quota.Keeper {
+	holder := corequota.Holder{VM: self.VM, Incarnation: self.Incarnation}
+	return quota.New(corequota.DefaultConfig(), holder, store, follower, log)
+}
+
+func newGate(f *fleet.Fleet, k *quota.Keeper) api.Gate { return api.NewPromptGate(f, k) }
+
 func newMembers(self peer.Identity) reserve.Members { return reserve.Solo{Self: self} }
 
 func newAccountant(cfg reserve.Config, caller *endpoint.Caller, mux *peer.Mux) *reserve.Accountant {
@@ -215,6 +228,7 @@
 	n.parts.Orders.Stop()
 	n.parts.Leases.Stop()
 	n.parts.Peers.Close()
+	n.parts.Quota.Stop()
 	n.parts.Fleet.Stop()
 	n.parts.Follower.Stop()
 	n.parts.Prompts.Close()
--- a/internal/prompt/answer.go
+++ b/internal/prompt/answer.go
@@ -309,9 +309,18 @@
 	a.event = evCallerGone
 	_ = a.step()
 	a.ended()
+	a.fleet.Done(a.req.ID, a.whole())
 	a.done()
 }
 
+// whole is the length of a whole answer, and zero for any other.
+func (a *Answer) whole() int64 {
+	if a.machine.State() != stFinished {
+		return 0
+	}
+	return a.assembly.Delivered()
+}
+
 // account tells the fleet what the whole answer says of itself.
 func (a *Answer) account() {
 	tokens := a.assembly.Delivered() - a.attempt.from - 1
--- a/internal/prompt/attempt.go
+++ b/internal/prompt/attempt.go
@@ -106,13 +106,12 @@
 	a.attempt.predicted = firstToken
 }
 
+// prompt is the request with what was delivered, which the engine reads like a
+// part of the prompt.
 func (a *Answer) prompt() placement.Prompt {
-	return placement.Prompt{
-		Tokens:      a.req.Tokens + a.assembly.Delivered(),
-		MaxTokens:   a.req.MaxTokens,
-		Priority:    a.priority(),
-		DelayWeight: a.req.Snapshot.Services[a.req.Service].DelayWeight,
-	}
+	p := a.req.Placement()
+	p.Tokens += a.assembly.Delivered()
+	return p
 }
 
 // leadPrompt is what the endpoint itself has to hold: of a group's memory, the
--- a/internal/prompt/fake_test.go
+++ b/internal/prompt/fake_test.go
@@ -238,6 +238,8 @@
 	f.pending--
 }
 
+func (f *fixedFleet) Done(string, int64) {}
+
 func (f *fixedFleet) Failed(string) {}
 
 // noHolder holds nothing.
--- a/internal/prompt/prompt.go
+++ b/internal/prompt/prompt.go
@@ -76,6 +76,9 @@
 	FirstToken(id, request string)
 	Ended(id, request string)
 	Answered(id string, a fleet.Answer)
+	// Done notes that the request is over, with the length of its whole answer
+	// or zero.
+	Done(request string, tokens int64)
 	// Failed notes that the endpoint failed.
 	Failed(id string)
 }
@@ -110,6 +113,20 @@
 	Caller    Caller
 }
 
+// Placement is what the request asks of placement before its first attempt.
+func (r *Request) Placement() placement.Prompt {
+	priority := wire.PriorityHigh
+	if r.Class.Low {
+		priority = wire.PriorityLow
+	}
+	return placement.Prompt{
+		Tokens:      r.Tokens,
+		MaxTokens:   r.MaxTokens,
+		Priority:    priority,
+		DelayWeight: r.Snapshot.Services[r.Service].DelayWeight,
+	}
+}
+
 // Caller is the connection that the request came from. Its methods are called
 // from any goroutine.
 type Caller interface {
--- a/standin/experiment/study.go
+++ b/standin/experiment/study.go
@@ -41,8 +41,9 @@
 // baselines are run on engines that serve first come first served, and on
 // engines that are given priorities.
 func baselines() []contender {
-	var list []contender
-	for _, p := range []PolicyName{RoundRobin, Random, LeastOutstanding} {
+	policies := []PolicyName{RoundRobin, Random, LeastOutstanding}
+	list := make([]contender, 0, 2*len(policies))
+	for _, p := range policies {
 		list = append(list,
 			contender{string(p) + ", fcfs", func(c *Cell) { c.Policy = p }},
 			contender{string(p) + ", priorities", func(c *Cell) { c.Policy, c.Priorities = p, true }})
--- a/standin/experiment/tables.go
+++ b/standin/experiment/tables.go
@@ -46,6 +46,20 @@
 	return e.with.first(Short, p99) / e.alone.first(Short, p99)
 }
 
+// measure runs the contenders with long prompts and without.
+func (s *Study) measure(m Mix, load float64, cond condition, list []contender) []*entry {
+	entries := make([]*entry, 0, len(list))
+	tasks := make([]*task, 0, 2*len(list))
+	for _, c := range list {
+		with := s.task(m, load, c.set, cond.set)
+		e := &entry{c.name, with, s.alone(with)}
+		entries = append(entries, e)
+		tasks = append(tasks, e.with, e.alone)
+	}
+	s.run(tasks)
+	return entries
+}
+
 // targets compares the product's policy with the best baseline, condition by
 // condition, and says whether the deployments' targets are met.
 func (s *Study) targets(w io.Writer) {
@@ -59,16 +73,7 @@
 }
 
 func (s *Study) condition(w io.Writer, m Mix, load float64, cond condition) {
-	var entries []*entry
-	var tasks []*task
-	own := contender{"predictive", predictiveWith(-1, nil)}
-	for _, c := range append(baselines(), own) {
-		with := s.task(m, load, c.set, cond.set)
-		e := &entry{c.name, with, s.alone(with)}
-		entries = append(entries, e)
-		tasks = append(tasks, e.with, e.alone)
-	}
-	s.run(tasks)
+	entries := s.measure(m, load, cond, append(baselines(), contender{"predictive", predictiveWith(-1, nil)}))
 	fmt.Fprintf(w, "\n### %s, load %.2f, %s\n\n", m.Name, load, cond.name)
 	fmt.Fprintln(w, "| policy | short p50/p95/p99 s | short p99 alone s | slowdown | medium p50/p95/p99 s | long p50/p95/p99 s | oversize p50/p95 s | goodput | refused |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|")
@@ -135,16 +140,11 @@
 }
 
 func (s *Study) sweep(w io.Writer, m Mix, load float64, values []float64) {
-	var entries []*entry
-	var tasks []*task
+	list := make([]contender, 0, len(values))
 	for _, v := range values {
-		with := s.task(m, load, predictiveWith(v, nil))
-		e := &entry{fmt.Sprint(v), with, s.alone(with)}
-		entries = append(entries, e)
-		tasks = append(tasks, e.with, e.alone)
+		list = append(list, contender{fmt.Sprint(v), predictiveWith(v, nil)})
 	}
-	s.run(tasks)
-	for _, e := range entries {
+	for _, e := range s.measure(m, load, conditions[0], list) {
 		fmt.Fprintf(w, "| %s | %s | %.2f | %s | %s | %.4f |\n", e.name, e.with.percentiles(Short),
 			e.slowdown(), e.with.percentiles(Medium), e.with.percentiles(Long), e.with.goodput())
 	}
@@ -172,15 +172,7 @@
 }
 
 func (s *Study) ablate(w io.Writer, m Mix, load float64, cond condition, parts []contender) {
-	var entries []*entry
-	var tasks []*task
-	for _, c := range parts {
-		with := s.task(m, load, c.set, cond.set)
-		e := &entry{c.name, with, s.alone(with)}
-		entries = append(entries, e)
-		tasks = append(tasks, e.with, e.alone)
-	}
-	s.run(tasks)
+	entries := s.measure(m, load, cond, parts)
 	fmt.Fprintf(w, "\n### %s, load %.2f, %s: parts taken away\n\n", m.Name, load, cond.name)
 	fmt.Fprintln(w, "| policy | short p50/p95/p99 s | short p99 alone s | slowdown | medium p50/p95/p99 s | long p50/p95/p99 s | oversize p50/p95 s | goodput | refused |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|")
@@ -212,7 +204,7 @@
 }
 
 func (s *Study) admit(w io.Writer, m Mix, load float64, ways []contender) {
-	var tasks []*task
+	tasks := make([]*task, 0, len(ways))
 	for _, c := range ways {
 		tasks = append(tasks, s.task(m, load, c.set, func(c *Cell) { c.VMs, c.Lag = 4, time.Second }))
 	}
--- a/standin/experiment/workload.go
+++ b/standin/experiment/workload.go
@@ -179,8 +179,10 @@
 	for i := min(n, len(prefix)); i < n; i++ {
 		j.blocks[i] = g.rng.Uint64()
 	}
-	r := append(g.recent[j.class], j)
-	g.recent[j.class] = r[max(0, len(r)-recentPrompts):]
+	g.recent[j.class] = append(g.recent[j.class], j)
+	if len(g.recent[j.class]) > recentPrompts {
+		g.recent[j.class] = g.recent[j.class][1:]
+	}
 }
 
 func templateOf(organisation int) []uint64 {
