Test placement, admission and shares against naive versions and oracles

Cause: the decisions had no tests. One placement with 64 endpoints in view allocates nothing; the bound on overtaking is kept as one number and block ages as integers for that. Shown by: go test ./placement ./admission ./quota in core; go test -run xxx -bench Placement ./placement

--- /dev/null
+++ b/core/admission/admission_test.go
@@ -0,0 +1,149 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"cornelsaddle.example/cornelsaddle/core/wire"
+)
+
+var epoch = time.UnixMilli(1_000_000_000_000)
+
+func ask(organisation string, remaining time.Duration) Request {
+	return Request{Organisation: organisation, Weight: 1, Tokens: 1000, Remaining: remaining}
+}
+
+// TestRefusedAtOnceWithATimeToComeBack checks each decision against the rule
+// spelt out: what ends after its time and the tolerance is refused, with a
+// bounded time that covers the excess.
+func TestRefusedAtOnceWithATimeToComeBack(t *testing.T) {
+	cfg := DefaultConfig()
+	rapid.Check(t, func(t *rapid.T) {
+		c := NewController(cfg)
+		first := time.Duration(rapid.Int64Range(0, int64(10*time.Minute)).Draw(t, "first"))
+		remaining := time.Duration(rapid.Int64Range(1, int64(10*time.Minute)).Draw(t, "remaining"))
+		d := c.Decide(epoch, ask("framers", remaining), Prediction{FirstToken: first})
+		reachable := float64(first) <= float64(remaining)*(1+cfg.Tolerance)
+		if d.Admitted != reachable {
+			t.Fatalf("admitted %v, reachable %v", d.Admitted, reachable)
+		}
+		if d.Admitted {
+			return
+		}
+		want := min(max(first-remaining, cfg.MinRetry), cfg.MaxRetry)
+		if d.RetryAfter != want {
+			t.Fatalf("told to come back after %v, the queue takes %v", d.RetryAfter, want)
+		}
+	})
+}
+
+// TestLongestAnswersDoNotRefuseShortOnes has callers that allow far more than
+// they get.
+func TestLongestAnswersDoNotRefuseShortOnes(t *testing.T) {
+	c := NewController(DefaultConfig())
+	p := Prediction{FirstToken: time.Second, Answer: time.Hour}
+	require.True(t, c.Decide(epoch, ask("framers", 10*time.Second), p).Admitted)
+	for range 500 {
+		c.Answered(10, 10_000)
+	}
+	require.True(t, c.Decide(epoch, ask("framers", 10*time.Second), p).Admitted)
+	for range 500 {
+		c.Answered(10_000, 10_000)
+	}
+	require.False(t, c.Decide(epoch, ask("framers", 10*time.Second), p).Admitted)
+}
+
+// TestBiasIsLearnt has predictions that are twice too long, then half.
+func TestBiasIsLearnt(t *testing.T) {
+	c := NewController(DefaultConfig())
+	p := Prediction{FirstToken: 15 * time.Second}
+	require.False(t, c.Decide(epoch, ask("framers", 10*time.Second), p).Admitted)
+	for range 500 {
+		c.FirstToken(wire.PriorityHigh, 15*time.Second, 7500*time.Millisecond)
+	}
+	require.True(t, c.Decide(epoch, ask("framers", 10*time.Second), p).Admitted)
+	for range 500 {
+		c.FirstToken(wire.PriorityHigh, 15*time.Second, 30*time.Second)
+	}
+	require.False(t, c.Decide(epoch, ask("framers", 20*time.Second), p).Admitted)
+}
+
+const (
+	tokens     = 1000
+	arrivals   = 60_000
+	smallEvery = 25
+)
+
+// overload has a large organisation ask 24 times as often as a small one of a
+// server that computes a tenth of it all, and returns the tokens that each was
+// admitted.
+func overload(cfg Config) (large, small int64) {
+	const (
+		service = 10_000 // Tokens a second.
+		limit   = 10 * time.Second
+	)
+	c := NewController(cfg)
+	queue, now := 0.0, epoch
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range arrivals {
+		now = now.Add(10 * time.Millisecond)
+		queue = max(0, queue-service*0.01)
+		r := Request{Organisation: "large", Weight: 1, Tokens: tokens, Remaining: limit}
+		if rng.IntN(smallEvery) == 0 {
+			r.Organisation = "small"
+		}
+		p := Prediction{FirstToken: time.Duration(queue / service * float64(time.Second))}
+		if !c.Decide(now, r, p).Admitted {
+			continue
+		}
+		queue += tokens
+		if r.Organisation == "small" {
+			small += tokens
+		} else {
+			large += tokens
+		}
+	}
+	return large, small
+}
+
+// TestSharesHoldUnderOverload: the small organisation asks for less than half of
+// what there is, and gets nearly all of it; without shares it gets a tenth.
+func TestSharesHoldUnderOverload(t *testing.T) {
+	const asked = arrivals / smallEvery * tokens
+	_, small := overload(DefaultConfig())
+	require.Greater(t, small, int64(0.9*asked))
+
+	naive := DefaultConfig()
+	naive.FullPressure = 0
+	_, small = overload(naive)
+	require.Less(t, small, int64(0.3*asked))
+}
+
+func TestSharesCountOnlyThoseWhoUseTheService(t *testing.T) {
+	s := NewShares(time.Minute)
+	s.Count(epoch, "large", 1, 9000)
+	s.Count(epoch, "small", 1, 1000)
+	require.InDelta(t, 5.0/9, s.Patience(epoch, "large", 1), 1e-9)
+	require.InDelta(t, 1, s.Patience(epoch, "small", 1), 1e-9)
+	require.InDelta(t, 1, s.Patience(epoch, "unheard of", 1), 1e-9)
+	require.InDelta(t, 1, s.Patience(epoch, "large", 99), 1e-9)
+	require.InDelta(t, 1, s.Patience(epoch.Add(time.Hour), "large", 1), 1e-9)
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	require.NoError(t, DefaultConfig().Validate())
+	for _, change := range []func(*Config){
+		func(c *Config) { c.Tolerance = -1 },
+		func(c *Config) { c.MinRetry = 0 },
+		func(c *Config) { c.FullPressure = 2 },
+		func(c *Config) { c.ShareTime = 0 },
+	} {
+		cfg := DefaultConfig()
+		change(&cfg)
+		require.Error(t, cfg.Validate())
+	}
+}
--- a/core/placement/endpoint.go
+++ b/core/placement/endpoint.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"cornelsaddle.example/cornelsaddle/core/wire"
@@ -54,6 +55,8 @@
 	inFlightSum int64
 	// waitingLow counts the pending prompts of low priority.
 	waitingLow int
+	// leastAllowance is the least allowance among them.
+	leastAllowance int64
 	// overtaken is the prefill of high priority that this VM sent, in all.
 	overtaken int64
 	// highRate is the decayed rate of prefill of high priority sent, in tokens
@@ -122,6 +125,7 @@
 	e.countHigh(now, work, priority)
 	if priority == wire.PriorityLow {
 		e.waitingLow++
+		e.allow()
 	} else {
 		e.overtaken += work
 	}
@@ -207,6 +211,7 @@
 	delete(e.pending, attempt)
 	if p.priority == wire.PriorityLow {
 		e.waitingLow--
+		e.allow()
 	}
 	return p, true
 }
@@ -252,13 +257,15 @@
 // exhausted reports whether a pending prompt of low priority was overtaken up
 // to its bound.
 func (e *Endpoint) exhausted() bool {
-	if e.waitingLow == 0 || e.cfg.OvertakeFactor == 0 {
-		return false
-	}
+	return e.waitingLow > 0 && e.cfg.OvertakeFactor > 0 && e.overtaken >= e.leastAllowance
+}
+
+// allow finds the pending prompt of low priority that may be overtaken least.
+func (e *Endpoint) allow() {
+	e.leastAllowance = math.MaxInt64
 	for _, p := range e.pending {
-		if p.priority == wire.PriorityLow && e.overtaken >= p.allowance {
-			return true
+		if p.priority == wire.PriorityLow {
+			e.leastAllowance = min(e.leastAllowance, p.allowance)
 		}
 	}
-	return false
 }
--- a/core/placement/prefix.go
+++ b/core/placement/prefix.go
@@ -23,14 +23,15 @@
 type Prefixes struct {
 	incarnation string
 	sequence    int64
-	seen        map[uint64]time.Time
+	// seen is when each block was told of, in milliseconds since the epoch.
+	seen map[uint64]int64
 	// trust is the learnt ratio of tokens found cached to tokens believed so.
 	trust float64
 }
 
 // NewPrefixes returns an empty index.
 func NewPrefixes() *Prefixes {
-	return &Prefixes{seen: make(map[uint64]time.Time), trust: 1}
+	return &Prefixes{seen: make(map[uint64]int64), trust: 1}
 }
 
 // Sequence is the last cache event applied.
@@ -61,7 +62,7 @@
 		delete(x.seen, b)
 	}
 	for _, b := range e.Added {
-		x.seen[b] = now
+		x.seen[b] = now.UnixMilli()
 	}
 }
 
@@ -75,8 +76,9 @@
 	if len(x.seen) <= prefixMaxBlocks {
 		return
 	}
+	oldest := oldestBelieved(now)
 	for b, at := range x.seen {
-		if now.Sub(at) > prefixMaxAge {
+		if at < oldest {
 			delete(x.seen, b)
 		}
 	}
@@ -85,10 +87,13 @@
 	}
 }
 
+func oldestBelieved(now time.Time) int64 { return now.Add(-prefixMaxAge).UnixMilli() }
+
 // believed returns the tokens of the longest prefix that is thought cached. A
 // hash covers its whole prefix and tails are evicted first, so it is found by
 // bisection.
 func (x *Prefixes) believed(now time.Time, blocks []uint64) int64 {
+	oldest := oldestBelieved(now)
 	low, high := 0, len(blocks)
 	for low < high {
 		mid := (low + high) / 2
@@ -97,7 +102,7 @@
 			mid = 0
 		}
 		at, ok := x.seen[blocks[mid]]
-		if ok && now.Sub(at) <= prefixMaxAge {
+		if ok && at >= oldest {
 			low = mid + 1
 		} else {
 			high = mid
