--- a/core/placement/prefix.go
+++ b/core/placement/prefix.go
@@ -6,8 +6,8 @@
 	"cornelsaddle.example/cornelsaddle/core/wire"
 )
 
-// BlockTokens is the number of tokens in one block of an engine's prefix cache.
-const BlockTokens = 256
+// BlockTokens is the number of tokens in one block of a prefix cache.
+const BlockTokens = wire.BlockTokens
 
 const (
 	// prefixMaxAge is how long an unconfirmed block is believed.
@@ -131,3 +131,12 @@
 		delete(x.seen, blocks[i])
 	}
 }
+
+// Assume notes a prompt that was computed: its blocks are cached now, for all
+// that is known, though no event has said so.
+func (x *Prefixes) Assume(now time.Time, blocks []uint64) {
+	for _, b := range blocks {
+		x.seen[b] = now.UnixMilli()
+	}
+	x.prune(now)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -189,7 +189,10 @@
 	now := time.Now()
 	known := f.known(id)
 	known.Answered(a.Tokens, a.Took)
-	known.Prefixes.Observe(now, a.Blocks, a.Cached)
+	if a.Blocks != nil {
+		known.Prefixes.Observe(now, a.Blocks, a.Cached)
+		known.Prefixes.Assume(now, a.Blocks)
+	}
 }
 
 // Failed notes that the endpoint failed; it gets no work until it reports.
--- a/internal/prompt/answer.go
+++ b/internal/prompt/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"time"
 
@@ -327,7 +328,22 @@
 	if a.attempt.first.IsZero() || tokens <= 0 {
 		return
 	}
-	a.fleet.Answered(a.attempt.endpoint, fleet.Answer{Tokens: tokens, Took: time.Since(a.attempt.first)})
+	account := fleet.Answer{Tokens: tokens, Took: time.Since(a.attempt.first)}
+	if usage := usageOf(a.chunk); usage != nil {
+		account.Blocks = a.req.Blocks
+		account.Cached = int64(usage.CachedTokens)
+	}
+	a.fleet.Answered(a.attempt.endpoint, account)
+}
+
+// usageOf reads the account that the last chunk of an answer carries; nil where
+// it carries none.
+func usageOf(data []byte) *wire.Usage {
+	var c wire.Chunk
+	if json.Unmarshal(data, &c) != nil {
+		return nil
+	}
+	return c.Usage
 }
 
 // end is the outcome of a request whose chart is done.
--- a/internal/prompt/prompt.go
+++ b/internal/prompt/prompt.go
@@ -107,10 +107,12 @@
 	// answer.
 	Tokens    int64
 	MaxTokens int64
-	Class     configuration.LengthClass
-	Deadline  time.Time
-	Snapshot  *confsync.Snapshot
-	Caller    Caller
+	// Blocks are the hashes of the prompt's whole blocks.
+	Blocks   []uint64
+	Class    configuration.LengthClass
+	Deadline time.Time
+	Snapshot *confsync.Snapshot
+	Caller   Caller
 }
 
 // Placement is what the request asks of placement before its first attempt.
@@ -124,6 +126,7 @@
 		MaxTokens:   r.MaxTokens,
 		Priority:    priority,
 		DelayWeight: r.Snapshot.Services[r.Service].DelayWeight,
+		Blocks:      r.Blocks,
 	}
 }
 
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -7,7 +7,7 @@
 )
 
 // BlockTokens is the number of tokens in one block of the prefix cache.
-const BlockTokens = 256
+const BlockTokens = wire.BlockTokens
 
 // keptEvents is the number of cache events that an engine remembers.
 const keptEvents = 256
--- a/standin/engine/text.go
+++ b/standin/engine/text.go
@@ -10,25 +10,13 @@
 )
 
 // BytesPerToken is the stand-in's tokeniser: so many bytes make a token.
-const BytesPerToken = 4
+const BytesPerToken = wire.BytesPerToken
 
 // tokenStep spreads the indices over the hash's range.
 const tokenStep = 0x9e3779b97f4a7c15
 
 // PromptText is the text that a request asks about.
-func PromptText(r *wire.CompletionRequest) string {
-	if len(r.Messages) == 0 {
-		return r.Prompt
-	}
-	var b strings.Builder
-	for _, m := range r.Messages {
-		b.WriteString(m.Role)
-		b.WriteByte('\n')
-		b.WriteString(m.Content)
-		b.WriteByte('\n')
-	}
-	return b.String()
-}
+func PromptText(r *wire.CompletionRequest) string { return wire.PromptText(r) }
 
 // PromptTokens is the length of a text in tokens.
 func PromptTokens(text string) int64 {
@@ -55,14 +43,4 @@
 }
 
 // Blocks hashes the text's whole blocks; each hash covers all before it.
-func Blocks(text string) []uint64 {
-	const blockBytes = BlockTokens * BytesPerToken
-	blocks := make([]uint64, 0, len(text)/blockBytes)
-	d := xxhash.New()
-	for len(text) >= blockBytes {
-		_, _ = d.WriteString(text[:blockBytes])
-		blocks = append(blocks, d.Sum64())
-		text = text[blockBytes:]
-	}
-	return blocks
-}
+func Blocks(text string) []uint64 { return wire.Blocks(text) }
