Test leased shares and the experiment, and wait for the first lease

Cause: the first prompt of an organisation with a limit was refused at each VM, because no lease was there yet. Change: it waits for the lease for up to 500 ms. The experiment's runs end with their last prompt instead of at a fixed time. Shown by: go test ./internal/quota; in standin go test ./experiment: every prompt has its end by its deadline, refused ones were never sent, all memory is back, through a lost engine, late reports and overload.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -24,6 +24,8 @@
 	keyPrefix = "quota/"
 	// tick is how often the VM looks for leases that are due.
 	tick = time.Second
+	// firstWait bounds the wait of an organisation's first prompt for a lease.
+	firstWait = 500 * time.Millisecond
 )
 
 // Store is the part of the table service that shares are kept in.
@@ -39,6 +41,8 @@
 	bucket quota.Bucket
 	// due is when the lease is to be renewed.
 	due time.Time
+	// ready is closed once the first renewal is over, whatever came of it.
+	ready chan struct{}
 	// idle says that the organisation asked for nothing since the last renewal.
 	idle bool
 }
@@ -86,27 +90,45 @@
 }
 
 // Take takes tokens of the organisation's limit, or says when to come back. An
-// organisation without a limit takes what it likes.
+// organisation without a limit takes what it likes. The first prompt of an
+// organisation waits for the lease for up to firstWait.
 func (k *Keeper) Take(organisation string, o configuration.Organisation, tokens int64) error {
 	if o.TokensPerSecond <= 0 {
 		return nil
 	}
+	select {
+	case <-k.account(organisation, o).ready:
+	case <-time.After(firstWait):
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
+	a := k.accountLocked(organisation, o)
+	wait, ok := a.bucket.Take(now, a.lease.Rate(now), tokens)
+	if ok {
+		return nil
+	}
+	return errcode.New(errcode.QuotaExceeded, "the organisation used its tokens for now").WithRetryAfter(max(wait, tick))
+}
+
+func (k *Keeper) account(organisation string, o configuration.Organisation) *account {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.accountLocked(organisation, o)
+}
+
+// accountLocked returns the organisation's account, and has its lease fetched if
+// it is new. The lock is held.
+func (k *Keeper) accountLocked(organisation string, o configuration.Organisation) *account {
 	a := k.accounts[organisation]
 	if a == nil {
-		a = &account{due: now}
+		a = &account{due: time.Now(), ready: make(chan struct{})}
 		k.accounts[organisation] = a
 		k.nudge()
 	}
 	a.limit = o.TokensPerSecond
 	a.idle = false
-	wait, ok := a.bucket.Take(now, a.lease.Rate(now), tokens)
-	if ok {
-		return nil
-	}
-	return errcode.New(errcode.QuotaExceeded, "the organisation used its tokens for now").WithRetryAfter(max(wait, tick))
+	return a
 }
 
 // nudge has the lease of a new organisation fetched at once.
@@ -168,6 +190,7 @@
 func (k *Keeper) renew(name string) {
 	k.mu.Lock()
 	a := k.accounts[name]
+	defer a.renewed()
 	now := time.Now()
 	a.due = now.Add(k.cfg.Renew)
 	idle := a.idle || a.limit <= 0
@@ -192,6 +215,15 @@
 	k.change(name, (*quota.Lease).Refused)
 }
 
+// renewed lets the first prompts go on. Only the goroutine that renews calls it.
+func (a *account) renewed() {
+	select {
+	case <-a.ready:
+	default:
+		close(a.ready)
+	}
+}
+
 // want is what the organisation uses here and some more, and at least what lets
 // it begin. The lock is held.
 func (k *Keeper) want(now time.Time, a *account) float64 {
--- a/standin/experiment/cell.go
+++ b/standin/experiment/cell.go
@@ -60,14 +60,17 @@
 	warmUp = 60 * time.Second
 	// lostEngine is the one that LoseEngine ends.
 	lostEngine = engines - 4
-	// drain is the time after the last arrival until all is over.
-	drain = 11 * time.Minute
 )
 
-func (c *Cell) horizon() time.Duration { return c.Duration + drain }
-
 // Run carries out the cell.
 func Run(c Cell) Result {
+	r := newRun(c)
+	r.loop()
+	return newResult(r.jobs)
+}
+
+// newRun sets the cell up, with all that is due from its start.
+func newRun(c Cell) *run {
 	c.shapes = fleetShape(c.Priorities)
 	r := &run{
 		cell:  c,
@@ -95,8 +98,7 @@
 	if c.LoseEngine {
 		r.at(c.Duration/3, func() { r.kill(lostEngine) })
 	}
-	r.loop()
-	return newResult(r.jobs)
+	return r
 }
 
 func (c *Cell) policy(rng *rand.Rand) policy {
@@ -128,6 +130,7 @@
 			continue
 		}
 		r.jobs = append(r.jobs, j)
+		r.left++
 		r.at(j.arrive, func() { r.dispatch(j) })
 		r.at(j.deadline, func() { r.expire(j) })
 	}
--- /dev/null
+++ b/standin/experiment/experiment_test.go
@@ -0,0 +1,122 @@
+package experiment
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/admission"
+)
+
+// shortStudy keeps the tests to seconds; the figures of docs come from the
+// command.
+func shortStudy() *Study {
+	return &Study{Seeds: []uint64{1}, Duration: 100 * time.Second, Workers: 1}
+}
+
+var (
+	leastOutstandingFCFS       = contender{"fcfs", func(c *Cell) { c.Policy = LeastOutstanding }}
+	leastOutstandingPriorities = contender{"priorities", func(c *Cell) { c.Policy, c.Priorities = LeastOutstanding, true }}
+)
+
+func TestARunDependsOnItsCellAlone(t *testing.T) {
+	s := shortStudy()
+	cell := s.task(Kivukoni, 0.9, predictiveWith(-1, nil), conditions[len(conditions)-1].set).cell
+	require.Equal(t, Run(cell), Run(cell))
+	other := cell
+	other.Seed++
+	require.NotEqual(t, Run(cell), Run(other))
+}
+
+// TestEveryPromptEndsInItsTime runs each policy through engine deaths, late
+// reports and overload: no prompt is left without an end, none ends after its
+// deadline, a refused one was never sent, and all memory comes back.
+func TestEveryPromptEndsInItsTime(t *testing.T) {
+	s := shortStudy()
+	cfg := admission.DefaultConfig()
+	admitted := contender{"with admission", predictiveWith(-1, func(c *Cell) { c.Admission = &cfg })}
+	for _, load := range []float64{0.9, 1.5} {
+		for _, c := range []contender{leastOutstandingFCFS, admitted} {
+			t.Run(fmt.Sprint(c.name, load), func(t *testing.T) {
+				cell := s.task(Vltavske, load, c.set, conditions[len(conditions)-1].set).cell
+				r := newRun(cell)
+				r.loop()
+				requireEnds(t, r)
+			})
+		}
+	}
+}
+
+func requireEnds(t *testing.T, r *run) {
+	t.Helper()
+	for _, j := range r.jobs {
+		require.True(t, j.resolved, "job %d has no end", j.id)
+		require.LessOrEqual(t, j.end, j.deadline)
+		if j.refused {
+			require.Zero(t, j.attempt)
+		}
+	}
+	require.Empty(t, r.bySeq)
+	require.Zero(t, r.grouped)
+	for _, n := range r.nodes {
+		if !n.dead {
+			require.Equal(t, r.cell.shapes[n.index].MemoryTokens, n.model.Free())
+			require.Zero(t, r.lowHeld[n.index])
+		}
+	}
+}
+
+// TestThePolicyBeatsTheBaselines holds each deployment's targets on one small
+// cell, so that a change that loses them is seen at once. The baselines are the
+// strongest of those that the command measures.
+func TestThePolicyBeatsTheBaselines(t *testing.T) {
+	s := shortStudy()
+	s.Duration = 3 * time.Minute
+	list := []contender{leastOutstandingFCFS, leastOutstandingPriorities, {"predictive", predictiveWith(-1, nil)}}
+	for _, m := range allMixes {
+		entries := s.measure(m, 0.75, conditions[0], list)
+		own := entries[len(entries)-1]
+		for _, e := range entries[:len(entries)-1] {
+			require.GreaterOrEqual(t, own.with.goodput(), e.with.goodput(), e.name)
+			if m.Name == Kivukoni.Name {
+				require.LessOrEqual(t, own.with.first(Short, p99), e.alone.first(Short, p99), e.name)
+				require.LessOrEqual(t, own.slowdown(), maxShortSlowdown)
+				continue
+			}
+			require.LessOrEqual(t, own.with.first(Long, p50), maxLongRatio*e.with.first(Long, p50), e.name)
+			require.LessOrEqual(t, own.with.first(Long, p95), maxLongRatio*e.with.first(Long, p95), e.name)
+		}
+	}
+}
+
+// TestAdmissionKeepsLateAnswersRare compares it with admitting all, under
+// overload.
+func TestAdmissionKeepsLateAnswersRare(t *testing.T) {
+	s := shortStudy()
+	cfg := admission.DefaultConfig()
+	all := s.task(Vltavske, 2.5, predictiveWith(-1, nil))
+	decided := s.task(Vltavske, 2.5, predictiveWith(-1, func(c *Cell) { c.Admission = &cfg }))
+	s.run([]*task{all, decided})
+	late := func(t *task) float64 { return t.mean((*Result).LateShare) }
+	require.Less(t, late(decided), late(all)/2)
+	require.Positive(t, decided.refused())
+}
+
+// TestLongPromptsWaitRatherThanFillMemory takes the waiting away: short prompts
+// are then held up by engines whose memory is full.
+func TestLongPromptsWaitRatherThanFillMemory(t *testing.T) {
+	s := shortStudy()
+	with := s.task(Kivukoni, 0.9, predictiveWith(-1, nil))
+	without := s.task(Kivukoni, 0.9, predictiveWith(-1, func(c *Cell) { c.Placement.Headroom = 0 }))
+	s.run([]*task{with, without})
+	require.Less(t, with.first(Short, p99), without.first(Short, p99))
+}
+
+func TestQuantiles(t *testing.T) {
+	values := []time.Duration{1, 2, 3, 4, 5, 6, 7, 8, 9, 10}
+	require.EqualValues(t, 5, quantile(values, 0.5))
+	require.EqualValues(t, 10, quantile(values, 0.99))
+	require.Zero(t, quantile(nil, 0.5))
+}
--- a/standin/experiment/sim.go
+++ b/standin/experiment/sim.go
@@ -92,8 +92,10 @@
 	nodes  []*node
 	vms    []policy
 	jobs   []*job
-	bySeq  map[*engine.Sequence]*job
-	rng    *rand.Rand
+	// left are the jobs without an end.
+	left  int
+	bySeq map[*engine.Sequence]*job
+	rng   *rand.Rand
 	// lowHeld is the memory of prompts of low priority by engine, in tokens, as
 	// the VMs that grant reservations keep it.
 	lowHeld [engines]int64
@@ -113,11 +115,12 @@
 	heap.Push(&r.timers, timer{t, r.seq, do})
 }
 
+// every does something again and again while there are jobs left.
 func (r *run) every(d time.Duration, do func()) {
 	var tick func()
 	tick = func() {
 		do()
-		if r.now < r.cell.horizon() {
+		if r.left > 0 {
 			r.at(r.now+d, tick)
 		}
 	}
@@ -185,7 +188,8 @@
 	if r.vms[j.vm].admit(r.wall(), j, open, waiting) {
 		return true
 	}
-	j.refused, j.resolved = true, true
+	j.refused = true
+	r.resolve(j)
 	j.servable = r.oracle(j, open, waiting) <= j.deadline-r.now
 	return false
 }
@@ -438,11 +442,17 @@
 	j.got = t.Index + 1
 	if t.Last {
 		j.end = r.now
-		j.resolved = true
+		r.resolve(j)
 		r.endAttempt(j)
 	}
 }
 
+// resolve notes that the job has its end.
+func (r *run) resolve(j *job) {
+	j.resolved = true
+	r.left--
+}
+
 // endAttempt frees what the attempt holds.
 func (r *run) endAttempt(j *job) {
 	delete(r.bySeq, j.seq)
@@ -462,7 +472,7 @@
 	if j.resolved {
 		return
 	}
-	j.resolved = true
+	r.resolve(j)
 	j.failed = true
 	if j.seq != nil && r.bySeq[j.seq] == j {
 		r.endAttempt(j)
