--- a/internal/api/completions.go
+++ b/internal/api/completions.go
@@ -30,6 +30,11 @@
 		a.fail(ctx, s, err)
 		return
 	}
+	if err := a.gate.Admit(req); err != nil {
+		a.leave()
+		a.fail(ctx, s, err)
+		return
+	}
 	answer, err := a.prompts.Start(req)
 	if err != nil {
 		a.leave()
@@ -79,6 +84,7 @@
 		Body:         body,
 		Tokens:       tokens,
 		MaxTokens:    int64(c.MaxTokens),
+		Blocks:       wire.Blocks(wire.PromptText(&c)),
 		Class:        s.snapshot.ClassOf(tokens),
 		Deadline:     end,
 		Snapshot:     s.snapshot,
--- a/internal/prompt/answer.go
+++ b/internal/prompt/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"time"
 
@@ -311,16 +312,40 @@
 	a.event = evCallerGone
 	_ = a.step()
 	a.ended()
+	a.fleet.Done(a.req.ID, a.whole())
 	a.done()
 }
 
+// whole is the length of a whole answer, and zero for any other.
+func (a *Answer) whole() int64 {
+	if a.machine.State() != stFinished {
+		return 0
+	}
+	return a.assembly.Delivered()
+}
+
 // account tells the fleet what the whole answer says of itself.
 func (a *Answer) account() {
 	tokens := a.assembly.Delivered() - a.attempt.from - 1
 	if a.attempt.first.IsZero() || tokens <= 0 {
 		return
 	}
-	a.fleet.Answered(a.attempt.endpoint, fleet.Answer{Tokens: tokens, Took: time.Since(a.attempt.first)})
+	account := fleet.Answer{Tokens: tokens, Took: time.Since(a.attempt.first)}
+	if usage := usageOf(a.chunk); usage != nil {
+		account.Blocks = a.req.Blocks
+		account.Cached = int64(usage.CachedTokens)
+	}
+	a.fleet.Answered(a.attempt.endpoint, account)
+}
+
+// usageOf reads the account that the last chunk of an answer carries; nil where
+// it carries none.
+func usageOf(data []byte) *wire.Usage {
+	var c wire.Chunk
+	if json.Unmarshal(data, &c) != nil {
+		return nil
+	}
+	return c.Usage
 }
 
 // end is the outcome of a request whose chart is done.
