Give each part of the demo's load texts of its own

Cause: the parts shared their seed, so short prompts beside longer ones were the very texts of the part before and came out of the engines' prefix caches: their median was 3 ms beside medium prompts and 16 ms alone. A text seed changes the texts and keeps arrivals and lengths. The engines' reports now lag by 200 ms of their own accelerated time, not of the wall clock.

--- a/cmd/cornelsaddlectl/load.go
+++ b/cmd/cornelsaddlectl/load.go
@@ -29,6 +29,7 @@
 	callers := flags.String("callers", "", "callers' addresses of entry VMs, used in turn")
 	out := flags.String("out", "", "file for the result (JSON), for cornelsaddlectl report")
 	seed := flags.Uint64("seed", 0, "seed in place of the mix's; 0 to keep it")
+	textSeed := flags.Uint64("text-seed", 0, "seed of the texts in place of the mix's; 0 to keep it")
 	duration := flags.Duration("duration", 0, "time over which requests are sent, in place of the mix's; 0 to keep it")
 	requests := flags.Int("max-requests", 0, "most requests, in place of the mix's; 0 to keep it")
 	verify := flags.Bool("verify", false, "compare each answer with the text of the stand-in engines")
@@ -48,7 +49,7 @@
 	if err != nil {
 		return fail(flags, err)
 	}
-	override(&mix, *seed, *duration, *requests)
+	override(&mix, *seed, *textSeed, *duration, *requests)
 	opts := loadgen.Options{Addresses: addresses}
 	if *verify {
 		opts.Oracle = engine.AnswerText
@@ -98,10 +99,13 @@
 	return out, nil
 }
 
-func override(m *loadgen.Mix, seed uint64, duration time.Duration, requests int) {
+func override(m *loadgen.Mix, seed, textSeed uint64, duration time.Duration, requests int) {
 	if seed != 0 {
 		m.Seed = seed
 	}
+	if textSeed != 0 {
+		m.TextSeed = textSeed
+	}
 	if duration > 0 {
 		m.DurationMs = duration.Milliseconds()
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -95,7 +95,7 @@
 	all := s.deployment.mix(opts.Seed, opts.Together)
 	var warm loadgen.Result
 	var m measured
-	for _, part := range []struct {
+	for i, part := range []struct {
 		title    string
 		mix      loadgen.Mix
 		duration time.Duration
@@ -107,6 +107,7 @@
 		{"all lengths together", all, opts.Together, &m.together},
 	} {
 		part.mix.DurationMs = part.duration.Milliseconds()
+		part.mix.TextSeed = uint64(i)
 		result, err := s.load(ctx, opts.Out, part.title, part.mix)
 		if err != nil || ctx.Err() != nil {
 			return err
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -25,8 +25,8 @@
 	entryVMs = 4
 	// engineSpeed divides the stand-in engines' times.
 	engineSpeed = 5
-	// reportLag is the age of the engines' load reports.
-	reportLag       = 200 * time.Millisecond
+	// reportLag is the age of the engines' load reports, accelerated as they are.
+	reportLag       = 200 * time.Millisecond / engineSpeed
 	decodeStep      = 10 * time.Millisecond
 	decodePerStream = 200 * time.Microsecond
 	pieceTokens     = 2048
--- a/internal/loadgen/mix.go
+++ b/internal/loadgen/mix.go
@@ -22,6 +22,9 @@
 	Name string `json:"name"`
 	// Seed fixes the arrivals, the lengths and the texts.
 	Seed uint64 `json:"seed"`
+	// TextSeed gives the same arrivals and lengths other texts, so that a run
+	// does not find the prompts of an earlier one in the engines' caches.
+	TextSeed uint64 `json:"text_seed,omitempty"`
 	// DurationMs is the time over which requests are sent.
 	DurationMs int64 `json:"duration_ms"`
 	// MaxRequests bounds the number of requests.
--- a/internal/loadgen/plan.go
+++ b/internal/loadgen/plan.go
@@ -18,6 +18,7 @@
 	calls        *Calls
 	tokens       int64
 	seed         uint64
+	textSeed     uint64
 	group        int
 	repeat       bool
 }
@@ -55,6 +56,7 @@
 			prompts:      p,
 			tokens:       length(rng, p),
 			seed:         rng.Uint64(),
+			textSeed:     m.TextSeed,
 			group:        rng.IntN(max(1, p.PrefixGroups)),
 		})
 	}
@@ -70,6 +72,7 @@
 			organisation: m.draw(rng),
 			calls:        c,
 			seed:         rng.Uint64(),
+			textSeed:     m.TextSeed,
 			repeat:       rng.Float64() < c.Repeat,
 		})
 	}
@@ -121,5 +124,5 @@
 
 // idempotencyKey names the call; a run with another seed has other keys.
 func (it *item) idempotencyKey() string {
-	return "load-" + strconv.FormatUint(it.seed, 36)
+	return "load-" + strconv.FormatUint(it.seed, 36) + "-" + strconv.FormatUint(it.textSeed, 36)
 }
--- a/internal/loadgen/plan_test.go
+++ b/internal/loadgen/plan_test.go
@@ -66,6 +66,24 @@
 	require.Equal(t, want, plan(&only))
 }
 
+func TestATextSeedChangesTextsAlone(t *testing.T) {
+	m := testMix()
+	other := testMix()
+	other.TextSeed = 1
+	a, b := plan(&m), plan(&other)
+	require.Equal(t, len(a), len(b))
+	for i := range a {
+		require.Equal(t, a[i].at, b[i].at)
+		require.Equal(t, a[i].tokens, b[i].tokens)
+		if a[i].prompts == nil {
+			require.NotEqual(t, a[i].idempotencyKey(), b[i].idempotencyKey())
+			continue
+		}
+		require.NotEqual(t, a[i].text(), b[i].text())
+		require.NotEqual(t, a[i].text()[:bytesPerToken*4], b[i].text()[:bytesPerToken*4])
+	}
+}
+
 func TestTextsOfAGroupShareTheirPrefix(t *testing.T) {
 	p := &Prompts{Class: "short", SharedPrefix: 0.5}
 	a := item{prompts: p, tokens: 100, seed: 1, group: 1}
--- a/internal/loadgen/text.go
+++ b/internal/loadgen/text.go
@@ -22,8 +22,8 @@
 	shared := int64(it.prompts.SharedPrefix * float64(it.tokens))
 	var b strings.Builder
 	b.Grow(int(it.tokens) * bytesPerToken)
-	write(&b, rand.New(rand.NewPCG(xxhash.Sum64String(it.prompts.Class), uint64(it.group))), shared)
-	write(&b, rand.New(rand.NewPCG(it.seed, it.seed)), it.tokens-shared)
+	write(&b, rand.New(rand.NewPCG(xxhash.Sum64String(it.prompts.Class)^it.textSeed, uint64(it.group))), shared)
+	write(&b, rand.New(rand.NewPCG(it.seed, it.textSeed)), it.tokens-shared)
 	return b.String()
 }
 
