--- a/standin/experiment/policy.go
+++ b/standin/experiment/policy.go
@@ -7,28 +7,33 @@
 	"cornelsaddle.example/cornelsaddle/core/wire"
 )
 
-// decision is where a prompt goes, or that it is refused.
+// decision is where a prompt goes.
 type decision struct {
-	// engine is the chosen one; -1 for none.
 	engine   int
 	priority wire.Priority
-	refused  bool
-	retry    time.Duration
 }
 
 // policy is what one VM decides and learns. Engines that are down or too small
 // are left out by the open argument.
 type policy interface {
-	// place decides on a prompt. A first attempt may be refused.
+	// admit decides whether to take a prompt on, with so many tokens of low
+	// priority waiting at the VMs.
+	admit(now time.Time, j *job, open []int, waiting int64) bool
+	// place chooses an engine.
 	place(now time.Time, j *job, open []int) decision
 	// group orders the open engines by how well they suit the group of a prompt
 	// that no engine holds; the first leads it.
 	group(now time.Time, j *job, open []int) []int
+	// headroom is the share of an engine's memory that is kept from prompts of
+	// low priority; without room, they wait at their VM. Zero for no waiting.
+	headroom() float64
+	// held is the memory believed taken at the engine.
+	held(now time.Time, engine int) int64
 	// groupCap is the most of the fleet's memory that groups may take beyond
 	// the first one.
 	groupCap() float64
 	// reserved is told of a group's memory, part by part.
-	reserved(j *job, engine int, tokens int64)
+	reserved(now time.Time, j *job, engine int, tokens int64)
 	sent(now time.Time, j *job, d decision)
 	firstToken(now time.Time, j *job)
 	// ended is told of every end of an attempt.
@@ -36,30 +41,38 @@
 	report(now time.Time, engine int, r wire.LoadReport)
 	cacheEvents(now time.Time, engine int, e wire.CacheEvents)
 	cacheSequence(engine int) int64
+	// notices returns what peers are to be told at once.
+	notices() []sentDigest
 	// digest returns what the VM sent since the last call, and peer takes it.
 	digest() []sentDigest
 	peer(d []sentDigest)
 }
 
-// sentDigest is prefill that a VM sent to an engine.
+// sentDigest is prefill that a VM sent to an engine, and the change of the
+// memory that it holds there.
 type sentDigest struct {
 	engine   int
 	at       time.Time
 	work     int64
+	need     int64
 	priority wire.Priority
 }
 
 // blind is the part of the baselines that learns nothing.
 type blind struct{}
 
+func (blind) admit(time.Time, *job, []int, int64) bool     { return true }
+func (blind) headroom() float64                            { return 0 }
+func (blind) held(time.Time, int) int64                    { return 0 }
 func (blind) groupCap() float64                            { return 1 }
-func (blind) reserved(*job, int, int64)                    {}
+func (blind) reserved(time.Time, *job, int, int64)         {}
 func (blind) sent(time.Time, *job, decision)               {}
 func (blind) firstToken(time.Time, *job)                   {}
 func (blind) ended(time.Time, *job)                        {}
 func (blind) report(time.Time, int, wire.LoadReport)       {}
 func (blind) cacheEvents(time.Time, int, wire.CacheEvents) {}
 func (blind) cacheSequence(int) int64                      { return 0 }
+func (blind) notices() []sentDigest                        { return nil }
 func (blind) digest() []sentDigest                         { return nil }
 func (blind) peer([]sentDigest)                            {}
 func (blind) decide(j *job, engine int) decision {
