--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -48,6 +48,7 @@
 	r.MethodNotAllowed = a.refuse(errcode.MethodNotAllowed, "the path does not take the method")
 	r.POST(wire.PathCompletions, a.guard(a.textual(a.completions)))
 	r.POST(wire.PathChatCompletions, a.guard(a.textual(a.completions)))
+	r.GET(pathModels, a.guard(a.models))
 	r.POST("/v1/services/{service}/{operation}", a.guard(a.service))
 	r.GET("/v1/calls/{service}/{key:*}", a.guard(a.callState))
 	return r.Handler
--- a/internal/node/badinput_test.go
+++ b/internal/node/badinput_test.go
@@ -256,6 +256,13 @@
 	}
 }
 
+func TestModelsAreListed(t *testing.T) {
+	r := startRig(t)
+	res, data := r.exchange(t, request("GET", "/v1/models", ""))
+	require.Equal(t, http.StatusOK, res.StatusCode)
+	require.JSONEq(t, `{"object":"list","data":[{"id":"scribe-pool","object":"model","owned_by":"cornelsaddle"}]}`, string(data))
+}
+
 func TestConnectionsAreLimited(t *testing.T) {
 	r := startRig(t)
 	for range connLimit {
