Limit the operators' listener and type its failures

Cause: the operators' listener had no limits on time, connections or bodies, and its refusals had no body.

Tests: go test -race ./internal/node ./internal/event.

--- a/internal/api/failure.go
+++ b/internal/api/failure.go
@@ -78,6 +78,17 @@
 	a.reject(ctx, readError(err))
 }
 
+// Refuse answers with a failure that is neither logged nor counted, for the
+// operators' listener.
+func Refuse(ctx *fasthttp.RequestCtx, e *errcode.Error) {
+	id := uuid.NewString()
+	ctx.Response.Header.Set(wire.HeaderRequestID, id)
+	writeFailure(&ctx.Response, id, e)
+}
+
+// UnreadableRequest is Refuse for a request that the server could not read.
+func UnreadableRequest(ctx *fasthttp.RequestCtx, err error) { Refuse(ctx, readError(err)) }
+
 func readError(err error) *errcode.Error {
 	var small *fasthttp.ErrSmallBuffer
 	var network net.Error
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"reflect"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -47,6 +48,15 @@
 	}
 }
 
+func TestAttemptsNameTheirRequest(t *testing.T) {
+	for _, e := range Catalogue() {
+		names := fieldNames(e)
+		if slices.Contains(names, "attempt") {
+			require.Contains(t, names, "request", e.Def().Name)
+		}
+	}
+}
+
 // TestCatalogueHasEveryEvent finds event types that no list names.
 func TestCatalogueHasEveryEvent(t *testing.T) {
 	listed := make(map[string]bool)
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -22,6 +22,7 @@
 // adminServer serves operators: health to everybody, the rest with the token.
 func (n *Node) adminServer() *fasthttp.Server {
 	r := router.New()
+	r.NotFound = refuseUnknownPath
 	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
 	r.GET("/readyz", n.ready)
 	r.GET("/metrics", n.authorised(n.metrics))
@@ -35,7 +36,7 @@
 	return func(ctx *fasthttp.RequestCtx) {
 		got, _ := bytes.CutPrefix(ctx.Request.Header.Peek("Authorization"), []byte("Bearer "))
 		if subtle.ConstantTimeCompare(got, want) != 1 {
-			ctx.SetStatusCode(fasthttp.StatusUnauthorized)
+			refuseStranger(ctx)
 			return
 		}
 		next(ctx)
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -2,13 +2,24 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"cornelsaddle.example/cornelsaddle/core/errcode"
 	"cornelsaddle.example/cornelsaddle/internal/api"
 )
 
+// Limits of the operators' listener.
+const (
+	adminReadTimeout    = 10 * time.Second
+	adminWriteTimeout   = 30 * time.Second
+	adminIdleTimeout    = 60 * time.Second
+	adminMaxConnections = 256
+	adminMaxBodyBytes   = 1 << 20
+)
+
 // listener is a running fasthttp server.
 type listener struct {
 	net.Listener
@@ -56,6 +67,28 @@
 // Printf implements fasthttp.Logger.
 func (silent) Printf(string, ...any) {}
 
+// serveAdmin serves operators.
+func (n *Node) serveAdmin() (*listener, error) {
+	server := n.adminServer()
+	server.ErrorHandler = api.UnreadableRequest
+	server.ReadTimeout = adminReadTimeout
+	server.WriteTimeout = adminWriteTimeout
+	server.IdleTimeout = adminIdleTimeout
+	server.Concurrency = adminMaxConnections
+	server.MaxRequestBodySize = adminMaxBodyBytes
+	return serve(n.settings.Admin.Address, server)
+}
+
+// refuseStranger answers an operator without the token.
+func refuseStranger(ctx *fasthttp.RequestCtx) {
+	api.Refuse(ctx, errcode.New(errcode.Unauthorized, "the operators' token is required"))
+}
+
+// refuseUnknownPath answers a path that operators do not have.
+func refuseUnknownPath(ctx *fasthttp.RequestCtx) {
+	api.Refuse(ctx, errcode.New(errcode.UnknownRoute, "no such path"))
+}
+
 // serveCallers serves callers within the settings' limits.
 func (n *Node) serveCallers() (*listener, error) {
 	c := n.settings.Callers
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -51,9 +51,13 @@
 func TestOperatorsPagesNeedTheToken(t *testing.T) {
 	r := startRig(t)
 	for _, path := range []string{"/metrics", "/status"} {
-		status, _ := r.admin(t, path, "wrong")
+		status, text := r.admin(t, path, "wrong")
 		require.Equal(t, http.StatusUnauthorized, status)
+		require.Contains(t, text, `"code":"unauthorized"`)
 	}
-	status, _ := r.admin(t, "/healthz", "")
+	status, text := r.admin(t, "/nope", adminSecret)
+	require.Equal(t, http.StatusNotFound, status)
+	require.Contains(t, text, `"code":"unknown_route"`)
+	status, _ = r.admin(t, "/healthz", "")
 	require.Equal(t, http.StatusOK, status)
 }
