--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -27,12 +27,18 @@
 	done   chan struct{}
 }
 
-// serve serves the address until close.
+// serve serves operators on the address until close.
 func serve(address string, server *fasthttp.Server) (*listener, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	server.ErrorHandler = api.UnreadableRequest
+	server.ReadTimeout = adminReadTimeout
+	server.WriteTimeout = adminWriteTimeout
+	server.IdleTimeout = adminIdleTimeout
+	server.Concurrency = adminMaxConnections
+	server.MaxRequestBodySize = adminMaxBodyBytes
 	return serveListener(l, server), nil
 }
 
@@ -67,18 +73,6 @@
 // Printf implements fasthttp.Logger.
 func (silent) Printf(string, ...any) {}
 
-// serveAdmin serves operators.
-func (n *Node) serveAdmin() (*listener, error) {
-	server := n.adminServer()
-	server.ErrorHandler = api.UnreadableRequest
-	server.ReadTimeout = adminReadTimeout
-	server.WriteTimeout = adminWriteTimeout
-	server.IdleTimeout = adminIdleTimeout
-	server.Concurrency = adminMaxConnections
-	server.MaxRequestBodySize = adminMaxBodyBytes
-	return serve(n.settings.Admin.Address, server)
-}
-
 // refuseStranger answers an operator without the token.
 func refuseStranger(ctx *fasthttp.RequestCtx) {
 	api.Refuse(ctx, errcode.New(errcode.Unauthorized, "the operators' token is required"))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,7 +162,7 @@
 	if n.callers, err = n.serveCallers(); err != nil {
 		return err
 	}
-	if n.admin, err = n.serveAdmin(); err != nil {
+	if n.admin, err = serve(n.settings.Admin.Address, n.adminServer()); err != nil {
 		return err
 	}
 	cfg := newPeerConfig(n.parts.Identity, n.settings)
