Hand out a stand-in engine's tokens when their iteration ends

Cause: the engine's server handed out an iteration's tokens before it slept through the iteration, so an idle engine gave the first token of a prompt of one piece after 2 ms in place of 200 ms.

The tokens are now handed out at the start of the next step. The test failed on the server as it was. The demo's longest prompts are now over twice the memory of its largest engine.

--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -177,7 +177,7 @@
 			d.prompts(classShort, 1_000, 3_900, d.rates.short),
 			d.prompts(classMedium, 4_200, 32_000, d.rates.medium),
 			d.prompts(classLong, 33_000, 250_000, d.rates.long),
-			d.prompts(classOversize, 265_000, 340_000, d.rates.oversize),
+			d.prompts(classOversize, 265_000, 850_000, d.rates.oversize),
 		},
 		Calls: []loadgen.Calls{
 			{Service: d.Service, Operation: d.Booking, RatePerSecond: 10, Keyed: true, Repeat: 0.3, TimeoutMs: callTimeoutMs},
--- /dev/null
+++ b/standin/engine/iteration_test.go
@@ -0,0 +1,32 @@
+package engine
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/wire"
+)
+
+// TestNoTokenComesBeforeItsIterationEnds has a prompt whose one piece of prefill
+// takes 200 ms.
+func TestNoTokenComesBeforeItsIterationEnds(t *testing.T) {
+	s, err := Start(Config{
+		Address: "127.0.0.1:0",
+		Model:   ModelConfig{MemoryTokens: 100_000, PrefillRate: 10_000, DecodeStep: time.Microsecond, PieceTokens: 4096},
+	})
+	require.NoError(t, err)
+	defer s.Close()
+	body := `{"prompt":"` + strings.Repeat("ash ", 2_000) + `","max_tokens":1,"stream":true}`
+	start := time.Now()
+	res, err := http.Post("http://"+s.Addr()+wire.PathCompletions, "application/json", strings.NewReader(body))
+	require.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	_, err = bufio.NewReader(res.Body).ReadString('\n')
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, time.Since(start), 200*time.Millisecond)
+}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -44,13 +44,15 @@
 	cfg         Config
 	incarnation string
 
-	mu      sync.Mutex
-	model   *Model
-	streams map[string]*stream
-	started []string
-	faults  wire.EngineFaults
-	reports []wire.LoadReport
-	leaving bool
+	mu    sync.Mutex
+	model *Model
+	// computing are the tokens at the end of the iteration under way.
+	computing []Token
+	streams   map[string]*stream
+	started   []string
+	faults    wire.EngineFaults
+	reports   []wire.LoadReport
+	leaving   bool
 
 	reservations reservations
 	orders       orders
@@ -159,8 +161,8 @@
 	}
 }
 
-// step runs one iteration and hands out its tokens. It returns how long the
-// iteration took.
+// step ends the iteration under way, handing out its tokens, and begins the
+// next. It returns how long that one takes.
 func (s *Server) step() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -168,11 +170,12 @@
 	if s.faults.Stall {
 		return idleWait
 	}
-	length, tokens := s.model.Step()
-	s.report()
-	for _, t := range tokens {
+	for _, t := range s.computing {
 		s.hand(t)
 	}
+	length, tokens := s.model.Step()
+	s.computing = tokens
+	s.report()
 	if length == 0 {
 		return idleWait
 	}
