--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -103,6 +103,8 @@
 		ReadBufferSize:     c.MaxHeaderBytes,
 		IdleTimeout:        c.IdleTimeout(),
 		ReadTimeout:        c.ReadTimeout(),
+		// Idle connections hold no buffers.
+		ReduceMemoryUsage: true,
 	}
 	if c.MaxConnections > 0 {
 		// The limit is the listener's, whose refusal is typed.
