--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,6 +44,31 @@
 	// notify tells the peers of a long prefill at once; nil for no peers.
 	notify func(DigestEntry)
 	views  []placement.View
+	health Health
+	rnd    *rand.Rand
+}
+
+// Health tells which endpoints get new work.
+type Health interface {
+	// Reported takes an endpoint's own report. It is not called under a lock.
+	Reported(id, incarnation string, leaving bool)
+	// Share is the part of its usual work that an endpoint gets, from 0 to 1.
+	Share(id string) float64
+}
+
+// SetHealth sets who is asked whether an endpoint gets new work; it is called
+// before Start.
+func (f *Fleet) SetHealth(h Health) { f.health = h }
+
+// admits reports whether the endpoint is offered to a prompt: never while it
+// leaves, and for a part of the prompts only after it has come back. The lock is
+// held.
+func (f *Fleet) admits(id string) bool {
+	if f.health == nil {
+		return true
+	}
+	share := f.health.Share(id)
+	return share >= 1 || f.rnd.Float64() < share
 }
 
 // New returns a Fleet over the endpoints of the configuration in force.
@@ -56,6 +81,7 @@
 		states:   make(map[string]*state),
 		scope:    &scope{},
 		picker:   placement.NewPicker(cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		rnd:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		stop:     make(chan struct{}),
 		done:     make(chan struct{}),
 	}
@@ -105,7 +131,7 @@
 			continue
 		}
 		st := f.state(id, e)
-		if !st.alive || st.leaving {
+		if !st.alive || st.leaving || !f.admits(id) {
 			continue
 		}
 		views = append(views, st.known.View(now, p))
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -122,6 +122,9 @@
 func (f *Fleet) poll(t target) {
 	report, err := f.caller.Load(t.endpoint.Address, pollTimeout)
 	f.note(t.id, t.endpoint, report, err)
+	if err == nil && f.health != nil {
+		f.health.Reported(t.id, report.Incarnation, report.Leaving)
+	}
 	if err != nil || !t.events {
 		return
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,9 @@
 	IdleTimeoutMs  int64  `json:"idle_timeout_ms,omitempty"`
 	ReadTimeoutMs  int64  `json:"read_timeout_ms,omitempty"`
 	WriteTimeoutMs int64  `json:"write_timeout_ms,omitempty"`
+	// DrainGraceMs is how long a VM that shuts down takes requests after it has
+	// ceased to be ready, so that the balancer can notice.
+	DrainGraceMs int64 `json:"drain_grace_ms"`
 }
 
 // IdleTimeout is the life of a connection without a request.
@@ -47,6 +50,9 @@
 // ReadTimeout bounds the arrival of one request.
 func (c Callers) ReadTimeout() time.Duration { return milliseconds(c.ReadTimeoutMs) }
 
+// DrainGrace is how long a VM that shuts down still takes requests.
+func (c Callers) DrainGrace() time.Duration { return milliseconds(c.DrainGraceMs) }
+
 // WriteTimeout bounds one write of an answer.
 func (c Callers) WriteTimeout() time.Duration { return milliseconds(c.WriteTimeoutMs) }
 
@@ -95,6 +101,7 @@
 			IdleTimeoutMs:  60_000,
 			ReadTimeoutMs:  30_000,
 			WriteTimeoutMs: 30_000,
+			DrainGraceMs:   3_000,
 		},
 		Platform: Platform{TimeoutMs: 2_000, PollMs: 1_000},
 		Log:      Log{Format: "json", Level: "info"},
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -57,8 +57,9 @@
 	reservations reservations
 	orders       orders
 
-	stop chan struct{}
-	done chan struct{}
+	closing sync.Once
+	stop    chan struct{}
+	done    chan struct{}
 }
 
 // stream is the answer of one attempt on its way out.
@@ -115,8 +116,10 @@
 	return r
 }
 
-// Close stops the engine: all streams are cut.
-func (s *Server) Close() {
+// Close stops the engine: all streams are cut. It may be called again.
+func (s *Server) Close() { s.closing.Do(s.close) }
+
+func (s *Server) close() {
 	close(s.stop)
 	<-s.done
 	s.mu.Lock()
@@ -212,7 +215,7 @@
 	r := s.model.Load()
 	r.AtMs = time.Now().UnixMilli()
 	r.Incarnation = s.incarnation
-	r.Leaving = s.leaving
+	r.Leaving = s.leaving || s.faults.Leaving
 	if n := len(s.reports); n > 0 && s.reports[n-1].AtMs == r.AtMs {
 		s.reports[n-1] = r
 		return
