--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -25,6 +25,7 @@
 // API answers callers. It is safe for concurrent use.
 type API struct {
 	follower *confsync.Follower
+	gate     Gate
 	prompts  *prompt.Runner
 	calls    *call.Runner
 	log      *event.Logger
@@ -38,8 +39,8 @@
 }
 
 // New returns an API.
-func New(follower *confsync.Follower, prompts *prompt.Runner, calls *call.Runner, log *event.Logger, m *metrics.Metrics) *API {
-	return &API{follower: follower, prompts: prompts, calls: calls, log: log, metrics: m}
+func New(follower *confsync.Follower, gate Gate, prompts *prompt.Runner, calls *call.Runner, log *event.Logger, m *metrics.Metrics) *API {
+	return &API{follower: follower, gate: gate, prompts: prompts, calls: calls, log: log, metrics: m}
 }
 
 // Handler routes callers' requests.
@@ -49,6 +50,7 @@
 	r.MethodNotAllowed = a.refuse(errcode.MethodNotAllowed, "the path does not take the method")
 	r.POST(wire.PathCompletions, a.guard(a.textual(a.completions)))
 	r.POST(wire.PathChatCompletions, a.guard(a.textual(a.completions)))
+	r.GET(pathModels, a.guard(a.models))
 	r.POST("/v1/services/{service}/{operation}", a.guard(a.service))
 	r.GET("/v1/calls/{service}/{key:*}", a.guard(a.callState))
 	return r.Handler
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/dig"
 
+	corequota "cornelsaddle.example/cornelsaddle/core/quota"
 	"cornelsaddle.example/cornelsaddle/internal/api"
 	"cornelsaddle.example/cornelsaddle/internal/call"
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
@@ -23,6 +25,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
 	"cornelsaddle.example/cornelsaddle/internal/prompt"
+	"cornelsaddle.example/cornelsaddle/internal/quota"
 	"cornelsaddle.example/cornelsaddle/internal/reserve"
 	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
@@ -42,6 +45,8 @@
 	members  *member.Service
 	life     *lifecycle
 	started  time.Time
+	// running are the parts that were started, in order.
+	running []part
 }
 
 // parts is what dig puts together.
@@ -50,6 +55,7 @@
 	API      *api.API
 	Follower *confsync.Follower
 	Fleet    *fleet.Fleet
+	Quota    *quota.Keeper
 	Metrics  *metrics.Metrics
 	Store    *platform.Client
 	Streams  *endpoint.Client
@@ -107,16 +113,27 @@
 		return err
 	}
 	n.join()
-	n.parts.Fleet.Start()
-	n.parts.Leases.Start()
 	n.parts.Orders.Also(call.SweepLease)
-	n.parts.Orders.Start()
-	n.parts.CallRows.Start()
-	n.parts.Holder.Start()
-	n.parts.Sweeper.Start()
+	for _, p := range []part{
+		n.parts.Fleet, n.parts.Quota, n.parts.Leases, n.parts.Orders, n.parts.CallRows, n.parts.Holder, n.parts.Sweeper,
+	} {
+		n.run(p)
+	}
 	return n.listen()
 }
 
+// part is something that runs by itself from Start to Stop.
+type part interface {
+	Start()
+	Stop()
+}
+
+// run starts the part; Close stops it.
+func (n *Node) run(p part) {
+	p.Start()
+	n.running = append(n.running, p)
+}
+
 // finish waits for the requests in flight and the records of their calls.
 func (n *Node) finish() {
 	n.parts.API.Drain()
@@ -152,6 +169,8 @@
 		lease.New,
 		newCallSweeper,
 		orders.New,
+		newQuota,
+		newGate,
 		api.New,
 	}
 }
@@ -168,6 +187,13 @@
 	return prompt.NewRunner(cfg, f, streams, caller, h, log, m)
 }
 
+func newQuota(self peer.Identity, store *platform.Client, follower *confsync.Follower, log *event.Logger) *quota.Keeper {
+	holder := corequota.Holder{VM: self.VM, Incarnation: self.Incarnation}
+	return quota.New(corequota.DefaultConfig(), holder, store, follower, log)
+}
+
+func newGate(f *fleet.Fleet, k *quota.Keeper) api.Gate { return api.NewPromptGate(f, k) }
+
 func newAccountant(cfg reserve.Config, caller *endpoint.Caller, mux *peer.Mux) *reserve.Accountant {
 	return reserve.NewAccountant(cfg, caller, mux)
 }
@@ -230,19 +256,15 @@
 func (n *Node) Close() {
 	n.callers.close()
 	n.admin.close()
+	for _, p := range slices.Backward(n.running) {
+		p.Stop()
+	}
 	if n.members != nil {
 		n.members.Stop()
-		n.parts.Follower.Stop()
-		n.parts.Fleet.Stop()
-		n.parts.Sweeper.Stop()
-		n.parts.Holder.Stop()
 	}
 	if n.peers != nil {
 		n.peers.Close()
 	}
-	n.parts.CallRows.Stop()
-	n.parts.Orders.Stop()
-	n.parts.Leases.Stop()
 	n.parts.Peers.Close()
 	n.parts.Prompts.Close()
 	n.parts.Streams.Close()
