Tell peers of long prefills, and keep calls from leaving services

Calls to plain services ask endpoint health too, and learn from the membership which incarnations have ended, under the VM's one incarnation.

Shown by: go test -run 'Listed|Leaving' ./test/process; go test ./internal/call ./internal/node.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -15,8 +15,8 @@
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
-	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
 
 const (
@@ -63,6 +63,7 @@
 
 // Runner makes calls. It is safe for concurrent use.
 type Runner struct {
+	leaving     func(endpoint string) bool
 	cfg         calls.Config
 	store       Store
 	service     Service
@@ -80,8 +81,8 @@
 }
 
 // NewRunner returns a Runner for the VM of the settings.
-func NewRunner(store *platform.Client, caller *endpoint.Caller, log *event.Logger, s settings.Settings) *Runner {
-	return newRunner(calls.DefaultConfig(), store, caller, log, s.VM.ID, time.Now().UnixNano())
+func NewRunner(store *platform.Client, caller *endpoint.Caller, log *event.Logger, self peer.Identity) *Runner {
+	return newRunner(calls.DefaultConfig(), store, caller, log, self.VM, self.Incarnation)
 }
 
 func newRunner(cfg calls.Config, store Store, service Service, log *event.Logger, vm string, incarnation int64) *Runner {
@@ -101,6 +102,10 @@
 // called before the first call.
 func (r *Runner) SetLiveness(l Liveness) { r.gone = l.Gone }
 
+// SetLeaving tells the Runner which endpoints take no new work. It is called
+// before the first call.
+func (r *Runner) SetLeaving(leaving func(endpoint string) bool) { r.leaving = leaving }
+
 // Wait waits until the outcomes of all calls are recorded or given up.
 func (r *Runner) Wait() { r.running.Wait() }
 
--- a/internal/call/idempotent.go
+++ b/internal/call/idempotent.go
@@ -15,7 +15,7 @@
 // Idempotent makes a call that may be repeated: at another endpoint if one
 // fails, within the deadline and the retry budget.
 func (r *Runner) Idempotent(req Request) (endpoint.Answer, error) {
-	addresses := addresses(req)
+	addresses := r.addresses(req)
 	addresses = addresses[:min(len(addresses), maxTries)]
 	if len(addresses) == 0 {
 		return endpoint.Answer{}, errcode.New(errcode.NoEndpoint, "service %s has no endpoint", req.Service).WithRetryAfter(r.cfg.StoreRetry)
@@ -67,10 +67,11 @@
 }
 
 // addresses lists the service's endpoints that take work, in a random order.
-func addresses(req Request) []string {
+func (r *Runner) addresses(req Request) []string {
 	var list []string
-	for _, e := range req.Snapshot.Endpoints {
-		if e.Service == req.Service && !e.Leaving {
+	for id, e := range req.Snapshot.Endpoints {
+		leaves := e.Leaving || r.leaving != nil && r.leaving(id)
+		if e.Service == req.Service && !leaves {
 			list = append(list, e.Address)
 		}
 	}
--- a/internal/call/once.go
+++ b/internal/call/once.go
@@ -18,7 +18,7 @@
 // caller's answer is known; a result that could not be recorded by then is
 // recorded behind the caller's back, also where the caller has gone.
 func (r *Runner) Once(req Request) (endpoint.Answer, error) {
-	addresses := addresses(req)
+	addresses := r.addresses(req)
 	if len(addresses) == 0 {
 		return endpoint.Answer{}, errcode.New(errcode.NoEndpoint, "service %s has no endpoint", req.Service).WithRetryAfter(r.cfg.StoreRetry)
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -70,6 +70,9 @@
 		Version:  p.Follower.Known,
 	}, p.Mux))
 	n.members = n.parts.View.service.Load()
+	n.notices = startNotices(p.Fleet, n.members, p.Mux)
+	p.Calls.SetLiveness(n.parts.View)
+	p.Calls.SetLeaving(p.Health.Leaving)
 	p.Health.Tell(n.members.MarkEndpoint)
 	p.Fleet.SetHealth(p.Health)
 	p.Follower.Join(n.members, p.Mux)
@@ -125,3 +128,8 @@
 	}
 	return reserve.Unknown
 }
+
+// Gone implements call.Liveness.
+func (v *view) Gone(vm string, incarnation int64) bool {
+	return v.Life(peer.Identity{VM: vm, Incarnation: incarnation}) == reserve.Dead
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,7 @@
 	admin    *listener
 	peers    *peer.Server
 	members  *member.Service
+	notices  *notices
 	life     *lifecycle
 	started  time.Time
 	// running are the parts that were started, in order.
@@ -260,6 +261,7 @@
 		p.Stop()
 	}
 	if n.members != nil {
+		n.notices.stop()
 		n.members.Stop()
 	}
 	if n.peers != nil {
--- a/test/process/membership_test.go
+++ b/test/process/membership_test.go
@@ -124,6 +124,33 @@
 	require.Equal(t, before, startedAt(t, leaving))
 }
 
+// TestListedEndpointsGetNoNewWork: the platform's list alone says that an engine
+// and a plain service leave.
+func TestListedEndpointsGetNoNewWork(t *testing.T) {
+	s := startSystem(t)
+	s.acquaint(t)
+	putJSON(t, s.platform, wire.PathVMs, wire.VMList{VMs: []wire.VM{
+		{ID: "scribe-1", State: wire.VMLeaving},
+		{ID: "ledger-1", State: wire.VMLeaving},
+	}})
+	all := []int{0, 1, 2, 3}
+	require.Eventually(t, func() bool {
+		before := startedAt(t, s.engines[0])
+		s.round(t, all)
+		return startedAt(t, s.engines[0]) == before
+	}, waitLimit, time.Millisecond)
+	before := startedAt(t, s.engines[0])
+	putJSON(t, s.platform, wire.PathVMs, wire.VMList{})
+	for i := range s.callers {
+		require.Eventually(t, func() bool {
+			res := post(t, s.callers[i], "/v1/services/ledger-desk/deposit", fmt.Sprintf("deposit-%d-%d", i, time.Now().UnixNano()), map[string]int{"amount": 1})
+			return res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(wire.HeaderRan) == "no"
+		}, waitLimit, 10*time.Millisecond)
+	}
+	s.round(t, all)
+	require.Equal(t, before, startedAt(t, s.engines[0]))
+}
+
 // longPrompt streams for some seconds.
 func longPrompt(i int) wire.CompletionRequest {
 	req := prompt(i)
