--- a/test/process/calls_test.go
+++ b/test/process/calls_test.go
@@ -42,12 +42,12 @@
 func startCallSystem(t *testing.T) *callSystem {
 	t.Helper()
 	dir := t.TempDir()
-	standinBin := build(t, dir, "cornelsaddle.example/cornelsaddle/standin/cmd/standin")
-	serveBin := build(t, dir, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddle")
+	standinBin := build(t, "cornelsaddle.example/cornelsaddle/standin/cmd/standin")
+	serveBin := build(t, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddle")
 	c := &callSystem{
 		system:   &system{service: address(standin(t, standinBin, "-role", "service"))},
 		dir:      dir,
-		ctl:      build(t, dir, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddlectl"),
+		ctl:      build(t, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddlectl"),
 		platform: address(standin(t, standinBin, "-role", "platform")),
 	}
 	c.doc = configuration.Document{
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -59,11 +60,37 @@
 	err  error
 }
 
-func build(t *testing.T, dir, pkg string) string {
+// built are the programs that were built so far, by package.
+var built struct {
+	sync.Mutex
+	dir      string
+	programs map[string]string
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	_ = os.RemoveAll(built.dir)
+	os.Exit(code)
+}
+
+// build returns the program of the package, which is built once.
+func build(t *testing.T, pkg string) string {
 	t.Helper()
-	bin := filepath.Join(dir, filepath.Base(pkg))
+	built.Lock()
+	defer built.Unlock()
+	if bin, ok := built.programs[pkg]; ok {
+		return bin
+	}
+	if built.dir == "" {
+		dir, err := os.MkdirTemp("", "programs")
+		require.NoError(t, err)
+		built.dir = dir
+		built.programs = make(map[string]string)
+	}
+	bin := filepath.Join(built.dir, filepath.Base(pkg))
 	out, err := exec.Command("go", "build", "-o", bin, pkg).CombinedOutput()
 	require.NoError(t, err, string(out))
+	built.programs[pkg] = bin
 	return bin
 }
 
@@ -103,9 +130,9 @@
 func startSystem(t *testing.T) *system {
 	t.Helper()
 	dir := t.TempDir()
-	standinBin := build(t, dir, "cornelsaddle.example/cornelsaddle/standin/cmd/standin")
-	serveBin := build(t, dir, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddle")
-	ctlBin := build(t, dir, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddlectl")
+	standinBin := build(t, "cornelsaddle.example/cornelsaddle/standin/cmd/standin")
+	serveBin := build(t, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddle")
+	ctlBin := build(t, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddlectl")
 	platform, _ := standin(t, standinBin, "-role", "platform")
 	s := &system{ctl: ctlBin, platform: platform, folder: filepath.Join(dir, "conf")}
 	s.service, _ = standin(t, standinBin, "-role", "service")
