Measure what an entry VM without requests spends

Change: test/capacity measures an idle entry VM by the number of endpoints, and the bytes of a load poll.

--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -20,9 +20,10 @@
 
 func main() {
 	role := flag.String("role", "", "run one process of the measurement: source, pass-through or entry")
+	listeners := flag.Int("listeners", 1, "source: number of addresses")
 	upstream := flag.String("upstream", "", "source's address, for the roles that forward")
 	settingsFile := flag.String("settings", "", "settings file, for the entry role")
-	slope := flag.String("slope", "all", "forward, request, stream, configuration or all")
+	slope := flag.String("slope", "all", "forward, request, stream, control, configuration or all")
 	length := flag.Duration("length", 4*time.Second, "time of each measured point")
 	flag.Parse()
 
@@ -31,7 +32,7 @@
 	case "":
 		err = measure(*slope, *length)
 	case roleSource:
-		err = runSource()
+		err = runSource(*listeners)
 	case rolePassThrough:
 		err = runPassThrough(*upstream)
 	case roleEntry:
@@ -55,6 +56,7 @@
 		{"forward", forwardSlope},
 		{"request", requestSlope},
 		{"stream", streamSlope},
+		{"control", controlSlope},
 		{"configuration", configurationSlope},
 	}
 	for _, s := range slopes {
--- a/test/capacity/roles.go
+++ b/test/capacity/roles.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -44,8 +45,9 @@
 	<-stop
 }
 
-// runSource serves streams of tokens at the interval that the prompt asks for.
-func runSource() error {
+// runSource serves streams of tokens at the interval that the prompt asks for,
+// on so many addresses.
+func runSource(listeners int) error {
 	r := router.New()
 	r.POST(wire.PathCompletions, sourceStream)
 	r.POST(wire.PathCancel, accept)
@@ -65,12 +67,16 @@
 			TotalTokens: sourceMemory,
 		})
 	})
-	s, err := httpjson.Listen(loopback, r.Handler)
-	if err != nil {
-		return err
+	addresses := make([]string, 0, listeners)
+	for range listeners {
+		s, err := httpjson.Listen(loopback, r.Handler)
+		if err != nil {
+			return err
+		}
+		defer s.Close()
+		addresses = append(addresses, s.Addr())
 	}
-	defer s.Close()
-	announce(s.Addr())
+	announce(strings.Join(addresses, " "))
 	return nil
 }
 
--- a/test/capacity/system.go
+++ b/test/capacity/system.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,11 +33,17 @@
 	passThrough *process
 	entry       *process
 	dir         string
+	endpoints   int
+	addresses   []string
 }
 
-// startSystem starts the processes of the measurement.
-func startSystem() (*system, error) {
-	s := &system{}
+// startSystem starts the processes of the measurement, with one endpoint.
+func startSystem() (*system, error) { return startEndpoints(1) }
+
+// startEndpoints starts the processes with so many endpoints, all of them the
+// source's.
+func startEndpoints(endpoints int) (*system, error) {
+	s := &system{endpoints: endpoints}
 	if err := s.start(); err != nil {
 		s.stop()
 		return nil, err
@@ -52,10 +60,11 @@
 	if s.platform, err = platform.Start(platform.Config{Address: loopback}); err != nil {
 		return err
 	}
-	if s.source, err = startProcess("-role", roleSource); err != nil {
+	if s.source, err = startProcess("-role", roleSource, "-listeners", strconv.Itoa(s.endpoints)); err != nil {
 		return err
 	}
-	if s.passThrough, err = startProcess("-role", rolePassThrough, "-upstream", s.source.address); err != nil {
+	s.addresses = strings.Fields(s.source.address)
+	if s.passThrough, err = startProcess("-role", rolePassThrough, "-upstream", s.addresses[0]); err != nil {
 		return err
 	}
 	if err := s.configure(); err != nil {
@@ -69,7 +78,7 @@
 	return err
 }
 
-// configure puts the source in force as the only endpoint.
+// configure puts the source's addresses in force as endpoints.
 func (s *system) configure() error {
 	doc := configuration.Document{
 		Organisations: map[string]configuration.Organisation{
@@ -78,9 +87,12 @@
 		Services: map[string]configuration.Service{
 			poolName: {Kind: configuration.KindModel, MaxTimeoutMs: requestTimeoutMs},
 		},
-		Endpoints: map[string]configuration.Endpoint{
-			"pool-1": {Service: poolName, Address: s.source.address, FailureDomain: "domain-1", MemoryTokens: sourceMemory},
-		},
+		Endpoints: make(map[string]configuration.Endpoint, len(s.addresses)),
+	}
+	for i, address := range s.addresses {
+		doc.Endpoints["pool-"+strconv.Itoa(i+1)] = configuration.Endpoint{
+			Service: poolName, Address: address, FailureDomain: "domain-1", MemoryTokens: sourceMemory,
+		}
 	}
 	data, err := json.Marshal(doc)
 	if err != nil {
