Forget marks of endpoints that left the configuration

Marks were kept for good; what concerns endpoints that the configuration does not name is dropped each minute. Nothing is started any more beside a Stop. A call in flight is shown to survive its VM's SIGTERM.

Shown by: go test -race ./internal/member ./internal/confsync ./internal/node; go test -run 'Drain|Signal' ./test/process, twice.

--- a/internal/confsync/follower.go
+++ b/internal/confsync/follower.go
@@ -111,7 +111,10 @@
 
 // Stop ends it.
 func (f *Follower) Stop() {
+	// Under the lock, so that nothing is started beside the wait.
+	f.mu.Lock()
 	f.cancel()
+	f.mu.Unlock()
 	f.wg.Wait()
 }
 
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -109,7 +109,10 @@
 
 // Stop ends probing.
 func (s *Service) Stop() {
+	// Under the lock, so that nothing is started beside the wait.
+	s.mu.Lock()
 	s.cancel()
+	s.mu.Unlock()
 	s.wg.Wait()
 }
 
@@ -137,8 +140,13 @@
 	if urgent(changes, marks) {
 		actions = append(actions, s.node.Tell(urgentFanOut)...)
 	}
+	s.begin(actions)
 	s.mu.Unlock()
 	s.report(changes, marks)
+}
+
+// begin starts the actions, unless the service has stopped; the lock is held.
+func (s *Service) begin(actions []membership.Action) {
 	if s.ctx.Err() != nil {
 		return
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -70,6 +70,7 @@
 		Version:  p.Follower.Known,
 	}, p.Mux))
 	n.members = n.parts.View.service.Load()
+	n.keeper = n.startKeeper()
 	n.notices = startNotices(p.Fleet, n.members, p.Mux)
 	p.Calls.SetLiveness(n.parts.View)
 	p.Calls.SetLeaving(p.Health.Leaving)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	peers    *peer.Server
 	members  *member.Service
 	notices  *notices
+	keeper   *keeper
 	life     *lifecycle
 	started  time.Time
 	// running are the parts that were started, in order.
@@ -261,6 +262,7 @@
 		p.Stop()
 	}
 	if n.members != nil {
+		n.keeper.stop()
 		n.notices.stop()
 		n.members.Stop()
 	}
--- a/test/process/membership_test.go
+++ b/test/process/membership_test.go
@@ -18,6 +18,7 @@
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/node"
 	"cornelsaddle.example/cornelsaddle/standin/engine"
+	"cornelsaddle.example/cornelsaddle/standin/service"
 )
 
 const adminToken = "0123456789abcdef"
@@ -190,6 +191,31 @@
 	}
 }
 
+// TestDrainFinishesCalls: a call that may not be repeated is at the service when
+// its VM gets SIGTERM.
+func TestDrainFinishesCalls(t *testing.T) {
+	s := startSystem(t)
+	putJSON(t, s.service, wire.PathFaults, service.Faults{DelayMs: 1000})
+	var res *http.Response
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		res = post(t, s.callers[0], "/v1/services/ledger-desk/deposit", "deposit-1", struct{}{})
+	}()
+	require.Eventually(t, func() bool {
+		st, err := s.status(0)
+		return err == nil && st.InFlight == 1
+	}, waitLimit, time.Millisecond)
+	require.NoError(t, s.vms[0].cmd.Process.Signal(syscall.SIGTERM))
+	<-answered
+	require.Equal(t, http.StatusOK, res.StatusCode)
+	<-s.vms[0].done
+	require.NoError(t, s.vms[0].err)
+	var effects service.Effects
+	require.True(t, getJSON(s.service, wire.PathEffects, &effects))
+	require.Equal(t, map[string]int{"deposit-1": 1}, effects.Effects)
+}
+
 // seesLeaving reports whether the VM knows that the other shuts down.
 func (s *system) seesLeaving(i int, vm string) bool {
 	st, err := s.status(i)
