--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,8 @@
 	admin    *listener
 	peers    *peer.Server
 	members  *member.Service
+	notices  *notices
+	keeper   *keeper
 	life     *lifecycle
 	started  time.Time
 	// running are the parts that were started, in order.
@@ -260,6 +262,8 @@
 		p.Stop()
 	}
 	if n.members != nil {
+		n.keeper.stop()
+		n.notices.stop()
 		n.members.Stop()
 	}
 	if n.peers != nil {
