--- a/cmd/cornelsaddlectl/main.go
+++ b/cmd/cornelsaddlectl/main.go
@@ -27,7 +27,11 @@
 // commands lists the subcommands in the order of the usage text.
 func commands() []command {
 	return []command{
+		{"validate", "check a folder", validate},
 		{"apply", "merge a folder and put it in force", apply},
+		{"fetch", "write the files of a version into a folder", fetch},
+		{"status", "show VMs and the versions that they have in force", status},
+		{"drain", "shut VMs down gracefully", drain},
 		{"load", "send a mix of prompts and calls and measure the answers", load},
 		{"report", "turn results of load into a page with plots", runReport},
 		{"chart", "draw a state chart as text", chart},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,10 +25,10 @@
 	incarnation string
 	// polled is when the last poll was begun.
 	polled time.Time
-	// sent sums up, by priority, what this VM sent since the last digest, and
-	// held by how much the memory that it holds there changed.
-	sent [2]int64
-	held int64
+	// own is what this VM sent there, and peers what each of them did when last
+	// heard of.
+	own   totals
+	peers map[string]DigestEntry
 }
 
 // Fleet is safe for concurrent use.
@@ -49,8 +49,36 @@
 	admitted map[string]admitted
 	scope    *scope
 	// notify tells the peers of a long prefill at once; nil for no peers.
-	notify func(DigestEntry)
-	views  []placement.View
+	notify func(digest []byte)
+	// heardAt is the clock of the last digest of each peer, in milliseconds since
+	// the epoch.
+	heardAt map[string]int64
+	views   []placement.View
+	health  Health
+	rnd     *rand.Rand
+}
+
+// Health tells which endpoints get new work.
+type Health interface {
+	// Reported takes an endpoint's own report. It is not called under a lock.
+	Reported(id, incarnation string, leaving bool)
+	// Share is the part of its usual work that an endpoint gets, from 0 to 1.
+	Share(id string) float64
+}
+
+// SetHealth sets who is asked whether an endpoint gets new work; it is called
+// before Start.
+func (f *Fleet) SetHealth(h Health) { f.health = h }
+
+// admits reports whether the endpoint is offered to a prompt: never while it
+// leaves, and for a part of the prompts only after it has come back. The lock is
+// held.
+func (f *Fleet) admits(id string) bool {
+	if f.health == nil {
+		return true
+	}
+	share := f.health.Share(id)
+	return share >= 1 || f.rnd.Float64() < share
 }
 
 // New returns a Fleet over the endpoints of the configuration in force.
@@ -66,7 +94,9 @@
 
 		controllers: make(map[string]*admission.Controller),
 		admitted:    make(map[string]admitted),
+		heardAt:     make(map[string]int64),
 
+		rnd:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		picker: placement.NewPicker(cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		stop:   make(chan struct{}),
 		done:   make(chan struct{}),
@@ -87,6 +117,7 @@
 	st := f.states[id]
 	if st == nil {
 		st = &state{alive: true, known: newKnown(f.cfg, id, e)}
+		st.own.entry.Endpoint = id
 		f.states[id] = st
 	}
 	return st
@@ -117,7 +148,7 @@
 			continue
 		}
 		st := f.state(id, e)
-		if !st.alive || st.leaving {
+		if !st.alive || st.leaving || !f.admits(id) {
 			continue
 		}
 		views = append(views, st.known.View(now, p))
@@ -144,14 +175,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	st := f.state(id, configuration.Endpoint{})
+	now := time.Now()
 	f.noteSent(attempt)
-	work := st.known.Sent(time.Now(), attempt, &p, priority)
-	st.held += p.Need()
-	if work >= noticeTokens && f.notify != nil {
-		f.notify(st.entry(id, priority, work))
-		return
+	work := st.known.Sent(now, attempt, &p, priority)
+	st.own.sent(now, priority, work, p.Need())
+	if work >= noticeTokens {
+		f.tell(now, st)
 	}
-	st.sent[priority] += work
 }
 
 // FirstToken notes that the attempt had its first token.
@@ -168,7 +198,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	st := f.state(id, configuration.Endpoint{})
-	st.held -= st.known.Ended(time.Now(), attempt)
+	now := time.Now()
+	st.own.sent(now, wire.PriorityHigh, 0, -st.known.Ended(now, attempt))
 }
 
 // Answer is a whole answer's account of itself.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -102,25 +102,45 @@
 	require.Len(t, f.admitted, taken-1)
 }
 
-// TestPeersHearOfWhatWasSent hands one VM's digest and notice to another.
+// TestPeersHearOfWhatWasSent hands one VM's digests and notices to another, some
+// lost, repeated or out of order.
 func TestPeersHearOfWhatWasSent(t *testing.T) {
 	f, snap := testFleet(t)
 	peer, _ := testFleet(t)
 	peer.Views(snap, "pool", nil)
-	var notice DigestEntry
-	f.SetNotify(func(e DigestEntry) { notice = e })
+	var notice []byte
+	f.SetNotify(func(digest []byte) { notice = digest })
+	require.Nil(t, f.Digest())
 
-	f.SentPrompt("a", "long", placement.Prompt{Tokens: noticeTokens}, wire.PriorityHigh)
-	require.EqualValues(t, noticeTokens, notice.Tokens[wire.PriorityHigh])
-	f.SentPrompt("a", "short", placement.Prompt{Tokens: 1000}, wire.PriorityHigh)
-	d := f.TakeDigest(10)
-	require.Equal(t, []DigestEntry{{Endpoint: "a", Tokens: [2]int64{1000, 0}, Held: 1000}}, d.Entries)
-	require.Empty(t, f.TakeDigest(10).Entries)
+	f.SentPrompt("a", "first", placement.Prompt{Tokens: 1000}, wire.PriorityHigh)
+	peer.PeerDigest("vm", f.Digest())
+	require.Zero(t, peer.Views(snap, "pool", nil)[0].Held, "a peer never heard of is counted from here on")
+	require.Nil(t, notice)
 
-	d.Entries = append(d.Entries, notice, DigestEntry{Endpoint: "unknown", Held: 1})
-	peer.PeerDigest(d)
+	f.SentPrompt("a", "lost", placement.Prompt{Tokens: 2000}, wire.PriorityHigh)
+	old := f.Digest()
+	time.Sleep(2 * time.Millisecond)
+	f.SentPrompt("a", "long", placement.Prompt{Tokens: noticeTokens}, wire.PriorityHigh)
+	require.NotNil(t, notice)
+	for _, digest := range [][]byte{notice, notice, old, []byte("not a digest"), f.Digest()} {
+		peer.PeerDigest("vm", digest)
+	}
 	views := peer.Views(snap, "pool", nil)
-	require.InDelta(t, noticeTokens+1000, views[0].Queued[wire.PriorityHigh], 500)
-	require.EqualValues(t, noticeTokens+1000, views[0].Held)
+	require.InDelta(t, noticeTokens+2000, views[0].Queued[wire.PriorityHigh], 500)
+	require.EqualValues(t, noticeTokens+2000, views[0].Held)
 	require.Zero(t, views[1].Held)
+
+	f.Ended("a", "long")
+	time.Sleep(2 * time.Millisecond)
+	peer.PeerDigest("vm", f.Digest())
+	require.EqualValues(t, 2000, peer.Views(snap, "pool", nil)[0].Held)
+}
+
+// TestADigestStaysSmall sends to far more endpoints than one digest holds.
+func TestADigestStaysSmall(t *testing.T) {
+	f, _ := testFleet(t)
+	for _, id := range names("an-endpoint-with-a-long-name-", 100) {
+		f.SentPrompt(id, "r", placement.Prompt{Tokens: 100_000}, wire.PriorityHigh)
+	}
+	require.Less(t, len(f.Digest()), 2048)
 }
--- a/internal/node/badinput_test.go
+++ b/internal/node/badinput_test.go
@@ -152,6 +152,8 @@
 		},
 		Endpoints: map[string]configuration.Endpoint{
 			"scribe-1": {Service: "scribe-pool", Address: engineAddress, FailureDomain: "upanga", MemoryTokens: engineTotal},
+			// Nobody listens there, and nobody may use its service.
+			"closed-1": {Service: "closed-pool", Address: "127.0.0.1:9", FailureDomain: "upanga", MemoryTokens: engineTotal},
 		},
 		Limits: configuration.Limits{RetryBudget: 0.2, CallRetentionHours: 24},
 	}
