Tell peers of every prefill of 1k tokens or more, within a rate

Cause: with four VMs, short prompts waited behind ones of medium length that a peer had sent since its last digest. A trace of the slowest hundredth shows the rest: a whole piece of 2,048 tokens under way on an engine of medium speed, when the fast ones have medium prompts ahead. Change: notices from 1k tokens on, at most 16 a second and VM.

--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -12,7 +12,13 @@
 const (
 	// noticeTokens is the prefill from which on peers are told of a prompt at
 	// once, and not with the next digest.
-	noticeTokens = 8 << 10
+	noticeTokens = 1 << 10
+	// longNotice is the prefill from which on a notice may use the whole rate of
+	// notices; shorter ones leave a part of it.
+	longNotice = 8 << 10
+	// noticesPerSecond and shortNoticesPerSecond bound the notices of one VM.
+	noticesPerSecond      = 16
+	shortNoticesPerSecond = 12
 	// digestEntries bounds a digest, those that changed last first.
 	digestEntries = 16
 	// digestAge is how long an endpoint stays in the digests after its last
@@ -133,9 +139,13 @@
 	f.notify = notify
 }
 
-// tell has the peers hear of the endpoint at once. The lock is held.
-func (f *Fleet) tell(now time.Time, st *state) {
-	if f.notify == nil {
+// tell has the peers hear of the endpoint at once, within the rate of notices.
+// The lock is held.
+func (f *Fleet) tell(now time.Time, st *state, work int64) {
+	if f.notify == nil || work < noticeTokens {
+		return
+	}
+	if work < longNotice && !f.shortNotices.AllowN(now, 1) || !f.notices.AllowN(now, 1) {
 		return
 	}
 	d := Digest{AtMs: now.UnixMilli(), Entries: []DigestEntry{st.own.entry}}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"cornelsaddle.example/cornelsaddle/core/admission"
 	"cornelsaddle.example/cornelsaddle/core/configuration"
 	"cornelsaddle.example/cornelsaddle/core/placement"
@@ -50,6 +52,8 @@
 	scope    *scope
 	// notify tells the peers of a long prefill at once; nil for no peers.
 	notify func(digest []byte)
+	// notices and shortNotices bound how often that is.
+	notices, shortNotices *rate.Limiter
 	// heardAt is the clock of the last digest of each peer, in milliseconds since
 	// the epoch.
 	heardAt map[string]int64
@@ -96,6 +100,9 @@
 		admitted:    make(map[string]admitted),
 		heardAt:     make(map[string]int64),
 
+		notices:      rate.NewLimiter(noticesPerSecond, noticesPerSecond),
+		shortNotices: rate.NewLimiter(shortNoticesPerSecond, shortNoticesPerSecond),
+
 		rnd:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		picker: placement.NewPicker(cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		stop:   make(chan struct{}),
@@ -179,9 +186,7 @@
 	f.noteSent(attempt)
 	work := st.known.Sent(now, attempt, &p, priority)
 	st.own.sent(now, priority, work, p.Need())
-	if work >= noticeTokens {
-		f.tell(now, st)
-	}
+	f.tell(now, st, work)
 }
 
 // FirstToken notes that the attempt had its first token.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -112,28 +112,28 @@
 	f.SetNotify(func(digest []byte) { notice = digest })
 	require.Nil(t, f.Digest())
 
-	f.SentPrompt("a", "first", placement.Prompt{Tokens: 1000}, wire.PriorityHigh)
+	f.SentPrompt("a", "first", placement.Prompt{Tokens: 500}, wire.PriorityHigh)
 	peer.PeerDigest("vm", f.Digest())
 	require.Zero(t, peer.Views(snap, "pool", nil)[0].Held, "a peer never heard of is counted from here on")
 	require.Nil(t, notice)
 
-	f.SentPrompt("a", "lost", placement.Prompt{Tokens: 2000}, wire.PriorityHigh)
+	f.SentPrompt("a", "lost", placement.Prompt{Tokens: noticeTokens - 1}, wire.PriorityHigh)
 	old := f.Digest()
 	time.Sleep(2 * time.Millisecond)
-	f.SentPrompt("a", "long", placement.Prompt{Tokens: noticeTokens}, wire.PriorityHigh)
+	f.SentPrompt("a", "long", placement.Prompt{Tokens: 8 * noticeTokens}, wire.PriorityHigh)
 	require.NotNil(t, notice)
 	for _, digest := range [][]byte{notice, notice, old, []byte("not a digest"), f.Digest()} {
 		peer.PeerDigest("vm", digest)
 	}
 	views := peer.Views(snap, "pool", nil)
-	require.InDelta(t, noticeTokens+2000, views[0].Queued[wire.PriorityHigh], 500)
-	require.EqualValues(t, noticeTokens+2000, views[0].Held)
+	require.InDelta(t, 9*noticeTokens-1, views[0].Queued[wire.PriorityHigh], 500)
+	require.EqualValues(t, 9*noticeTokens-1, views[0].Held)
 	require.Zero(t, views[1].Held)
 
 	f.Ended("a", "long")
 	time.Sleep(2 * time.Millisecond)
 	peer.PeerDigest("vm", f.Digest())
-	require.EqualValues(t, 2000, peer.Views(snap, "pool", nil)[0].Held)
+	require.EqualValues(t, noticeTokens-1, peer.Views(snap, "pool", nil)[0].Held)
 }
 
 // TestADigestStaysSmall sends to far more endpoints than one digest holds.
@@ -144,3 +144,21 @@
 	}
 	require.Less(t, len(f.Digest()), 2048)
 }
+
+// TestNoticesKeepToTheirRate sends far more prompts than peers may be told of;
+// short ones leave a part of the rate to long ones.
+func TestNoticesKeepToTheirRate(t *testing.T) {
+	f, _ := testFleet(t)
+	told := 0
+	f.SetNotify(func([]byte) { told++ })
+	f.notices.SetLimit(0)
+	f.shortNotices.SetLimit(0)
+	for range 100 {
+		f.SentPrompt("a", "short", placement.Prompt{Tokens: noticeTokens}, wire.PriorityHigh)
+	}
+	require.Equal(t, shortNoticesPerSecond, told)
+	for range 100 {
+		f.SentPrompt("a", "long", placement.Prompt{Tokens: longNotice}, wire.PriorityHigh)
+	}
+	require.Equal(t, noticesPerSecond, told)
+}
--- a/standin/cmd/experiment/main.go
+++ b/standin/cmd/experiment/main.go
@@ -17,8 +17,9 @@
 	seeds := flag.Int("seeds", 3, "number of seeds")
 	first := flag.Uint64("seed", 1, "first seed")
 	workers := flag.Int("workers", 3, "runs at a time")
+	only := flag.String("only", "", "targets: only the conditions whose name contains it")
 	flag.Parse()
-	s := experiment.Study{Duration: *duration, Workers: *workers}
+	s := experiment.Study{Duration: *duration, Workers: *workers, Only: *only}
 	for i := range *seeds {
 		s.Seeds = append(s.Seeds, *first+uint64(i))
 	}
--- a/standin/experiment/predictive.go
+++ b/standin/experiment/predictive.go
@@ -19,7 +19,7 @@
 
 // noticeTokens is the prefill from which on peers are told of a prompt at once,
 // and not with the next digest.
-const noticeTokens = 8 << 10
+const noticeTokens = 1 << 10
 
 // predictive is the policy of core/placement.
 type predictive struct {
--- a/standin/experiment/study.go
+++ b/standin/experiment/study.go
@@ -13,6 +13,8 @@
 	Duration time.Duration
 	// Workers is the number of runs at a time; it does not change the results.
 	Workers int
+	// Only keeps the conditions whose name contains it.
+	Only string
 }
 
 // condition is one column of the study: what the policies are put through.
--- a/standin/experiment/tables.go
+++ b/standin/experiment/tables.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math"
+	"strings"
 	"time"
 
 	"cornelsaddle.example/cornelsaddle/core/admission"
@@ -66,7 +67,9 @@
 	for _, m := range allMixes {
 		for _, load := range loads {
 			for _, cond := range conditions {
-				s.condition(w, m, load, cond)
+				if strings.Contains(cond.name, s.Only) {
+					s.condition(w, m, load, cond)
+				}
 			}
 		}
 	}
