--- a/standin/cmd/experiment/main.go
+++ b/standin/cmd/experiment/main.go
@@ -18,8 +18,9 @@
 	first := flag.Uint64("seed", 1, "first seed")
 	workers := flag.Int("workers", 3, "runs at a time")
 	only := flag.String("only", "", "targets: only the conditions whose name contains it")
+	mix := flag.String("mix", "", "only the mixes whose name contains it: kivukoni, vltavske")
 	flag.Parse()
-	s := experiment.Study{Duration: *duration, Workers: *workers, Only: *only}
+	s := experiment.Study{Duration: *duration, Workers: *workers, Only: *only, Mix: *mix}
 	for i := range *seeds {
 		s.Seeds = append(s.Seeds, *first+uint64(i))
 	}
--- a/standin/experiment/study.go
+++ b/standin/experiment/study.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -13,8 +14,20 @@
 	Duration time.Duration
 	// Workers is the number of runs at a time; it does not change the results.
 	Workers int
-	// Only keeps the conditions whose name contains it.
+	// Only keeps the conditions whose name contains it, Mix the mixes.
 	Only string
+	Mix  string
+}
+
+// mixes lists those that the study keeps.
+func (s *Study) mixes() []Mix {
+	var list []Mix
+	for _, m := range allMixes {
+		if strings.Contains(m.Name, s.Mix) {
+			list = append(list, m)
+		}
+	}
+	return list
 }
 
 // condition is one column of the study: what the policies are put through.
@@ -63,7 +76,7 @@
 
 // The delay weights of the two deployments.
 const (
-	kivukoniWeight = 0
+	kivukoniWeight = 0.3
 	vltavskeWeight = 1
 )
 
--- a/standin/experiment/tables.go
+++ b/standin/experiment/tables.go
@@ -64,7 +64,7 @@
 // targets compares the product's policy with the best baseline, condition by
 // condition, and says whether the deployments' targets are met.
 func (s *Study) targets(w io.Writer) {
-	for _, m := range allMixes {
+	for _, m := range s.mixes() {
 		for _, load := range loads {
 			for _, cond := range conditions {
 				if strings.Contains(cond.name, s.Only) {
@@ -132,7 +132,7 @@
 // weights shows how the delay weight moves the result.
 func (s *Study) weights(w io.Writer) {
 	values := []float64{0, 0.1, 0.3, 1, 3, 10}
-	for _, m := range allMixes {
+	for _, m := range s.mixes() {
 		for _, load := range loads {
 			fmt.Fprintf(w, "\n### %s, load %.2f, by delay weight\n\n", m.Name, load)
 			fmt.Fprintln(w, "| w | short p50/p95/p99 s | slowdown | medium p50/p95/p99 s | long p50/p95/p99 s | goodput |")
@@ -167,7 +167,7 @@
 		{"no cache knowledge", predictiveWith(-1, func(c *Cell) { c.NoCacheEvents = true })},
 	}
 	cond := conditions[len(conditions)-1]
-	for _, m := range allMixes {
+	for _, m := range s.mixes() {
 		for _, load := range loads {
 			s.ablate(w, m, load, cond, parts)
 		}
@@ -199,7 +199,7 @@
 		{"by prediction alone", with(func(c *admission.Config) { c.FullPressure = 0 })},
 		{"by prediction and shares", with(nil)},
 	}
-	for _, m := range allMixes {
+	for _, m := range s.mixes() {
 		for _, load := range []float64{0.75, 0.9, 1.2, 1.5} {
 			s.admit(w, m, load, ways)
 		}
