--- a/core/placement/endpoint.go
+++ b/core/placement/endpoint.go
@@ -60,9 +60,9 @@
 	// overtaken is the prefill of high priority that this VM sent, in all.
 	overtaken int64
 	// highRate is the decayed rate of prefill of high priority sent, in tokens
-	// a second.
+	// a second, at highRateAt in nanoseconds since the epoch.
 	highRate   float64
-	highRateAt time.Time
+	highRateAt int64
 	// interval is the learnt time between two tokens, in seconds; zero until an
 	// answer has shown it.
 	interval float64
@@ -164,14 +164,14 @@
 }
 
 func (e *Endpoint) decayHigh(now time.Time) {
-	passed := now.Sub(e.highRateAt)
+	passed := now.UnixNano() - e.highRateAt
 	if passed <= 0 {
 		return
 	}
-	e.highRateAt = now
+	e.highRateAt += passed
 	// A linear step stands for the exponential: it is exact to first order and
 	// costs no call.
-	e.highRate *= max(0, 1-passed.Seconds()/shareTime.Seconds())
+	e.highRate *= max(0, 1-float64(passed)/float64(shareTime))
 }
 
 // FirstToken notes the attempt's first token: it teaches the endpoint's speed.
--- a/core/placement/ledger.go
+++ b/core/placement/ledger.go
@@ -20,9 +20,10 @@
 // plus what was sent since the report's own time stamp, minus what the endpoint
 // computed meanwhile. Between reports it is carried forward in constant time.
 type ledger struct {
-	// queued is the estimate at the time at, in tokens.
+	// queued is the estimate at the time at, in tokens; at is in nanoseconds
+	// since the epoch, which are cheaper to subtract than time.Time.
 	queued [2]float64
-	at     time.Time
+	at     int64
 	// reported is the time stamp of the last report.
 	reported time.Time
 	// sends are those after reported, in order of time.
@@ -52,7 +53,7 @@
 
 // replay carries the report's queue forward to now.
 func (l *ledger) replay(now time.Time, queued [2]int64, rate float64) {
-	l.at = l.reported
+	l.at = l.reported.UnixNano()
 	l.heldSince = 0
 	for i, q := range queued {
 		l.queued[i] = float64(q)
@@ -69,12 +70,15 @@
 
 // advance lets the endpoint compute up to now, the more urgent first.
 func (l *ledger) advance(now time.Time, rate float64) {
-	passed := now.Sub(l.at)
+	passed := now.UnixNano() - l.at
 	if passed <= 0 {
 		return
 	}
-	l.at = now
-	budget := passed.Seconds() * rate
+	l.at += passed
+	if l.queued[0]+l.queued[1] == 0 {
+		return
+	}
+	budget := time.Duration(passed).Seconds() * rate
 	for i := range l.queued {
 		used := min(budget, l.queued[i])
 		l.queued[i] -= used
--- a/core/placement/ledger_test.go
+++ b/core/placement/ledger_test.go
@@ -49,7 +49,7 @@
 func TestLedgerMatchesTheReplayOfEverything(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const rate = 10_000
-		l := ledger{at: epoch, reported: epoch}
+		l := ledger{at: epoch.UnixNano(), reported: epoch}
 		naive := naiveLedger{at: epoch}
 		now := epoch
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
