--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -76,7 +76,7 @@
 	p.Health.Tell(n.members.MarkEndpoint)
 	p.Fleet.SetHealth(p.Health)
 	p.Follower.Join(n.members, p.Mux)
-	p.Follower.Start()
+	n.run(p.Follower)
 }
 
 // view is what the accounting of reservations sees of the members. It knows only
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,8 @@
 	notices  *notices
 	life     *lifecycle
 	started  time.Time
+	// running are the parts that were started, in order.
+	running []part
 }
 
 // parts is what dig puts together.
@@ -111,17 +114,27 @@
 		return err
 	}
 	n.join()
-	n.parts.Fleet.Start()
-	n.parts.Quota.Start()
-	n.parts.Leases.Start()
 	n.parts.Orders.Also(call.SweepLease)
-	n.parts.Orders.Start()
-	n.parts.CallRows.Start()
-	n.parts.Holder.Start()
-	n.parts.Sweeper.Start()
+	for _, p := range []part{
+		n.parts.Fleet, n.parts.Quota, n.parts.Leases, n.parts.Orders, n.parts.CallRows, n.parts.Holder, n.parts.Sweeper,
+	} {
+		n.run(p)
+	}
 	return n.listen()
 }
 
+// part is something that runs by itself from Start to Stop.
+type part interface {
+	Start()
+	Stop()
+}
+
+// run starts the part; Close stops it.
+func (n *Node) run(p part) {
+	p.Start()
+	n.running = append(n.running, p)
+}
+
 // finish waits for the requests in flight and the records of their calls.
 func (n *Node) finish() {
 	n.parts.API.Drain()
@@ -244,21 +257,16 @@
 func (n *Node) Close() {
 	n.callers.close()
 	n.admin.close()
+	for _, p := range slices.Backward(n.running) {
+		p.Stop()
+	}
 	if n.members != nil {
 		n.notices.stop()
 		n.members.Stop()
-		n.parts.Quota.Stop()
-		n.parts.Follower.Stop()
-		n.parts.Fleet.Stop()
-		n.parts.Sweeper.Stop()
-		n.parts.Holder.Stop()
 	}
 	if n.peers != nil {
 		n.peers.Close()
 	}
-	n.parts.CallRows.Stop()
-	n.parts.Orders.Stop()
-	n.parts.Leases.Stop()
 	n.parts.Peers.Close()
 	n.parts.Prompts.Close()
 	n.parts.Streams.Close()
