--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -162,3 +162,17 @@
 	}
 	require.Equal(t, noticesPerSecond, told)
 }
+
+// TestGoneVMsAreForgotten keeps VMs that are replaced all day from adding up.
+func TestGoneVMsAreForgotten(t *testing.T) {
+	f, snap := testFleet(t)
+	f.Views(snap, "pool", nil)
+	for _, vm := range names("vm-", 50) {
+		d := Digest{AtMs: 1, Entries: []DigestEntry{{Endpoint: "a", Held: 1}}}
+		f.PeerDigest(vm, d.encode())
+	}
+	require.Len(t, f.heardAt, 50)
+	f.SetMembers("vm-1", []string{"vm-1", "vm-2"})
+	require.Len(t, f.heardAt, 2)
+	require.Len(t, f.states["a"].peers, 2)
+}
--- a/internal/fleet/scope.go
+++ b/internal/fleet/scope.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,6 +38,23 @@
 		return
 	}
 	f.scope = &scope{self: self, vms: sorted}
+	f.forget(sorted)
+}
+
+// forget drops what was heard from VMs that are gone. The lock is held.
+func (f *Fleet) forget(live []string) {
+	gone := func(vm string) bool {
+		_, found := slices.BinarySearch(live, vm)
+		return !found
+	}
+	for vm := range f.heardAt {
+		if gone(vm) {
+			delete(f.heardAt, vm)
+		}
+	}
+	for _, st := range f.states {
+		maps.DeleteFunc(st.peers, func(vm string, _ DigestEntry) bool { return gone(vm) })
+	}
 }
 
 // of lists the service's endpoints in view, in the order of their names.
