--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -107,6 +107,10 @@
 func TestPeersHearOfWhatWasSent(t *testing.T) {
 	f, snap := testFleet(t)
 	peer, _ := testFleet(t)
+	// So slow an endpoint computes nothing while the test runs.
+	slow := snap.Endpoints["a"]
+	slow.PrefillRate = 1
+	snap.Endpoints["a"] = slow
 	peer.Views(snap, "pool", nil)
 	var notice []byte
 	f.SetNotify(func(digest []byte) { notice = digest })
