--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -102,25 +102,81 @@
 	require.Len(t, f.admitted, taken-1)
 }
 
-// TestPeersHearOfWhatWasSent hands one VM's digest and notice to another.
+// TestPeersHearOfWhatWasSent hands one VM's digests and notices to another, some
+// lost, repeated or out of order.
 func TestPeersHearOfWhatWasSent(t *testing.T) {
 	f, snap := testFleet(t)
 	peer, _ := testFleet(t)
+	// So slow an endpoint computes nothing while the test runs.
+	slow := snap.Endpoints["a"]
+	slow.PrefillRate = 1
+	snap.Endpoints["a"] = slow
 	peer.Views(snap, "pool", nil)
-	var notice DigestEntry
-	f.SetNotify(func(e DigestEntry) { notice = e })
-
-	f.SentPrompt("a", "long", placement.Prompt{Tokens: noticeTokens}, wire.PriorityHigh)
-	require.EqualValues(t, noticeTokens, notice.Tokens[wire.PriorityHigh])
-	f.SentPrompt("a", "short", placement.Prompt{Tokens: 1000}, wire.PriorityHigh)
-	d := f.TakeDigest(10)
-	require.Equal(t, []DigestEntry{{Endpoint: "a", Tokens: [2]int64{1000, 0}, Held: 1000}}, d.Entries)
-	require.Empty(t, f.TakeDigest(10).Entries)
-
-	d.Entries = append(d.Entries, notice, DigestEntry{Endpoint: "unknown", Held: 1})
-	peer.PeerDigest(d)
+	var notice []byte
+	f.SetNotify(func(digest []byte) { notice = digest })
+	require.Nil(t, f.Digest())
+
+	f.SentPrompt("a", "first", placement.Prompt{Tokens: 500}, wire.PriorityHigh)
+	peer.PeerDigest("vm", f.Digest())
+	require.Zero(t, peer.Views(snap, "pool", nil)[0].Held, "a peer never heard of is counted from here on")
+	require.Nil(t, notice)
+
+	f.SentPrompt("a", "lost", placement.Prompt{Tokens: noticeTokens - 1}, wire.PriorityHigh)
+	old := f.Digest()
+	time.Sleep(2 * time.Millisecond)
+	f.SentPrompt("a", "long", placement.Prompt{Tokens: 8 * noticeTokens}, wire.PriorityHigh)
+	require.NotNil(t, notice)
+	for _, digest := range [][]byte{notice, notice, old, []byte("not a digest"), f.Digest()} {
+		peer.PeerDigest("vm", digest)
+	}
 	views := peer.Views(snap, "pool", nil)
-	require.InDelta(t, noticeTokens+1000, views[0].Queued[wire.PriorityHigh], 500)
-	require.EqualValues(t, noticeTokens+1000, views[0].Held)
+	require.InDelta(t, 9*noticeTokens-1, views[0].Queued[wire.PriorityHigh], 500)
+	require.EqualValues(t, 9*noticeTokens-1, views[0].Held)
 	require.Zero(t, views[1].Held)
+
+	f.Ended("a", "long")
+	time.Sleep(2 * time.Millisecond)
+	peer.PeerDigest("vm", f.Digest())
+	require.EqualValues(t, noticeTokens-1, peer.Views(snap, "pool", nil)[0].Held)
+}
+
+// TestADigestStaysSmall sends to far more endpoints than one digest holds.
+func TestADigestStaysSmall(t *testing.T) {
+	f, _ := testFleet(t)
+	for _, id := range names("an-endpoint-with-a-long-name-", 100) {
+		f.SentPrompt(id, "r", placement.Prompt{Tokens: 100_000}, wire.PriorityHigh)
+	}
+	require.Less(t, len(f.Digest()), 2048)
+}
+
+// TestNoticesKeepToTheirRate sends far more prompts than peers may be told of;
+// short ones leave a part of the rate to long ones.
+func TestNoticesKeepToTheirRate(t *testing.T) {
+	f, _ := testFleet(t)
+	told := 0
+	f.SetNotify(func([]byte) { told++ })
+	f.notices.SetLimit(0)
+	f.shortNotices.SetLimit(0)
+	for range 100 {
+		f.SentPrompt("a", "short", placement.Prompt{Tokens: noticeTokens}, wire.PriorityHigh)
+	}
+	require.Equal(t, shortNoticesPerSecond, told)
+	for range 100 {
+		f.SentPrompt("a", "long", placement.Prompt{Tokens: longNotice}, wire.PriorityHigh)
+	}
+	require.Equal(t, noticesPerSecond, told)
+}
+
+// TestGoneVMsAreForgotten keeps VMs that are replaced all day from adding up.
+func TestGoneVMsAreForgotten(t *testing.T) {
+	f, snap := testFleet(t)
+	f.Views(snap, "pool", nil)
+	for _, vm := range names("vm-", 50) {
+		d := Digest{AtMs: 1, Entries: []DigestEntry{{Endpoint: "a", Held: 1}}}
+		f.PeerDigest(vm, d.encode())
+	}
+	require.Len(t, f.heardAt, 50)
+	f.SetMembers("vm-1", []string{"vm-1", "vm-2"})
+	require.Len(t, f.heardAt, 2)
+	require.Len(t, f.states["a"].peers, 2)
 }
