End a request at its deadline also while an engine's account does not answer

Cause: a reservation at an endpoint of this VM's own account waited for the engine up to the order's timeout, two seconds past the deadline of the request; found by a fuzz with slow accounts: deadline 100 ms, took 2 s. A second choice's chunks, and reasoning, went into the text that a resumption carries. Change: the wait ends with the request, the order goes on and is freed after; the accountant's turns are channels. An answer that is more than one choice's text is not resumed. Shown by: go test ./internal/prompt ./internal/reserve ./core/stream; the fuzz fails on the holder as it was.

--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -175,6 +175,9 @@
 	for _, chunk := range []string{
 		`{"choices":[{"index":0,"delta":{"tool_calls":[]}}]}`,
 		`{"choices":[{"index":0,"text":"a"},{"index":1,"text":"b"}]}`,
+		`{"choices":[{"index":1,"text":"a"}]}`,
+		`{"choices":[{"index": 10,"text":"a"}]}`,
+		`{"choices":[{"index":0,"delta":{"reasoning_content":"a"}}]}`,
 		`{"choices":[{"index":0,"text":"a"}],"more":[{"index":1,"text":"b"}]}`,
 	} {
 		var text Text
--- a/core/stream/text.go
+++ b/core/stream/text.go
@@ -6,10 +6,16 @@
 var (
 	textKey    = []byte(`"text"`)
 	contentKey = []byte(`"content"`)
-	toolCalls  = []byte(`"tool_calls"`)
-	choiceKey  = []byte(`"index"`)
+	indexKey   = []byte(`"index"`)
 )
 
+// notText are the keys of chunks that carry more of an answer than its text.
+var notText = [][]byte{
+	[]byte(`"tool_calls"`),
+	[]byte(`"function_call"`),
+	[]byte(`"reasoning_content"`),
+}
+
 // Text is an answer's text so far, as it stood in the chunks, with its JSON
 // escapes. The zero value is empty.
 //
@@ -27,7 +33,8 @@
 func (t *Text) Escaped() []byte { return t.escaped }
 
 // Whole reports whether the text alone is the answer. It is not after a chunk
-// with a tool call or with several choices: such an answer can't be resumed.
+// with a tool call, with reasoning, or of a second choice: such an answer can't
+// be resumed.
 func (t *Text) Whole() bool { return !t.broken }
 
 // Add appends one chunk's text.
@@ -70,7 +77,7 @@
 // The chunk is not decoded: inside a JSON string the quotes of a key would be
 // escaped, so a key found is a key.
 func find(chunk []byte) (from, to int, ok bool) {
-	if bytes.Contains(chunk, toolCalls) || bytes.Count(chunk, choiceKey) > 1 {
+	if !onlyText(chunk) {
 		return 0, 0, false
 	}
 	for _, key := range [][]byte{textKey, contentKey} {
@@ -81,6 +88,22 @@
 	return 0, 0, true
 }
 
+// onlyText reports whether the chunk belongs to the first choice, and to no
+// other, and has nothing but text.
+func onlyText(chunk []byte) bool {
+	for _, key := range notText {
+		if bytes.Contains(chunk, key) {
+			return false
+		}
+	}
+	_, rest, ok := bytes.Cut(chunk, indexKey)
+	if !ok {
+		return true
+	}
+	value := bytes.TrimLeft(rest, ": \t\r\n")
+	return bytes.HasPrefix(value, []byte("0")) && !bytes.Contains(rest, indexKey)
+}
+
 // stringAfter is where the inside of the first string that is the key's value
 // begins and ends.
 func stringAfter(chunk, key []byte) (from, to int, ok bool) {
--- a/internal/prompt/fake_test.go
+++ b/internal/prompt/fake_test.go
@@ -49,6 +49,8 @@
 	script []behaviour
 	answer int
 	bank   bank
+	// ended is when the caller had its answer; the VM may still clean up.
+	ended time.Time
 
 	mu        sync.Mutex
 	dials     int
--- a/internal/reserve/accountant.go
+++ b/internal/reserve/accountant.go
@@ -57,9 +57,10 @@
 	busy map[string]*turn
 }
 
-// turn is held by the request that an endpoint is busy with.
+// turn is held by the request that an endpoint is busy with: it fills the
+// channel.
 type turn struct {
-	sync.Mutex
+	taken   chan struct{}
 	waiting int
 }
 
@@ -114,14 +115,14 @@
 	a.mu.Lock()
 	t := a.busy[address]
 	if t == nil {
-		t = &turn{}
+		t = &turn{taken: make(chan struct{}, 1)}
 		a.busy[address] = t
 	}
 	t.waiting++
 	a.mu.Unlock()
-	t.Lock()
+	t.taken <- struct{}{}
 	return func() {
-		t.Unlock()
+		<-t.taken
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		if t.waiting--; t.waiting == 0 {
--- a/internal/reserve/holder.go
+++ b/internal/reserve/holder.go
@@ -190,19 +190,26 @@
 	if s.Endpoint == g.claim.Lead {
 		params.Reservation.Group = g.claim.Need
 	}
-	var result TakeResult
-	err := h.ask(ctx, s.Endpoint, MethodTake, params, &result, func() error {
-		result = h.book.Take(params)
+	var remote TakeResult
+	local := make(chan TakeResult, 1)
+	err := h.ask(ctx, s.Endpoint, MethodTake, params, &remote, func() error {
+		local <- h.book.Take(params)
 		return nil
 	})
 	if err != nil {
 		return TakeResult{Outcome: reservation.Unknown}
 	}
-	return result
+	select {
+	case result := <-local:
+		return result
+	default:
+		return remote
+	}
 }
 
 // ask calls the endpoint's accountant, and the next one if that does not
-// answer. local is the call where the accountant is this VM.
+// answer. local is the call where the accountant is this VM; it goes on when ctx
+// ends, and what it does then is unknown.
 func (h *Holder) ask(ctx context.Context, endpointID string, method peer.Method, params, result any, local func() error) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*h.cfg.Timeout)
 	defer cancel()
@@ -210,7 +217,7 @@
 	for {
 		m, ok := all.of(endpointID)
 		if !ok || m.VM == h.self.VM {
-			return local()
+			return h.detach(ctx, local)
 		}
 		_, err := h.peers.Call(ctx, m.Address, method, params, result)
 		if err == nil || ctx.Err() != nil {
@@ -220,6 +227,18 @@
 	}
 }
 
+// detach waits for the call, and for ctx at most.
+func (h *Holder) detach(ctx context.Context, call func() error) error {
+	done := make(chan error, 1)
+	h.orders.Go(func() { done <- call() })
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	}
+}
+
 // free carries out Free actions, and forgets the request after them.
 func (h *Holder) free(g *Grant, actions []reservation.Action) {
 	if len(actions) == 0 {
