--- a/core/placement/endpoint.go
+++ b/core/placement/endpoint.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"cornelsaddle.example/cornelsaddle/core/wire"
@@ -15,9 +16,6 @@
 	shareTime = 30 * time.Second
 	// intervalGain is the weight of one answer in the learnt token interval.
 	intervalGain = 0.1
-	// defaultInterval is the first guess of the time between two tokens, in
-	// seconds.
-	defaultInterval = 0.05
 )
 
 // pendingPrompt is a prompt of this VM that has no first token yet.
@@ -57,13 +55,17 @@
 	inFlightSum int64
 	// waitingLow counts the pending prompts of low priority.
 	waitingLow int
+	// leastAllowance is the least allowance among them.
+	leastAllowance int64
 	// overtaken is the prefill of high priority that this VM sent, in all.
 	overtaken int64
 	// highRate is the decayed rate of prefill of high priority sent, in tokens
 	// a second.
 	highRate   float64
 	highRateAt time.Time
-	interval   float64
+	// interval is the learnt time between two tokens, in seconds; zero until an
+	// answer has shown it.
+	interval float64
 }
 
 // NewEndpoint returns what is known of an endpoint before its first report:
@@ -82,7 +84,6 @@
 		speed:    newSpeed(),
 		pending:  make(map[string]pendingPrompt),
 		inFlight: make(map[string]int64),
-		interval: defaultInterval,
 	}
 }
 
@@ -124,6 +125,7 @@
 	e.countHigh(now, work, priority)
 	if priority == wire.PriorityLow {
 		e.waitingLow++
+		e.allow()
 	} else {
 		e.overtaken += work
 	}
@@ -209,6 +211,7 @@
 	delete(e.pending, attempt)
 	if p.priority == wire.PriorityLow {
 		e.waitingLow--
+		e.allow()
 	}
 	return p, true
 }
@@ -219,7 +222,11 @@
 	if tokens <= 0 {
 		return
 	}
-	e.interval += intervalGain * (took.Seconds()/float64(tokens) - e.interval)
+	interval := took.Seconds() / float64(tokens)
+	if e.interval == 0 {
+		e.interval = interval
+	}
+	e.interval += intervalGain * (interval - e.interval)
 }
 
 // View returns what is known for placing the prompt now.
@@ -250,13 +257,15 @@
 // exhausted reports whether a pending prompt of low priority was overtaken up
 // to its bound.
 func (e *Endpoint) exhausted() bool {
-	if e.waitingLow == 0 || e.cfg.OvertakeFactor == 0 {
-		return false
-	}
+	return e.waitingLow > 0 && e.cfg.OvertakeFactor > 0 && e.overtaken >= e.leastAllowance
+}
+
+// allow finds the pending prompt of low priority that may be overtaken least.
+func (e *Endpoint) allow() {
+	e.leastAllowance = math.MaxInt64
 	for _, p := range e.pending {
-		if p.priority == wire.PriorityLow && e.overtaken >= p.allowance {
-			return true
+		if p.priority == wire.PriorityLow {
+			e.leastAllowance = min(e.leastAllowance, p.allowance)
 		}
 	}
-	return false
 }
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -2,13 +2,24 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"cornelsaddle.example/cornelsaddle/core/errcode"
 	"cornelsaddle.example/cornelsaddle/internal/api"
 )
 
+// Limits of the operators' listener.
+const (
+	adminReadTimeout    = 10 * time.Second
+	adminWriteTimeout   = 30 * time.Second
+	adminIdleTimeout    = 60 * time.Second
+	adminMaxConnections = 256
+	adminMaxBodyBytes   = 1 << 20
+)
+
 // listener is a running fasthttp server.
 type listener struct {
 	net.Listener
@@ -16,12 +27,18 @@
 	done   chan struct{}
 }
 
-// serve serves the address until close.
+// serve serves operators on the address until close.
 func serve(address string, server *fasthttp.Server) (*listener, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	server.ErrorHandler = api.UnreadableRequest
+	server.ReadTimeout = adminReadTimeout
+	server.WriteTimeout = adminWriteTimeout
+	server.IdleTimeout = adminIdleTimeout
+	server.Concurrency = adminMaxConnections
+	server.MaxRequestBodySize = adminMaxBodyBytes
 	return serveListener(l, server), nil
 }
 
@@ -56,6 +73,16 @@
 // Printf implements fasthttp.Logger.
 func (silent) Printf(string, ...any) {}
 
+// refuseStranger answers an operator without the token.
+func refuseStranger(ctx *fasthttp.RequestCtx) {
+	api.Refuse(ctx, errcode.New(errcode.Unauthorized, "the operators' token is required"))
+}
+
+// refuseUnknownPath answers a path that operators do not have.
+func refuseUnknownPath(ctx *fasthttp.RequestCtx) {
+	api.Refuse(ctx, errcode.New(errcode.UnknownRoute, "no such path"))
+}
+
 // serveCallers serves callers within the settings' limits.
 func (n *Node) serveCallers() (*listener, error) {
 	c := n.settings.Callers
@@ -76,6 +103,8 @@
 		ReadBufferSize:     c.MaxHeaderBytes,
 		IdleTimeout:        c.IdleTimeout(),
 		ReadTimeout:        c.ReadTimeout(),
+		// Idle connections hold no buffers.
+		ReduceMemoryUsage: true,
 	}
 	if c.MaxConnections > 0 {
 		// The limit is the listener's, whose refusal is typed.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,31 +4,32 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/dig"
 
+	corequota "cornelsaddle.example/cornelsaddle/core/quota"
 	"cornelsaddle.example/cornelsaddle/internal/api"
 	"cornelsaddle.example/cornelsaddle/internal/call"
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/fleet"
+	"cornelsaddle.example/cornelsaddle/internal/health"
 	"cornelsaddle.example/cornelsaddle/internal/lease"
+	"cornelsaddle.example/cornelsaddle/internal/member"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
 	"cornelsaddle.example/cornelsaddle/internal/orders"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
 	"cornelsaddle.example/cornelsaddle/internal/prompt"
+	"cornelsaddle.example/cornelsaddle/internal/quota"
 	"cornelsaddle.example/cornelsaddle/internal/reserve"
 	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
 
-// releaseLimit bounds the hand-over of leases; it is about as long as they take
-// to run out.
-const releaseLimit = 15 * time.Second
-
 // recordLimit bounds the wait for outcomes of calls to be recorded while the
 // store is down.
 const recordLimit = 20 * time.Second
@@ -41,7 +42,11 @@
 	callers  *listener
 	admin    *listener
 	peers    *peer.Server
+	members  *member.Service
+	life     *lifecycle
 	started  time.Time
+	// running are the parts that were started, in order.
+	running []part
 }
 
 // parts is what dig puts together.
@@ -50,6 +55,7 @@
 	API      *api.API
 	Follower *confsync.Follower
 	Fleet    *fleet.Fleet
+	Quota    *quota.Keeper
 	Metrics  *metrics.Metrics
 	Store    *platform.Client
 	Streams  *endpoint.Client
@@ -57,12 +63,15 @@
 	Calls    *call.Runner
 	Leases   *lease.Manager
 	Orders   *orders.Manager
+	CallRows *call.Sweeper
 	Prompts  *prompt.Runner
 	Holder   *reserve.Holder
 	Sweeper  *reserve.Sweeper
 	Mux      *peer.Mux
 	Peers    *peer.Client
 	Identity peer.Identity
+	Health   *health.Health
+	View     *view
 }
 
 // Start wires the VM and begins to listen.
@@ -77,13 +86,7 @@
 	if err := c.Invoke(func(p parts) { n.parts = p }); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	n.parts.Follower.Start()
-	n.parts.Fleet.Start()
-	n.parts.Leases.Start()
-	n.parts.Orders.Start()
-	n.parts.Holder.Start()
-	n.parts.Sweeper.Start()
-	if err := n.listen(); err != nil {
+	if err := n.begin(); err != nil {
 		n.Close()
 		return nil, err
 	}
@@ -91,6 +94,54 @@
 	return n, nil
 }
 
+// begin listens and starts what runs by itself. The VM has its peers before it
+// has callers.
+func (n *Node) begin() error {
+	n.life = &lifecycle{
+		log:      n.log,
+		grace:    n.settings.Callers.DrainGrace(),
+		tell:     func() { n.members.Leave() },
+		refuse:   n.parts.API.Refuse,
+		wait:     n.finish,
+		inFlight: n.parts.API.InFlight,
+	}
+	n.OnHandOver(HandOver{"leases", n.parts.Leases.Release})
+	if err := n.life.start(); err != nil {
+		return err
+	}
+	if err := n.listenPeers(); err != nil {
+		return err
+	}
+	n.join()
+	n.parts.Orders.Also(call.SweepLease)
+	for _, p := range []part{
+		n.parts.Fleet, n.parts.Quota, n.parts.Leases, n.parts.Orders, n.parts.CallRows, n.parts.Holder, n.parts.Sweeper,
+	} {
+		n.run(p)
+	}
+	return n.listen()
+}
+
+// part is something that runs by itself from Start to Stop.
+type part interface {
+	Start()
+	Stop()
+}
+
+// run starts the part; Close stops it.
+func (n *Node) run(p part) {
+	p.Start()
+	n.running = append(n.running, p)
+}
+
+// finish waits for the requests in flight and the records of their calls.
+func (n *Node) finish() {
+	n.parts.API.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), recordLimit)
+	defer cancel()
+	_ = n.parts.Calls.Drain(ctx)
+}
+
 func (n *Node) constructors() []any {
 	return []any{
 		func() settings.Settings { return n.settings },
@@ -101,6 +152,7 @@
 		peer.NewMux,
 		newPeerConfig,
 		newPeerClient,
+		health.New,
 		fleet.New,
 		endpoint.New,
 		endpoint.NewCaller,
@@ -108,17 +160,25 @@
 		prompt.DefaultConfig,
 		newPrompts,
 		reserve.DefaultConfig,
-		newMembers,
+		newView,
+		func(v *view) reserve.Members { return v },
 		newAccountant,
 		newHolder,
 		newSweeper,
 		call.NewRunner,
 		lease.New,
+		newCallSweeper,
 		orders.New,
+		newQuota,
+		newGate,
 		api.New,
 	}
 }
 
+func newCallSweeper(runner *call.Runner, leases *lease.Manager) *call.Sweeper {
+	return call.NewSweeper(runner, leases)
+}
+
 func newStore(s settings.Settings) *platform.Client {
 	return platform.New(s.Platform.Address, s.Platform.Timeout())
 }
@@ -127,7 +187,12 @@
 	return prompt.NewRunner(cfg, f, streams, caller, h, log, m)
 }
 
-func newMembers(self peer.Identity) reserve.Members { return reserve.Solo{Self: self} }
+func newQuota(self peer.Identity, store *platform.Client, follower *confsync.Follower, log *event.Logger) *quota.Keeper {
+	holder := corequota.Holder{VM: self.VM, Incarnation: self.Incarnation}
+	return quota.New(corequota.DefaultConfig(), holder, store, follower, log)
+}
+
+func newGate(f *fleet.Fleet, k *quota.Keeper) api.Gate { return api.NewPromptGate(f, k) }
 
 func newAccountant(cfg reserve.Config, caller *endpoint.Caller, mux *peer.Mux) *reserve.Accountant {
 	return reserve.NewAccountant(cfg, caller, mux)
@@ -162,9 +227,12 @@
 	if n.callers, err = n.serveCallers(); err != nil {
 		return err
 	}
-	if n.admin, err = serve(n.settings.Admin.Address, n.adminServer()); err != nil {
-		return err
-	}
+	n.admin, err = serve(n.settings.Admin.Address, n.adminServer())
+	return err
+}
+
+func (n *Node) listenPeers() error {
+	var err error
 	cfg := newPeerConfig(n.parts.Identity, n.settings)
 	n.peers, err = peer.Listen(n.settings.Peers.Address, cfg, n.parts.Mux, n.log, n.parts.Metrics.Registry)
 	return err
@@ -184,42 +252,21 @@
 // Admin is the address of the operators' listener.
 func (n *Node) Admin() string { return n.admin.addr() }
 
-// Drain takes no new requests and waits for those in flight.
-func (n *Node) Drain() {
-	released := make(chan struct{})
-	go func() {
-		defer close(released)
-		n.releaseLeases()
-	}()
-	n.parts.API.Drain()
-	<-released
-	ctx, cancel := context.WithTimeout(context.Background(), recordLimit)
-	defer cancel()
-	_ = n.parts.Calls.Drain(ctx)
-}
-
-// releaseLeases hands over this VM's leases, or lets them run out.
-func (n *Node) releaseLeases() {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
-	defer cancel()
-	_ = n.parts.Leases.Release(ctx)
-}
-
 // Close stops the VM.
 func (n *Node) Close() {
 	n.callers.close()
 	n.admin.close()
+	for _, p := range slices.Backward(n.running) {
+		p.Stop()
+	}
+	if n.members != nil {
+		n.members.Stop()
+	}
 	if n.peers != nil {
 		n.peers.Close()
 	}
-	n.parts.Orders.Stop()
-	n.parts.Leases.Stop()
 	n.parts.Peers.Close()
-	n.parts.Fleet.Stop()
-	n.parts.Follower.Stop()
 	n.parts.Prompts.Close()
-	n.parts.Sweeper.Stop()
-	n.parts.Holder.Stop()
 	n.parts.Streams.Close()
 	n.parts.Caller.Close()
 	n.parts.Store.Close()
