Set the watch's timer under its lock

Cause: the race detector found look reading the timer without an order to its first assignment, in TestEveryRequestEnds and TestRecoversGroups, when the first look came before any other use of the lock. Shown by: go test -race -count=4 ./internal/prompt

--- a/internal/prompt/watch.go
+++ b/internal/prompt/watch.go
@@ -36,6 +36,8 @@
 
 func newWatch(a *Answer) *watch {
 	w := &watch{cfg: a.cfg, caller: a.req.Caller, deadline: a.req.Deadline, cancel: a.cancel, since: a.start}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(w.cfg.Watch, w.look)
 	return w
 }
