--- a/core/orders/reconciler.go
+++ b/core/orders/reconciler.go
@@ -234,7 +234,7 @@
 		r.inFlight[e.ID] = true
 		e.disturbed = true
 		e.loading = false
-		r.loads--
+		r.spend()
 		order := e.Want
 		order.Fencing = r.fencing
 		return Order{Answer{e.ID, r.fencing}, order}
@@ -303,6 +303,13 @@
 	r.loads = min(1, r.loads+passed*r.policy.LoadsPerSecond)
 }
 
+// spend takes one load off what the rate has left.
+func (r *Reconciler) spend() {
+	if r.policy.LoadsPerSecond > 0 {
+		r.loads--
+	}
+}
+
 // Progress counts the endpoints by whether they serve what they should.
 type Progress struct {
 	InForce   int
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -69,7 +69,7 @@
 	log         *event.Logger
 	vm          string
 	incarnation int64
-	gone        func(vm string, incarnation int64) bool
+	liveness    Liveness
 	// step is called before each action; tests stop the process there.
 	step func(calls.Action)
 
@@ -99,7 +99,16 @@
 
 // SetLiveness tells the Runner whom to ask which processes have ended. It is
 // called before the first call.
-func (r *Runner) SetLiveness(l Liveness) { r.gone = l.Gone }
+func (r *Runner) SetLiveness(l Liveness) { r.liveness = l }
+
+// gone reports whether a process is known to have ended: an earlier one of this
+// VM has.
+func (r *Runner) gone(vm string, incarnation int64) bool {
+	if vm == r.vm && incarnation != r.incarnation {
+		return true
+	}
+	return r.liveness != nil && r.liveness.Gone(vm, incarnation)
+}
 
 // Wait waits until the outcomes of all calls are recorded or given up.
 func (r *Runner) Wait() { r.running.Wait() }
@@ -157,8 +166,7 @@
 }
 
 func (r *Runner) state(row calls.Row) (State, error) {
-	gone := r.gone != nil && r.gone(row.VM, row.Incarnation)
-	reply := calls.Report(row, time.Now(), r.cfg, gone)
+	reply := calls.Report(row, time.Now(), r.cfg, r.gone(row.VM, row.Incarnation))
 	if reply.Err == nil {
 		answer, err := r.answer(*reply.Result)
 		return State{Status: calls.StatusDone, Ran: errcode.RanYes, Answer: answer}, err
