--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -15,8 +15,8 @@
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
-	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
 
 const (
@@ -79,9 +79,9 @@
 	budget     *calls.Budget
 }
 
-// NewRunner returns a Runner for the VM of the settings.
-func NewRunner(store *platform.Client, caller *endpoint.Caller, log *event.Logger, s settings.Settings) *Runner {
-	return newRunner(calls.DefaultConfig(), store, caller, log, s.VM.ID, time.Now().UnixNano())
+// NewRunner returns a Runner for this process.
+func NewRunner(store *platform.Client, caller *endpoint.Caller, log *event.Logger, self peer.Identity) *Runner {
+	return newRunner(calls.DefaultConfig(), store, caller, log, self.VM, self.Incarnation)
 }
 
 func newRunner(cfg calls.Config, store Store, service Service, log *event.Logger, vm string, incarnation int64) *Runner {
