--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -61,6 +61,12 @@
 	Gone(vm string, incarnation int64) bool
 }
 
+// Health knows which endpoints leave the fleet.
+type Health interface {
+	// Leaving reports whether the endpoint gets no new work.
+	Leaving(endpoint string) bool
+}
+
 // Runner makes calls. It is safe for concurrent use.
 type Runner struct {
 	cfg         calls.Config
@@ -70,6 +76,7 @@
 	vm          string
 	incarnation int64
 	liveness    Liveness
+	health      Health
 	// step is called before each action; tests stop the process there.
 	step func(calls.Action)
 
@@ -101,6 +108,10 @@
 // called before the first call.
 func (r *Runner) SetLiveness(l Liveness) { r.liveness = l }
 
+// SetHealth tells the Runner whom to ask which endpoints leave. It is called
+// before the first call.
+func (r *Runner) SetHealth(h Health) { r.health = h }
+
 // gone reports whether a process is known to have ended: an earlier one of this
 // VM has.
 func (r *Runner) gone(vm string, incarnation int64) bool {
--- a/internal/call/idempotent_test.go
+++ b/internal/call/idempotent_test.go
@@ -92,3 +92,18 @@
 	_, err := run.vms[1].Once(run.request("r-2", "k", "100"))
 	require.True(t, errcode.Is(err, errcode.CallOutcomeUnknown), "%v", err)
 }
+
+// leaving is a Health that knows one endpoint to leave.
+type leaving string
+
+func (l leaving) Leaving(endpoint string) bool { return string(l) == endpoint }
+
+func TestLeavingEndpointsGetNoCalls(t *testing.T) {
+	run := newTestRun(t, 1)
+	run.vms[0].SetHealth(leaving("ledger-1"))
+	_, err := run.vms[0].Once(run.request("r", "k", "100"))
+	require.True(t, errcode.Is(err, errcode.NoEndpoint))
+	_, err = run.vms[0].Idempotent(run.request("r", "", "100"))
+	require.True(t, errcode.Is(err, errcode.NoEndpoint))
+	require.Empty(t, run.service.Started())
+}
--- a/standin/experiment/study.go
+++ b/standin/experiment/study.go
@@ -41,8 +41,9 @@
 // baselines are run on engines that serve first come first served, and on
 // engines that are given priorities.
 func baselines() []contender {
-	var list []contender
-	for _, p := range []PolicyName{RoundRobin, Random, LeastOutstanding} {
+	policies := []PolicyName{RoundRobin, Random, LeastOutstanding}
+	list := make([]contender, 0, 2*len(policies))
+	for _, p := range policies {
 		list = append(list,
 			contender{string(p) + ", fcfs", func(c *Cell) { c.Policy = p }},
 			contender{string(p) + ", priorities", func(c *Cell) { c.Policy, c.Priorities = p, true }})
@@ -61,7 +62,7 @@
 // The delay weights of the two deployments.
 const (
 	kivukoniWeight = 0
-	vltavskeWeight = 0.3
+	vltavskeWeight = 1
 )
 
 // predictiveWith is the product's policy at the weight; a negative one stands
