Answer recorded calls by their deadline, whatever the store does

Cause: a claim could wait for the VM's share of the store after its time was up, a record of the outcome could keep the caller a second past its deadline, and a large result seconds; the caller's own large answer was read back from the object store, so that it was lost to the caller if the store failed in between.

Change: the wait for the share counts against the timeout; the record that the caller waits for ends with the deadline, and so does the object's write; the attempt's own caller gets the answer that was read, kept or not.

--- a/core/calls/act.go
+++ b/core/calls/act.go
@@ -57,11 +57,16 @@
 	return c.write(min(c.cfg.WriteTimeout, c.request.Deadline.Sub(c.now)))
 }
 
-// record writes the result. Where the claim's outcome is unknown, the write is
+// record writes the result. While the caller waits for it, the write ends with
+// the caller's deadline. Where the claim's outcome is unknown, the write is
 // conditioned on the claim's own condition: a claim that comes late then fails.
 func (c *Call) record() Action {
 	c.records++
-	return c.write(c.cfg.WriteTimeout)
+	within := c.cfg.WriteTimeout
+	if c.machine.State() == stateRecording {
+		within = min(within, c.request.Deadline.Sub(c.now))
+	}
+	return c.write(within)
 }
 
 func (c *Call) write(within time.Duration) Action {
@@ -81,7 +86,7 @@
 	if limit <= 0 || limit > c.cfg.MaxWait {
 		limit = c.cfg.MaxWait
 	}
-	if c.machine.State() == "waiting" {
+	if c.machine.State() == stateWaiting {
 		limit = min(limit, c.request.Deadline.Sub(c.now))
 	}
 	return time.Duration(c.rng.Int64N(int64(max(limit, 1))))
--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -10,6 +10,13 @@
 
 var chart = statechart.MustLoad("call")
 
+// States of the chart that the code asks for.
+const (
+	stateClaiming  statechart.State = "claiming"
+	stateWaiting   statechart.State = "waiting"
+	stateRecording statechart.State = "recording"
+)
+
 // Request is what a Call starts from.
 type Request struct {
 	// Key is the key of the row, see RowKey.
@@ -139,7 +146,7 @@
 	}
 	if c.foundErr == nil && c.foundMine() {
 		c.version = c.foundAt
-		if c.machine.State() == "claiming" {
+		if c.machine.State() == stateClaiming {
 			return "row_applied"
 		}
 	}
--- a/core/calls/fuzz_test.go
+++ b/core/calls/fuzz_test.go
@@ -174,3 +174,30 @@
 		})
 	}
 }
+
+// TestCallersDeadline checks that nothing is waited for past the caller's
+// deadline: writes before the answer end with it, and a service that took all
+// the time leaves none for the record.
+func TestCallersDeadline(t *testing.T) {
+	w := newWorld(realCall)
+	w.start("100")
+	c := w.attempts[0].call
+	handle := func(ev Event) []Action {
+		actions, err := c.Handle(w.now, ev)
+		require.NoError(t, err)
+		return actions
+	}
+	w.now = w.now.Add(9500 * time.Millisecond)
+	claim := handle(Started{})[0].(Write)
+	require.Equal(t, 500*time.Millisecond, claim.Within)
+	w.now = w.now.Add(100 * time.Millisecond)
+	send := handle(Written{Outcome: WriteApplied, Result: w.table.apply(claim.Txn)})[0].(Send)
+	require.Equal(t, 400*time.Millisecond, send.Within)
+	w.now = w.now.Add(send.Within)
+	record := handle(Sent{Outcome: SendLost})[0].(Write)
+	require.Zero(t, record.Within)
+	actions := handle(Written{Outcome: WriteRefused})
+	require.Equal(t, errcode.RanUnknown, actions[0].(Answer).Reply.Err.Ran)
+	require.IsType(t, Wait{}, actions[1])
+	require.Equal(t, DefaultConfig().WriteTimeout, handle(Woken{})[0].(Write).Within)
+}
--- a/internal/call/once.go
+++ b/internal/call/once.go
@@ -28,6 +28,9 @@
 	}
 	r.running.Go(d.run)
 	reply := <-d.reply
+	if d.sent != nil && (reply.Err == nil || reply.Err.Code == errcode.ResultTooLarge) {
+		return *d.sent, nil
+	}
 	if reply.Err != nil {
 		return endpoint.Answer{}, reply.Err
 	}
@@ -57,6 +60,9 @@
 	addresses []string
 	call      *calls.Call
 	reply     chan calls.Reply
+	// sent is the service's answer to this attempt, if it was read whole. Its
+	// caller gets it whatever becomes of the record.
+	sent *endpoint.Answer
 	// replied is set once the caller has its answer.
 	replied bool
 	// stopped is set when the outcome is given up.
@@ -182,6 +188,9 @@
 	call.Fresh = true
 	answer, err := d.runner.service.Do(call)
 	if err == nil {
+		if !answer.TooLarge {
+			d.sent = &answer
+		}
 		return calls.Sent{Outcome: calls.SendAnswered, Result: d.result(answer)}
 	}
 	if provedNotRun(err) {
@@ -204,8 +213,9 @@
 	return errors.As(err, &notSent) || errors.As(err, &refused)
 }
 
-// result puts a large body in the object store. One that can't be kept is
-// recorded as such: that the call ran matters more than what it answered.
+// result puts a large body in the object store. One that can't be kept by the
+// caller's deadline is recorded as such: that the call ran matters more than
+// what it answered.
 func (d *driver) result(answer endpoint.Answer) calls.Result {
 	result := calls.Result{HTTPStatus: answer.Status, Body: answer.Body, TooLarge: answer.TooLarge}
 	if len(answer.Body) <= maxInlineBytes {
@@ -213,8 +223,14 @@
 	}
 	result.Body = nil
 	result.Object = calls.ObjectPrefix + uuid.NewString()
-	if err := d.runner.store.PutObject(result.Object, answer.Body); err != nil {
-		return calls.Result{HTTPStatus: answer.Status, TooLarge: true}
+	put := make(chan error, 1)
+	d.runner.running.Go(func() { put <- d.runner.store.PutObject(result.Object, answer.Body) })
+	select {
+	case err := <-put:
+		if err == nil {
+			return result
+		}
+	case <-time.After(time.Until(d.request.Deadline)):
 	}
-	return result
+	return calls.Result{HTTPStatus: answer.Status, TooLarge: true}
 }
--- a/internal/call/once_test.go
+++ b/internal/call/once_test.go
@@ -10,6 +10,7 @@
 	"cornelsaddle.example/cornelsaddle/core/calls"
 	"cornelsaddle.example/cornelsaddle/core/errcode"
 	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/internal/platform"
 	"cornelsaddle.example/cornelsaddle/standin/service"
 )
 
@@ -127,6 +128,27 @@
 	require.Equal(t, errcode.RanYes, errcode.From(err).Ran)
 }
 
+// TestLargeResultWithoutTheObjectStore gives the caller its answer although it
+// can't be kept; a repeat learns that the call ran.
+func TestLargeResultWithoutTheObjectStore(t *testing.T) {
+	run := newTestRun(t, 2)
+	run.service.SetFaults(service.Faults{AnswerBytes: 2 * maxInlineBytes})
+	run.vms[0].store = noObjects{run.vms[0].store}
+	answer, err := run.vms[0].Once(run.request("r-1", "k", "100"))
+	require.NoError(t, err)
+	require.Len(t, answer.Body, 2*maxInlineBytes)
+	run.vms[0].Wait()
+	_, err = run.vms[1].Once(run.request("r-2", "k", "100"))
+	require.True(t, errcode.Is(err, errcode.ResultTooLarge))
+	require.Equal(t, errcode.RanYes, errcode.From(err).Ran)
+	require.Equal(t, 1, run.service.Effects()["k"])
+}
+
+// noObjects is a Store whose object store is down.
+type noObjects struct{ Store }
+
+func (noObjects) PutObject(string, []byte) error { return &platform.StatusError{Status: 503} }
+
 // gone is a Liveness that knows one process to have ended.
 type gone struct{ vm string }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -138,7 +138,8 @@
 	body       []byte
 }
 
-// attempt sends the request once, within the client's limits. An error that
+// attempt sends the request once, within the client's limits and the timeout,
+// which the wait for this VM's share counts against. An error that
 // is a NotSentError proves that nothing was sent.
 func (c *Client) attempt(r request, timeout time.Duration) (answer, error) {
 	select {
@@ -147,13 +148,13 @@
 	default:
 		return answer{}, errors.WithStack(&NotSentError{ReasonBusy})
 	}
-	wait, ok := c.limits.admit(r.class)
+	wait, ok := c.limits.admit(r.class, timeout)
 	if !ok {
 		return answer{}, errors.WithStack(&NotSentError{ReasonThrottled})
 	}
 	time.Sleep(wait)
 	c.counts.add(r.class)
-	return c.raw(r, timeout)
+	return c.raw(r, timeout-wait)
 }
 
 // raw sends the request, once.
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -156,12 +156,12 @@
 		l := newLimits(r, vms)
 		calls, control := 0, 0
 		for range 10_000 {
-			if _, ok := l.admit(ClassCallWrite); ok {
+			if _, ok := l.admit(ClassCallWrite, time.Second); ok {
 				calls++
 			}
 		}
 		for range 10_000 {
-			if _, ok := l.admit(ClassControlWrite); ok {
+			if _, ok := l.admit(ClassControlWrite, time.Second); ok {
 				control++
 			}
 		}
--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -101,34 +101,36 @@
 	limiter.SetBurst(l.burst(perSecond))
 }
 
-// admit returns how long the request must wait, and whether it may go at all.
-func (l *limits) admit(class Class) (time.Duration, bool) {
+// admit returns how long the request must wait, and whether it may go at all:
+// not if that is longer than it is ready to.
+func (l *limits) admit(class Class, ready time.Duration) (time.Duration, bool) {
+	ready = min(ready, l.rates.MaxWait)
 	switch class {
 	case ClassRead:
-		wait, _, ok := l.reserve(l.reads)
+		wait, _, ok := l.reserve(l.reads, ready)
 		return wait, ok
 	case ClassControlWrite:
-		wait, _, ok := l.reserve(l.writes)
+		wait, _, ok := l.reserve(l.writes, ready)
 		return wait, ok
 	}
-	wait, r, ok := l.reserve(l.calls)
+	wait, r, ok := l.reserve(l.calls, ready)
 	if !ok {
 		return 0, false
 	}
-	more, _, ok := l.reserve(l.writes)
+	more, _, ok := l.reserve(l.writes, ready)
 	if !ok {
 		r.Cancel()
 	}
 	return max(wait, more), ok
 }
 
-func (l *limits) reserve(limiter *rate.Limiter) (time.Duration, *rate.Reservation, bool) {
+func (l *limits) reserve(limiter *rate.Limiter, ready time.Duration) (time.Duration, *rate.Reservation, bool) {
 	r := limiter.Reserve()
 	if !r.OK() {
 		return 0, nil, false
 	}
 	wait := r.Delay()
-	if wait > l.rates.MaxWait {
+	if wait > 0 && wait >= ready {
 		r.Cancel()
 		return 0, nil, false
 	}
