--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -61,16 +61,22 @@
 	Gone(vm string, incarnation int64) bool
 }
 
+// Health knows which endpoints leave the fleet.
+type Health interface {
+	// Leaving reports whether the endpoint gets no new work.
+	Leaving(endpoint string) bool
+}
+
 // Runner makes calls. It is safe for concurrent use.
 type Runner struct {
-	leaving     func(endpoint string) bool
 	cfg         calls.Config
 	store       Store
 	service     Service
 	log         *event.Logger
 	vm          string
 	incarnation int64
-	gone        func(vm string, incarnation int64) bool
+	liveness    Liveness
+	health      Health
 	// step is called before each action; tests stop the process there.
 	step func(calls.Action)
 
@@ -80,7 +86,7 @@
 	budget     *calls.Budget
 }
 
-// NewRunner returns a Runner for the VM of the settings.
+// NewRunner returns a Runner for this process.
 func NewRunner(store *platform.Client, caller *endpoint.Caller, log *event.Logger, self peer.Identity) *Runner {
 	return newRunner(calls.DefaultConfig(), store, caller, log, self.VM, self.Incarnation)
 }
@@ -100,11 +106,20 @@
 
 // SetLiveness tells the Runner whom to ask which processes have ended. It is
 // called before the first call.
-func (r *Runner) SetLiveness(l Liveness) { r.gone = l.Gone }
+func (r *Runner) SetLiveness(l Liveness) { r.liveness = l }
 
-// SetLeaving tells the Runner which endpoints take no new work. It is called
+// SetHealth tells the Runner whom to ask which endpoints leave. It is called
 // before the first call.
-func (r *Runner) SetLeaving(leaving func(endpoint string) bool) { r.leaving = leaving }
+func (r *Runner) SetHealth(h Health) { r.health = h }
+
+// gone reports whether a process is known to have ended: an earlier one of this
+// VM has.
+func (r *Runner) gone(vm string, incarnation int64) bool {
+	if vm == r.vm && incarnation != r.incarnation {
+		return true
+	}
+	return r.liveness != nil && r.liveness.Gone(vm, incarnation)
+}
 
 // Wait waits until the outcomes of all calls are recorded or given up.
 func (r *Runner) Wait() { r.running.Wait() }
@@ -162,8 +177,7 @@
 }
 
 func (r *Runner) state(row calls.Row) (State, error) {
-	gone := r.gone != nil && r.gone(row.VM, row.Incarnation)
-	reply := calls.Report(row, time.Now(), r.cfg, gone)
+	reply := calls.Report(row, time.Now(), r.cfg, r.gone(row.VM, row.Incarnation))
 	if reply.Err == nil {
 		answer, err := r.answer(*reply.Result)
 		return State{Status: calls.StatusDone, Ran: errcode.RanYes, Answer: answer}, err
--- a/internal/call/idempotent.go
+++ b/internal/call/idempotent.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"cornelsaddle.example/cornelsaddle/core/errcode"
@@ -70,12 +69,11 @@
 func (r *Runner) addresses(req Request) []string {
 	var list []string
 	for id, e := range req.Snapshot.Endpoints {
-		leaves := e.Leaving || r.leaving != nil && r.leaving(id)
-		if e.Service == req.Service && !leaves {
-			list = append(list, e.Address)
+		if e.Service != req.Service || e.Leaving || r.health != nil && r.health.Leaving(id) {
+			continue
 		}
+		list = append(list, e.Address)
 	}
-	slices.Sort(list)
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list
 }
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -11,8 +11,8 @@
 	"cornelsaddle.example/cornelsaddle/core/lease"
 	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
-	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
 
 const (
@@ -50,9 +50,9 @@
 	running sync.WaitGroup
 }
 
-// New returns a Manager for the VM of the settings.
-func New(store *platform.Client, log *event.Logger, s settings.Settings) *Manager {
-	return newManager(lease.DefaultConfig(), store, log, s.VM.ID, time.Now().UnixNano(), systemClock)
+// New returns a Manager for this process.
+func New(store *platform.Client, log *event.Logger, self peer.Identity) *Manager {
+	return newManager(lease.DefaultConfig(), store, log, self.VM, self.Incarnation, systemClock)
 }
 
 func newManager(cfg lease.Config, store Store, log *event.Logger, vm string, incarnation int64, now clock) *Manager {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -75,7 +75,7 @@
 	n.notices = startNotices(n.members, p.Mux, p.Fleet.PeerDigest)
 	p.Fleet.SetNotify(n.notices.send)
 	p.Calls.SetLiveness(n.parts.View)
-	p.Calls.SetLeaving(p.Health.Leaving)
+	p.Calls.SetHealth(p.Health)
 	p.Health.Tell(n.members.MarkEndpoint)
 	p.Fleet.SetHealth(p.Health)
 	p.Follower.Join(n.members, p.Mux)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,6 +115,8 @@
 		return err
 	}
 	n.join()
+	n.parts.Calls.SetLiveness(n.parts.View)
+	n.parts.Calls.SetHealth(n.parts.Health)
 	n.parts.Orders.Also(call.SweepLease)
 	for _, p := range []part{
 		n.parts.Fleet, n.parts.Quota, n.parts.Leases, n.parts.Orders, n.parts.CallRows, n.parts.Holder, n.parts.Sweeper,
