Let the demo's entry VMs know each other

Cause: the stand-in platform's list of VMs was empty in the demo, so with the membership merged each VM took itself for the only one.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -73,7 +73,7 @@
 		return err
 	}
 	defer s.close()
-	fmt.Fprintln(opts.Out, "all entry VMs are ready")
+	fmt.Fprintln(opts.Out, "all entry VMs are ready and know each other")
 	if err := s.measure(ctx, opts); err != nil {
 		return err
 	}
@@ -101,7 +101,7 @@
 		duration time.Duration
 		result   *loadgen.Result
 	}{
-		{"warm-up", all, opts.WarmUp, &warm},
+		{"warm-up", all.Only(classShort, classMedium), opts.WarmUp, &warm},
 		{"short prompts alone", all.Only(classShort), opts.Alone, &m.alone},
 		{"short and medium prompts", all.Only(classShort, classMedium), opts.Medium, &m.medium},
 		{"all lengths together", all, opts.Together, &m.together},
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,8 +33,6 @@
 	writesPerSecond = 500
 	readsPerSecond  = 2000
 	platformTimeout = 2 * time.Second
-	readyTimeout    = 15 * time.Second
-	readyInterval   = 20 * time.Millisecond
 	adminToken      = "demo-admin-token"
 	peerKey         = "demo-peer-key-0001"
 	logLevel        = "info"
@@ -67,12 +65,6 @@
 	parts      []closer
 }
 
-// NotReadyError says that a VM did not become ready in time.
-type NotReadyError struct{ Address string }
-
-// Error implements error.
-func (e *NotReadyError) Error() string { return "the VM at " + e.Address + " did not become ready" }
-
 // start starts all parts; on failure it closes those that run.
 func start(d Deployment, logs io.Writer) (*system, error) {
 	s := &system{deployment: d}
@@ -106,7 +98,7 @@
 			return err
 		}
 	}
-	return s.waitReady()
+	return s.waitTogether()
 }
 
 // startEndpoints starts the engines and services and enters them in doc.
@@ -182,6 +174,8 @@
 		FailureDomain: s.deployment.FailureDomains[i%len(s.deployment.FailureDomains)],
 	}
 	conf.Callers.Address = loopback
+	// No balancer is there to notice a shutdown.
+	conf.Callers.DrainGraceMs = 1
 	conf.Admin = settings.Admin{Address: loopback, Token: adminToken}
 	conf.Peers.Address = loopback
 	conf.Peers.Keys = []string{peerKey}
@@ -198,29 +192,6 @@
 	return nil
 }
 
-// waitReady waits until every VM has the configuration in force.
-func (s *system) waitReady() error {
-	limit := time.Now().Add(readyTimeout)
-	for _, n := range s.nodes {
-		for !ready(n.Admin()) {
-			if time.Now().After(limit) {
-				return errors.WithStack(&NotReadyError{n.Admin()})
-			}
-			time.Sleep(readyInterval)
-		}
-	}
-	return nil
-}
-
-func ready(admin string) bool {
-	res, err := http.Get("http://" + admin + "/readyz")
-	if err != nil {
-		return false
-	}
-	_ = res.Body.Close()
-	return res.StatusCode == http.StatusOK
-}
-
 // callers lists the VMs' addresses for callers.
 func (s *system) callers() []string {
 	list := make([]string, 0, len(s.nodes))
@@ -232,10 +203,14 @@
 
 // close drains the VMs and stops everything.
 func (s *system) close() {
+	var wg sync.WaitGroup
 	for _, n := range s.nodes {
-		n.Drain()
-		n.Close()
+		wg.Go(func() {
+			n.Drain()
+			n.Close()
+		})
 	}
+	wg.Wait()
 	for i := len(s.parts) - 1; i >= 0; i-- {
 		s.parts[i].Close()
 	}
--- a/internal/node/badinput_test.go
+++ b/internal/node/badinput_test.go
@@ -131,6 +131,7 @@
 	s.Callers.ReadTimeoutMs = 300
 	s.Callers.IdleTimeoutMs = 300
 	s.Callers.WriteTimeoutMs = 300
+	s.Callers.DrainGraceMs = 1
 	s.Admin = settings.Admin{Address: "127.0.0.1:0", Token: adminSecret}
 	s.Peers = settings.Peers{Address: "127.0.0.1:0", Keys: []string{peerSecret}}
 	s.Platform.Address = store
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -218,6 +218,9 @@
 // Admin is the address of the operators' listener.
 func (n *Node) Admin() string { return n.admin.addr() }
 
+// Peers is the address of the listener for the other VMs.
+func (n *Node) Peers() string { return n.peers.Addr() }
+
 // Close stops the VM.
 func (n *Node) Close() {
 	n.callers.close()
