--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -74,8 +74,6 @@
 	n.keeper = n.startKeeper()
 	n.notices = startNotices(n.members, p.Mux, p.Fleet.PeerDigest)
 	p.Fleet.SetNotify(n.notices.send)
-	p.Calls.SetLiveness(n.parts.View)
-	p.Calls.SetHealth(p.Health)
 	p.Health.Tell(n.members.MarkEndpoint)
 	p.Fleet.SetHealth(p.Health)
 	p.Follower.Join(n.members, p.Mux)
