Let load reports ride on answers, so that a busy VM hardly polls

Cause: at the size to design for, a VM has 64 endpoints in view; ten and more polls a second of 323 bytes, beside the probes, pass 4 KB/s of control.

Ruled out: fewer polls (reports would be older than five seconds) and digests between VMs (they cost the same bytes).

Change: an engine sends its load report in a header of each stream; a VM with more than 32 endpoints in view, which reads no cache events, puts the endpoint's next poll off by it. A report older than the last one changes nothing.

--- a/core/wire/engine.go
+++ b/core/wire/engine.go
@@ -25,6 +25,8 @@
 	HeaderTimeoutMs      = "X-Request-Timeout-Ms"
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderReservation    = "X-Reservation"
+	// HeaderLoadReport carries an engine's LoadReport with a stream, as JSON.
+	HeaderLoadReport = "X-Load-Report"
 )
 
 // Priority is the level at which an engine serves a prompt's prefill.
--- a/internal/api/completions_test.go
+++ b/internal/api/completions_test.go
@@ -50,11 +50,13 @@
 	return placement.Choice{Priority: p.Priority}, views[0]
 }
 func (oneEngine) SentPrompt(string, string, placement.Prompt, wire.Priority) {}
-func (oneEngine) FirstToken(string, string)                                  {}
-func (oneEngine) Ended(string, string)                                       {}
-func (oneEngine) Answered(string, fleet.Answer)                              {}
-func (oneEngine) Done(string, int64)                                         {}
-func (oneEngine) Failed(string)                                              {}
+func (oneEngine) Reported(string, configuration.Endpoint, wire.LoadReport)   {}
+
+func (oneEngine) FirstToken(string, string)     {}
+func (oneEngine) Ended(string, string)          {}
+func (oneEngine) Answered(string, fleet.Answer) {}
+func (oneEngine) Done(string, int64)            {}
+func (oneEngine) Failed(string)                 {}
 
 // noHolder holds nothing.
 type noHolder struct{}
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -90,6 +91,9 @@
 type Stream struct {
 	body   io.ReadCloser
 	events *eventReader
+	// load came with the answer if hasLoad says so.
+	load    wire.LoadReport
+	hasLoad bool
 }
 
 // Open sends the attempt and returns its stream. Cancelling ctx ends it. A
@@ -113,9 +117,23 @@
 		_ = res.Body.Close()
 		return nil, statusError(res)
 	}
-	return NewStream(res.Body), nil
+	s := NewStream(res.Body)
+	s.load, s.hasLoad = readLoad(res.Header.Get(wire.HeaderLoadReport))
+	return s, nil
 }
 
+// readLoad reads the load report that rides on an answer; false for none.
+func readLoad(header string) (wire.LoadReport, bool) {
+	var r wire.LoadReport
+	if header == "" || json.Unmarshal([]byte(header), &r) != nil {
+		return wire.LoadReport{}, false
+	}
+	return r, r.AtMs > 0
+}
+
+// Load is the engine's load report that came with the answer; false for none.
+func (s *Stream) Load() (wire.LoadReport, bool) { return s.load, s.hasLoad }
+
 // NewStream returns the stream that the body carries.
 func NewStream(body io.ReadCloser) *Stream {
 	return &Stream{body: body, events: newEventReader(body)}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,7 +25,10 @@
 	alive       bool
 	leaving     bool
 	incarnation string
-	// polled is when the last poll was begun.
+	// reportedMs is the time stamp of the last report, in milliseconds since the
+	// epoch.
+	reportedMs int64
+	// polled is when the last poll was begun, or a report came with an answer.
 	polled time.Time
 	// own is what this VM sent there, and peers what each of them did when last
 	// heard of.
@@ -44,6 +47,8 @@
 
 	mu     sync.Mutex
 	states map[string]*state
+	// viewed is the number of endpoints in view.
+	viewed int
 	picker *placement.Picker
 	// controllers decide on admission, by service.
 	controllers map[string]*admission.Controller
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -66,6 +66,23 @@
 	require.Zero(t, f.Views(snap, "pool", nil)[0].Held)
 }
 
+// TestReportsComeWithAnswers takes the reports that ride on answers in place of
+// polls; a late one changes nothing.
+func TestReportsComeWithAnswers(t *testing.T) {
+	f, snap := testFleet(t)
+	e := snap.Endpoints["a"]
+	f.note("a", e, wire.LoadReport{AtMs: 1000, Incarnation: "1"}, nil)
+	f.viewed = cacheEventEndpoints + 1
+	f.Reported("a", e, wire.LoadReport{AtMs: 2000, Incarnation: "1", Leaving: true})
+	require.Equal(t, []string{"b"}, ids(f.Views(snap, "pool", nil)))
+	require.WithinDuration(t, time.Now(), f.states["a"].polled, time.Minute)
+	f.Reported("a", e, wire.LoadReport{AtMs: 1500, Incarnation: "1"})
+	require.Equal(t, []string{"b"}, ids(f.Views(snap, "pool", nil)))
+	f.Failed("b")
+	f.Reported("b", snap.Endpoints["b"], wire.LoadReport{AtMs: 3000})
+	require.Empty(t, f.Views(snap, "pool", nil))
+}
+
 func TestRefusalsAreTypedAndSayWhenToComeBack(t *testing.T) {
 	f, snap := testFleet(t)
 	ask := Ask{
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -78,6 +78,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	ids := f.inView(snap)
+	f.viewed = len(ids)
 	interval := pollInterval(len(ids))
 	var targets []target
 	for _, id := range ids {
@@ -151,10 +152,32 @@
 		f.log.Emit(event.EndpointBack{Endpoint: id})
 	}
 	st.alive = true
+	f.take(id, e, st, report)
+}
+
+// Reported takes the load report that came with an answer of the endpoint. With
+// so many endpoints in view that polls read nothing else, its next poll is due
+// that much later: a busy VM hardly polls.
+func (f *Fleet) Reported(id string, e configuration.Endpoint, report wire.LoadReport) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	st, ok := f.states[id]
+	if !ok || !st.alive || report.AtMs <= st.reportedMs {
+		return
+	}
+	if f.viewed > cacheEventEndpoints {
+		st.polled = time.Now()
+	}
+	f.take(id, e, st, report)
+}
+
+// take takes a report of an endpoint that lives. The lock is held.
+func (f *Fleet) take(id string, e configuration.Endpoint, st *state, report wire.LoadReport) {
 	if st.incarnation != "" && st.incarnation != report.Incarnation {
 		st.known = newKnown(f.cfg, id, e)
 	}
 	st.incarnation = report.Incarnation
+	st.reportedMs = report.AtMs
 	st.leaving = report.Leaving
 	st.known.Report(time.Now(), report)
 }
--- a/internal/prompt/attempt.go
+++ b/internal/prompt/attempt.go
@@ -243,6 +243,9 @@
 	}
 	a.ran = errcode.RanYes
 	a.attempt.stream = s
+	if load, ok := s.Load(); ok {
+		a.fleet.Reported(a.attempt.endpoint, a.req.Snapshot.Endpoints[a.attempt.endpoint], load)
+	}
 	return nothing
 }
 
--- a/internal/prompt/fake_test.go
+++ b/internal/prompt/fake_test.go
@@ -234,6 +234,8 @@
 
 func (f *fixedFleet) FirstToken(string, string) {}
 
+func (f *fixedFleet) Reported(string, configuration.Endpoint, wire.LoadReport) {}
+
 func (f *fixedFleet) Answered(string, fleet.Answer) {}
 
 func (f *fixedFleet) Ended(string, string) {
--- a/internal/prompt/prompt.go
+++ b/internal/prompt/prompt.go
@@ -79,6 +79,8 @@
 	// Done notes that the request is over, with the length of its whole answer
 	// or zero.
 	Done(request string, tokens int64)
+	// Reported takes the load report that came with an answer.
+	Reported(id string, e configuration.Endpoint, r wire.LoadReport)
 	// Failed notes that the endpoint failed.
 	Failed(id string)
 }
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"encoding/json"
 	"strconv"
 	"sync"
 	"time"
@@ -228,13 +229,26 @@
 }
 
 func (s *Server) load(ctx *fasthttp.RequestCtx) {
+	httpjson.Write(ctx, fasthttp.StatusOK, s.lastReport())
+}
+
+// lastReport is the newest report that is as old as the lag.
+func (s *Server) lastReport() wire.LoadReport {
 	s.mu.Lock()
-	var r wire.LoadReport
-	if len(s.reports) > 0 {
-		r = s.reports[0]
+	defer s.mu.Unlock()
+	if len(s.reports) == 0 {
+		return wire.LoadReport{}
 	}
-	s.mu.Unlock()
-	httpjson.Write(ctx, fasthttp.StatusOK, r)
+	return s.reports[0]
+}
+
+// setLoadReport lets the last report ride on an answer.
+func (s *Server) setLoadReport(ctx *fasthttp.RequestCtx) {
+	data, err := json.Marshal(s.lastReport())
+	if err != nil {
+		return
+	}
+	ctx.Response.Header.SetBytesV(wire.HeaderLoadReport, data)
 }
 
 func (s *Server) cacheEvents(ctx *fasthttp.RequestCtx) {
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -28,6 +28,7 @@
 		return
 	}
 	ctx.Response.Header.SetContentType("text/event-stream")
+	s.setLoadReport(ctx)
 	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer s.cut(st.seq.ID)
--- a/test/capacity/control.go
+++ b/test/capacity/control.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -29,16 +30,58 @@
 		return err
 	}
 	fmt.Println("\n## An entry VM without requests")
-	fmt.Println("| endpoints | share of a core | resident MB |")
-	fmt.Println("|---|---|---|")
+	fmt.Println("| endpoints | share of a core | resident MB | load polls/s |")
+	fmt.Println("|---|---|---|---|")
 	for _, endpoints := range []int{1, 16, 64, 256} {
 		if err := controlPoint(endpoints, controlFactor*length); err != nil {
 			return err
 		}
 	}
+	return busyPoint(controlFactor * length)
+}
+
+// busyPoint counts the load polls of an entry VM with a node's part of the
+// requests at the size to design for.
+func busyPoint(length time.Duration) error {
+	const (
+		endpoints = 64
+		streams   = 12
+		tokens    = 10
+	)
+	s, err := startEndpoints(endpoints)
+	if err != nil {
+		return err
+	}
+	defer s.stop()
+	before, err := s.polls()
+	if err != nil {
+		return err
+	}
+	l := load{address: s.entry.address, streams: streams, tokens: tokens, interval: tokenInterval, promptBytes: 4000, length: length}
+	r, err := l.run(s.entry)
+	if err != nil {
+		return err
+	}
+	after, err := s.polls()
+	if err != nil {
+		return err
+	}
+	seconds := r.elapsed.Seconds()
+	fmt.Printf("\nWith %.0f requests/s over %d endpoints: %.1f load polls/s, %d failed.\n",
+		float64(r.requests)/seconds, endpoints, float64(after-before)/seconds, r.failed)
 	return nil
 }
 
+// polls is the number of load polls that the source has answered.
+func (s *system) polls() (int64, error) {
+	_, body, err := fasthttp.GetTimeout(nil, "http://"+s.addresses[0]+pathPolls, pollTimeout)
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	n, err := strconv.ParseInt(string(body), 10, 64)
+	return n, errors.WithStack(err)
+}
+
 func controlPoint(endpoints int, length time.Duration) error {
 	s, err := startEndpoints(endpoints)
 	if err != nil {
@@ -49,13 +92,23 @@
 	if err != nil {
 		return err
 	}
+	polled, err := s.polls()
+	if err != nil {
+		return err
+	}
 	time.Sleep(length)
 	after, err := s.entry.usage()
 	if err != nil {
 		return err
 	}
+	polls, err := s.polls()
+	if err != nil {
+		return err
+	}
 	used := after.processor - before.processor
-	fmt.Printf("| %d | %.4f | %.1f |\n", endpoints, used.Seconds()/length.Seconds(), float64(after.resident)/(1<<20))
+	seconds := length.Seconds()
+	fmt.Printf("| %d | %.4f | %.1f | %.1f |\n", endpoints, used.Seconds()/seconds,
+		float64(after.resident)/(1<<20), float64(polls-polled)/seconds)
 	return nil
 }
 
--- a/test/capacity/roles.go
+++ b/test/capacity/roles.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,6 +34,8 @@
 const (
 	loopback   = "127.0.0.1:0"
 	copyBuffer = 4 << 10
+	// pathPolls tells how many load polls the source has answered.
+	pathPolls = "/polls"
 	// sourceMemory is the KV memory that the source reports, in tokens.
 	sourceMemory = 1 << 40
 )
@@ -58,14 +61,13 @@
 		httpjson.Write(ctx, fasthttp.StatusOK, wire.ReservationList{})
 	})
 	r.DELETE(wire.PathReservations+"/{id}", accept)
+	var polls atomic.Int64
 	r.GET(wire.PathEngineLoad, func(ctx *fasthttp.RequestCtx) {
-		httpjson.Write(ctx, fasthttp.StatusOK, wire.LoadReport{
-			AtMs:        time.Now().UnixMilli(),
-			Incarnation: "source",
-			PrefillRate: sourceMemory,
-			FreeTokens:  sourceMemory,
-			TotalTokens: sourceMemory,
-		})
+		polls.Add(1)
+		httpjson.Write(ctx, fasthttp.StatusOK, sourceReport())
+	})
+	r.GET(pathPolls, func(ctx *fasthttp.RequestCtx) {
+		ctx.SetBodyString(strconv.FormatInt(polls.Load(), 10))
 	})
 	addresses := make([]string, 0, listeners)
 	for range listeners {
@@ -80,6 +82,17 @@
 	return nil
 }
 
+// sourceReport is the load of an idle engine.
+func sourceReport() wire.LoadReport {
+	return wire.LoadReport{
+		AtMs:        time.Now().UnixMilli(),
+		Incarnation: "source",
+		PrefillRate: sourceMemory,
+		FreeTokens:  sourceMemory,
+		TotalTokens: sourceMemory,
+	}
+}
+
 // accept answers without a body.
 func accept(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusNoContent) }
 
@@ -99,6 +112,9 @@
 	name := string(ctx.Request.Header.Peek(wire.HeaderRequestID))
 	attempt := string(ctx.Request.Header.Peek(wire.HeaderAttempt))
 	ctx.Response.Header.SetContentType("text/event-stream")
+	if report, err := json.Marshal(sourceReport()); err == nil {
+		ctx.Response.Header.SetBytesV(wire.HeaderLoadReport, report)
+	}
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		writeTokens(w, name+"/"+attempt+"/", name, p.MaxTokens, interval)
 	})
