--- a/test/process/membership_test.go
+++ b/test/process/membership_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -322,6 +323,19 @@
 		require.NoError(t, err)
 		require.Contains(t, string(data), fmt.Sprintf(`"max_timeout_ms":%d`, 1000+rounds))
 	}
+	// The newest folder applied again, as the operators' page says, with a wait.
+	apply := exec.Command(s.ctl, "apply", "-json", "-platform", s.platform, "-base", fmt.Sprint(newest),
+		"-wait", waitLimit.String(), "-admin", strings.Join(s.admins, ","), final)
+	apply.Env = append(os.Environ(), "CORNELSADDLE_ADMIN_TOKEN="+adminToken)
+	out, err = apply.Output()
+	require.NoError(t, err, string(out))
+	var accepted struct {
+		Version int64    `json:"version"`
+		InForce []string `json:"in_force"`
+	}
+	require.NoError(t, json.Unmarshal(out, &accepted), string(out))
+	require.Equal(t, int64(newest+1), accepted.Version)
+	require.Len(t, accepted.InForce, len(s.admins))
 }
 
 // operate makes changes of one file, each from the newest version.
