--- a/test/process/streams_test.go
+++ b/test/process/streams_test.go
@@ -42,6 +42,18 @@
 	}, waitLimit, 20*time.Millisecond)
 }
 
+// held is the number of reservations at the engines.
+func held(t *testing.T, engines []string) int {
+	t.Helper()
+	n := 0
+	for _, address := range engines {
+		var list wire.ReservationList
+		require.True(t, getJSON(address, wire.PathReservations, &list))
+		n += len(list.Reservations)
+	}
+	return n
+}
+
 // streaming is the index of the engine that started the request.
 func streaming(t *testing.T, engines []string, request string) int {
 	t.Helper()
@@ -72,6 +84,24 @@
 		requireMemoryBack(t, s.engines)
 	})
 
+	t.Run("a VM dies while it holds a group", func(t *testing.T) {
+		const last = entryVMs - 1
+		req := prompt(3)
+		req.Prompt = strings.Repeat("donor collection page ", 150_000)
+		req.MaxTokens = 3000
+		res := post(t, s.callers[last], wire.PathCompletions, "", req)
+		require.Equal(t, http.StatusOK, res.StatusCode)
+		require.Positive(t, held(t, s.engines))
+		require.NoError(t, s.vms[last].cmd.Process.Kill())
+		<-s.vms[last].done
+		_, whole := readStream(t, res.Body)
+		require.False(t, whole)
+		require.Positive(t, held(t, s.engines))
+		// Its next incarnation proves that the last one is gone.
+		s.startVM(t, build(t, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddle"), t.TempDir(), s.platform, last)
+		requireMemoryBack(t, s.engines)
+	})
+
 	t.Run("an engine dies in the middle of an answer", func(t *testing.T) {
 		const long = 1500
 		req := prompt(1)
