--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -26,7 +26,7 @@
 func (o *observer) PeerVersion(address string, version int64) { o.follower.Heard(address, version) }
 
 // PeerDigest implements member.Observer.
-func (o *observer) PeerDigest(string, []byte) {}
+func (o *observer) PeerDigest(vm string, digest []byte) { o.fleet.PeerDigest(vm, digest) }
 
 // EndpointLeaves implements member.Observer.
 func (o *observer) EndpointLeaves(mark membership.Mark) { o.health.Marked(mark) }
@@ -68,12 +68,14 @@
 		Log:      n.log,
 		Observer: &observer{p.Identity.VM, p.Fleet, p.View, p.Follower, p.Health},
 		Version:  p.Follower.Known,
+		Digest:   p.Fleet.Digest,
 	}, p.Mux))
 	n.members = n.parts.View.service.Load()
 	n.keeper = n.startKeeper()
-	n.notices = startNotices(p.Fleet, n.members, p.Mux)
+	n.notices = startNotices(n.members, p.Mux, p.Fleet.PeerDigest)
+	p.Fleet.SetNotify(n.notices.send)
 	p.Calls.SetLiveness(n.parts.View)
-	p.Calls.SetLeaving(p.Health.Leaving)
+	p.Calls.SetHealth(p.Health)
 	p.Health.Tell(n.members.MarkEndpoint)
 	p.Fleet.SetHealth(p.Health)
 	p.Follower.Join(n.members, p.Mux)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,6 +115,8 @@
 		return err
 	}
 	n.join()
+	n.parts.Calls.SetLiveness(n.parts.View)
+	n.parts.Calls.SetHealth(n.parts.Health)
 	n.parts.Orders.Also(call.SweepLease)
 	for _, p := range []part{
 		n.parts.Fleet, n.parts.Quota, n.parts.Leases, n.parts.Orders, n.parts.CallRows, n.parts.Holder, n.parts.Sweeper,
@@ -254,6 +256,9 @@
 // Admin is the address of the operators' listener.
 func (n *Node) Admin() string { return n.admin.addr() }
 
+// Peers is the address of the listener for the other VMs.
+func (n *Node) Peers() string { return n.peers.Addr() }
+
 // Close stops the VM.
 func (n *Node) Close() {
 	n.callers.close()
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -5,95 +5,86 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
-	"cornelsaddle.example/cornelsaddle/internal/fleet"
 	"cornelsaddle.example/cornelsaddle/internal/member"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 )
 
-// methodNotice tells a peer of a long prefill.
-const methodNotice peer.Method = "fleet.notice"
-
 const (
-	// noticePeers is the number of VMs that are told of one prefill, and
-	// noticesPerSecond bounds the prefills told, so that the bytes fit the bound
-	// on control traffic. What is not told, the endpoint's next report says.
-	noticePeers      = 4
-	noticesPerSecond = 2
-	noticeTimeout    = 500 * time.Millisecond
-	noticeQueue      = 16
+	methodNotice peer.Method = "fleet.notice"
+	// noticeQueue bounds the notices that wait; beyond it they are dropped, and
+	// the next digest has them.
+	noticeQueue = 64
+	// noticeTimeout bounds the wait for one peer.
+	noticeTimeout = 200 * time.Millisecond
+	// noticePeers is the most peers that are told of one prefill, so that the
+	// bytes fit the bound on control traffic.
+	noticePeers = 8
 )
 
-// notices tells peers of long prefills as soon as they are sent.
+// noticeParams is a fleet's digest with a long prefill.
+type noticeParams struct {
+	Digest []byte `json:"digest"`
+}
+
+type noticeResult struct{}
+
+// notices tells peers of long prefills at once.
 type notices struct {
 	members *member.Service
-	limit   *rate.Limiter
-	queue   chan fleet.Digest
+	queue   chan []byte
 	ctx     context.Context
 	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	done    chan struct{}
 }
 
-// startNotices begins to tell peers of the fleet's long prefills, and to take
-// theirs.
-func startNotices(f *fleet.Fleet, members *member.Service, mux *peer.Mux) *notices {
-	ctx, cancel := context.WithCancel(context.Background())
-	n := &notices{
-		members: members,
-		limit:   rate.NewLimiter(noticesPerSecond, noticesPerSecond),
-		queue:   make(chan fleet.Digest, noticeQueue),
-		ctx:     ctx,
-		cancel:  cancel,
-	}
-	peer.Register(mux, methodNotice, func(_ context.Context, _ peer.Identity, d fleet.Digest) (struct{}, error) {
-		f.PeerDigest(d)
-		return struct{}{}, nil
+// startNotices begins to tell the peers what send is given, and take what they
+// tell.
+func startNotices(members *member.Service, mux *peer.Mux, take func(vm string, digest []byte)) *notices {
+	n := &notices{members: members, queue: make(chan []byte, noticeQueue), done: make(chan struct{})}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	peer.Register(mux, methodNotice, func(_ context.Context, from peer.Identity, p noticeParams) (noticeResult, error) {
+		take(from.VM, p.Digest)
+		return noticeResult{}, nil
 	})
-	f.SetNotify(n.put)
-	n.wg.Go(n.run)
+	go n.run()
 	return n
 }
 
-// put takes a prefill; it never waits.
-func (n *notices) put(e fleet.DigestEntry) {
-	if !n.limit.Allow() {
-		return
-	}
+// send queues a notice; it never waits.
+func (n *notices) send(digest []byte) {
 	select {
-	case n.queue <- fleet.Digest{AtMs: time.Now().UnixMilli(), Entries: []fleet.DigestEntry{e}}:
+	case n.queue <- digest:
 	default:
 	}
 }
 
 func (n *notices) run() {
+	defer close(n.done)
 	for {
 		select {
 		case <-n.ctx.Done():
 			return
-		case d := <-n.queue:
-			n.tell(d)
+		case digest := <-n.queue:
+			n.tell(digest)
 		}
 	}
 }
 
-// tell sends a notice to a few peers, side by side.
-func (n *notices) tell(d fleet.Digest) {
+// tell tells a few peers, side by side. One that does not hear of it reads the
+// endpoint's load report later.
+func (n *notices) tell(digest []byte) {
 	ctx, cancel := context.WithTimeout(n.ctx, noticeTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, address := range n.members.Pick(noticePeers) {
 		wg.Go(func() {
-			var done struct{}
-			// A lost notice is made good by the endpoint's own report.
-			_ = n.members.Call(ctx, address, methodNotice, d, &done)
+			_ = n.members.Call(ctx, address, methodNotice, noticeParams{digest}, &noticeResult{})
 		})
 	}
 	wg.Wait()
 }
 
-// stop ends it.
 func (n *notices) stop() {
 	n.cancel()
-	n.wg.Wait()
+	<-n.done
 }
