Take the candidates for leases and the share of the store from the membership

Cause: both came from the platform's list, which may name endpoints' VMs too. If the three first of a lease were such, nobody would take it, and the store's rate was divided among VMs that never ask for it.

Change: the node hands the lease manager the ids of the entry VMs that live; the store's rate is divided by the larger of the membership's count and the list's entries that have an address for peers.

Shown by: go test -run TestShareCountsEntryVMs ./internal/platform; go test -race ./internal/... ./test/process.

--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -18,8 +18,8 @@
 const (
 	// tickInterval is the time between two looks at a lease.
 	tickInterval = 250 * time.Millisecond
-	// membersEvery is the time between two reads of the VM list.
-	membersEvery = 10 * time.Second
+	// membersEvery is the time between two looks at the members.
+	membersEvery = 2 * time.Second
 	// rebalanceAfter is how long a VM keeps a lease for which another is the
 	// first candidate.
 	rebalanceAfter = time.Minute
@@ -29,7 +29,6 @@
 type Store interface {
 	Try(platform.Class, wire.Txn, time.Duration) (wire.TxnResult, platform.Outcome, error)
 	Get(key string) (wire.Row, error)
-	VMs() (wire.VMList, error)
 }
 
 // Manager has this VM's leases. It is safe for concurrent use.
@@ -43,6 +42,7 @@
 
 	mu       sync.Mutex
 	keepers  map[string]*keeper
+	live     func() []string
 	members  []string
 	draining bool
 
@@ -64,11 +64,16 @@
 		incarnation: incarnation,
 		now:         now,
 		keepers:     make(map[string]*keeper),
+		live:        func() []string { return nil },
 		stop:        make(chan struct{}),
 	}
 }
 
-// Start begins to follow the VM list.
+// SetMembers tells the Manager whom to ask for the ids of the entry VMs that
+// live. It is called before Start; without it every VM asks for every lease.
+func (m *Manager) SetMembers(live func() []string) { m.live = live }
+
+// Start begins to follow the members.
 func (m *Manager) Start() { m.running.Go(m.followMembers) }
 
 // Stop ends all work; the leases run out by themselves unless they were
@@ -171,9 +176,7 @@
 // followMembers keeps the list of VMs that may hold leases.
 func (m *Manager) followMembers() {
 	for {
-		if list, err := m.store.VMs(); err == nil {
-			m.setMembers(list.VMs)
-		}
+		m.setMembers(m.live())
 		select {
 		case <-m.stop:
 			return
@@ -182,13 +185,7 @@
 	}
 }
 
-func (m *Manager) setMembers(vms []wire.VM) {
-	var members []string
-	for _, vm := range vms {
-		if vm.State == wire.VMLive {
-			members = append(members, vm.ID)
-		}
-	}
+func (m *Manager) setMembers(members []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if slices.Equal(m.members, members) {
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -21,7 +21,6 @@
 // fakeStore is a Store over a table in memory that counts what it is asked.
 type fakeStore struct {
 	table  *standinplatform.Table
-	list   []wire.VM
 	down   atomic.Bool
 	reads  atomic.Int64
 	writes atomic.Int64
@@ -47,8 +46,6 @@
 	return f.table.Get(key), nil
 }
 
-func (f *fakeStore) VMs() (wire.VMList, error) { return wire.VMList{VMs: f.list}, nil }
-
 // bubbleClock is the virtual time of the test.
 func bubbleClock() lease.Instant {
 	now := time.Now()
@@ -60,12 +57,14 @@
 	log, err := event.New(io.Discard, "json", "info", "test")
 	require.NoError(t, err)
 	managers := make([]*Manager, 0, n)
+	ids := make([]string, 0, n)
 	for i := range n {
 		id := fmt.Sprint("entry-", i)
-		store.list = append(store.list, wire.VM{ID: id, State: wire.VMLive})
+		ids = append(ids, id)
 		managers = append(managers, newManager(lease.DefaultConfig(), store, log, id, int64(i), bubbleClock))
 	}
 	for _, m := range managers {
+		m.SetMembers(func() []string { return ids })
 		m.Start()
 		synctest.Wait()
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"cornelsaddle.example/cornelsaddle/core/membership"
@@ -9,6 +10,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/health"
 	"cornelsaddle.example/cornelsaddle/internal/member"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
+	"cornelsaddle.example/cornelsaddle/internal/platform"
 	"cornelsaddle.example/cornelsaddle/internal/reserve"
 	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
@@ -20,6 +22,7 @@
 	view     *view
 	follower *confsync.Follower
 	health   *health.Health
+	store    *platform.Client
 }
 
 // PeerVersion implements member.Observer.
@@ -39,6 +42,7 @@
 		ids = append(ids, m.VM)
 	}
 	o.fleet.SetMembers(o.self, ids)
+	o.store.SetVMs(len(o.view.ids()))
 }
 
 // ListedLeaving implements member.Observer. The list names VMs; those that are
@@ -66,7 +70,7 @@
 		Caller:   p.Peers,
 		List:     p.Store,
 		Log:      n.log,
-		Observer: &observer{p.Identity.VM, p.Fleet, p.View, p.Follower, p.Health},
+		Observer: &observer{p.Identity.VM, p.Fleet, p.View, p.Follower, p.Health, p.Store},
 		Version:  p.Follower.Known,
 	}, p.Mux))
 	n.members = n.parts.View.service.Load()
@@ -103,6 +107,20 @@
 	return live
 }
 
+// ids lists the entry VMs that live, of all regions.
+func (v *view) ids() []string {
+	service := v.service.Load()
+	if service == nil {
+		return nil
+	}
+	var ids []string
+	for _, r := range service.Live() {
+		ids = append(ids, r.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Life implements reserve.Members. A VM that only went silent may be paused, so
 // it is dead for certain only where a later incarnation is known, or where it
 // said before that it leaves.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,6 +114,7 @@
 	}
 	n.join()
 	n.parts.Calls.SetLiveness(n.parts.View)
+	n.parts.Leases.SetMembers(n.parts.View.ids)
 	n.parts.Calls.SetHealth(n.parts.Health)
 	n.parts.Orders.Also(call.SweepLease)
 	for _, p := range []part{
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -128,8 +128,11 @@
 // Address is the platform's, IP and port.
 func (c *Client) Address() string { return c.cfg.Address }
 
-// SetVMs tells the client how many VMs share the store.
-func (c *Client) SetVMs(n int) { c.limits.share(n) }
+// SetVMs tells the client how many VMs the membership knows to share the store.
+func (c *Client) SetVMs(n int) {
+	c.limits.members.Store(int64(n))
+	c.limits.share()
+}
 
 // answer is what came back on one attempt.
 type answer struct {
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -193,3 +193,17 @@
 	require.True(t, IsNotFound(err))
 	require.False(t, IsNotFound(errors.WithStack(&StatusError{"", 500})))
 }
+
+// TestShareCountsEntryVMs checks that endpoints in the platform's list take no
+// part of the store's rate, and that the larger number of VMs counts.
+func TestShareCountsEntryVMs(t *testing.T) {
+	s, c := start(t, nil)
+	s.SetVMs([]wire.VM{{ID: "entry-1", Peer: "127.0.0.1:1"}, {ID: "entry-2", Peer: "127.0.0.1:2"}, {ID: "scribe-1"}})
+	_, err := c.VMs()
+	require.NoError(t, err)
+	require.InDelta(t, DefaultRates().WritesPerSecond/2, float64(c.limits.writes.Limit()), 0.001)
+	c.SetVMs(5)
+	require.InDelta(t, DefaultRates().WritesPerSecond/5, float64(c.limits.writes.Limit()), 0.001)
+	c.SetVMs(1)
+	require.InDelta(t, DefaultRates().WritesPerSecond/2, float64(c.limits.writes.Limit()), 0.001)
+}
--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -65,10 +65,14 @@
 
 // limits is this VM's share of the store.
 type limits struct {
-	rates  Rates
-	reads  *rate.Limiter
-	writes *rate.Limiter
-	calls  *rate.Limiter
+	rates Rates
+	// members and listed are the numbers of VMs that the membership and the
+	// platform's list know.
+	members atomic.Int64
+	listed  atomic.Int64
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	calls   *rate.Limiter
 }
 
 // newLimits returns the limits of one of n VMs, with the burst saved up.
@@ -88,9 +92,10 @@
 	return max(minBurst, int(perSecond*l.rates.Burst.Seconds()))
 }
 
-// share divides the rates among n VMs.
-func (l *limits) share(n int) {
-	n = max(n, 1)
+// share divides the rates among the VMs: the membership may miss some in a
+// partition, and the list lags, so that the larger number counts.
+func (l *limits) share() {
+	n := max(l.members.Load(), l.listed.Load(), 1)
 	l.set(l.reads, l.rates.ReadsPerSecond/float64(n))
 	l.set(l.writes, l.rates.WritesPerSecond/float64(n))
 	l.set(l.calls, l.rates.CallShare*l.rates.WritesPerSecond/float64(n))
--- a/internal/platform/read.go
+++ b/internal/platform/read.go
@@ -27,16 +27,30 @@
 }
 
 // VMs reads the platform's list, which lags. The client divides the store's
-// rate among the VMs listed.
+// rate among the entry VMs.
 func (c *Client) VMs() (wire.VMList, error) {
 	var list wire.VMList
 	err := c.read(fasthttp.MethodGet, wire.PathVMs, nil, &list)
-	if err == nil && len(list.VMs) > 0 {
-		c.SetVMs(len(list.VMs))
+	if err == nil {
+		c.listed(list)
 	}
 	return list, err
 }
 
+// listed counts the entry VMs of the list: those with an address for peers.
+func (c *Client) listed(list wire.VMList) {
+	n := int64(0)
+	for _, vm := range list.VMs {
+		if vm.Peer != "" {
+			n++
+		}
+	}
+	if n > 0 {
+		c.limits.listed.Store(n)
+		c.limits.share()
+	}
+}
+
 // GetObject reads an object.
 func (c *Client) GetObject(key string) ([]byte, error) {
 	got, err := c.get(request{ClassRead, fasthttp.MethodGet, wire.PathObjects + key, nil})
