--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"cornelsaddle.example/cornelsaddle/core/admission"
 	"cornelsaddle.example/cornelsaddle/core/configuration"
 	"cornelsaddle.example/cornelsaddle/core/placement"
@@ -25,10 +27,10 @@
 	incarnation string
 	// polled is when the last poll was begun.
 	polled time.Time
-	// sent sums up, by priority, what this VM sent since the last digest, and
-	// held by how much the memory that it holds there changed.
-	sent [2]int64
-	held int64
+	// own is what this VM sent there, and peers what each of them did when last
+	// heard of.
+	own   totals
+	peers map[string]DigestEntry
 }
 
 // Fleet is safe for concurrent use.
@@ -49,10 +51,15 @@
 	admitted map[string]admitted
 	scope    *scope
 	// notify tells the peers of a long prefill at once; nil for no peers.
-	notify func(DigestEntry)
-	views  []placement.View
-	health Health
-	rnd    *rand.Rand
+	notify func(digest []byte)
+	// notices and shortNotices bound how often that is.
+	notices, shortNotices *rate.Limiter
+	// heardAt is the clock of the last digest of each peer, in milliseconds since
+	// the epoch.
+	heardAt map[string]int64
+	views   []placement.View
+	health  Health
+	rnd     *rand.Rand
 }
 
 // Health tells which endpoints get new work.
@@ -91,9 +98,13 @@
 
 		controllers: make(map[string]*admission.Controller),
 		admitted:    make(map[string]admitted),
+		heardAt:     make(map[string]int64),
+
+		notices:      rate.NewLimiter(noticesPerSecond, noticesPerSecond),
+		shortNotices: rate.NewLimiter(shortNoticesPerSecond, shortNoticesPerSecond),
 
-		picker: placement.NewPicker(cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		rnd:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		picker: placement.NewPicker(cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		stop:   make(chan struct{}),
 		done:   make(chan struct{}),
 	}
@@ -113,6 +124,7 @@
 	st := f.states[id]
 	if st == nil {
 		st = &state{alive: true, known: newKnown(f.cfg, id, e)}
+		st.own.entry.Endpoint = id
 		f.states[id] = st
 	}
 	return st
@@ -170,14 +182,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	st := f.state(id, configuration.Endpoint{})
+	now := time.Now()
 	f.noteSent(attempt)
-	work := st.known.Sent(time.Now(), attempt, &p, priority)
-	st.held += p.Need()
-	if work >= noticeTokens && f.notify != nil {
-		f.notify(st.entry(id, priority, work))
-		return
-	}
-	st.sent[priority] += work
+	work := st.known.Sent(now, attempt, &p, priority)
+	st.own.sent(now, priority, work, p.Need())
+	f.tell(now, st, work)
 }
 
 // FirstToken notes that the attempt had its first token.
@@ -194,7 +203,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	st := f.state(id, configuration.Endpoint{})
-	st.held -= st.known.Ended(time.Now(), attempt)
+	now := time.Now()
+	st.own.sent(now, wire.PriorityHigh, 0, -st.known.Ended(now, attempt))
 }
 
 // Answer is a whole answer's account of itself.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,8 @@
 	admin    *listener
 	peers    *peer.Server
 	members  *member.Service
+	notices  *notices
+	keeper   *keeper
 	life     *lifecycle
 	started  time.Time
 	// running are the parts that were started, in order.
@@ -255,6 +257,9 @@
 // Admin is the address of the operators' listener.
 func (n *Node) Admin() string { return n.admin.addr() }
 
+// Peers is the address of the listener for the other VMs.
+func (n *Node) Peers() string { return n.peers.Addr() }
+
 // Close stops the VM.
 func (n *Node) Close() {
 	n.callers.close()
@@ -263,6 +268,8 @@
 		p.Stop()
 	}
 	if n.members != nil {
+		n.keeper.stop()
+		n.notices.stop()
 		n.members.Stop()
 	}
 	if n.peers != nil {
