--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -15,8 +15,8 @@
 	"cornelsaddle.example/cornelsaddle/internal/confsync"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
-	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
 
 const (
@@ -61,6 +61,12 @@
 	Gone(vm string, incarnation int64) bool
 }
 
+// Health knows which endpoints leave the fleet.
+type Health interface {
+	// Leaving reports whether the endpoint gets no new work.
+	Leaving(endpoint string) bool
+}
+
 // Runner makes calls. It is safe for concurrent use.
 type Runner struct {
 	cfg         calls.Config
@@ -69,7 +75,8 @@
 	log         *event.Logger
 	vm          string
 	incarnation int64
-	gone        func(vm string, incarnation int64) bool
+	liveness    Liveness
+	health      Health
 	// step is called before each action; tests stop the process there.
 	step func(calls.Action)
 
@@ -79,9 +86,9 @@
 	budget     *calls.Budget
 }
 
-// NewRunner returns a Runner for the VM of the settings.
-func NewRunner(store *platform.Client, caller *endpoint.Caller, log *event.Logger, s settings.Settings) *Runner {
-	return newRunner(calls.DefaultConfig(), store, caller, log, s.VM.ID, time.Now().UnixNano())
+// NewRunner returns a Runner for this process.
+func NewRunner(store *platform.Client, caller *endpoint.Caller, log *event.Logger, self peer.Identity) *Runner {
+	return newRunner(calls.DefaultConfig(), store, caller, log, self.VM, self.Incarnation)
 }
 
 func newRunner(cfg calls.Config, store Store, service Service, log *event.Logger, vm string, incarnation int64) *Runner {
@@ -99,7 +106,20 @@
 
 // SetLiveness tells the Runner whom to ask which processes have ended. It is
 // called before the first call.
-func (r *Runner) SetLiveness(l Liveness) { r.gone = l.Gone }
+func (r *Runner) SetLiveness(l Liveness) { r.liveness = l }
+
+// SetHealth tells the Runner whom to ask which endpoints leave. It is called
+// before the first call.
+func (r *Runner) SetHealth(h Health) { r.health = h }
+
+// gone reports whether a process is known to have ended: an earlier one of this
+// VM has.
+func (r *Runner) gone(vm string, incarnation int64) bool {
+	if vm == r.vm && incarnation != r.incarnation {
+		return true
+	}
+	return r.liveness != nil && r.liveness.Gone(vm, incarnation)
+}
 
 // Wait waits until the outcomes of all calls are recorded or given up.
 func (r *Runner) Wait() { r.running.Wait() }
@@ -157,8 +177,7 @@
 }
 
 func (r *Runner) state(row calls.Row) (State, error) {
-	gone := r.gone != nil && r.gone(row.VM, row.Incarnation)
-	reply := calls.Report(row, time.Now(), r.cfg, gone)
+	reply := calls.Report(row, time.Now(), r.cfg, r.gone(row.VM, row.Incarnation))
 	if reply.Err == nil {
 		answer, err := r.answer(*reply.Result)
 		return State{Status: calls.StatusDone, Ran: errcode.RanYes, Answer: answer}, err
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -71,8 +71,11 @@
 		Digest:   p.Fleet.Digest,
 	}, p.Mux))
 	n.members = n.parts.View.service.Load()
-	n.notices = startNotices(p.Identity.VM, p.View, p.Peers, p.Mux, p.Fleet.PeerDigest)
+	n.keeper = n.startKeeper()
+	n.notices = startNotices(n.members, p.Mux, p.Fleet.PeerDigest)
 	p.Fleet.SetNotify(n.notices.send)
+	p.Calls.SetLiveness(n.parts.View)
+	p.Calls.SetHealth(p.Health)
 	p.Health.Tell(n.members.MarkEndpoint)
 	p.Fleet.SetHealth(p.Health)
 	p.Follower.Join(n.members, p.Mux)
@@ -128,3 +131,8 @@
 	}
 	return reserve.Unknown
 }
+
+// Gone implements call.Liveness.
+func (v *view) Gone(vm string, incarnation int64) bool {
+	return v.Life(peer.Identity{VM: vm, Incarnation: incarnation}) == reserve.Dead
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	peers    *peer.Server
 	members  *member.Service
 	notices  *notices
+	keeper   *keeper
 	life     *lifecycle
 	started  time.Time
 	// running are the parts that were started, in order.
@@ -114,6 +115,8 @@
 		return err
 	}
 	n.join()
+	n.parts.Calls.SetLiveness(n.parts.View)
+	n.parts.Calls.SetHealth(n.parts.Health)
 	n.parts.Orders.Also(call.SweepLease)
 	for _, p := range []part{
 		n.parts.Fleet, n.parts.Quota, n.parts.Leases, n.parts.Orders, n.parts.CallRows, n.parts.Holder, n.parts.Sweeper,
@@ -253,6 +256,9 @@
 // Admin is the address of the operators' listener.
 func (n *Node) Admin() string { return n.admin.addr() }
 
+// Peers is the address of the listener for the other VMs.
+func (n *Node) Peers() string { return n.peers.Addr() }
+
 // Close stops the VM.
 func (n *Node) Close() {
 	n.callers.close()
@@ -261,6 +267,7 @@
 		p.Stop()
 	}
 	if n.members != nil {
+		n.keeper.stop()
 		n.notices.stop()
 		n.members.Stop()
 	}
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
+	"cornelsaddle.example/cornelsaddle/internal/member"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
-	"cornelsaddle.example/cornelsaddle/internal/reserve"
 )
 
 const (
@@ -17,7 +16,8 @@
 	noticeQueue = 64
 	// noticeTimeout bounds the wait for one peer.
 	noticeTimeout = 200 * time.Millisecond
-	// noticePeers is the most peers that are told at once.
+	// noticePeers is the most peers that are told of one prefill, so that the
+	// bytes fit the bound on control traffic.
 	noticePeers = 8
 )
 
@@ -28,11 +28,9 @@
 
 type noticeResult struct{}
 
-// notices tells the peers of the region of long prefills at once.
+// notices tells peers of long prefills at once.
 type notices struct {
-	self    string
-	members reserve.Members
-	peers   *peer.Client
+	members *member.Service
 	queue   chan []byte
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -41,8 +39,8 @@
 
 // startNotices begins to tell the peers what send is given, and take what they
 // tell.
-func startNotices(self string, members reserve.Members, peers *peer.Client, mux *peer.Mux, take func(vm string, digest []byte)) *notices {
-	n := &notices{self: self, members: members, peers: peers, queue: make(chan []byte, noticeQueue), done: make(chan struct{})}
+func startNotices(members *member.Service, mux *peer.Mux, take func(vm string, digest []byte)) *notices {
+	n := &notices{members: members, queue: make(chan []byte, noticeQueue), done: make(chan struct{})}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	peer.Register(mux, methodNotice, func(_ context.Context, from peer.Identity, p noticeParams) (noticeResult, error) {
 		take(from.VM, p.Digest)
@@ -72,23 +70,18 @@
 	}
 }
 
-// tell tells every live peer once. One that does not hear of it reads the
+// tell tells a few peers, side by side. One that does not hear of it reads the
 // endpoint's load report later.
 func (n *notices) tell(digest []byte) {
 	ctx, cancel := context.WithTimeout(n.ctx, noticeTimeout)
 	defer cancel()
-	var group errgroup.Group
-	group.SetLimit(noticePeers)
-	for _, m := range n.members.Live() {
-		if m.VM == n.self {
-			continue
-		}
-		group.Go(func() error {
-			_, err := n.peers.Call(ctx, m.Address, methodNotice, noticeParams{digest}, &noticeResult{})
-			return err
+	var wg sync.WaitGroup
+	for _, address := range n.members.Pick(noticePeers) {
+		wg.Go(func() {
+			_ = n.members.Call(ctx, address, methodNotice, noticeParams{digest}, &noticeResult{})
 		})
 	}
-	_ = group.Wait()
+	wg.Wait()
 }
 
 func (n *notices) stop() {
