Tell the engine the longest answer that the VM counts on

Cause: a request without max_tokens was counted as 256 tokens of answer by the VM, while the engine used a default of its own.

Change: the first attempt's body carries the VM's figure where the caller sets none, or none that is positive.

Shown by: TestFirstBodyTellsTheLongestAnswer, which fails without the change.

--- a/internal/api/completions.go
+++ b/internal/api/completions.go
@@ -68,13 +68,13 @@
 	if err != nil {
 		return prompt.Request{}, false, err
 	}
-	if c.MaxTokens <= 0 {
-		c.MaxTokens = defaultMaxTokens
-	}
 	body, err := firstBody(raw, c)
 	if err != nil {
 		return prompt.Request{}, false, err
 	}
+	if c.MaxTokens <= 0 {
+		c.MaxTokens = defaultMaxTokens
+	}
 	tokens := int64(len(raw)/bytesPerToken + 1)
 	return prompt.Request{
 		ID:           s.id,
@@ -95,10 +95,13 @@
 // firstBody is what goes to the engine: the caller's own bytes where nothing has
 // to be changed in them.
 func firstBody(raw []byte, c wire.CompletionRequest) ([]byte, error) {
+	if c.MaxTokens <= 0 {
+		return prompt.FirstBody(raw, defaultMaxTokens)
+	}
 	if c.Stream && c.Delivered == 0 && c.Resume == "" {
 		return raw, nil
 	}
-	return prompt.FirstBody(raw)
+	return prompt.FirstBody(raw, 0)
 }
 
 // stream sends tokens as they come. A failure before the first token gets its
--- a/internal/prompt/body.go
+++ b/internal/prompt/body.go
@@ -14,13 +14,19 @@
 	fieldStream    = "stream"
 	fieldDelivered = "delivered"
 	fieldResume    = "resume"
+	fieldMaxTokens = "max_tokens"
 )
 
 // FirstBody is the body of a request's first attempt: the caller's, with
-// streaming on and without the fields that only the VM may set. The other
-// fields pass unchanged.
-func FirstBody(body []byte) ([]byte, error) {
-	return rewrite(body, map[string]json.RawMessage{fieldStream: json.RawMessage("true")})
+// streaming on, with the longest answer that the VM counts on where maxTokens is
+// positive, and without the fields that only the VM may set. The other fields
+// pass unchanged.
+func FirstBody(body []byte, maxTokens int64) ([]byte, error) {
+	set := map[string]json.RawMessage{fieldStream: json.RawMessage("true")}
+	if maxTokens > 0 {
+		set[fieldMaxTokens] = strconv.AppendInt(nil, maxTokens, 10)
+	}
+	return rewrite(body, set)
 }
 
 // rewrite replaces the fields that the VM sets, and drops those that set does
@@ -31,7 +37,7 @@
 		return nil, errors.WithStack(err)
 	}
 	for name := range fields {
-		if ownField(name) {
+		if ownField(name) || set[fieldMaxTokens] != nil && strings.EqualFold(name, fieldMaxTokens) {
 			delete(fields, name)
 		}
 	}
--- a/internal/prompt/body_test.go
+++ b/internal/prompt/body_test.go
@@ -17,13 +17,23 @@
 }
 
 func TestFirstBodyKeepsUnknownFields(t *testing.T) {
-	body, err := FirstBody([]byte(`{"model":"m","Delivered":9,"resume":"x","stream":false,"temperature":0.10,"tools":[{"a":"<b>"}]}`))
+	body, err := FirstBody([]byte(`{"model":"m","Delivered":9,"resume":"x","stream":false,"temperature":0.10,"tools":[{"a":"<b>"}]}`), 0)
 	require.NoError(t, err)
 	require.JSONEq(t, `{"model":"m","stream":true,"temperature":0.10,"tools":[{"a":"<b>"}]}`, string(body))
 	require.Equal(t, "0.10", string(fieldsOf(t, body)["temperature"]))
 	require.Contains(t, string(body), `"<b>"`)
 }
 
+// TestFirstBodyTellsTheLongestAnswer holds the engine to the answer that the VM
+// counts on, where the caller sets none.
+func TestFirstBodyTellsTheLongestAnswer(t *testing.T) {
+	for _, body := range []string{`{"model":"m"}`, `{"model":"m","max_tokens":0}`, `{"model":"m","Max_Tokens":-1}`} {
+		got, err := FirstBody([]byte(body), 256)
+		require.NoError(t, err)
+		require.JSONEq(t, `{"model":"m","stream":true,"max_tokens":256}`, string(got))
+	}
+}
+
 func TestResumedBodyCarriesTheText(t *testing.T) {
 	var text stream.Text
 	want := ""
