--- a/core/lease/fuzz_test.go
+++ b/core/lease/fuzz_test.go
@@ -12,7 +12,7 @@
 )
 
 // seeds is the number of worlds of each test.
-const seeds = 1000
+const seeds = 3000
 
 // holder is a lease as the world sees it; Lease is the real one, trusting the
 // baseline.
--- a/core/lease/handover_test.go
+++ b/core/lease/handover_test.go
@@ -27,7 +27,7 @@
 }
 
 const (
-	handoverSeeds = 100
+	handoverSeeds = 300
 	handoverStep  = 50 * time.Millisecond
 	// drainLimit is how long a VM that leaves waits for evidence.
 	drainLimit = 30 * time.Second
