Do not hold a slow caller against the endpoint

Cause: an engine cuts a stream that is not read; the VM took the cut for the endpoint's failure, so that one slow caller could take an endpoint out of the fleet's view and open its breaker. The learnt time between tokens had the caller's pauses in it, too.

Ruled out: a clock reading at each token (the path is to stay lean); the watch already looks twice a second.

Change: the watch remembers that the caller held the attempt back; such a cut is no fault of the endpoint, and such an answer teaches no pace.

Shown by: TestASlowCallerIsNotTheEndpointsFault, which failed before (one failure told) and passes now; a quick caller's cut still counts.

--- a/internal/prompt/answer.go
+++ b/internal/prompt/answer.go
@@ -261,7 +261,7 @@
 	if a.attempt.grant != nil && a.attempt.ctx.Err() != nil {
 		a.cause = context.Cause(a.attempt.ctx)
 	}
-	if isFault(a.cause) {
+	if isFault(a.cause) && !a.watch.slowCaller() {
 		a.fleet.Failed(a.attempt.endpoint)
 		a.endpointFailed(a.attempt.endpoint)
 	}
@@ -331,6 +331,10 @@
 		return
 	}
 	account := fleet.Answer{Tokens: tokens, Took: time.Since(a.attempt.first)}
+	if a.watch.slowCaller() {
+		// The time is the caller's, not the endpoint's.
+		account.Tokens, account.Took = 0, 0
+	}
 	if usage := usageOf(a.chunk); usage != nil {
 		account.Blocks = a.req.Blocks
 		account.Cached = int64(usage.CachedTokens)
--- a/internal/prompt/fake_test.go
+++ b/internal/prompt/fake_test.go
@@ -205,6 +205,7 @@
 	mu      sync.Mutex
 	views   []placement.View
 	pending int
+	failed  []string
 }
 
 func (f *fixedFleet) Views(_ *confsync.Snapshot, _ string, except map[string]bool) []placement.View {
@@ -246,7 +247,11 @@
 
 func (f *fixedFleet) Done(string, int64) {}
 
-func (f *fixedFleet) Failed(string) {}
+func (f *fixedFleet) Failed(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed = append(f.failed, id)
+}
 
 // noHolder holds nothing.
 type noHolder struct{}
--- a/internal/prompt/fuzz_test.go
+++ b/internal/prompt/fuzz_test.go
@@ -89,6 +89,8 @@
 	pending   int
 	cancelled map[string]int
 	aborts    int
+	// failed are the endpoints that the fleet was told have failed.
+	failed []string
 	// held is the memory set aside after the end and one sweep.
 	held int64
 }
@@ -153,7 +155,7 @@
 			out.took = w.ended.Sub(begin)
 		}
 		synctest.Wait()
-		out.started, out.active, out.pending = w.started, w.active, f.pending
+		out.started, out.active, out.pending, out.failed = w.started, w.active, f.pending, f.failed
 		out.cancelled, out.aborts, out.held = w.cancelled, c.aborts, w.bank.total()
 		// A connection that was dialled for an attempt already cancelled idles
 		// until its timeout.
@@ -385,6 +387,22 @@
 	require.Zero(t, out.active)
 }
 
+// TestASlowCallerIsNotTheEndpointsFault cuts a stream after its caller held it
+// back, as an engine does that keeps only so many tokens for a slow reader.
+func TestASlowCallerIsNotTheEndpointsFault(t *testing.T) {
+	cut := behaviour{Tokens: 2, Finish: finishCut}
+	for name, tr := range map[string]struct {
+		pause  time.Duration
+		failed int
+	}{"slow": {5 * time.Second, 0}, "quick": {0, 1}} {
+		t.Run(name, func(t *testing.T) {
+			out := play(t, trial{Script: []behaviour{cut, {}}, Answer: 4, Deadline: time.Minute, Pause: tr.pause}, product)
+			require.ErrorIs(t, out.err, io.EOF)
+			require.Len(t, out.failed, tr.failed)
+		})
+	}
+}
+
 func TestRetriesStayWithinTheBudget(t *testing.T) {
 	cfg := DefaultConfig()
 	cfg.Retry.BudgetFloor = 2
--- a/internal/prompt/watch.go
+++ b/internal/prompt/watch.go
@@ -32,6 +32,9 @@
 	abort    context.CancelCauseFunc
 	patience time.Duration
 	stalled  error
+	// heldBack says that the caller did not read for longer than a look takes,
+	// while the attempt was under way.
+	heldBack bool
 }
 
 func newWatch(a *Answer) *watch {
@@ -57,6 +60,7 @@
 	defer w.mu.Unlock()
 	w.abort, w.patience = abort, patience
 	w.stalled = nil
+	w.heldBack = false
 	w.events.Add(1)
 }
 
@@ -74,6 +78,14 @@
 	return w.stalled
 }
 
+// slowCaller reports whether the caller held the attempt back: an engine may cut
+// a stream that is not read.
+func (w *watch) slowCaller() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.heldBack
+}
+
 // stop ends the watch. Nothing is cancelled or aborted after it returns.
 func (w *watch) stop() {
 	w.mu.Lock()
@@ -109,6 +121,7 @@
 		}
 		return
 	}
+	w.heldBack = w.heldBack || idle >= w.cfg.Watch
 	if idle > w.cfg.CallerStall || now.Sub(w.deadline) > w.cfg.Watch {
 		w.cancel(&CallerGoneError{})
 		w.caller.Abort()
