Bound prompts by the service's bytes per token, and explain every field

Cause: a prompt's length was bounded by four bytes a token for all services; tokenisers of other languages take fewer, and the bound was then none. The fields of the configuration stood in no page.

Change: bytes_per_token of a service, four where it is silent; the schema has a description and a unit for each field, from which docs/operations/configuration.md is generated and checked.

Shown by: go test ./core/configuration ./internal/api ./internal/docpages.

--- a/core/configuration/document.go
+++ b/core/configuration/document.go
@@ -40,12 +40,28 @@
 	// DelayWeight is the weight of the delay that a prompt puts on those of
 	// lower priority: small values favour short prompts, large ones long ones.
 	DelayWeight float64 `json:"delay_weight,omitempty"`
+	// BytesPerToken is the fewest bytes that a token of its prompts takes on
+	// average; zero for DefaultBytesPerToken.
+	BytesPerToken float64 `json:"bytes_per_token,omitempty"`
 	// Operations of a plain service.
 	Operations map[string]Operation `json:"operations,omitempty"`
 	// Deploy is what the service's endpoints are ordered to serve.
 	Deploy *Deploy `json:"deploy,omitempty"`
 }
 
+// DefaultBytesPerToken holds for a service that sets none.
+const DefaultBytesPerToken = 4
+
+// PromptTokens bounds the length of a prompt of so many bytes from above, in
+// tokens, without a tokeniser.
+func (s Service) PromptTokens(bytes int) int64 {
+	per := s.BytesPerToken
+	if per == 0 {
+		per = DefaultBytesPerToken
+	}
+	return int64(float64(bytes)/per) + 1
+}
+
 // Operation is one operation of a plain service.
 type Operation struct {
 	// Idempotent operations may be repeated; the others need an
--- a/core/configuration/merge_test.go
+++ b/core/configuration/merge_test.go
@@ -151,6 +151,19 @@
 	}
 }
 
+func TestPromptTokensFollowTheService(t *testing.T) {
+	require.EqualValues(t, 1001, Service{}.PromptTokens(4000))
+	require.EqualValues(t, 2001, Service{BytesPerToken: 2}.PromptTokens(4000))
+}
+
+func TestPageExplainsEveryField(t *testing.T) {
+	for _, line := range strings.Split(Page(), "\n") {
+		if strings.HasPrefix(line, "| `") {
+			require.False(t, strings.HasSuffix(line, "|  |"), line)
+		}
+	}
+}
+
 func fields(v any) []string {
 	count := reflect.TypeOf(v).NumField()
 	names := make([]string, 0, count)
--- a/internal/api/completions.go
+++ b/internal/api/completions.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// bytesPerToken bounds the length of a prompt in tokens from its bytes.
-	bytesPerToken = 4
 	// defaultMaxTokens is the longest answer of a request that sets none.
 	defaultMaxTokens = 256
 )
@@ -75,7 +73,7 @@
 	if c.MaxTokens <= 0 {
 		c.MaxTokens = defaultMaxTokens
 	}
-	tokens := int64(len(raw)/bytesPerToken + 1)
+	tokens := service.PromptTokens(len(raw))
 	return prompt.Request{
 		ID:           s.id,
 		Organisation: s.organisation,
--- a/internal/docpages/docpages.go
+++ b/internal/docpages/docpages.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"cornelsaddle.example/cornelsaddle/core/configuration"
 	"cornelsaddle.example/cornelsaddle/core/errcode"
 	"cornelsaddle.example/cornelsaddle/core/statechart"
 	"cornelsaddle.example/cornelsaddle/internal/event"
@@ -33,6 +34,7 @@
 		{"EVENTS.md", event.Document()},
 		{"ERRORS.md", errcode.Document()},
 		{"operations/settings.md", settings.Document()},
+		{"operations/configuration.md", configuration.Page()},
 	}
 	for _, name := range statechart.Names() {
 		c, err := statechart.Load(name)
