--- a/test/capacity/configuration.go
+++ b/test/capacity/configuration.go
@@ -13,7 +13,7 @@
 )
 
 // decodeRounds is how often each document is decoded.
-const decodeRounds = 10
+const decodeRounds = 50
 
 // configurationSlope measures a document's size, memory and decoding time by
 // the number of its organisations and endpoints.
