Do not let refused requests use up the store's share

Change: the wait is worked out beforehand under a lock, and only a request that goes takes a reservation.

Conclusion: no starvation; calls and the records of their results still compete for the same share.

--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -73,6 +74,8 @@
 	reads   *rate.Limiter
 	writes  *rate.Limiter
 	calls   *rate.Limiter
+	// mu makes one step of a look at the limiters and a reservation with them.
+	mu sync.Mutex
 }
 
 // newLimits returns the limits of one of n VMs, with the burst saved up.
@@ -110,36 +113,43 @@
 // not if that is longer than it is ready to.
 func (l *limits) admit(class Class, ready time.Duration) (time.Duration, bool) {
 	ready = min(ready, l.rates.MaxWait)
-	switch class {
-	case ClassRead:
-		wait, _, ok := l.reserve(l.reads, ready)
-		return wait, ok
-	case ClassControlWrite:
-		wait, _, ok := l.reserve(l.writes, ready)
-		return wait, ok
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var wait time.Duration
+	counted := l.counted(class)
+	for _, limiter := range counted {
+		wait = max(wait, waitFor(limiter, now))
 	}
-	wait, r, ok := l.reserve(l.calls, ready)
-	if !ok {
+	if wait > 0 && wait >= ready {
 		return 0, false
 	}
-	more, _, ok := l.reserve(l.writes, ready)
-	if !ok {
-		r.Cancel()
+	for _, limiter := range counted {
+		limiter.ReserveN(now, 1)
 	}
-	return max(wait, more), ok
+	return wait, true
 }
 
-func (l *limits) reserve(limiter *rate.Limiter, ready time.Duration) (time.Duration, *rate.Reservation, bool) {
-	r := limiter.Reserve()
-	if !r.OK() {
-		return 0, nil, false
+// counted lists the limiters that a request of the class counts against.
+func (l *limits) counted(class Class) []*rate.Limiter {
+	switch class {
+	case ClassRead:
+		return []*rate.Limiter{l.reads}
+	case ClassControlWrite:
+		return []*rate.Limiter{l.writes}
 	}
-	wait := r.Delay()
-	if wait > 0 && wait >= ready {
-		r.Cancel()
-		return 0, nil, false
+	return []*rate.Limiter{l.calls, l.writes}
+}
+
+// waitFor is how long the next request would wait. It is asked beforehand, as a
+// reservation that is taken back does not give its part back where others came
+// after it.
+func waitFor(limiter *rate.Limiter, now time.Time) time.Duration {
+	missing := 1 - limiter.TokensAt(now)
+	if missing <= 0 {
+		return 0
 	}
-	return wait, r, true
+	return time.Duration(missing / float64(limiter.Limit()) * float64(time.Second))
 }
 
 // Counts is what a client has asked of the store so far.
