Let the record of a call in with the call, and leave the store half the time

Cause: under overload every write waited for the share until just before its own time limit, so that the store had nothing left of it: the write timed out, was unknown, and was sent again (three writes a call). Once that was mended, new calls and records asked for the same share, and most results were not recorded.

Change: a request waits for at most half of its time; the first write of a call counts for both of its writes, and the record has only the store's whole rate above it.

--- a/internal/call/once.go
+++ b/internal/call/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -9,6 +10,7 @@
 
 	"cornelsaddle.example/cornelsaddle/core/calls"
 	"cornelsaddle.example/cornelsaddle/core/errcode"
+	"cornelsaddle.example/cornelsaddle/core/wire"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/platform"
@@ -167,7 +169,7 @@
 	if w.Within <= 0 {
 		return calls.Written{Outcome: calls.WriteRefused}
 	}
-	result, outcome, err := d.runner.store.Try(platform.ClassCallWrite, w.Txn, w.Within)
+	result, outcome, err := d.runner.store.Try(writeClass(w.Txn), w.Txn, w.Within)
 	switch {
 	case outcome == platform.OutcomeApplied:
 		return calls.Written{Outcome: calls.WriteApplied, Result: result}
@@ -179,6 +181,15 @@
 	return calls.Written{Outcome: calls.WriteFailed, Result: result}
 }
 
+// writeClass tells the write that lets the call in from those that record what
+// became of it.
+func writeClass(txn wire.Txn) platform.Class {
+	if slices.ContainsFunc(txn.Conditions, func(c wire.Condition) bool { return c.Version == wire.AbsentVersion }) {
+		return platform.ClassCallWrite
+	}
+	return platform.ClassCallRecord
+}
+
 // send makes the call at the next endpoint, once.
 func (d *driver) send(s calls.Send) calls.Event {
 	if s.Number >= len(d.addresses) || s.Within <= 0 {
--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -12,13 +12,18 @@
 type Class int
 
 // The classes. Control is for what the VMs themselves need: leases and the
-// configuration. Calls may not use it up.
+// configuration; calls may not use it up. A call that was let in has its record
+// let in too: ClassCallWrite is its first write, ClassCallRecord any other.
 const (
 	ClassRead Class = iota
 	ClassControlWrite
 	ClassCallWrite
+	ClassCallRecord
 )
 
+// writesPerCall is the number of writes that a call that is let in takes.
+const writesPerCall = 2
+
 // Rates is what all VMs together may ask of the store, and how a VM's share of
 // it is bounded.
 type Rates struct {
@@ -83,7 +88,7 @@
 	l := &limits{rates: r}
 	l.reads = l.limiter(r.ReadsPerSecond / float64(n))
 	l.writes = l.limiter(r.WritesPerSecond / float64(n))
-	l.calls = l.limiter(r.CallShare * r.WritesPerSecond / float64(n))
+	l.calls = l.limiter(r.CallShare * r.WritesPerSecond / writesPerCall / float64(n))
 	return l
 }
 
@@ -101,7 +106,7 @@
 	n := max(l.members.Load(), l.listed.Load(), 1)
 	l.set(l.reads, l.rates.ReadsPerSecond/float64(n))
 	l.set(l.writes, l.rates.WritesPerSecond/float64(n))
-	l.set(l.calls, l.rates.CallShare*l.rates.WritesPerSecond/float64(n))
+	l.set(l.calls, l.rates.CallShare*l.rates.WritesPerSecond/writesPerCall/float64(n))
 }
 
 func (l *limits) set(limiter *rate.Limiter, perSecond float64) {
@@ -112,7 +117,8 @@
 // admit returns how long the request must wait, and whether it may go at all:
 // not if that is longer than it is ready to.
 func (l *limits) admit(class Class, ready time.Duration) (time.Duration, bool) {
-	ready = min(ready, l.rates.MaxWait)
+	// The other half of its time is left for the store.
+	ready = min(ready/2, l.rates.MaxWait)
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -135,7 +141,7 @@
 	switch class {
 	case ClassRead:
 		return []*rate.Limiter{l.reads}
-	case ClassControlWrite:
+	case ClassControlWrite, ClassCallRecord:
 		return []*rate.Limiter{l.writes}
 	}
 	return []*rate.Limiter{l.calls, l.writes}
