Read endpoints' documents in one place

Cause: the same request, status check and decoding stood four times in internal/endpoint, and the pair of loads twice in test/capacity.

Change: one generic read, and one pair of loads. Nothing else changes but that a failed dial of these reads is typed as not sent, as for other requests.

Shown by: go test -race ./internal/endpoint ./internal/fleet ./internal/orders ./internal/reserve ./internal/prompt ./internal/node; the request slope runs.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -109,29 +109,26 @@
 
 // Load reads an engine's load report.
 func (c *Caller) Load(address string, timeout time.Duration) (wire.LoadReport, error) {
-	var report wire.LoadReport
-	status, body, err := c.http.GetTimeout(nil, "http://"+address+wire.PathEngineLoad, timeout)
-	if err != nil {
-		return report, errors.WithStack(err)
-	}
-	if status != fasthttp.StatusOK {
-		return report, errors.WithStack(&StatusError{status})
-	}
-	return report, errors.WithStack(json.Unmarshal(body, &report))
+	return read[wire.LoadReport](c, address+wire.PathEngineLoad, timeout)
 }
 
 // CacheEvents reads an engine's cache events after the sequence number.
 func (c *Caller) CacheEvents(address string, since int64, timeout time.Duration) (wire.CacheEvents, error) {
-	var events wire.CacheEvents
-	url := "http://" + address + wire.PathCacheEvents + "?since=" + strconv.FormatInt(since, 10)
-	status, body, err := c.http.GetTimeout(nil, url, timeout)
+	path := address + wire.PathCacheEvents + "?since=" + strconv.FormatInt(since, 10)
+	return read[wire.CacheEvents](c, path, timeout)
+}
+
+// read gets a document of an endpoint.
+func read[T any](c *Caller, path string, timeout time.Duration) (T, error) {
+	var doc T
+	status, body, err := c.send(fasthttp.MethodGet, path, nil, timeout)
 	if err != nil {
-		return events, errors.WithStack(err)
+		return doc, err
 	}
 	if status != fasthttp.StatusOK {
-		return events, errors.WithStack(&StatusError{status})
+		return doc, errors.WithStack(&StatusError{status})
 	}
-	return events, errors.WithStack(json.Unmarshal(body, &events))
+	return doc, errors.WithStack(json.Unmarshal(body, &doc))
 }
 
 // Cancel ends an attempt at an engine.
@@ -140,12 +137,6 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	res := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(res)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + address + wire.PathCancel)
-	req.SetBody(data)
-	return errors.WithStack(c.http.DoTimeout(req, res, timeout))
+	_, _, err = c.send(fasthttp.MethodPost, address+wire.PathCancel, data, timeout)
+	return err
 }
--- a/internal/endpoint/orders.go
+++ b/internal/endpoint/orders.go
@@ -20,15 +20,7 @@
 
 // Describe reads what the endpoint says of itself.
 func (c *Caller) Describe(address string, timeout time.Duration) (wire.Description, error) {
-	var d wire.Description
-	status, body, err := c.http.GetTimeout(nil, "http://"+address+wire.PathDescription, timeout)
-	if err != nil {
-		return d, errors.WithStack(err)
-	}
-	if status != fasthttp.StatusOK {
-		return d, errors.WithStack(&StatusError{status})
-	}
-	return d, errors.WithStack(json.Unmarshal(body, &d))
+	return read[wire.Description](c, address+wire.PathDescription, timeout)
 }
 
 // Order gives the order, once. A StaleError, RefusedError or NotSentError
--- a/internal/endpoint/reservations.go
+++ b/internal/endpoint/reservations.go
@@ -67,15 +67,8 @@
 
 // Reservations lists what an engine holds.
 func (c *Caller) Reservations(address string, timeout time.Duration) ([]wire.Reservation, error) {
-	status, body, err := c.send(fasthttp.MethodGet, address+wire.PathReservations, nil, timeout)
-	if err != nil {
-		return nil, err
-	}
-	if status != fasthttp.StatusOK {
-		return nil, errors.WithStack(&StatusError{status})
-	}
-	var list wire.ReservationList
-	return list.Reservations, errors.WithStack(json.Unmarshal(body, &list))
+	list, err := read[wire.ReservationList](c, address+wire.PathReservations, timeout)
+	return list.Reservations, err
 }
 
 // send makes one request and returns its status and body.
--- a/test/capacity/slopes.go
+++ b/test/capacity/slopes.go
@@ -36,14 +36,19 @@
 	return s.forwardPoint(l, "at once")
 }
 
-func (s *system) forwardPoint(l load, pace string) error {
+// both drives the load through the pass-through, then through the entry VM.
+func (s *system) both(l load) (base, entry result, err error) {
 	l.address = s.passThrough.address
-	base, err := l.run(s.passThrough)
-	if err != nil {
-		return err
+	if base, err = l.run(s.passThrough); err != nil {
+		return base, entry, err
 	}
 	l.address = s.entry.address
-	entry, err := l.run(s.entry)
+	entry, err = l.run(s.entry)
+	return base, entry, err
+}
+
+func (s *system) forwardPoint(l load, pace string) error {
+	base, entry, err := s.both(l)
 	if err != nil {
 		return err
 	}
@@ -68,14 +73,7 @@
 	fmt.Println("| prompt KB | requests/s | pass-through µs/request | entry VM µs/request | failed |")
 	fmt.Println("|---|---|---|---|---|")
 	for _, kb := range []int{4, 40, 400, 4000} {
-		l := load{streams: 4, tokens: 1, promptBytes: kb << 10, length: length}
-		l.address = s.passThrough.address
-		base, err := l.run(s.passThrough)
-		if err != nil {
-			return err
-		}
-		l.address = s.entry.address
-		entry, err := l.run(s.entry)
+		base, entry, err := s.both(load{streams: 4, tokens: 1, promptBytes: kb << 10, length: length})
 		if err != nil {
 			return err
 		}
