Name the organisation of a failed attempt in the log

Cause: events of requests carry request, attempt, organisation and VM; that of a failed attempt lacked the organisation.

--- a/internal/event/prompts.go
+++ b/internal/event/prompts.go
@@ -20,10 +20,11 @@
 
 // AttemptFailed is written when one attempt of a request fails.
 type AttemptFailed struct {
-	Request  string `log:"request"`
-	Attempt  int    `log:"attempt"`
-	Endpoint string `log:"endpoint"`
-	Reason   string `log:"reason"`
+	Organisation string `log:"organisation"`
+	Request      string `log:"request"`
+	Attempt      int    `log:"attempt"`
+	Endpoint     string `log:"endpoint"`
+	Reason       string `log:"reason"`
 }
 
 // Def implements Event.
--- a/internal/prompt/answer.go
+++ b/internal/prompt/answer.go
@@ -295,7 +295,7 @@
 // backOff draws the pause before the next attempt. Only a retry of what was
 // handed to an endpoint is paid from the budget.
 func (a *Answer) backOff() {
-	a.log.Emit(event.AttemptFailed{Request: a.req.ID, Attempt: a.attempts, Endpoint: a.attempt.endpoint, Reason: a.reason()})
+	a.log.Emit(event.AttemptFailed{Organisation: a.req.Organisation, Request: a.req.ID, Attempt: a.attempts, Endpoint: a.attempt.endpoint, Reason: a.reason()})
 	a.pauses++
 	a.pause = a.delay(a.pauses, time.Until(a.req.Deadline), a.handed)
 	a.handed = false
