Do not count a peer's request in while its connection is waited for

Cause: the JSON-RPC library may hand on a request after it has said that the connection ended; it was added to a WaitGroup that was being waited for.

Ruled out: the test; the write is WaitGroup.Add beside Wait in internal/peer.

Change: requests are counted in under a lock, and none after the end.

Shown by: go test -race -count=25 -run TestMarksAndLeaving ./internal/member had one race before; 40 runs have none now.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -107,30 +107,60 @@
 		return
 	}
 	slots := make(chan struct{}, maxConcurrent)
-	var running sync.WaitGroup
+	var running requests
 	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 		return s.mux.serve(ctx, sess.peer, req)
 	})
 	out := &stream{conn: conn, r: r, session: sess, limit: s.cfg.MaxMessageBytes, counters: s.counters, reject: func(reason Reason) { s.reject(address, reason) }}
 	c := jsonrpc2.NewConn(ctx, out, concurrent{handler, slots, &running}, jsonrpc2.SetLogger(silent{}))
 	<-c.DisconnectNotify()
-	running.Wait()
+	running.end()
 }
 
 // concurrent runs requests beside each other, in a bounded number.
 type concurrent struct {
 	next    jsonrpc2.Handler
 	slots   chan struct{}
-	running *sync.WaitGroup
+	running *requests
+}
+
+// requests are those of one connection that are being answered.
+type requests struct {
+	mu    sync.Mutex
+	ended bool
+	wg    sync.WaitGroup
+}
+
+// run answers a request beside the others. The library may still hand one on
+// while the connection ends; it is dropped.
+func (r *requests) run(answer func()) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended {
+		return false
+	}
+	r.wg.Go(answer)
+	return true
+}
+
+// end takes no more requests and waits for those that are being answered.
+func (r *requests) end() {
+	r.mu.Lock()
+	r.ended = true
+	r.mu.Unlock()
+	r.wg.Wait()
 }
 
 // Handle implements jsonrpc2.Handler.
 func (h concurrent) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	h.slots <- struct{}{}
-	h.running.Go(func() {
+	taken := h.running.run(func() {
 		defer func() { <-h.slots }()
 		h.next.Handle(ctx, conn, req)
 	})
+	if !taken {
+		<-h.slots
+	}
 }
 
 // silent drops the library's own log lines.
