Work out the rate of calls in one place

Cause: the share of the writes, halved for the two writes of a call, stood in newLimits and in share; a change of one would have missed the other.

Change: Rates.callsPerSecond serves both. Behaviour is the same.

Shown by: go test -race ./internal/platform ./internal/call, linter clean.

--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -51,6 +51,9 @@
 	}
 }
 
+// callsPerSecond is the rate of calls that all VMs together let in.
+func (r Rates) callsPerSecond() float64 { return r.CallShare * r.WritesPerSecond / writesPerCall }
+
 func (r Rates) validate() error {
 	switch {
 	case r.WritesPerSecond <= 0:
@@ -88,7 +91,7 @@
 	l := &limits{rates: r}
 	l.reads = l.limiter(r.ReadsPerSecond / float64(n))
 	l.writes = l.limiter(r.WritesPerSecond / float64(n))
-	l.calls = l.limiter(r.CallShare * r.WritesPerSecond / writesPerCall / float64(n))
+	l.calls = l.limiter(r.callsPerSecond() / float64(n))
 	return l
 }
 
@@ -106,7 +109,7 @@
 	n := max(l.members.Load(), l.listed.Load(), 1)
 	l.set(l.reads, l.rates.ReadsPerSecond/float64(n))
 	l.set(l.writes, l.rates.WritesPerSecond/float64(n))
-	l.set(l.calls, l.rates.CallShare*l.rates.WritesPerSecond/writesPerCall/float64(n))
+	l.set(l.calls, l.rates.callsPerSecond()/float64(n))
 }
 
 func (l *limits) set(limiter *rate.Limiter, perSecond float64) {
