--- a/cmd/cornelsaddle/main.go
+++ b/cmd/cornelsaddle/main.go
@@ -16,6 +16,7 @@
 const usage = `usage: cornelsaddle COMMAND [flags]
 
 commands:
+  gateway   run one entry VM on the users' platform
   demo      run a sample deployment with its stand-ins in this process
   serve     run one entry VM
   version   print the version
@@ -36,6 +37,8 @@
 	switch args[0] {
 	case "demo":
 		return runDemo(args[1:])
+	case "gateway":
+		return runGateway(args[1:])
 	case "serve":
 		return serve(args[1:])
 	case "version":
--- /dev/null
+++ b/core/dispatch/config.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import "time"
+
+// Config has the weights and limits of placement.
+type Config struct {
+	// LateLoss is the share of a request's worth that is lost when its first
+	// event, or a pause between two, is late.
+	LateLoss float64
+	// GapShare is the part of the longest pause allowed that a predicted pass
+	// may fill.
+	GapShare float64
+	// GoalShare is the part of the goal that a predicted first event may fill.
+	GoalShare float64
+	// LightReadMs is the longest reading time, in ms on one engine, of a prompt
+	// that counts as light.
+	LightReadMs float64
+	// WritersPerEngine is the number of light writers for which one engine is
+	// kept free of long reading.
+	WritersPerEngine float64
+	// MaxReaders bounds the engines that read one prompt.
+	MaxReaders int
+	// TokensPerWorth is the number of prompt tokens that weigh as much as a
+	// request by itself.
+	TokensPerWorth float64
+	// HoldShare is the share of its worth that a placement may cost before the
+	// request rather waits for a better one.
+	HoldShare float64
+	// DelayWeight is the share of its worth that a request loses when its first
+	// event comes just at its goal rather than at once.
+	DelayWeight float64
+	// ForeignSetWeight is the share of its worth that a light request pays for
+	// an engine that is meant for long reading.
+	ForeignSetWeight float64
+	// QueueMargin is kept between the predicted first event and the deadline.
+	QueueMargin time.Duration
+	// RateWindow is the time over which arrivals are averaged.
+	RateWindow time.Duration
+	// SuspectFor is how long an endpoint that failed gets no work; it doubles
+	// with each further failure up to MaxSuspectFor.
+	SuspectFor    time.Duration
+	MaxSuspectFor time.Duration
+}
+
+// DefaultConfig is what entry VMs use.
+func DefaultConfig() Config {
+	return Config{
+		LateLoss:         0.75,
+		GapShare:         0.9,
+		GoalShare:        0.85,
+		LightReadMs:      60,
+		WritersPerEngine: 12,
+		MaxReaders:       17,
+		TokensPerWorth:   10000,
+		HoldShare:        0.35,
+		DelayWeight:      0.1,
+		ForeignSetWeight: 0.2,
+		QueueMargin:      150 * time.Millisecond,
+		RateWindow:       time.Second,
+		SuspectFor:       500 * time.Millisecond,
+		MaxSuspectFor:    8 * time.Second,
+	}
+}
--- /dev/null
+++ b/core/dispatch/decide.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// refusedAgain is the least time after which a refused caller comes back.
+const refusedAgain = 500 * time.Millisecond
+
+// Decide places and refuses what can be decided now.
+func (d *Dispatcher) Decide(now time.Time) []Decision {
+	if len(d.queue) == 0 {
+		return nil
+	}
+	d.order()
+	var decisions []Decision
+	kept := d.queue[:0]
+	for _, job := range d.queue {
+		decision, decided := d.decide(now, job)
+		if !decided {
+			kept = append(kept, job)
+			continue
+		}
+		decision.Owner = job.Owner
+		decisions = append(decisions, decision)
+	}
+	clear(d.queue[len(kept):])
+	d.queue = kept
+	return decisions
+}
+
+// order puts the light jobs first and the others by the time at which they are
+// late.
+func (d *Dispatcher) order() {
+	slices.SortStableFunc(d.queue, func(a, b *Job) int {
+		la, lb := d.light(a), d.light(b)
+		if la != lb {
+			if la {
+				return -1
+			}
+			return 1
+		}
+		return a.Due.Compare(b.Due)
+	})
+}
+
+func (d *Dispatcher) decide(now time.Time, job *Job) (Decision, bool) {
+	pool := d.candidates(now, job)
+	if len(pool) == 0 {
+		return d.withoutEndpoint(now, job)
+	}
+	if d.services[job.Service] == nil {
+		return d.decidePlain(now, job, pool)
+	}
+	return d.decidePrompt(now, job, pool)
+}
+
+// candidates lists the endpoints that may get the job: those that are suspected
+// only where there is no other.
+func (d *Dispatcher) candidates(now time.Time, job *Job) []*endpoint {
+	var sound, suspected []*endpoint
+	for _, e := range d.pools[job.Service] {
+		if slices.Contains(job.Avoid, e.ID) {
+			continue
+		}
+		if e.usable(now) {
+			sound = append(sound, e)
+		} else {
+			suspected = append(suspected, e)
+		}
+	}
+	if len(sound) > 0 {
+		return sound
+	}
+	return suspected
+}
+
+// withoutEndpoint keeps a job while an endpoint may still come in time.
+func (d *Dispatcher) withoutEndpoint(now time.Time, job *Job) (Decision, bool) {
+	if now.Before(d.giveUpAt(job)) {
+		return Decision{}, false
+	}
+	return refuse(job, ReasonNoEndpoint, refusedAgain), true
+}
+
+// giveUpAt is when a job that can't be placed is refused: early enough that its
+// caller may still come back.
+func (d *Dispatcher) giveUpAt(job *Job) time.Time {
+	return job.Arrived.Add(job.Deadline.Sub(job.Arrived) / 3)
+}
+
+// decidePlain sends the job to the endpoint with the largest share of free
+// slots, and keeps it while all are full.
+func (d *Dispatcher) decidePlain(now time.Time, job *Job, pool []*endpoint) (Decision, bool) {
+	var best *endpoint
+	for _, e := range pool {
+		if best == nil || e.occupancy() < best.occupancy() {
+			best = e
+		}
+	}
+	if best.occupancy() >= 1 {
+		if now.Before(d.giveUpAt(job)) {
+			return Decision{}, false
+		}
+		return refuse(job, ReasonTooLate, refusedAgain), true
+	}
+	return d.place(now, job, Placement{Job: job.ID, Endpoint: best.ID}), true
+}
+
+func (e *endpoint) occupancy() float64 {
+	return float64(e.received) / float64(max(1, e.Slots))
+}
+
+func (d *Dispatcher) place(now time.Time, job *Job, p Placement) Decision {
+	d.enter(now, job, p)
+	return Decision{Placement: &p}
+}
+
+func refuse(job *Job, reason Reason, again time.Duration) Decision {
+	return Decision{Refusal: &Refusal{Job: job.ID, Reason: reason, RetryAfter: again}}
+}
--- /dev/null
+++ b/core/dispatch/dispatcher.go
@@ -0,0 +1,229 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/engine"
+)
+
+// placed is a job that went to endpoints.
+type placed struct {
+	Job
+	Placement
+	// light says that the prompt is read in no time.
+	light bool
+	// began says that the first event came.
+	began bool
+	// predicted is when the first event is expected.
+	predicted time.Time
+}
+
+// Dispatcher holds the view of a group of endpoints.
+type Dispatcher struct {
+	cfg       Config
+	services  map[string]*engine.Figures
+	endpoints map[string]*endpoint
+	// pools lists the endpoints of a service in the order of their names.
+	pools  map[string][]*endpoint
+	queue  []*Job
+	placed map[string]*placed
+	// rates are the arrivals of light jobs, by service.
+	rates map[string]*rate
+}
+
+// New returns a Dispatcher that knows no endpoint.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{
+		cfg:       cfg,
+		services:  make(map[string]*engine.Figures),
+		endpoints: make(map[string]*endpoint),
+		pools:     make(map[string][]*endpoint),
+		placed:    make(map[string]*placed),
+		rates:     make(map[string]*rate),
+	}
+}
+
+// Submit queues a job; Decide places or refuses it. A job that is known already
+// is left as it is.
+func (d *Dispatcher) Submit(now time.Time, job Job) {
+	if d.placed[job.ID] != nil || d.queued(job.ID) >= 0 {
+		return
+	}
+	if d.light(&job) {
+		d.rate(job.Service).add(now, d.cfg.RateWindow)
+	}
+	d.queue = append(d.queue, &job)
+}
+
+// Adopt takes in a job that was placed elsewhere, by another dispatcher.
+func (d *Dispatcher) Adopt(now time.Time, job Job, p Placement, began bool) {
+	if d.placed[job.ID] != nil {
+		return
+	}
+	if i := d.queued(job.ID); i >= 0 {
+		d.queue = slices.Delete(d.queue, i, i+1)
+	}
+	pl := d.enter(now, &job, p)
+	if began {
+		d.begin(now, pl)
+	}
+}
+
+// Began notes a placed job's first event.
+func (d *Dispatcher) Began(now time.Time, id string) {
+	if p := d.placed[id]; p != nil && !p.began {
+		d.begin(now, p)
+	}
+}
+
+// Finished notes the end of a placed job, or that a queued one is not wanted
+// any more.
+func (d *Dispatcher) Finished(now time.Time, id string, outcome Outcome) {
+	if i := d.queued(id); i >= 0 {
+		d.queue = slices.Delete(d.queue, i, i+1)
+		return
+	}
+	p := d.placed[id]
+	if p == nil {
+		return
+	}
+	d.remove(now, p)
+	e := d.endpoints[p.Endpoint]
+	if e == nil {
+		return
+	}
+	switch outcome {
+	case Served:
+		e.served()
+	case Failed:
+		e.failed(now, d.cfg)
+	case Abandoned, Rejected:
+	}
+}
+
+// Suspect notes that an endpoint failed without a job of this dispatcher.
+func (d *Dispatcher) Suspect(now time.Time, endpoint string) {
+	if e := d.endpoints[endpoint]; e != nil {
+		e.failed(now, d.cfg)
+	}
+}
+
+// DropOwner forgets the jobs of an entry VM that is gone.
+func (d *Dispatcher) DropOwner(now time.Time, owner string) {
+	d.queue = slices.DeleteFunc(d.queue, func(j *Job) bool { return j.Owner == owner })
+	for _, p := range d.placed {
+		if p.Owner == owner {
+			d.remove(now, p)
+		}
+	}
+}
+
+// Waiting is the number of queued jobs.
+func (d *Dispatcher) Waiting() int { return len(d.queue) }
+
+// Placed is the number of jobs at endpoints.
+func (d *Dispatcher) Placed() int { return len(d.placed) }
+
+func (d *Dispatcher) queued(id string) int {
+	return slices.IndexFunc(d.queue, func(j *Job) bool { return j.ID == id })
+}
+
+// enter books the job at its endpoints.
+func (d *Dispatcher) enter(now time.Time, job *Job, p Placement) *placed {
+	pl := &placed{Job: *job, Placement: p, light: d.light(job), predicted: now}
+	d.placed[job.ID] = pl
+	readers := 1 + len(p.Helpers)
+	for i, id := range append([]string{p.Endpoint}, p.Helpers...) {
+		e := d.endpoints[id]
+		if e == nil {
+			continue
+		}
+		pt := &part{job: pl, receiver: i == 0}
+		e.parts[job.ID] = pt
+		if pt.receiver {
+			e.received++
+			e.context += job.Prompt + job.Answer
+		}
+		if e.engine == nil {
+			continue
+		}
+		pt.readMs = e.engine.ReadMs(job.Prompt, readers)
+		if e.readFree.Before(now) {
+			e.readFree = now
+		}
+		e.readFree = e.readFree.Add(fromMs(pt.readMs))
+		pl.predicted = later(pl.predicted, e.readFree)
+	}
+	return pl
+}
+
+// begin notes that a job's prompt is read.
+func (d *Dispatcher) begin(now time.Time, p *placed) {
+	p.began = true
+	d.eachPart(p, func(e *endpoint, pt *part) {
+		if pt.receiver {
+			e.writers++
+		}
+		d.readDone(now, e, pt)
+	})
+}
+
+// remove forgets a placed job.
+func (d *Dispatcher) remove(now time.Time, p *placed) {
+	delete(d.placed, p.ID)
+	d.eachPart(p, func(e *endpoint, pt *part) {
+		delete(e.parts, p.ID)
+		if pt.receiver {
+			e.received--
+			e.context -= p.Prompt + p.Answer
+			if p.began {
+				e.writers--
+			}
+		}
+		d.readDone(now, e, pt)
+	})
+}
+
+// readDone corrects the prediction of an endpoint that has nothing left to
+// read, or less than was thought.
+func (d *Dispatcher) readDone(now time.Time, e *endpoint, pt *part) {
+	pt.readMs = 0
+	pending := 0.0
+	for _, other := range e.parts {
+		pending += other.readMs
+	}
+	if latest := now.Add(fromMs(pending)); latest.Before(e.readFree) {
+		e.readFree = latest
+	}
+}
+
+func (d *Dispatcher) eachPart(p *placed, do func(*endpoint, *part)) {
+	for _, id := range append([]string{p.Endpoint}, p.Helpers...) {
+		e := d.endpoints[id]
+		if e == nil {
+			continue
+		}
+		if pt := e.parts[p.ID]; pt != nil {
+			do(e, pt)
+		}
+	}
+}
+
+// light reports whether the job's prompt is read in no time.
+func (d *Dispatcher) light(j *Job) bool {
+	f := d.services[j.Service]
+	return f != nil && f.ReadMs(j.Prompt, 1) <= d.cfg.LightReadMs
+}
+
+// worth is how much a job weighs against others: by itself, and by its size.
+func (d *Dispatcher) worth(j *Job) float64 {
+	return 1 + float64(j.Prompt)/d.cfg.TokensPerWorth
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,176 @@
+// Package entry wires one entry VM that passes requests through, starts it and
+// shuts it down.
+package entry
+
+import (
+	"math/rand/v2"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/dig"
+
+	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/core/retry"
+	"cornelsaddle.example/cornelsaddle/internal/coordination"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/follow"
+	"cornelsaddle.example/cornelsaddle/internal/gateway"
+	"cornelsaddle.example/cornelsaddle/internal/gateway/config"
+	"cornelsaddle.example/cornelsaddle/internal/metrics"
+	"cornelsaddle.example/cornelsaddle/internal/provider"
+	"cornelsaddle.example/cornelsaddle/internal/upstream"
+)
+
+const (
+	// memoryShare is the part of the VM's memory that the heap may fill; the rest
+	// is for stacks and the network.
+	memoryShare = 0.7
+	megabyte    = 1 << 20
+	// repeatShare is the part of the budget of repeats that is used, so that VMs
+	// that come and go together stay within the whole.
+	repeatShare = 0.5
+)
+
+// Platform is what the adapter of a platform gives.
+type Platform struct {
+	Store   provider.Store
+	Decoder provider.Decoder
+	Dialect provider.Dialect
+}
+
+// Entry is one running VM.
+type Entry struct {
+	settings  config.Settings
+	platform  Platform
+	log       *event.Logger
+	parts     parts
+	followers []*follow.Follower
+	callers   *server
+	balancer  *server
+	stopped   chan struct{}
+}
+
+// parts is what dig puts together.
+type parts struct {
+	dig.In
+	Gateway   *gateway.Gateway
+	Local     *coordination.Local
+	Registry  *registry
+	Tables    *tables
+	Transport *upstream.Transport
+	Metrics   *metrics.Metrics
+}
+
+// Start wires the VM and begins to listen.
+func Start(settings config.Settings, platform Platform, log *event.Logger) (*Entry, error) {
+	e := &Entry{settings: settings, platform: platform, log: log, stopped: make(chan struct{})}
+	limitRuntime(settings.Machine)
+	c := dig.New()
+	for _, constructor := range e.constructors() {
+		if err := c.Provide(constructor); err != nil {
+			return nil, errors.WithStack(err)
+		}
+	}
+	if err := c.Invoke(func(p parts) { e.parts = p }); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	e.follow()
+	log.Emit(event.GatewayStarted{Callers: settings.Callers, Peers: settings.Peers})
+	return e, nil
+}
+
+// limitRuntime keeps the process within the VM's memory and cores.
+func limitRuntime(m config.Machine) {
+	if m.Cores > 0 {
+		runtime.GOMAXPROCS(m.Cores)
+	}
+	if m.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(m.MemoryMB) * megabyte * memoryShare))
+	}
+}
+
+func (e *Entry) constructors() []any {
+	return []any{
+		metrics.New,
+		func() *coordination.Local { return coordination.NewLocal(e.settings.VM, dispatch.DefaultConfig()) },
+		func(l *coordination.Local) *registry { return newRegistry(e.platform.Decoder, e.log, l) },
+		func(l *coordination.Local) *tables { return newTables(e.platform.Decoder, e.log, l) },
+		newTransport,
+		e.newGateway,
+	}
+}
+
+func newTransport(m *metrics.Metrics) *upstream.Transport {
+	opened := m.Counter("upstream.connections")
+	return upstream.New(func() { opened.Inc(1) })
+}
+
+func (e *Entry) newGateway(l *coordination.Local, r *registry, t *tables, u *upstream.Transport, m *metrics.Metrics) *gateway.Gateway {
+	return gateway.New(gateway.Config{
+		VM:        e.settings.VM,
+		Tables:    t,
+		Directory: r,
+		Placer:    l,
+		Dialect:   e.platform.Dialect,
+		Transport: u,
+		Log:       e.log,
+		Metrics:   m,
+		Repeats:   e.newRepeats,
+		Draw:      rand.Float64,
+	})
+}
+
+func (e *Entry) newRepeats() *retry.Window {
+	r := e.settings.Retries
+	return retry.NewWindow(r.Window, r.Ratio*repeatShare, r.Allowance*repeatShare/fleetSize)
+}
+
+// fleetSize is the number of VMs that share the allowance until it is known.
+const fleetSize = 6
+
+func (e *Entry) follow() {
+	e.followers = []*follow.Follower{
+		follow.Start(e.platform.Store, provider.Configuration, e.parts.Tables, e.log),
+		follow.Start(e.platform.Store, provider.Endpoints, e.parts.Registry, e.log),
+	}
+}
+
+// ready reports whether this VM takes requests.
+func (e *Entry) ready() bool {
+	select {
+	case <-e.stopped:
+		return false
+	default:
+	}
+	return e.parts.Tables.Current() != nil && e.parts.Registry.ready()
+}
+
+// Stop drains the VM: it is not ready any more, goes on to serve until the
+// balancer has noticed, and ends when nothing is in flight, or shortly before
+// the grace is over.
+func (e *Entry) Stop() {
+	end := time.Now().Add(e.settings.Grace - endMargin)
+	e.log.Emit(event.GatewayStopping{InFlight: e.parts.Gateway.InFlight(), Grace: e.settings.Grace})
+	close(e.stopped)
+	e.parts.Gateway.Stop()
+	time.Sleep(noticeTime)
+	e.callers.drain(end)
+	e.close()
+}
+
+func (e *Entry) close() {
+	cut := e.parts.Gateway.InFlight()
+	for _, f := range e.followers {
+		f.Stop()
+	}
+	e.callers.close()
+	e.balancer.close()
+	e.parts.Registry.stop()
+	e.parts.Transport.Close()
+	e.log.Emit(event.GatewayStopped{Cut: cut})
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// noticeTime is how long the balancer takes to notice that a VM is not ready:
+	// it asks once a second and believes the second answer.
+	noticeTime = 2500 * time.Millisecond
+	// endMargin is kept from the end of the grace.
+	endMargin = 300 * time.Millisecond
+	// headerTimeout bounds the time in which a caller sends a request's header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long a caller's connection may be idle; callers close
+	// theirs before.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+// server is one listener.
+type server struct {
+	http *http.Server
+}
+
+// serve listens on the address until close.
+func serve(address string, handler http.Handler) (*server, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	s := &server{&http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		// The library's own lines are no events, and may quote a request.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}}
+	go func() { _ = s.http.Serve(l) }()
+	return s, nil
+}
+
+// drain takes no more connections and waits until nothing is in flight, or the
+// end.
+func (s *server) drain(end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	// What is left at the end is cut off, and counted by the caller.
+	_ = s.http.Shutdown(ctx)
+}
+
+func (s *server) close() { _ = s.http.Close() }
+
+func (e *Entry) listen() error {
+	var err error
+	if e.callers, err = serve(e.settings.Callers, e.parts.Gateway); err != nil {
+		return err
+	}
+	e.balancer, err = serve(e.settings.Balancer, http.HandlerFunc(e.answerBalancer))
+	return err
+}
+
+func (e *Entry) answerBalancer(w http.ResponseWriter, _ *http.Request) {
+	if !e.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/entry/tables.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"sync/atomic"
+
+	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/core/routing"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/provider"
+)
+
+// serviceSink takes the services.
+type serviceSink interface {
+	SetServices(services []dispatch.Service)
+}
+
+// tables has the configuration in force. Its version only grows. It is safe for
+// concurrent use.
+type tables struct {
+	decoder provider.Decoder
+	log     *event.Logger
+	sink    serviceSink
+	current atomic.Pointer[routing.Table]
+}
+
+func newTables(decoder provider.Decoder, log *event.Logger, sink serviceSink) *tables {
+	return &tables{decoder: decoder, log: log, sink: sink}
+}
+
+// Current implements gateway.Tables.
+func (t *tables) Current() *routing.Table { return t.current.Load() }
+
+// Listed implements follow.Observer.
+func (t *tables) Listed(rows []provider.Row) { t.Changed(rows) }
+
+// Changed implements follow.Observer.
+func (t *tables) Changed(rows []provider.Row) {
+	for _, row := range rows {
+		t.take(row)
+	}
+}
+
+// take brings a newer configuration into force.
+func (t *tables) take(row provider.Row) {
+	deployment, found, err := t.decoder.Deployment(row)
+	if !found {
+		return
+	}
+	was := t.version()
+	if err != nil {
+		t.log.Emit(event.DeploymentUnreadable{Version: was, Reason: err.Error()})
+		return
+	}
+	if deployment.Version <= was {
+		return
+	}
+	table := routing.NewTable(deployment)
+	t.sink.SetServices(dispatchServices(table))
+	t.current.Store(table)
+	t.log.Emit(event.DeploymentApplied{Version: deployment.Version, Was: was, Routes: len(deployment.Routes)})
+}
+
+func (t *tables) version() int64 {
+	if table := t.current.Load(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
+// Lost implements follow.Observer: the last version stays in force.
+func (t *tables) Lost() {}
+
+// Regained implements follow.Observer.
+func (t *tables) Regained() {}
+
+func dispatchServices(table *routing.Table) []dispatch.Service {
+	services := make([]dispatch.Service, 0, len(table.Services()))
+	for _, s := range table.Services() {
+		services = append(services, dispatch.Service{Name: s.Name, Engine: s.Engine})
+	}
+	return services
+}
--- /dev/null
+++ b/internal/gateway/config/config.go
@@ -0,0 +1,48 @@
+// Package config has the start-up settings of an entry VM that passes requests
+// through, in the product's own terms. A platform's adapter fills them in.
+package config
+
+import "time"
+
+// Settings are those of one process.
+type Settings struct {
+	// VM is this VM's name.
+	VM     string
+	IP     string
+	Domain string
+	Region string
+	// Callers is where callers connect, Balancer where the balancer asks whether
+	// this VM is ready, and Peers where the other VMs connect: IP and port.
+	Callers  string
+	Balancer string
+	Peers    string
+	// Ports are free for the VMs' own use.
+	Ports PortRange
+	// Seeds are peer addresses of some VMs, perhaps stale.
+	Seeds []string
+	// Store is the address of the platform's store.
+	Store   string
+	Machine Machine
+	// Grace is the time between a request to stop and the end.
+	Grace   time.Duration
+	Retries Retries
+}
+
+// PortRange is a range of ports, both ends included; zero for none.
+type PortRange struct{ First, Last int }
+
+// Machine has the limits of the VM.
+type Machine struct {
+	Cores          int
+	MemoryMB       int
+	MaxDescriptors int
+}
+
+// Retries bound the sends beyond the first of each request, over all VMs.
+type Retries struct {
+	// Ratio is the share of the requests of a window that may be sent again.
+	Ratio  float64
+	Window time.Duration
+	// Allowance is added for each window and service.
+	Allowance float64
+}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,301 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cornelsaddle.example/cornelsaddle/core/directory"
+	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/core/routing"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/provider"
+	"cornelsaddle.example/cornelsaddle/internal/upstream"
+)
+
+const (
+	// retryShortly is when a caller comes back that found the VM without a
+	// configuration or a service without an endpoint.
+	retryShortly = 500 * time.Millisecond
+	// noUrgency leaves an endpoint's own order as it is.
+	noUrgency = -1
+)
+
+// exchange is one request of a caller and all that is done for it.
+type exchange struct {
+	gateway *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	call    provider.Call
+	arrived time.Time
+	// deadline is when the caller or the route gives up.
+	deadline     time.Time
+	table        *routing.Table
+	route        *routing.Route
+	service      string
+	organisation string
+	body         []byte
+
+	// sends is the number of endpoints that the request was sent to.
+	sends int
+	// mayHaveRun says that some endpoint may have begun to run it.
+	mayHaveRun bool
+	// avoid are the endpoints at which it failed.
+	avoid  []string
+	stream stream
+
+	// status, code, endpoint and first are for the log.
+	status   int
+	code     failureCode
+	endpoint string
+	first    time.Duration
+}
+
+// admit finds the request's route and reads it. It answers those that are not
+// to be served.
+func (x *exchange) admit() bool {
+	x.table = x.gateway.cfg.Tables.Current()
+	if x.table == nil {
+		x.fail(failNotReady, retryShortly)
+		return false
+	}
+	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	x.route = x.table.Route(x.r.Host, path)
+	if x.route == nil {
+		x.fail(failNoRoute, 0)
+		return false
+	}
+	if !x.identify() {
+		x.fail(failUnknownKey, 0)
+		return false
+	}
+	body, ok, err := readBody(x.r, x.table.Limits().MaxBodyBytes)
+	if err != nil {
+		x.fail(failUnreadable, 0)
+		return false
+	}
+	if !ok {
+		x.fail(failTooLarge, 0)
+		return false
+	}
+	x.body = body
+	x.arrived = time.Now()
+	x.deadline = x.arrived.Add(x.patience())
+	x.service = x.route.PickService(x.gateway.cfg.Draw())
+	x.gateway.noteRequest(x.service)
+	return true
+}
+
+// identify finds the organisation of the request's key.
+func (x *exchange) identify() bool {
+	if !x.table.NeedsKey(x.route) {
+		return true
+	}
+	o := x.table.Organisation(x.call.Key)
+	if o == nil {
+		return false
+	}
+	x.organisation = o.Name
+	return true
+}
+
+// patience is how long the request may take.
+func (x *exchange) patience() time.Duration {
+	if x.call.Patience > 0 && (x.route.Timeout <= 0 || x.call.Patience < x.route.Timeout) {
+		return x.call.Patience
+	}
+	return x.route.Timeout
+}
+
+// serve sends the request until it is answered, or may not be sent again.
+func (x *exchange) serve() {
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	defer cancel()
+	for x.once(ctx) {
+	}
+}
+
+// once places the request and sends it to one endpoint. It reports whether the
+// request is to be placed again.
+func (x *exchange) once(ctx context.Context) bool {
+	job := x.job()
+	placed, err := x.gateway.cfg.Placer.Place(ctx, job)
+	if err != nil {
+		x.notPlaced(ctx, err)
+		return false
+	}
+	entry, ok := x.gateway.cfg.Directory.Entry(placed.Endpoint)
+	if !ok || entry.State != directory.Ready {
+		// It left while the answer was on its way.
+		x.gateway.cfg.Placer.Finished(job.ID, dispatch.Rejected)
+		x.avoid = append(x.avoid, placed.Endpoint)
+		return true
+	}
+	x.sends++
+	x.endpoint = entry.ID
+	x.gateway.cfg.Log.Emit(event.RequestPlaced{
+		Request: x.call.ID, Attempt: x.sends, Endpoint: entry.ID, Helpers: len(placed.Helpers),
+		Holder: placed.Holder, Waited: time.Since(x.arrived),
+	})
+	result := x.send(ctx, job.ID, entry, placed)
+	x.gateway.cfg.Placer.Finished(job.ID, result.outcome)
+	return x.conclude(ctx, entry, result)
+}
+
+// job describes the request for placement.
+func (x *exchange) job() dispatch.Job {
+	job := dispatch.Job{
+		ID:           x.call.ID + "/" + strconv.Itoa(x.sends) + "/" + strconv.Itoa(len(x.avoid)),
+		Owner:        x.gateway.cfg.VM,
+		Service:      x.service,
+		Organisation: x.organisation,
+		Arrived:      x.arrived,
+		Deadline:     x.deadline,
+		Gap:          x.route.Gap,
+		Priority:     x.route.Priority,
+		Avoid:        x.avoid,
+	}
+	if x.route.Goal > 0 {
+		job.Due = x.arrived.Add(x.route.Goal)
+	}
+	if x.route.Prompts {
+		job.Prompt, job.Answer = x.call.Prompt, x.call.Answer
+	}
+	return job
+}
+
+// notPlaced answers a request that got no endpoint.
+func (x *exchange) notPlaced(ctx context.Context, err error) {
+	if x.r.Context().Err() != nil {
+		x.abandoned()
+		return
+	}
+	again := retryShortly
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		again = refused.RetryAfter
+		x.gateway.cfg.Log.Emit(event.RequestRefused{
+			Request: x.call.ID, Reason: string(refused.Reason), Holder: refused.Holder,
+			Waited: time.Since(x.arrived), RetryAfter: again,
+		})
+	}
+	x.unserved(ctx, again)
+}
+
+// unserved answers a request that is given up: that it did not run, where that
+// is certain.
+func (x *exchange) unserved(ctx context.Context, again time.Duration) {
+	switch {
+	case x.stream.begun:
+		x.breakOff()
+	case !x.mayHaveRun:
+		x.fail(failNotRun, again)
+	case ctx.Err() != nil:
+		x.fail(failTimeout, 0)
+	default:
+		x.fail(failEndpoint, 0)
+	}
+}
+
+// conclude decides what follows a send. It reports whether the request is sent
+// again.
+func (x *exchange) conclude(ctx context.Context, entry directory.Entry, result sendResult) bool {
+	if result.delivered {
+		return false
+	}
+	if result.callerLeft || x.r.Context().Err() != nil {
+		x.abandoned()
+		return false
+	}
+	if !result.notRun {
+		x.mayHaveRun = true
+	}
+	x.avoid = append(x.avoid, entry.ID)
+	again, why := x.again(ctx, result)
+	x.gateway.cfg.Log.Emit(event.SendEnded{
+		Request: x.call.ID, Attempt: x.sends, Endpoint: entry.ID, Status: result.status,
+		Outcome: result.outcome.String(), Reason: result.reason(), Again: again, Why: why,
+	})
+	if again {
+		return true
+	}
+	if result.answer != nil {
+		if x.deliver(result.answer).callerLeft {
+			x.abandoned()
+		}
+		return false
+	}
+	x.unserved(ctx, retryShortly)
+	return false
+}
+
+// again decides whether the request may be sent once more.
+func (x *exchange) again(ctx context.Context, result sendResult) (bool, string) {
+	switch {
+	case ctx.Err() != nil:
+		return false, "no time left"
+	case x.sends >= x.route.MaxAttempts:
+		return false, "attempts used up"
+	case !result.notRun && !x.route.Repeatable():
+		return false, "may have run"
+	case x.stream.begun && x.stream.lastEvent == "":
+		return false, "no event to resume from"
+	case !x.gateway.takeRepeat(x.service):
+		return false, "budget used up"
+	}
+	return true, ""
+}
+
+// onward is the header for an endpoint.
+func (x *exchange) onward(entry directory.Entry, placed Placed) http.Header {
+	o := provider.Onward{
+		Left:         time.Until(x.deadline),
+		Endpoint:     entry.ID,
+		Organisation: x.organisation,
+		LastEvent:    x.stream.lastEvent,
+		Urgency:      noUrgency,
+	}
+	for _, id := range placed.Helpers {
+		if helper, ok := x.gateway.cfg.Directory.Entry(id); ok {
+			o.Helpers = append(o.Helpers, helper.Address)
+		}
+	}
+	return x.gateway.cfg.Dialect.Onward(x.r.Header, o)
+}
+
+// request is what is sent to the endpoint.
+func (x *exchange) request(entry directory.Entry, placed Placed) *upstream.Request {
+	return &upstream.Request{
+		Address: entry.Address,
+		Method:  x.r.Method,
+		URI:     x.r.RequestURI,
+		Host:    x.r.Host,
+		Header:  x.onward(entry, placed),
+		Body:    x.body,
+		Fresh:   !x.route.Repeatable(),
+		Mine: func(h http.Header) bool {
+			id := x.gateway.cfg.Dialect.Answer(0, h).ID
+			return id == "" || id == x.call.ID
+		},
+	}
+}
+
+func (x *exchange) logEnd() {
+	e := event.RequestEnded{
+		Request: x.call.ID, Service: x.service, Organisation: x.organisation, Endpoint: x.endpoint,
+		Attempts: x.sends, Status: x.status, Code: string(x.code), First: x.first,
+		Took: time.Since(x.arrived), Events: x.stream.events,
+	}
+	if x.route != nil {
+		e.Route = x.route.Name
+		e.Version = x.table.Version()
+	}
+	x.gateway.cfg.Log.Emit(e)
+	if x.code != "" {
+		x.gateway.cfg.Metrics.Failed(string(x.code))
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -120,3 +120,8 @@
 		queueing:   histogram(kindQueueing),
 	}
 }
+
+// Counter returns the counter of the name.
+func (m *Metrics) Counter(name string) gometrics.Counter {
+	return gometrics.GetOrRegisterCounter(name, m.Registry)
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,114 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection; a lost opening packet is
+	// repeated after a second only.
+	dialTimeout = 1200 * time.Millisecond
+	// unackedLimit is how long sent bytes may go unacknowledged before the
+	// connection is given up.
+	unackedLimit = 1500 * time.Millisecond
+	// probeIdle is the silence after which a connection is probed.
+	probeIdle = time.Second
+	// probeCount is the number of probes without an answer that end it.
+	probeCount = 2
+	// readBuffer is the size of a connection's read buffer.
+	readBuffer = 4 << 10
+	// idleMargin is kept from the time at which the endpoint closes an idle
+	// connection.
+	idleMargin = 700 * time.Millisecond
+	// idleDefault is how long a connection is kept where the endpoint does not
+	// say.
+	idleDefault = 2 * time.Second
+)
+
+// conn is one connection to an endpoint.
+type conn struct {
+	net.Conn
+	r       *bufio.Reader
+	address string
+	// used says that an answer came on the connection before.
+	used bool
+	// idleUntil is when the connection may not be used again.
+	idleUntil time.Time
+}
+
+// dial opens a connection whose silence ends it.
+func dial(ctx context.Context, address string) (*conn, error) {
+	d := net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeIdle, Count: probeCount},
+		Control:         limitUnacked,
+	}
+	c, err := d.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer), address: address}, nil
+}
+
+func limitUnacked(_, _ string, c syscall.RawConn) error {
+	var failure error
+	err := c.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedLimit.Milliseconds()))
+	})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(failure)
+}
+
+// quiet reports whether nothing came on an idle connection: neither bytes, which
+// belong to no request, nor its end.
+func (c *conn) quiet() bool {
+	if c.r.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, failure := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(failure, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// keepFor is how long the endpoint keeps the connection after the answer; zero
+// for not at all.
+func keepFor(resp *http.Response) time.Duration {
+	if resp.Close {
+		return 0
+	}
+	for _, field := range strings.Split(resp.Header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return max(0, time.Duration(seconds)*time.Second-idleMargin)
+		}
+	}
+	return idleDefault
+}
