--- /dev/null
+++ b/internal/coordination/messages.go
@@ -0,0 +1,119 @@
+package coordination
+
+import (
+	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/internal/peer"
+)
+
+// The methods by which VMs place requests together.
+const (
+	methodPlace peer.Method = "dispatch.place"
+	methodGrant peer.Method = "dispatch.grant"
+	methodNote  peer.Method = "dispatch.note"
+)
+
+// jobMessage is a job between VMs. Their clocks differ, so it has times from now
+// on, in microseconds.
+type jobMessage struct {
+	ID           string   `json:"id"`
+	Service      string   `json:"s"`
+	Organisation string   `json:"o,omitempty"`
+	Age          int64    `json:"a"`
+	Due          int64    `json:"d,omitempty"`
+	HasDue       bool     `json:"hd,omitempty"`
+	Deadline     int64    `json:"e"`
+	Gap          int64    `json:"g,omitempty"`
+	Priority     int      `json:"p,omitempty"`
+	Prompt       int      `json:"n,omitempty"`
+	Answer       int      `json:"w,omitempty"`
+	Avoid        []string `json:"v,omitempty"`
+}
+
+func encodeJob(now time.Time, j dispatch.Job) jobMessage {
+	m := jobMessage{
+		ID: j.ID, Service: j.Service, Organisation: j.Organisation,
+		Age: now.Sub(j.Arrived).Microseconds(), Deadline: j.Deadline.Sub(now).Microseconds(),
+		Gap: j.Gap.Microseconds(), Priority: j.Priority, Prompt: j.Prompt, Answer: j.Answer, Avoid: j.Avoid,
+	}
+	if !j.Due.IsZero() {
+		m.HasDue, m.Due = true, j.Due.Sub(now).Microseconds()
+	}
+	return m
+}
+
+func (m jobMessage) job(now time.Time, owner string) dispatch.Job {
+	j := dispatch.Job{
+		ID: m.ID, Owner: owner, Service: m.Service, Organisation: m.Organisation,
+		Arrived: now.Add(-microseconds(m.Age)), Deadline: now.Add(microseconds(m.Deadline)),
+		Gap: microseconds(m.Gap), Priority: m.Priority, Prompt: m.Prompt, Answer: m.Answer, Avoid: m.Avoid,
+	}
+	if m.HasDue {
+		j.Due = now.Add(microseconds(m.Due))
+	}
+	return j
+}
+
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+// decisionMessage is a decision between VMs; one without an endpoint and a
+// reason says that the job waits.
+type decisionMessage struct {
+	Job        string   `json:"j"`
+	Endpoint   string   `json:"e,omitempty"`
+	Helpers    []string `json:"h,omitempty"`
+	Urgency    int      `json:"u,omitempty"`
+	Reason     string   `json:"r,omitempty"`
+	RetryAfter int64    `json:"t,omitempty"`
+}
+
+func encodeDecision(d dispatch.Decision) decisionMessage {
+	if d.Refusal != nil {
+		return decisionMessage{Job: d.Refusal.Job, Reason: string(d.Refusal.Reason), RetryAfter: d.Refusal.RetryAfter.Microseconds()}
+	}
+	p := d.Placement
+	return decisionMessage{Job: p.Job, Endpoint: p.Endpoint, Helpers: p.Helpers, Urgency: p.Urgency}
+}
+
+// decided reports whether the message has a decision.
+func (m decisionMessage) decided() bool { return m.Endpoint != "" || m.Reason != "" }
+
+func (m decisionMessage) decision() dispatch.Decision {
+	if m.Reason != "" {
+		return dispatch.Decision{Refusal: &dispatch.Refusal{
+			Job: m.Job, Reason: dispatch.Reason(m.Reason), RetryAfter: microseconds(m.RetryAfter),
+		}}
+	}
+	return dispatch.Decision{Placement: &dispatch.Placement{
+		Job: m.Job, Endpoint: m.Endpoint, Helpers: m.Helpers, Urgency: m.Urgency,
+	}}
+}
+
+// grantAnswer says whether a granted job is still wanted.
+type grantAnswer struct {
+	Wanted bool `json:"w"`
+}
+
+// noteMessage tells a holder how jobs of a VM fare.
+type noteMessage struct {
+	Notes []note `json:"n"`
+}
+
+// note is one thing that happened to a job.
+type note struct {
+	Job string `json:"j"`
+	// Adopted has a job that was placed by another holder.
+	Adopted *adopted `json:"a,omitempty"`
+	Began   bool     `json:"b,omitempty"`
+	// Finished says that the job ended with the Outcome.
+	Finished bool             `json:"f,omitempty"`
+	Outcome  dispatch.Outcome `json:"o,omitempty"`
+}
+
+// adopted is a job with its placement.
+type adopted struct {
+	Job       jobMessage      `json:"j"`
+	Placement decisionMessage `json:"p"`
+	Began     bool            `json:"b,omitempty"`
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/gateway"
 	"cornelsaddle.example/cornelsaddle/internal/gateway/config"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
+	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
@@ -49,23 +50,29 @@
 	followers []*follow.Follower
 	callers   *server
 	balancer  *server
-	stopped   chan struct{}
+	members   *members
+	// joined is closed when members is set.
+	joined  chan struct{}
+	stopped chan struct{}
 }
 
 // parts is what dig puts together.
 type parts struct {
 	dig.In
-	Gateway   *gateway.Gateway
-	Local     *coordination.Local
-	Registry  *registry
-	Tables    *tables
-	Transport *upstream.Transport
-	Metrics   *metrics.Metrics
+	Gateway     *gateway.Gateway
+	Coordinator *coordination.Coordinator
+	Registry    *registry
+	Tables      *tables
+	Transport   *upstream.Transport
+	Metrics     *metrics.Metrics
+	Identity    peer.Identity
+	Mux         *peer.Mux
+	Peers       *peer.Client
 }
 
 // Start wires the VM and begins to listen.
 func Start(settings config.Settings, platform Platform, log *event.Logger) (*Entry, error) {
-	e := &Entry{settings: settings, platform: platform, log: log, stopped: make(chan struct{})}
+	e := &Entry{settings: settings, platform: platform, log: log, joined: make(chan struct{}), stopped: make(chan struct{})}
 	limitRuntime(settings.Machine)
 	c := dig.New()
 	for _, constructor := range e.constructors() {
@@ -79,6 +86,12 @@
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
+	var err error
+	if e.members, err = e.join(); err != nil {
+		return nil, err
+	}
+	close(e.joined)
+	e.tellMembers()
 	e.follow()
 	log.Emit(event.GatewayStarted{Callers: settings.Callers, Peers: settings.Peers})
 	return e, nil
@@ -97,7 +110,11 @@
 func (e *Entry) constructors() []any {
 	return []any{
 		metrics.New,
-		func() *coordination.Local { return coordination.NewLocal(e.settings.VM, dispatch.DefaultConfig()) },
+		func() peer.Identity { return peer.Identity{VM: e.settings.VM, Incarnation: time.Now().UnixNano()} },
+		peer.NewMux,
+		e.newPeers,
+		func() *coordination.Local { return coordination.NewLocal(dispatch.DefaultConfig()) },
+		e.newCoordinator,
 		func(l *coordination.Local) *registry { return newRegistry(e.platform.Decoder, e.log, l) },
 		func(l *coordination.Local) *tables { return newTables(e.platform.Decoder, e.log, l) },
 		newTransport,
@@ -105,17 +122,25 @@
 	}
 }
 
+func (e *Entry) newPeers(self peer.Identity, mux *peer.Mux, m *metrics.Metrics) (*peer.Client, error) {
+	return peer.NewClient(peer.Config{Self: self, Keys: []string{fleetKey}}, mux, e.log, m.Registry)
+}
+
+func (e *Entry) newCoordinator(self peer.Identity, l *coordination.Local, peers *peer.Client, mux *peer.Mux) *coordination.Coordinator {
+	return coordination.New(self.VM, l, peers, mux, e.log)
+}
+
 func newTransport(m *metrics.Metrics) *upstream.Transport {
 	opened := m.Counter("upstream.connections")
 	return upstream.New(func() { opened.Inc(1) })
 }
 
-func (e *Entry) newGateway(l *coordination.Local, r *registry, t *tables, u *upstream.Transport, m *metrics.Metrics) *gateway.Gateway {
+func (e *Entry) newGateway(c *coordination.Coordinator, r *registry, t *tables, u *upstream.Transport, m *metrics.Metrics) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		VM:        e.settings.VM,
 		Tables:    t,
 		Directory: r,
-		Placer:    l,
+		Placer:    c,
 		Dialect:   e.platform.Dialect,
 		Transport: u,
 		Log:       e.log,
@@ -158,6 +183,7 @@
 	e.log.Emit(event.GatewayStopping{InFlight: e.parts.Gateway.InFlight(), Grace: e.settings.Grace})
 	close(e.stopped)
 	e.parts.Gateway.Stop()
+	e.members.leave()
 	time.Sleep(noticeTime)
 	e.callers.drain(end)
 	e.close()
@@ -171,6 +197,7 @@
 	e.callers.close()
 	e.balancer.close()
 	e.parts.Registry.stop()
+	e.members.stop()
 	e.parts.Transport.Close()
 	e.log.Emit(event.GatewayStopped{Cut: cut})
 }
