--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -63,21 +63,6 @@
 // passMs is the time of a pass beside its reading.
 func (e *endpoint) passMs() float64 { return e.engine.PassMs(e.writers, e.context) }
 
-// tightestGapMs is the shortest pause that a job here allows; zero for none.
-func (e *endpoint) tightestGapMs() float64 {
-	tightest := 0.0
-	for _, p := range e.parts {
-		if !p.receiver {
-			continue
-		}
-		gap := ms(p.job.Gap)
-		if gap > 0 && (tightest == 0 || gap < tightest) {
-			tightest = gap
-		}
-	}
-	return tightest
-}
-
 // failed notes a failure and suspects the endpoint for a while. Failures of
 // requests that were sent side by side count once.
 func (e *endpoint) failed(now time.Time, cfg Config) {
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -247,7 +247,7 @@
 			harm += d.pauseHarm(p.job, pass-readMs, pass)
 		}
 		if !p.job.began {
-			harm += d.delayHarm(now, p.job, readMs)
+			harm += d.delayHarm(p.job, readMs)
 		}
 	}
 	if interactive[e.ID] && pass > d.cfg.LightReadMs*2 {
@@ -267,7 +267,7 @@
 }
 
 // delayHarm is what a job that is still being read loses when it is delayed.
-func (d *Dispatcher) delayHarm(now time.Time, p *placed, byMs float64) float64 {
+func (d *Dispatcher) delayHarm(p *placed, byMs float64) float64 {
 	if p.Due.IsZero() || !p.predicted.Before(p.Due) {
 		return 0
 	}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -109,7 +109,7 @@
 	} else {
 		go func() { written <- write(c, req) }()
 	}
-	raw, err := readAnswer(c, req)
+	raw, err := readAnswer(c, req) //nolint:bodyclose // Response.Close ends the exchange with its connection
 	if err != nil {
 		release()
 		_ = c.Close()
