Feed VMs that the store turns away from their peers; never end a stream with a failure

Test: TestFailedResumptionIsBroken, seen to fail.

Tests of the wire's traps for the gateway, against scripted endpoints.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -58,11 +58,11 @@
 // Outage notes that the registry does not answer.
 func (d *Directory) Outage() { d.outage = true }
 
-// Restored notes that the registry answers again.
-func (d *Directory) Restored(now time.Time) {
+// Restored notes that the registry answers again, since a time.
+func (d *Directory) Restored(at time.Time) {
 	if d.outage {
 		d.outage = false
-		d.restored = now
+		d.restored = at
 	}
 }
 
@@ -84,20 +84,6 @@
 	delete(d.records, id)
 }
 
-// Replace takes a whole list: what isn't on it has ended.
-func (d *Directory) Replace(now time.Time, entries []Entry) {
-	listed := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		listed[e.ID] = true
-		d.Put(e)
-	}
-	for id := range d.records {
-		if !listed[id] {
-			d.Remove(now, id)
-		}
-	}
-}
-
 // Expire drops the entries that had their time to come back.
 func (d *Directory) Expire(now time.Time) {
 	if d.recovering(now) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,10 +15,10 @@
 	"cornelsaddle.example/cornelsaddle/core/retry"
 	"cornelsaddle.example/cornelsaddle/internal/coordination"
 	"cornelsaddle.example/cornelsaddle/internal/event"
-	"cornelsaddle.example/cornelsaddle/internal/follow"
 	"cornelsaddle.example/cornelsaddle/internal/gateway"
 	"cornelsaddle.example/cornelsaddle/internal/gateway/config"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
+	"cornelsaddle.example/cornelsaddle/internal/mirror"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
@@ -43,15 +43,18 @@
 
 // Entry is one running VM.
 type Entry struct {
-	settings  config.Settings
-	platform  Platform
-	log       *event.Logger
-	parts     parts
-	followers []*follow.Follower
-	callers   *server
-	balancer  *server
-	members   *members
-	// joined is closed when members is set.
+	settings config.Settings
+	platform Platform
+	log      *event.Logger
+	parts    parts
+	callers  *server
+	balancer *server
+	members  *members
+	watchers *watchers
+	// configuration and endpoints are this VM's copies.
+	configuration *mirror.Follower
+	endpoints     *mirror.Follower
+	// joined is closed when members, configuration and endpoints are set.
 	joined  chan struct{}
 	stopped chan struct{}
 }
@@ -72,7 +75,7 @@
 
 // Start wires the VM and begins to listen.
 func Start(settings config.Settings, platform Platform, log *event.Logger) (*Entry, error) {
-	e := &Entry{settings: settings, platform: platform, log: log, joined: make(chan struct{}), stopped: make(chan struct{})}
+	e := &Entry{settings: settings, platform: platform, log: log, watchers: newWatchers(settings.VM), joined: make(chan struct{}), stopped: make(chan struct{})}
 	limitRuntime(settings.Machine)
 	c := dig.New()
 	for _, constructor := range e.constructors() {
@@ -90,9 +93,9 @@
 	if e.members, err = e.join(); err != nil {
 		return nil, err
 	}
+	e.follow()
 	close(e.joined)
 	e.tellMembers()
-	e.follow()
 	log.Emit(event.GatewayStarted{Callers: settings.Callers, Peers: settings.Peers})
 	return e, nil
 }
@@ -159,10 +162,10 @@
 const fleetSize = 6
 
 func (e *Entry) follow() {
-	e.followers = []*follow.Follower{
-		follow.Start(e.platform.Store, provider.Configuration, e.parts.Tables, e.log),
-		follow.Start(e.platform.Store, provider.Endpoints, e.parts.Registry, e.log),
-	}
+	p := e.parts
+	e.configuration = mirror.Start(provider.Configuration, p.Tables, e.platform.Store, p.Peers, e.watchers, e.log)
+	e.endpoints = mirror.Start(provider.Endpoints, p.Registry, e.platform.Store, p.Peers, e.watchers, e.log)
+	mirror.Answer(p.Mux, e.configuration, e.endpoints)
 }
 
 // ready reports whether this VM takes requests.
@@ -183,21 +186,19 @@
 	e.log.Emit(event.GatewayStopping{InFlight: e.parts.Gateway.InFlight(), Grace: e.settings.Grace})
 	close(e.stopped)
 	e.parts.Gateway.Stop()
-	e.members.leave()
+	go e.members.leave()
 	time.Sleep(noticeTime)
 	e.callers.drain(end)
-	e.close()
+	e.log.Emit(event.GatewayStopped{Cut: e.parts.Gateway.InFlight()})
 }
 
-func (e *Entry) close() {
-	cut := e.parts.Gateway.InFlight()
-	for _, f := range e.followers {
-		f.Stop()
-	}
+// Close ends everything at once.
+func (e *Entry) Close() {
+	e.configuration.Stop()
+	e.endpoints.Stop()
 	e.callers.close()
 	e.balancer.close()
 	e.parts.Registry.stop()
 	e.members.stop()
 	e.parts.Transport.Close()
-	e.log.Emit(event.GatewayStopped{Cut: cut})
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -9,7 +9,6 @@
 
 	"cornelsaddle.example/cornelsaddle/core/membership"
 	"cornelsaddle.example/cornelsaddle/core/wire"
-	"cornelsaddle.example/cornelsaddle/internal/coordination"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/member"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
@@ -126,6 +125,7 @@
 		Log:      e.log,
 		Observer: &observer{entry: e},
 		Version:  p.Tables.version,
+		Digest:   e.digest,
 	}, p.Mux)
 	return m, nil
 }
@@ -150,8 +150,8 @@
 // leave tells the others that this VM stops, and drops its line.
 func (m *members) leave() {
 	m.cancel()
-	<-m.registered
 	m.service.Leave()
+	<-m.registered
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
 	if err := m.entry.platform.Store.Remove(ctx, provider.VMs, m.identity.VM); err != nil {
@@ -165,38 +165,3 @@
 	m.server.Close()
 	m.entry.parts.Peers.Close()
 }
-
-// observer hands on what the probes bring.
-type observer struct{ entry *Entry }
-
-// PeerVersion implements member.Observer.
-func (o *observer) PeerVersion(string, int64) {}
-
-// PeerDigest implements member.Observer.
-func (o *observer) PeerDigest(string, []byte) {}
-
-// EndpointLeaves implements member.Observer.
-func (o *observer) EndpointLeaves(membership.Mark) {}
-
-// ListedLeaving implements member.Observer.
-func (o *observer) ListedLeaving(string) {}
-
-// MembersChanged implements member.Observer.
-func (o *observer) MembersChanged() {
-	select {
-	case <-o.entry.joined:
-	default:
-		return
-	}
-	o.entry.tellMembers()
-}
-
-// tellMembers hands on who lives.
-func (e *Entry) tellMembers() {
-	live := e.members.service.Live()
-	list := make([]coordination.Member, 0, len(live))
-	for _, r := range live {
-		list = append(list, coordination.Member{VM: r.ID, Address: r.Address})
-	}
-	e.parts.Coordinator.SetMembers(list)
-}
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -42,26 +42,12 @@
 	return r.directory.Entry(id)
 }
 
-// Listed implements follow.Observer.
-func (r *registry) Listed(rows []provider.Row) {
+// Changed implements mirror.Observer.
+func (r *registry) Changed(rows []provider.Row, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	entries := make([]directory.Entry, 0, len(rows))
-	for _, row := range rows {
-		if e, ok := r.decode(row); ok {
-			entries = append(entries, e)
-		}
-	}
-	r.directory.Replace(time.Now(), entries)
-	r.listed = true
-	r.tell()
-}
-
-// Changed implements follow.Observer.
-func (r *registry) Changed(rows []provider.Row) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	changed := false
+	changed := complete && !r.listed
+	r.listed = r.listed || complete
 	for _, row := range rows {
 		changed = r.change(row) || changed
 	}
@@ -103,18 +89,18 @@
 	return e, true
 }
 
-// Lost implements follow.Observer.
-func (r *registry) Lost() {
+// Outage implements mirror.Observer.
+func (r *registry) Outage() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.directory.Outage()
 }
 
-// Regained implements follow.Observer.
-func (r *registry) Regained() {
+// Restored implements mirror.Observer.
+func (r *registry) Restored(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.directory.Restored(time.Now())
+	r.directory.Restored(at)
 	if r.expiry != nil {
 		r.expiry.Stop()
 	}
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/core/routing"
@@ -30,11 +31,8 @@
 // Current implements gateway.Tables.
 func (t *tables) Current() *routing.Table { return t.current.Load() }
 
-// Listed implements follow.Observer.
-func (t *tables) Listed(rows []provider.Row) { t.Changed(rows) }
-
-// Changed implements follow.Observer.
-func (t *tables) Changed(rows []provider.Row) {
+// Changed implements mirror.Observer.
+func (t *tables) Changed(rows []provider.Row, _ bool) {
 	for _, row := range rows {
 		t.take(row)
 	}
@@ -67,11 +65,11 @@
 	return 0
 }
 
-// Lost implements follow.Observer: the last version stays in force.
-func (t *tables) Lost() {}
+// Outage implements mirror.Observer: the last version stays in force.
+func (t *tables) Outage() {}
 
-// Regained implements follow.Observer.
-func (t *tables) Regained() {}
+// Restored implements mirror.Observer.
+func (t *tables) Restored(time.Time) {}
 
 func dispatchServices(table *routing.Table) []dispatch.Service {
 	services := make([]dispatch.Service, 0, len(table.Services()))
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -11,7 +11,7 @@
 	DeploymentApplied{}, DeploymentUnreadable{}, EndpointListed{}, EndpointUnlisted{}, EntryUnreadable{},
 	StoreLost{}, StoreRegained{}, HistoryExpired{}, SettingsLoaded{}, SettingsUnreadable{},
 	RequestPlaced{}, RequestRefused{}, SendEnded{}, RequestEnded{}, HolderChanged{}, HolderLost{},
-	GatewayStarted{}, GatewayStopping{}, GatewayStopped{}, RegistrationFailed{}, LinesDropped{},
+	GatewayStarted{}, GatewayStopping{}, GatewayStopped{}, RegistrationFailed{}, LinesDropped{}, DigestUnreadable{},
 }
 
 // DeploymentApplied is written when a configuration comes into force.
@@ -270,3 +270,15 @@
 func (LinesDropped) Def() Def {
 	return Def{720, "lines_dropped", log.WarnLevel, "The log could not keep up; so many lines were left out."}
 }
+
+// DigestUnreadable is written when a VM's account of what it knows can't be
+// read.
+type DigestUnreadable struct {
+	Member string `log:"member"`
+	Reason string `log:"reason"`
+}
+
+// Def implements Event.
+func (DigestUnreadable) Def() Def {
+	return Def{721, "digest_unreadable", log.WarnLevel, "Another VM's account of what it knows can't be read; its news come by other ways."}
+}
--- /dev/null
+++ b/internal/gateway/fakes_test.go
@@ -0,0 +1,341 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/directory"
+	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/core/retry"
+	"cornelsaddle.example/cornelsaddle/core/routing"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/metrics"
+	"cornelsaddle.example/cornelsaddle/internal/provider"
+	"cornelsaddle.example/cornelsaddle/internal/upstream"
+)
+
+// Headers of the tests' own dialect.
+const (
+	hID      = "X-Id"
+	hKey     = "X-Key"
+	hSeal    = "X-Seal"
+	hNotRun  = "X-Not-Run"
+	hLast    = "X-Last"
+	hExpect  = "X-Expect"
+	hOrg     = "X-Org"
+	hHelpers = "X-Helpers"
+)
+
+// dialect is a small provider.Dialect.
+type dialect struct{}
+
+func (dialect) Call(h http.Header) provider.Call {
+	return provider.Call{ID: h.Get(hID), Key: h.Get(hKey), Patience: 3 * time.Second, LastEvent: h.Get(hLast)}
+}
+
+func (dialect) Onward(h http.Header, o provider.Onward) http.Header {
+	out := h.Clone()
+	out.Del(hKey)
+	out.Del("Connection")
+	out.Del("Content-Length")
+	out.Set(hExpect, o.Endpoint)
+	if o.Organisation != "" {
+		out.Set(hOrg, o.Organisation)
+	}
+	if o.LastEvent != "" {
+		out.Set(hLast, o.LastEvent)
+	}
+	if len(o.Helpers) > 0 {
+		out.Set(hHelpers, strings.Join(o.Helpers, ","))
+	}
+	return out
+}
+
+func (dialect) Answer(_ int, h http.Header) provider.Answer {
+	return provider.Answer{ID: h.Get(hID), Sealed: h.Get(hSeal) != "", NotRun: h.Get(hNotRun) != ""}
+}
+
+func (dialect) Returned(h http.Header) http.Header {
+	out := h.Clone()
+	out.Del("Connection")
+	out.Del("Content-Length")
+	out.Del("Transfer-Encoding")
+	return out
+}
+
+func (dialect) Refused(id string, again time.Duration) http.Header {
+	h := http.Header{hID: {id}}
+	if again > 0 {
+		h.Set("Retry-After", again.String())
+	}
+	return h
+}
+
+// endpoint is a scripted server. Each request is handed to the script with its
+// place in the order of arrival, and the script writes to the bare connection.
+type endpoint struct {
+	listener net.Listener
+	script   func(n int, req *http.Request, body []byte, c net.Conn)
+
+	mu   sync.Mutex
+	seen []*http.Request
+	// bodies are those of seen.
+	bodies []string
+	conns  int
+	closed chan struct{}
+}
+
+func newEndpoint(t *testing.T, script func(n int, req *http.Request, body []byte, c net.Conn)) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	e := &endpoint{listener: l, script: script, closed: make(chan struct{}, 16)}
+	t.Cleanup(func() { _ = l.Close() })
+	go e.run()
+	return e
+}
+
+func (e *endpoint) run() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.conns++
+		e.mu.Unlock()
+		go e.serve(c)
+	}
+}
+
+func (e *endpoint) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		e.closed <- struct{}{}
+	}()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.seen = append(e.seen, req)
+		e.bodies = append(e.bodies, string(body))
+		n := len(e.seen)
+		e.mu.Unlock()
+		e.script(n, req, body, c)
+	}
+}
+
+// requests returns what came so far.
+func (e *endpoint) requests() []*http.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.seen
+}
+
+// world is a gateway before scripted endpoints.
+type world struct {
+	table     *routing.Table
+	entries   map[string]directory.Entry
+	order     []string
+	mu        sync.Mutex
+	jobs      []dispatch.Job
+	outcomes  []dispatch.Outcome
+	began     int
+	refuse    *dispatch.Refusal
+	allowance float64
+	server    net.Listener
+	gateway   *Gateway
+}
+
+// Current implements Tables.
+func (w *world) Current() *routing.Table { return w.table }
+
+// Entry implements Directory.
+func (w *world) Entry(id string) (directory.Entry, bool) {
+	e, ok := w.entries[id]
+	return e, ok
+}
+
+// Place implements Placer: the first endpoint that is not to be avoided.
+func (w *world) Place(ctx context.Context, job dispatch.Job) (Placed, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.jobs = append(w.jobs, job)
+	if w.refuse != nil {
+		return Placed{}, &RefusedError{Refusal: *w.refuse, Holder: "test"}
+	}
+	for _, id := range w.order {
+		avoided := false
+		for _, a := range job.Avoid {
+			avoided = avoided || a == id
+		}
+		if !avoided {
+			return Placed{Placement: dispatch.Placement{Job: job.ID, Endpoint: id}, Holder: "test"}, ctx.Err()
+		}
+	}
+	return Placed{}, &RefusedError{Refusal: dispatch.Refusal{Job: job.ID, Reason: dispatch.ReasonNoEndpoint}, Holder: "test"}
+}
+
+// Began implements Placer.
+func (w *world) Began(string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.began++
+}
+
+// Finished implements Placer.
+func (w *world) Finished(_ string, outcome dispatch.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.outcomes = append(w.outcomes, outcome)
+}
+
+func (w *world) ends() []dispatch.Outcome {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]dispatch.Outcome(nil), w.outcomes...)
+}
+
+// newWorld serves the routes /once/, /safe/ and /stream/ by the endpoints, in
+// their order.
+func newWorld(t *testing.T, endpoints ...*endpoint) *world {
+	t.Helper()
+	w := &world{entries: make(map[string]directory.Entry), allowance: 10}
+	for i, e := range endpoints {
+		id := "e" + string(rune('1'+i))
+		w.order = append(w.order, id)
+		w.entries[id] = directory.Entry{ID: id, Service: "s", Address: e.listener.Addr().String(), Slots: 4}
+	}
+	shares := []routing.Share{{Service: "s", Weight: 1}}
+	w.table = routing.NewTable(routing.Deployment{
+		Version: 1,
+		Routes: []routing.Route{
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: routing.NonIdempotent, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Idempotent, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.Streaming, Resumable: true, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
+			{Name: "fixed", Host: "h", Prefix: "/fixed/", Kind: routing.Streaming, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
+			{Name: "public", Host: "h", Prefix: "/public/", Public: true, Kind: routing.Idempotent, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
+		},
+		Services:      []routing.Service{{Name: "s"}},
+		Organisations: []routing.Organisation{{Name: "org", Keys: []string{"key"}}},
+		Limits:        routing.Limits{MaxBodyBytes: 1 << 20},
+	})
+	log, err := event.New(io.Discard, "json", "info", "vm")
+	require.NoError(t, err)
+	transport := upstream.New(func() {})
+	t.Cleanup(transport.Close)
+	w.gateway = New(Config{
+		VM: "vm", Tables: w, Directory: w, Placer: w, Dialect: dialect{}, Transport: transport,
+		Log: log, Metrics: metrics.New(), Draw: func() float64 { return 0 },
+		Repeats: func() *retry.Window { return retry.NewWindow(10*time.Second, 0, w.allowance) },
+	})
+	w.server, err = net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: w.gateway, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(w.server) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return w
+}
+
+// answered is what a caller got.
+type answered struct {
+	status int
+	header http.Header
+	body   string
+	// broken says that the answer did not end as its framing says.
+	broken bool
+	// closes says that the connection ends with the answer.
+	closes bool
+}
+
+// call sends a request and reads its whole answer.
+func (w *world) call(t *testing.T, method, path, body string, header http.Header) answered {
+	t.Helper()
+	c := w.dial(t)
+	defer func() { _ = c.Close() }()
+	return w.exchange(t, c, method, path, body, header)
+}
+
+func (w *world) dial(t *testing.T) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp4", w.server.Addr().String())
+	require.NoError(t, err)
+	require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	return c
+}
+
+func (w *world) exchange(t *testing.T, c net.Conn, method, path, body string, header http.Header) answered {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://h"+path, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set(hID, "r1")
+	req.Header.Set(hKey, "key")
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	require.NoError(t, req.Write(c))
+	resp, err := http.ReadResponse(bufio.NewReader(c), req)
+	if err != nil {
+		return answered{broken: true}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	return answered{status: resp.StatusCode, header: resp.Header, body: string(got), broken: err != nil, closes: resp.Close}
+}
+
+// say writes an answer with a length.
+func say(c net.Conn, status, header, body string) {
+	_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\n"+header+"Content-Length: "+itoa(len(body))+"\r\n\r\n"+body)
+}
+
+func itoa(n int) string {
+	if n >= 10 {
+		return itoa(n/10) + string(rune('0'+n%10))
+	}
+	return string(rune('0' + n))
+}
+
+// own is the header of an answer to the tests' request.
+const own = hID + ": r1\r\n" + hSeal + ": s\r\n"
+
+// reset ends a connection so that its other end sees a reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// streamHead writes the head of a chunked stream.
+func streamHead(c net.Conn) {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+own+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+}
+
+func chunk(c net.Conn, s string) {
+	const digits = "0123456789abcdef"
+	n := len(s)
+	size := ""
+	for n > 0 {
+		size = string(digits[n%16]) + size
+		n /= 16
+	}
+	_, _ = io.WriteString(c, size+"\r\n"+s+"\r\n")
+}
+
+func lastChunk(c net.Conn) { _, _ = io.WriteString(c, "0\r\n\r\n") }
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/dispatch"
+)
+
+// TestPassesBytesUnchanged checks what the endpoint and the caller see.
+func TestPassesBytesUnchanged(t *testing.T) {
+	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+		say(c, "201 Created", own+"X-Extra: 7\r\n", "\x00answer\r\n")
+	})
+	w := newWorld(t, e)
+	a := w.call(t, "PUT", "/once/a%2Fb?x=%20&y", "\x01body", http.Header{"X-Mine": {"1", "2"}})
+	require.Equal(t, 201, a.status)
+	require.Equal(t, "\x00answer\r\n", a.body)
+	require.Equal(t, "7", a.header.Get("X-Extra"))
+	require.Equal(t, "s", a.header.Get(hSeal))
+	require.Empty(t, a.header.Get("Content-Type"), "no header is added")
+	seen := e.requests()
+	require.Len(t, seen, 1)
+	require.Equal(t, "/once/a%2Fb?x=%20&y", seen[0].RequestURI)
+	require.Equal(t, "PUT", seen[0].Method)
+	require.Equal(t, "h", seen[0].Host)
+	require.Equal(t, []string{"1", "2"}, seen[0].Header["X-Mine"])
+	require.Equal(t, "org", seen[0].Header.Get(hOrg))
+	require.Equal(t, "e1", seen[0].Header.Get(hExpect))
+	require.Empty(t, seen[0].Header.Get(hKey), "the key is not passed on")
+	require.Empty(t, seen[0].Header.Get("Accept-Encoding"))
+	require.Equal(t, "\x01body", e.bodies[0])
+}
+
+// TestRefusesWhatNoConfigurationAllows checks the failures before a send.
+func TestRefusesWhatNoConfigurationAllows(t *testing.T) {
+	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+	w := newWorld(t, e)
+	require.Equal(t, 404, w.call(t, "GET", "/none/", "", nil).status)
+	require.Equal(t, 401, w.call(t, "GET", "/safe/", "", http.Header{hKey: {"wrong"}}).status)
+	require.Equal(t, 200, w.call(t, "GET", "/public/", "", http.Header{hKey: {"wrong"}}).status)
+	require.Equal(t, 413, w.call(t, "POST", "/safe/", strings.Repeat("x", 1<<20+1), nil).status)
+	w.table = nil
+	a := w.call(t, "GET", "/safe/", "", nil)
+	require.Equal(t, 503, a.status)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+	require.Len(t, e.requests(), 1)
+}
+
+// TestSendsOnceWhatMayRunOnce resets the connection after the request: it may
+// have run, so it is neither sent again nor said not to have run.
+func TestSendsOnceWhatMayRunOnce(t *testing.T) {
+	cut := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { reset(c) })
+	spare := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+	for _, path := range []string{"/once/", "/fixed/"} {
+		w := newWorld(t, cut, spare)
+		a := w.call(t, "POST", path, "b", nil)
+		require.Equal(t, 502, a.status, path)
+		require.Empty(t, a.header.Get("Retry-After"))
+		require.Equal(t, []dispatch.Outcome{dispatch.Failed}, w.ends())
+	}
+	require.Empty(t, spare.requests())
+}
+
+// TestUsesFreshConnectionsForWhatMayRunOnce checks that an idle connection,
+// which the endpoint may be closing, is not used.
+func TestUsesFreshConnectionsForWhatMayRunOnce(t *testing.T) {
+	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+	w := newWorld(t, e)
+	for range 3 {
+		require.Equal(t, 200, w.call(t, "POST", "/once/", "b", nil).status)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	require.Equal(t, 3, e.conns)
+}
+
+// TestKeepsConnectionsForWhatMayBeRepeated is the other side of it.
+func TestKeepsConnectionsForWhatMayBeRepeated(t *testing.T) {
+	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+	w := newWorld(t, e)
+	for range 3 {
+		require.Equal(t, 200, w.call(t, "GET", "/safe/", "", nil).status)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	require.Equal(t, 1, e.conns)
+}
+
+// TestSendsElsewhereOnProofOfNotRun follows a rejection, for all kinds.
+func TestSendsElsewhereOnProofOfNotRun(t *testing.T) {
+	for _, path := range []string{"/once/", "/safe/"} {
+		full := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+			say(c, "503 Service Unavailable", hNotRun+": 1\r\n", "")
+		})
+		spare := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+		w := newWorld(t, full, spare)
+		require.Equal(t, 200, w.call(t, "POST", path, "b", nil).status, path)
+		require.Equal(t, []dispatch.Outcome{dispatch.Rejected, dispatch.Served}, w.ends())
+		require.Len(t, full.requests(), 1)
+	}
+}
+
+// TestAttemptsAreBounded rejects everywhere: two sends, and an honest refusal.
+func TestAttemptsAreBounded(t *testing.T) {
+	reject := func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+		say(c, "503 Service Unavailable", hNotRun+": 1\r\n", "")
+	}
+	a, b, c := newEndpoint(t, reject), newEndpoint(t, reject), newEndpoint(t, reject)
+	w := newWorld(t, a, b, c)
+	got := w.call(t, "POST", "/once/", "b", nil)
+	require.Equal(t, 503, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	require.Empty(t, got.header.Get(hSeal))
+	require.Len(t, a.requests(), 1)
+	require.Len(t, b.requests(), 1)
+	require.Empty(t, c.requests())
+}
+
+// TestBudgetBoundsRepeats spends the allowance of one repeat.
+func TestBudgetBoundsRepeats(t *testing.T) {
+	reject := func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+		say(c, "503 Service Unavailable", hNotRun+": 1\r\n", "")
+	}
+	a, b := newEndpoint(t, reject), newEndpoint(t, reject)
+	w := newWorld(t, a, b)
+	w.allowance = 1
+	for range 3 {
+		require.Equal(t, 503, w.call(t, "GET", "/safe/", "", nil).status)
+	}
+	require.Len(t, a.requests(), 3)
+	require.Len(t, b.requests(), 1)
+}
+
+// TestUnprovenRefusalIsNoPromise answers 503 without proof: the caller must not
+// take it for a request that did not run.
+func TestUnprovenRefusalIsNoPromise(t *testing.T) {
+	for _, status := range []string{"503 Busy", "429 Slow", "408 Late"} {
+		e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, status, own, "no") })
+		w := newWorld(t, e)
+		a := w.call(t, "POST", "/once/", "b", nil)
+		require.Equal(t, 502, a.status, status)
+		require.Empty(t, a.header.Get(hSeal))
+	}
+}
+
+// TestOwnFailureIsReturned passes an endpoint's 500 on, and tries elsewhere
+// first where it may.
+func TestOwnFailureIsReturned(t *testing.T) {
+	fail := func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "500 Oops", own, "broken") }
+	a, b := newEndpoint(t, fail), newEndpoint(t, fail)
+	w := newWorld(t, a, b)
+	got := w.call(t, "POST", "/once/", "b", nil)
+	require.Equal(t, 500, got.status)
+	require.Equal(t, "broken", got.body)
+	require.Len(t, a.requests(), 1)
+	require.Empty(t, b.requests())
+	got = w.call(t, "GET", "/safe/", "", nil)
+	require.Equal(t, 500, got.status)
+	require.Len(t, b.requests(), 1)
+}
+
+// TestUnsealedSuccessIsNotDelivered covers an answer that nobody vouches for.
+func TestUnsealedSuccessIsNotDelivered(t *testing.T) {
+	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", hID+": r1\r\n", "forged") })
+	w := newWorld(t, e)
+	require.Equal(t, 502, w.call(t, "POST", "/once/", "b", nil).status)
+}
+
+// TestShortAnswerIsReplaced cuts an answer that may be repeated, with a length
+// and without one.
+func TestShortAnswerIsReplaced(t *testing.T) {
+	for name, head := range map[string]string{"length": "Content-Length: 9\r\n", "no length": ""} {
+		cut := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+own+head+"\r\nhal")
+			time.Sleep(20 * time.Millisecond)
+			reset(c)
+		})
+		spare := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "whole") })
+		w := newWorld(t, cut, spare)
+		a := w.call(t, "GET", "/safe/", "", nil)
+		require.Equal(t, "whole", a.body, name)
+	}
+}
+
+// TestAnswersToOthersAreDropped brings a late answer to another request first,
+// and bytes after the answer: neither reaches a caller.
+func TestAnswersToOthersAreDropped(t *testing.T) {
+	e := newEndpoint(t, func(n int, _ *http.Request, _ []byte, c net.Conn) {
+		say(c, "200 OK", hID+": other\r\n"+hSeal+": s\r\n", "not yours")
+		say(c, "200 OK", own, "yours")
+		if n == 1 {
+			say(c, "200 OK", hID+": r1\r\n"+hSeal+": s\r\n", "again")
+		}
+	})
+	w := newWorld(t, e)
+	for range 3 {
+		require.Equal(t, "yours", w.call(t, "GET", "/safe/", "", nil).body)
+	}
+}
+
+// TestEarlyAnswer answers a long body before reading it.
+func TestEarlyAnswer(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = bufio.NewReader(c).ReadString('\n')
+			say(c, "400 No", own, "early")
+		}
+	}()
+	w := newWorld(t, &endpoint{listener: l})
+	a := w.call(t, "POST", "/once/", strings.Repeat("x", 900<<10), nil)
+	require.Equal(t, 400, a.status)
+	require.Equal(t, "early", a.body)
+}
+
+// TestCallerLeaves ends the endpoint's work soon after the caller has gone,
+// while it waits and in the middle of a stream.
+func TestCallerLeaves(t *testing.T) {
+	for _, path := range []string{"/once/", "/stream/"} {
+		e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+			if path == "/stream/" {
+				streamHead(c)
+				chunk(c, "id: 1\ndata: a\n\n")
+			}
+		})
+		w := newWorld(t, e)
+		c := w.dial(t)
+		req, err := http.NewRequest("POST", "http://h"+path, strings.NewReader("b"))
+		require.NoError(t, err)
+		req.Header.Set(hKey, "key")
+		req.Header.Set(hID, "r1")
+		require.NoError(t, req.Write(c))
+		require.Eventually(t, func() bool { return len(e.requests()) == 1 }, 2*time.Second, time.Millisecond)
+		require.NoError(t, c.Close())
+		select {
+		case <-e.closed:
+		case <-time.After(2 * time.Second):
+			require.Fail(t, "the endpoint's connection stays open", path)
+		}
+		require.Eventually(t, func() bool { return len(w.ends()) == 1 }, time.Second, time.Millisecond)
+		require.Equal(t, []dispatch.Outcome{dispatch.Abandoned}, w.ends())
+	}
+}
+
+// TestTimeout answers at the route's timeout, without a promise.
+func TestTimeout(t *testing.T) {
+	e := newEndpoint(t, func(int, *http.Request, []byte, net.Conn) {})
+	w := newWorld(t, e)
+	begun := time.Now()
+	a := w.call(t, "POST", "/once/", "b", nil)
+	require.Equal(t, 504, a.status)
+	require.GreaterOrEqual(t, time.Since(begun), 2*time.Second)
+}
+
+// TestRefusalByPlacement says that the request did not run, and when to return.
+func TestRefusalByPlacement(t *testing.T) {
+	w := newWorld(t)
+	w.refuse = &dispatch.Refusal{Reason: dispatch.ReasonTooLate, RetryAfter: 700 * time.Millisecond}
+	a := w.call(t, "POST", "/stream/", "b", nil)
+	require.Equal(t, 503, a.status)
+	require.Equal(t, "700ms", a.header.Get("Retry-After"))
+}
+
+// TestStoppingEndsConnections tells callers that their connection ends.
+func TestStoppingEndsConnections(t *testing.T) {
+	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+	w := newWorld(t, e)
+	w.gateway.Stop()
+	a := w.call(t, "GET", "/safe/", "", nil)
+	require.Equal(t, 200, a.status)
+	require.True(t, a.closes)
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -53,6 +53,14 @@
 // Error implements error.
 func (e *UnsealedError) Error() string { return "unsealed answer " + strconv.Itoa(e.Status) }
 
+// NotResumedError says that an endpoint did not continue a stream.
+type NotResumedError struct{ Status int }
+
+// Error implements error.
+func (e *NotResumedError) Error() string {
+	return "the stream was not continued: answer " + strconv.Itoa(e.Status)
+}
+
 // TooLongError says that an answer is too long to be held.
 type TooLongError struct{ Bytes int }
 
@@ -111,6 +119,11 @@
 	a := &answer{status: resp.Status, header: resp.Header, body: body}
 	result := sendResult{outcome: dispatch.Served, status: resp.Status}
 	switch {
+	case x.stream.begun:
+		// The caller has the head of another answer, which this one can't continue.
+		result.outcome = dispatch.Failed
+		result.err = errors.WithStack(&NotResumedError{resp.Status})
+		return result
 	case resp.Status < http.StatusMultipleChoices && !sealed:
 		return unsealed(resp.Status)
 	case promises(resp.Status):
--- /dev/null
+++ b/internal/gateway/stream_test.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/dispatch"
+)
+
+const (
+	event1 = "id: 1\ndata: a\n\n"
+	event2 = "id: 2\ndata: b\n\n"
+	event3 = "id: 3\ndata: c\n\n"
+)
+
+// breaksAfterTwo sends two events and half of the third, and breaks off.
+func breaksAfterTwo(_ int, _ *http.Request, _ []byte, c net.Conn) {
+	streamHead(c)
+	chunk(c, event1)
+	chunk(c, event2+"id: 3\nda")
+	time.Sleep(20 * time.Millisecond)
+	reset(c)
+}
+
+// TestStreamIsDeliveredWhole passes a stream through.
+func TestStreamIsDeliveredWhole(t *testing.T) {
+	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+		streamHead(c)
+		chunk(c, event1)
+		chunk(c, event2)
+		lastChunk(c)
+	})
+	w := newWorld(t, e)
+	a := w.call(t, "POST", "/stream/", "b", nil)
+	require.Equal(t, event1+event2, a.body)
+	require.False(t, a.broken)
+	require.Equal(t, 1, w.began)
+	require.Equal(t, []dispatch.Outcome{dispatch.Served}, w.ends())
+}
+
+// TestEventsAreDeliveredAsTheyCome reads the first event while the endpoint
+// still works on the second.
+func TestEventsAreDeliveredAsTheyCome(t *testing.T) {
+	goOn := make(chan struct{})
+	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+		streamHead(c)
+		chunk(c, event1)
+		<-goOn
+		chunk(c, event2)
+		lastChunk(c)
+	})
+	w := newWorld(t, e)
+	c := w.dial(t)
+	defer func() { _ = c.Close() }()
+	_, err := io.WriteString(c, "POST /stream/ HTTP/1.1\r\nHost: h\r\n"+hKey+": key\r\n"+hID+": r1\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	got := ""
+	buffer := make([]byte, 4096)
+	for len(got) < len(event1) || got[len(got)-len(event1)-2:len(got)-2] != event1 {
+		n, err := c.Read(buffer)
+		require.NoError(t, err)
+		got += string(buffer[:n])
+	}
+	close(goOn)
+	rest, err := io.ReadAll(io.LimitReader(c, int64(len(event2))))
+	require.NoError(t, err)
+	require.NotEmpty(t, rest)
+}
+
+// TestBrokenStreamGoesOnElsewhere continues after the last whole event, within
+// one answer.
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	cut := newEndpoint(t, breaksAfterTwo)
+	spare := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+		streamHead(c)
+		chunk(c, event3)
+		lastChunk(c)
+	})
+	w := newWorld(t, cut, spare)
+	a := w.call(t, "POST", "/stream/", "b", nil)
+	require.Equal(t, event1+event2+event3, a.body)
+	require.False(t, a.broken)
+	require.Equal(t, "2", spare.requests()[0].Header.Get(hLast))
+	require.Equal(t, []dispatch.Outcome{dispatch.Failed, dispatch.Served}, w.ends())
+}
+
+// TestFailedResumptionIsBroken answers the continuation with a failure: it must
+// not become part of the stream, nor its end.
+func TestFailedResumptionIsBroken(t *testing.T) {
+	for _, status := range []string{"500 Oops", "400 No", "404 Gone"} {
+		cut := newEndpoint(t, breaksAfterTwo)
+		spare := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, status, own, "failed") })
+		w := newWorld(t, cut, spare)
+		a := w.call(t, "POST", "/stream/", "b", nil)
+		require.Equal(t, event1+event2, a.body, status)
+		require.True(t, a.broken, "the answer must not look complete")
+	}
+}
+
+// TestBrokenStreamWithoutResumption is broken off.
+func TestBrokenStreamWithoutResumption(t *testing.T) {
+	cut := newEndpoint(t, breaksAfterTwo)
+	spare := newEndpoint(t, breaksAfterTwo)
+	w := newWorld(t, cut, spare)
+	a := w.call(t, "POST", "/fixed/", "b", nil)
+	require.Equal(t, event1+event2, a.body)
+	require.True(t, a.broken)
+	require.Empty(t, spare.requests())
+}
+
+// TestStreamThatBreaksBeforeItsFirstEvent is replaced in whole.
+func TestStreamThatBreaksBeforeItsFirstEvent(t *testing.T) {
+	cut := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+		streamHead(c)
+		chunk(c, "id: 1\nda")
+		time.Sleep(20 * time.Millisecond)
+		reset(c)
+	})
+	spare := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+		streamHead(c)
+		chunk(c, event1)
+		lastChunk(c)
+	})
+	w := newWorld(t, cut, spare)
+	a := w.call(t, "POST", "/stream/", "b", nil)
+	require.Equal(t, event1, a.body)
+	require.False(t, a.broken)
+	require.Empty(t, spare.requests()[0].Header.Get(hLast))
+}
+
+// TestStreamEndsAtItsTimeout breaks a stream off that lasts too long.
+func TestStreamEndsAtItsTimeout(t *testing.T) {
+	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+		streamHead(c)
+		chunk(c, event1)
+	})
+	w := newWorld(t, e)
+	a := w.call(t, "POST", "/stream/", "b", nil)
+	require.Equal(t, event1, a.body)
+	require.True(t, a.broken)
+}
