--- a/cmd/cornelsaddle/gateway.go
+++ b/cmd/cornelsaddle/gateway.go
@@ -48,6 +48,7 @@
 		Store:   platform.NewStore(settings.Store),
 		Decoder: platform.Documents{},
 		Dialect: platform.Headers{},
+		Memory:  platform.Orders{},
 	}, log)
 	if err != nil {
 		return err
--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -20,6 +20,11 @@
 	WritersPerEngine float64
 	// MaxReaders bounds the engines that read one prompt.
 	MaxReaders int
+	// ShareTokens is the memory that one helper holds of a prompt that is larger
+	// than its receiver, where there are enough helpers.
+	ShareTokens int
+	// MemoryShare is the part of an engine's memory that is given out.
+	MemoryShare float64
 	// TokensPerWorth is the number of prompt tokens that weigh as much as a
 	// request by itself.
 	TokensPerWorth float64
@@ -51,6 +56,8 @@
 		LightReadMs:      60,
 		WritersPerEngine: 12,
 		MaxReaders:       17,
+		ShareTokens:      100000,
+		MemoryShare:      0.92,
 		TokensPerWorth:   10000,
 		HoldShare:        0.35,
 		DelayWeight:      0.1,
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -139,11 +139,11 @@
 		if e == nil {
 			continue
 		}
-		pt := &part{job: pl, receiver: i == 0}
+		pt := &part{job: pl, receiver: i == 0, tokens: p.memory(job, i)}
 		e.parts[job.ID] = pt
+		e.context += pt.tokens
 		if pt.receiver {
 			e.received++
-			e.context += job.Prompt + job.Answer
 		}
 		if e.engine == nil {
 			continue
@@ -174,9 +174,9 @@
 	delete(d.placed, p.ID)
 	d.eachPart(p, func(e *endpoint, pt *part) {
 		delete(e.parts, p.ID)
+		e.context -= pt.tokens
 		if pt.receiver {
 			e.received--
-			e.context -= p.Prompt + p.Answer
 			if p.began {
 				e.writers--
 			}
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -31,6 +31,8 @@
 	readMs float64
 	// receiver says that the job's request is at this endpoint.
 	receiver bool
+	// tokens is the memory that the job holds here.
+	tokens int
 }
 
 // endpoint is what the dispatcher believes of an endpoint.
@@ -60,6 +62,11 @@
 	return max(0, ms(e.readFree.Sub(now)))
 }
 
+// room is the memory in tokens that may still be given out.
+func (e *endpoint) room(share float64) int {
+	return int(float64(e.engine.MemoryTokens)*share) - e.context
+}
+
 // passMs is the time of a pass beside its reading.
 func (e *endpoint) passMs() float64 { return e.engine.PassMs(e.writers, e.context) }
 
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -36,6 +36,9 @@
 	Endpoint string
 	// Helpers read parts of its prompt besides.
 	Helpers []string
+	// Shares are the parts of the prompt's memory that helpers hold, in place of
+	// the receiver: for each of the first helpers a number of tokens.
+	Shares []int
 	// Urgency is the rank that the endpoint is told, 0 to 9, where 0 is first.
 	Urgency int
 }
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -11,6 +11,8 @@
 type choice struct {
 	receiver *endpoint
 	helpers  []*endpoint
+	// shares are the memory in tokens that the first helpers hold.
+	shares []int
 	// firstMs is the predicted time to the first event.
 	firstMs float64
 	// cost is what the choice costs in worth, to this job and to others.
@@ -22,11 +24,10 @@
 // decidePrompt chooses the engines that read and write a prompt, or lets it wait
 // for a better time.
 func (d *Dispatcher) decidePrompt(now time.Time, job *Job, pool []*endpoint) (Decision, bool) {
-	fitting := d.fitting(job, pool)
-	if len(fitting) == 0 {
+	best, found := d.best(now, job, pool)
+	if !found {
 		return d.withoutRoom(now, job, pool)
 	}
-	best := d.best(now, job, fitting)
 	worth := d.worth(job)
 	if best.cost <= d.cfg.HoldShare*worth {
 		return d.placeChoice(now, job, best), true
@@ -49,11 +50,7 @@
 
 // withoutRoom keeps a job that finds all slots or memory taken.
 func (d *Dispatcher) withoutRoom(now time.Time, job *Job, pool []*endpoint) (Decision, bool) {
-	largest := 0
-	for _, e := range pool {
-		largest = max(largest, e.engine.MemoryTokens)
-	}
-	if job.Prompt+job.Answer > largest {
+	if d.tooLarge(job, pool) {
 		return refuse(job, ReasonTooLarge, 0), true
 	}
 	if now.Before(d.giveUpAt(job)) {
@@ -67,7 +64,7 @@
 	need := job.Prompt + job.Answer
 	var fit []*endpoint
 	for _, e := range pool {
-		if e.received < e.Slots && e.context+need <= e.engine.MemoryTokens {
+		if e.received < e.Slots && need <= e.room(d.cfg.MemoryShare) {
 			fit = append(fit, e)
 		}
 	}
@@ -75,7 +72,7 @@
 }
 
 func (d *Dispatcher) placeChoice(now time.Time, job *Job, c choice) Decision {
-	p := Placement{Job: job.ID, Endpoint: c.receiver.ID}
+	p := Placement{Job: job.ID, Endpoint: c.receiver.ID, Shares: c.shares}
 	for _, h := range c.helpers {
 		p.Helpers = append(p.Helpers, h.ID)
 	}
@@ -85,14 +82,19 @@
 }
 
 // best weighs each receiver and number of readers.
-func (d *Dispatcher) best(now time.Time, job *Job, fitting []*endpoint) choice {
-	pool := d.pools[job.Service]
-	interactive := d.interactive(now, job.Service, len(pool))
-	light := d.light(job)
-	if light {
-		return d.bestLight(now, job, fitting, interactive)
+func (d *Dispatcher) best(now time.Time, job *Job, pool []*endpoint) (choice, bool) {
+	interactive := d.interactive(now, job.Service, len(d.pools[job.Service]))
+	if d.oversize(job, pool) {
+		return d.bestOversize(now, job, interactive)
+	}
+	fitting := d.fitting(job, pool)
+	if len(fitting) == 0 {
+		return choice{}, false
+	}
+	if d.light(job) {
+		return d.bestLight(now, job, fitting, interactive), true
 	}
-	return d.bestLong(now, job, fitting, interactive)
+	return d.bestLong(now, job, fitting, interactive), true
 }
 
 // interactive is the set of engines that are kept free of long reading: as many
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -63,6 +63,7 @@
 	Job        string   `json:"j"`
 	Endpoint   string   `json:"e,omitempty"`
 	Helpers    []string `json:"h,omitempty"`
+	Shares     []int    `json:"m,omitempty"`
 	Urgency    int      `json:"u,omitempty"`
 	Reason     string   `json:"r,omitempty"`
 	RetryAfter int64    `json:"t,omitempty"`
@@ -73,7 +74,7 @@
 		return decisionMessage{Job: d.Refusal.Job, Reason: string(d.Refusal.Reason), RetryAfter: d.Refusal.RetryAfter.Microseconds()}
 	}
 	p := d.Placement
-	return decisionMessage{Job: p.Job, Endpoint: p.Endpoint, Helpers: p.Helpers, Urgency: p.Urgency}
+	return decisionMessage{Job: p.Job, Endpoint: p.Endpoint, Helpers: p.Helpers, Shares: p.Shares, Urgency: p.Urgency}
 }
 
 // decided reports whether the message has a decision.
@@ -86,7 +87,7 @@
 		}}
 	}
 	return dispatch.Decision{Placement: &dispatch.Placement{
-		Job: m.Job, Endpoint: m.Endpoint, Helpers: m.Helpers, Urgency: m.Urgency,
+		Job: m.Job, Endpoint: m.Endpoint, Helpers: m.Helpers, Shares: m.Shares, Urgency: m.Urgency,
 	}}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/mirror"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
+	"cornelsaddle.example/cornelsaddle/internal/ticket"
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
 
@@ -39,6 +40,7 @@
 	Store   provider.Store
 	Decoder provider.Decoder
 	Dialect provider.Dialect
+	Memory  provider.Memory
 }
 
 // Entry is one running VM.
@@ -121,6 +123,7 @@
 		func(l *coordination.Local) *registry { return newRegistry(e.platform.Decoder, e.log, l) },
 		func(l *coordination.Local) *tables { return newTables(e.platform.Decoder, e.log, l) },
 		newTransport,
+		e.newTickets,
 		e.newGateway,
 	}
 }
@@ -138,7 +141,11 @@
 	return upstream.New(func() { opened.Inc(1) })
 }
 
-func (e *Entry) newGateway(c *coordination.Coordinator, r *registry, t *tables, u *upstream.Transport, m *metrics.Metrics) *gateway.Gateway {
+func (e *Entry) newTickets(u *upstream.Transport) *ticket.Keeper {
+	return ticket.NewKeeper(e.platform.Memory, u, e.log, e.settings.Memory.FreeWithin, e.settings.Memory.MaxHold)
+}
+
+func (e *Entry) newGateway(c *coordination.Coordinator, r *registry, t *tables, u *upstream.Transport, k *ticket.Keeper, m *metrics.Metrics) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		VM:        e.settings.VM,
 		Tables:    t,
@@ -146,6 +153,7 @@
 		Placer:    c,
 		Dialect:   e.platform.Dialect,
 		Transport: u,
+		Tickets:   k,
 		Log:       e.log,
 		Metrics:   m,
 		Repeats:   e.newRepeats,
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -12,6 +12,7 @@
 	StoreLost{}, StoreRegained{}, HistoryExpired{}, SettingsLoaded{}, SettingsUnreadable{},
 	RequestPlaced{}, RequestRefused{}, SendEnded{}, RequestEnded{}, HolderChanged{}, HolderLost{},
 	GatewayStarted{}, GatewayStopping{}, GatewayStopped{}, RegistrationFailed{}, LinesDropped{}, DigestUnreadable{},
+	ReservationFailed{}, ReservationNotRenewed{}, ReservationNotReleased{},
 }
 
 // DeploymentApplied is written when a configuration comes into force.
@@ -282,3 +283,38 @@
 func (DigestUnreadable) Def() Def {
 	return Def{721, "digest_unreadable", log.WarnLevel, "Another VM's account of what it knows can't be read; its news come by other ways."}
 }
+
+// ReservationFailed is written when memory for a large prompt was not set aside.
+type ReservationFailed struct {
+	Request string `log:"request"`
+	Reason  string `log:"reason"`
+	Again   bool   `log:"again"`
+}
+
+// Def implements Event.
+func (ReservationFailed) Def() Def {
+	return Def{722, "reservation_failed", log.WarnLevel, "The memory for a large prompt was not set aside; nothing of it is held, and again says whether the request is placed once more."}
+}
+
+// ReservationNotRenewed is written when a renewal fails.
+type ReservationNotRenewed struct {
+	Reservation string `log:"reservation"`
+	Endpoint    string `log:"endpoint"`
+	Reason      string `log:"reason"`
+}
+
+// Def implements Event.
+func (ReservationNotRenewed) Def() Def {
+	return Def{723, "reservation_not_renewed", log.WarnLevel, "A reservation of memory was not renewed; the next try follows within its hold."}
+}
+
+// ReservationNotReleased is written when no release was answered.
+type ReservationNotReleased struct {
+	Reservation string `log:"reservation"`
+	Endpoint    string `log:"endpoint"`
+}
+
+// Def implements Event.
+func (ReservationNotReleased) Def() Def {
+	return Def{724, "reservation_not_released", log.WarnLevel, "No release of a reservation was answered; it ends with its hold."}
+}
--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -26,6 +26,7 @@
 	// Grace is the time between a request to stop and the end.
 	Grace   time.Duration
 	Retries Retries
+	Memory  Memory
 }
 
 // PortRange is a range of ports, both ends included; zero for none.
@@ -46,3 +47,11 @@
 	// Allowance is added for each window and service.
 	Allowance float64
 }
+
+// Memory bounds the reservations of endpoints' memory.
+type Memory struct {
+	// MaxHold is the longest that an endpoint grants.
+	MaxHold time.Duration
+	// FreeWithin is how long memory may stay set aside after its request.
+	FreeWithin time.Duration
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -47,6 +47,8 @@
 	// avoid are the endpoints at which it failed.
 	avoid  []string
 	stream stream
+	// reservations is the number of failed reservations.
+	reservations int
 
 	// status, code, endpoint and first are for the log.
 	status   int
@@ -135,13 +137,18 @@
 		x.avoid = append(x.avoid, placed.Endpoint)
 		return true
 	}
+	grant, err := x.reserve(ctx, job.ID, placed)
+	if err != nil {
+		return x.notReserved(ctx, job.ID, err)
+	}
+	defer grant.Release()
 	x.sends++
 	x.endpoint = entry.ID
 	x.gateway.cfg.Log.Emit(event.RequestPlaced{
 		Request: x.call.ID, Attempt: x.sends, Endpoint: entry.ID, Helpers: len(placed.Helpers),
 		Holder: placed.Holder, Waited: time.Since(x.arrived),
 	})
-	result := x.send(ctx, job.ID, entry, placed)
+	result := x.send(ctx, job.ID, entry, x.helpers(placed, grant))
 	x.gateway.cfg.Placer.Finished(job.ID, result.outcome)
 	return x.conclude(ctx, entry, result)
 }
@@ -149,7 +156,7 @@
 // job describes the request for placement.
 func (x *exchange) job() dispatch.Job {
 	job := dispatch.Job{
-		ID:           x.call.ID + "/" + strconv.Itoa(x.sends) + "/" + strconv.Itoa(len(x.avoid)),
+		ID:           x.call.ID + "/" + strconv.Itoa(x.sends) + "/" + strconv.Itoa(len(x.avoid)+x.reservations),
 		Owner:        x.gateway.cfg.VM,
 		Service:      x.service,
 		Organisation: x.organisation,
@@ -251,30 +258,26 @@
 }
 
 // onward is the header for an endpoint.
-func (x *exchange) onward(entry directory.Entry, placed Placed) http.Header {
+func (x *exchange) onward(entry directory.Entry, helpers []provider.Helper) http.Header {
 	o := provider.Onward{
 		Left:         time.Until(x.deadline),
 		Endpoint:     entry.ID,
 		Organisation: x.organisation,
 		LastEvent:    x.stream.lastEvent,
 		Urgency:      noUrgency,
-	}
-	for _, id := range placed.Helpers {
-		if helper, ok := x.gateway.cfg.Directory.Entry(id); ok {
-			o.Helpers = append(o.Helpers, helper.Address)
-		}
+		Helpers:      helpers,
 	}
 	return x.gateway.cfg.Dialect.Onward(x.r.Header, o)
 }
 
 // request is what is sent to the endpoint.
-func (x *exchange) request(entry directory.Entry, placed Placed) *upstream.Request {
+func (x *exchange) request(entry directory.Entry, helpers []provider.Helper) *upstream.Request {
 	return &upstream.Request{
 		Address: entry.Address,
 		Method:  x.r.Method,
 		URI:     x.r.RequestURI,
 		Host:    x.r.Host,
-		Header:  x.onward(entry, placed),
+		Header:  x.onward(entry, helpers),
 		Body:    x.body,
 		Fresh:   !x.route.Repeatable(),
 		Mine: func(h http.Header) bool {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -25,14 +25,13 @@
 
 // Headers of the tests' own dialect.
 const (
-	hID      = "X-Id"
-	hKey     = "X-Key"
-	hSeal    = "X-Seal"
-	hNotRun  = "X-Not-Run"
-	hLast    = "X-Last"
-	hExpect  = "X-Expect"
-	hOrg     = "X-Org"
-	hHelpers = "X-Helpers"
+	hID     = "X-Id"
+	hKey    = "X-Key"
+	hSeal   = "X-Seal"
+	hNotRun = "X-Not-Run"
+	hLast   = "X-Last"
+	hExpect = "X-Expect"
+	hOrg    = "X-Org"
 )
 
 // dialect is a small provider.Dialect.
@@ -54,9 +53,6 @@
 	if o.LastEvent != "" {
 		out.Set(hLast, o.LastEvent)
 	}
-	if len(o.Helpers) > 0 {
-		out.Set(hHelpers, strings.Join(o.Helpers, ","))
-	}
 	return out
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
+	"cornelsaddle.example/cornelsaddle/internal/ticket"
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
 
@@ -66,6 +67,7 @@
 	Placer    Placer
 	Dialect   provider.Dialect
 	Transport *upstream.Transport
+	Tickets   *ticket.Keeper
 	Log       *event.Logger
 	Metrics   *metrics.Metrics
 	// Repeats returns a new budget of repeats for a service.
--- /dev/null
+++ b/internal/gateway/reserve.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+
+	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/provider"
+	"cornelsaddle.example/cornelsaddle/internal/ticket"
+)
+
+// maxReservations bounds the tries to set memory aside for one request.
+const maxReservations = 3
+
+// reserve sets aside the memory that helpers hold of the prompt.
+func (x *exchange) reserve(ctx context.Context, job string, placed Placed) (*ticket.Grant, error) {
+	if len(placed.Shares) == 0 {
+		return nil, nil
+	}
+	wants := make([]ticket.Want, 0, len(placed.Shares))
+	for i, tokens := range placed.Shares {
+		entry, _ := x.gateway.cfg.Directory.Entry(placed.Helpers[i])
+		wants = append(wants, ticket.Want{Endpoint: placed.Helpers[i], Address: entry.Address, Tokens: tokens})
+	}
+	// The name takes no slash, which separates it from an address.
+	return x.gateway.cfg.Tickets.Reserve(ctx, x.reservationName(job), wants)
+}
+
+// reservationName names the reservations of one send of the request.
+func (x *exchange) reservationName(job string) string {
+	name := []byte(x.gateway.cfg.VM + "." + job)
+	for i, c := range name {
+		if c == '/' || c == ',' {
+			name[i] = '.'
+		}
+	}
+	return string(name)
+}
+
+// notReserved places the request again, a few times.
+func (x *exchange) notReserved(ctx context.Context, job string, err error) bool {
+	x.gateway.cfg.Placer.Finished(job, dispatch.Rejected)
+	x.reservations++
+	again := x.reservations < maxReservations && ctx.Err() == nil
+	x.gateway.cfg.Log.Emit(event.ReservationFailed{Request: x.call.ID, Reason: err.Error(), Again: again})
+	if again {
+		return true
+	}
+	if x.r.Context().Err() != nil {
+		x.abandoned()
+		return false
+	}
+	x.unserved(ctx, retryShortly)
+	return false
+}
+
+// helpers lists the endpoints that read parts of the prompt. Those that are gone
+// are left out, unless they hold memory.
+func (x *exchange) helpers(placed Placed, grant *ticket.Grant) []provider.Helper {
+	helpers := make([]provider.Helper, 0, len(placed.Helpers))
+	for i, id := range placed.Helpers {
+		entry, ok := x.gateway.cfg.Directory.Entry(id)
+		if !ok {
+			continue
+		}
+		h := provider.Helper{Address: entry.Address}
+		if i < len(placed.Shares) {
+			h.Reservation = grant.IDs[i]
+		}
+		helpers = append(helpers, h)
+	}
+	return helpers
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -11,6 +11,7 @@
 	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/core/routing"
+	"cornelsaddle.example/cornelsaddle/internal/provider"
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
 
@@ -68,8 +69,8 @@
 func (e *TooLongError) Error() string { return "answer of over " + strconv.Itoa(e.Bytes) + " bytes" }
 
 // send sends the request to one endpoint and delivers its answer.
-func (x *exchange) send(ctx context.Context, job string, entry directory.Entry, placed Placed) sendResult {
-	resp, err := x.gateway.cfg.Transport.Send(ctx, x.request(entry, placed))
+func (x *exchange) send(ctx context.Context, job string, entry directory.Entry, helpers []provider.Helper) sendResult {
+	resp, err := x.gateway.cfg.Transport.Send(ctx, x.request(entry, helpers))
 	if err != nil {
 		return x.failedSend(ctx, err)
 	}
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -112,12 +112,47 @@
 	Organisation string
 	// LastEvent is the last event that the caller has; empty for none.
 	LastEvent string
-	// Helpers are addresses of endpoints that read parts of the prompt.
-	Helpers []string
+	// Helpers read parts of the prompt.
+	Helpers []Helper
 	// Urgency ranks the request at the endpoint, 0 first; negative for none.
 	Urgency int
 }
 
+// Helper is an endpoint that reads a part of a prompt.
+type Helper struct {
+	Address string
+	// Reservation names the memory that it has set aside for the prompt; empty
+	// for none.
+	Reservation string
+}
+
+// Reservation is memory that an endpoint sets aside for a request.
+type Reservation struct {
+	ID     string
+	Tokens int
+	// Hold is how long it stands unless it is renewed.
+	Hold time.Duration
+}
+
+// Order is a request that an endpoint carries out itself.
+type Order struct {
+	Method string
+	URI    string
+	Header http.Header
+	Body   []byte
+}
+
+// Memory translates orders about endpoints' memory.
+type Memory interface {
+	// Reserve sets memory aside, or renews a reservation.
+	Reserve(endpoint string, r Reservation) (Order, error)
+	// Release ends a reservation.
+	Release(endpoint string, id string) (Order, error)
+	// Done reports whether an answer of the status says that the order was
+	// carried out.
+	Done(status int) bool
+}
+
 // Answer is what the header of an endpoint's answer says.
 type Answer struct {
 	// ID is the attempt that it answers; empty where it does not say.
