--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -28,6 +28,11 @@
 	// TokensPerWorth is the number of prompt tokens that weigh as much as a
 	// request by itself.
 	TokensPerWorth float64
+	// MaxBacklogMs is the reading that an engine may have before it gets more of
+	// long prompts: what waits here can still go anywhere. LateBacklogMs is the
+	// same for prompts that are late already.
+	MaxBacklogMs  float64
+	LateBacklogMs float64
 	// HoldShare is the share of its worth that a placement may cost before the
 	// request rather waits for a better one.
 	HoldShare float64
@@ -53,12 +58,14 @@
 		LateLoss:         0.75,
 		GapShare:         0.9,
 		GoalShare:        0.85,
-		LightReadMs:      60,
-		WritersPerEngine: 12,
+		LightReadMs:      80,
+		WritersPerEngine: 14,
 		MaxReaders:       17,
 		ShareTokens:      100000,
 		MemoryShare:      0.92,
 		TokensPerWorth:   10000,
+		MaxBacklogMs:     400,
+		LateBacklogMs:    50,
 		HoldShare:        0.35,
 		DelayWeight:      0.1,
 		ForeignSetWeight: 0.2,
--- /dev/null
+++ b/core/dispatch/cost.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import "time"
+
+// weigh fills in the choice's prediction and cost.
+func (d *Dispatcher) weigh(now time.Time, job *Job, c *choice, interactive map[string]bool) {
+	readers := 1 + len(c.helpers)
+	c.harm, c.firstMs = d.weighPart(now, job, c.receiver, readers, false, interactive)
+	for _, h := range c.helpers {
+		harm, first := d.weighPart(now, job, h, readers, true, interactive)
+		c.harm += harm
+		c.firstMs = max(c.firstMs, first)
+	}
+	c.cost = c.harm + d.worth(job)*d.lateness(now, job, c.firstMs)
+}
+
+// weighPart is the harm that one part of the job does at an engine, and when it
+// would be read.
+func (d *Dispatcher) weighPart(now time.Time, job *Job, e *endpoint, readers int, ahead bool, interactive map[string]bool) (harm, firstMs float64) {
+	part := e.engine.NewPart(job.Prompt, readers, ahead)
+	f := e.model.Forecast(now, *part)
+	for _, p := range e.parts {
+		switch {
+		case p.job.began && p.receiver:
+			harm += d.pauseHarm(p.job, f.WithoutMs, f.PassMs)
+		case !p.job.began:
+			harm += d.delayHarm(p.job, part.Ms)
+		}
+	}
+	if interactive[e.ID] {
+		harm += d.arrivalHarm(now, e, f.PassMs, len(interactive))
+	}
+	return harm, f.FirstMs
+}
+
+// lateness is the share of a job's worth that is lost with a first event after
+// so long.
+func (d *Dispatcher) lateness(now time.Time, job *Job, firstMs float64) float64 {
+	if job.Due.IsZero() {
+		return 0
+	}
+	goal := ms(job.Due.Sub(job.Arrived))
+	share := (ms(now.Sub(job.Arrived)) + firstMs) / max(1, goal)
+	loss := d.cfg.DelayWeight * min(1, share)
+	if share > d.cfg.GoalShare {
+		loss += d.cfg.LateLoss * min(1, (share-d.cfg.GoalShare)/(1-d.cfg.GoalShare))
+	}
+	return loss
+}
+
+// pauseHarm is what a writer loses when a pass grows from one length to another.
+func (d *Dispatcher) pauseHarm(p *placed, from, to float64) float64 {
+	limit := ms(p.Gap) * d.cfg.GapShare
+	if limit <= 0 || from > limit || to <= limit {
+		return 0
+	}
+	return d.worth(&p.Job) * d.cfg.LateLoss
+}
+
+// delayHarm is what a job that is still being read loses when it is delayed.
+func (d *Dispatcher) delayHarm(p *placed, byMs float64) float64 {
+	if p.Due.IsZero() || !p.predicted.Before(p.Due) || p.predicted.Add(fromMs(byMs)).Before(p.Due) {
+		return 0
+	}
+	return d.worth(&p.Job) * d.cfg.LateLoss
+}
+
+// arrivalHarm is what the light jobs lose that come to one of n engines during a
+// pass: those that wait for its end and the next pass longer than their goal.
+func (d *Dispatcher) arrivalHarm(now time.Time, e *endpoint, passMs float64, n int) float64 {
+	light := d.lights[e.Service]
+	if light == nil || passMs <= 0 {
+		return 0
+	}
+	arrivals := light.rate.now(now, d.cfg.RateWindow) / 1000 * passMs / float64(max(1, n))
+	tooLong := passMs + e.engine.PassMs(e.model.Writers(), e.context) - light.goalMs*d.cfg.GoalShare
+	late := min(1, max(0, tooLong/passMs))
+	return arrivals * late * d.cfg.LateLoss
+}
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -13,7 +14,8 @@
 	if len(d.queue) == 0 {
 		return nil
 	}
-	d.order()
+	d.order(now)
+	d.held = false
 	var decisions []Decision
 	kept := d.queue[:0]
 	for _, job := range d.queue {
@@ -30,21 +32,46 @@
 	return decisions
 }
 
-// order puts the light jobs first and the others by the time at which they are
-// late.
-func (d *Dispatcher) order() {
+// order puts the light jobs first, in the order of their arrival. Of the others
+// come first those that can still be on time, and among them those that are
+// worth most for the time that engines spend on them.
+func (d *Dispatcher) order(now time.Time) {
 	slices.SortStableFunc(d.queue, func(a, b *Job) int {
-		la, lb := d.light(a), d.light(b)
-		if la != lb {
-			if la {
-				return -1
-			}
-			return 1
+		if c := cmp.Compare(d.rank(now, a), d.rank(now, b)); c != 0 {
+			return c
 		}
-		return a.Due.Compare(b.Due)
+		return cmp.Compare(d.readPerWorth(a), d.readPerWorth(b))
 	})
 }
 
+// The ranks of queued jobs.
+const (
+	rankLight = iota
+	rankOnTime
+	rankLate
+)
+
+func (d *Dispatcher) rank(now time.Time, j *Job) int {
+	f := d.services[j.Service]
+	switch {
+	case f == nil || d.light(j):
+		return rankLight
+	case j.Due.IsZero() || now.Add(fromMs(f.ReadMs(j.Prompt, d.cfg.MaxReaders))).Before(j.Due):
+		return rankOnTime
+	}
+	return rankLate
+}
+
+// readPerWorth is the reading time for each unit of worth; jobs that are read in
+// no time are all the same.
+func (d *Dispatcher) readPerWorth(j *Job) float64 {
+	f := d.services[j.Service]
+	if f == nil || d.light(j) {
+		return 0
+	}
+	return f.ReadMs(j.Prompt, 1) / d.worth(j)
+}
+
 func (d *Dispatcher) decide(now time.Time, job *Job) (Decision, bool) {
 	pool := d.candidates(now, job)
 	if len(pool) == 0 {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -25,11 +25,14 @@
 	services  map[string]*engine.Figures
 	endpoints map[string]*endpoint
 	// pools lists the endpoints of a service in the order of their names.
-	pools  map[string][]*endpoint
-	queue  []*Job
+	pools map[string][]*endpoint
+	queue []*Job
+	// held says that a long job that can be on time waits, so that late ones have
+	// to.
+	held   bool
 	placed map[string]*placed
-	// rates are the arrivals of light jobs, by service.
-	rates map[string]*rate
+	// lights is about the light jobs, by service.
+	lights map[string]*lights
 }
 
 // New returns a Dispatcher that knows no endpoint.
@@ -40,7 +43,7 @@
 		endpoints: make(map[string]*endpoint),
 		pools:     make(map[string][]*endpoint),
 		placed:    make(map[string]*placed),
-		rates:     make(map[string]*rate),
+		lights:    make(map[string]*lights),
 	}
 }
 
@@ -51,7 +54,11 @@
 		return
 	}
 	if d.light(&job) {
-		d.rate(job.Service).add(now, d.cfg.RateWindow)
+		l := d.lightsOf(job.Service)
+		l.rate.add(now, d.cfg.RateWindow)
+		if !job.Due.IsZero() {
+			l.goalMs = ms(job.Due.Sub(job.Arrived))
+		}
 	}
 	d.queue = append(d.queue, &job)
 }
@@ -144,16 +151,14 @@
 		e.context += pt.tokens
 		if pt.receiver {
 			e.received++
+		} else {
+			e.helped++
 		}
-		if e.engine == nil {
+		if e.model == nil {
 			continue
 		}
-		pt.readMs = e.engine.ReadMs(job.Prompt, readers)
-		if e.readFree.Before(now) {
-			e.readFree = now
-		}
-		e.readFree = e.readFree.Add(fromMs(pt.readMs))
-		pl.predicted = later(pl.predicted, e.readFree)
+		pt.reading = e.engine.NewPart(job.Prompt, readers, !pt.receiver)
+		e.model.Add(now, pt.reading)
 	}
 	return pl
 }
@@ -162,13 +167,22 @@
 func (d *Dispatcher) begin(now time.Time, p *placed) {
 	p.began = true
 	d.eachPart(p, func(e *endpoint, pt *part) {
+		if e.model == nil {
+			return
+		}
+		e.model.Remove(now, pt.reading)
 		if pt.receiver {
-			e.writers++
+			e.model.Write(now, 1, p.contextAt(pt))
+			e.model.Ended(now)
 		}
-		d.readDone(now, e, pt)
 	})
 }
 
+// contextAt is what a writer's step costs at an endpoint, in tokens.
+func (p *placed) contextAt(pt *part) int {
+	return pt.tokens / (1 + len(p.Helpers))
+}
+
 // remove forgets a placed job.
 func (d *Dispatcher) remove(now time.Time, p *placed) {
 	delete(d.placed, p.ID)
@@ -177,27 +191,19 @@
 		e.context -= pt.tokens
 		if pt.receiver {
 			e.received--
-			if p.began {
-				e.writers--
-			}
+		} else {
+			e.helped--
+		}
+		if e.model == nil || pt.reading == nil {
+			return
+		}
+		e.model.Remove(now, pt.reading)
+		if pt.receiver && p.began {
+			e.model.Write(now, -1, -p.contextAt(pt))
 		}
-		d.readDone(now, e, pt)
 	})
 }
 
-// readDone corrects the prediction of an endpoint that has nothing left to
-// read, or less than was thought.
-func (d *Dispatcher) readDone(now time.Time, e *endpoint, pt *part) {
-	pt.readMs = 0
-	pending := 0.0
-	for _, other := range e.parts {
-		pending += other.readMs
-	}
-	if latest := now.Add(fromMs(pending)); latest.Before(e.readFree) {
-		e.readFree = latest
-	}
-}
-
 func (d *Dispatcher) eachPart(p *placed, do func(*endpoint, *part)) {
 	for _, id := range append([]string{p.Endpoint}, p.Helpers...) {
 		e := d.endpoints[id]
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -27,8 +27,8 @@
 // part is the work of one job at one endpoint.
 type part struct {
 	job *placed
-	// readMs is the reading time of the part.
-	readMs float64
+	// reading is the part in the engine's model; nil for a plain service.
+	reading *engine.Part
 	// receiver says that the job's request is at this endpoint.
 	receiver bool
 	// tokens is the memory that the job holds here.
@@ -39,13 +39,13 @@
 type endpoint struct {
 	Endpoint
 	engine *engine.Figures
-	parts  map[string]*part
-	// readFree is when all reading that was placed here is done, by prediction.
-	readFree time.Time
-	// received is the number of requests here, and writers those of them that
-	// have begun to write.
+	// model follows what the engine does; nil for a plain service.
+	model *engine.Model
+	parts map[string]*part
+	// received is the number of requests here, and helped that of the prompts
+	// whose parts it reads for others.
 	received int
-	writers  int
+	helped   int
 	// context is the memory in tokens that the requests here hold.
 	context int
 	// suspectUntil is when it gets work again after failures in a row.
@@ -57,19 +57,11 @@
 
 func (e *endpoint) usable(now time.Time) bool { return !now.Before(e.suspectUntil) }
 
-// backlogMs is the reading that is still to be done.
-func (e *endpoint) backlogMs(now time.Time) float64 {
-	return max(0, ms(e.readFree.Sub(now)))
-}
-
 // room is the memory in tokens that may still be given out.
 func (e *endpoint) room(share float64) int {
 	return int(float64(e.engine.MemoryTokens)*share) - e.context
 }
 
-// passMs is the time of a pass beside its reading.
-func (e *endpoint) passMs() float64 { return e.engine.PassMs(e.writers, e.context) }
-
 // failed notes a failure and suspects the endpoint for a while. Failures of
 // requests that were sent side by side count once.
 func (e *endpoint) failed(now time.Time, cfg Config) {
@@ -97,7 +89,19 @@
 		d.services[s.Name] = s.Engine
 	}
 	for _, e := range d.endpoints {
-		e.engine = d.services[e.Service]
+		e.setEngine(d.services[e.Service])
+	}
+}
+
+// setEngine takes the figures of the endpoint's engine. What it was given before
+// is known by the figures that held then.
+func (e *endpoint) setEngine(f *engine.Figures) {
+	if f == nil {
+		e.engine, e.model = nil, nil
+		return
+	}
+	if e.model == nil || e.engine == nil || *e.engine != *f {
+		e.engine, e.model = f, engine.NewModel(f)
 	}
 }
 
@@ -112,7 +116,7 @@
 			e = &endpoint{parts: make(map[string]*part)}
 		}
 		e.Endpoint = spec
-		e.engine = d.services[spec.Service]
+		e.setEngine(d.services[spec.Service])
 		kept[spec.ID] = e
 		d.pools[spec.Service] = append(d.pools[spec.Service], e)
 	}
@@ -132,6 +136,7 @@
 	return 0
 }
 
+// ms and fromMs convert times to the unit of the engines' figures.
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func fromMs(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
--- a/core/dispatch/memory.go
+++ b/core/dispatch/memory.go
@@ -83,6 +83,6 @@
 	if left > c.receiver.room(d.cfg.MemoryShare) {
 		return choice{}, false
 	}
-	d.weigh(now, job, &c, c.receiver.engine.ReadMs(job.Prompt, len(readers)), interactive)
+	d.weigh(now, job, &c, interactive)
 	return c, true
 }
--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -29,11 +29,20 @@
 	r.at = now
 }
 
-func (d *Dispatcher) rate(service string) *rate {
-	r := d.rates[service]
-	if r == nil {
-		r = &rate{}
-		d.rates[service] = r
+// lights is what is known of a service's light jobs.
+type lights struct {
+	rate rate
+	// goalMs is that of the last one.
+	goalMs float64
+	// active is the number of those that wait or were placed.
+	active int
+}
+
+func (d *Dispatcher) lightsOf(service string) *lights {
+	l := d.lights[service]
+	if l == nil {
+		l = &lights{}
+		d.lights[service] = l
 	}
-	return r
+	return l
 }
