Agree on the next holder at once, and know the other VMs soon after a start

Change: a holder that does not answer is passed over by all VMs for the same next one in the group's order, which is told of all jobs in flight, in place of what it knew; listed VMs are greeted at once. Jobs whose end was never told are forgotten after their deadline.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -11,6 +11,7 @@
 
 // Decide places and refuses what can be decided now.
 func (d *Dispatcher) Decide(now time.Time) []Decision {
+	d.expire(now)
 	if len(d.queue) == 0 {
 		return nil
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -7,6 +7,13 @@
 	"cornelsaddle.example/cornelsaddle/core/engine"
 )
 
+const (
+	// expireInterval is the time between two searches for jobs past their time.
+	expireInterval = time.Second
+	// expireAfter is how long after its deadline a job is forgotten.
+	expireAfter = 2 * time.Second
+)
+
 // placed is a job that went to endpoints.
 type placed struct {
 	Job
@@ -31,6 +38,8 @@
 	// to.
 	held   bool
 	placed map[string]*placed
+	// expired is when placed was last searched for jobs past their time.
+	expired time.Time
 	// lights is about the light jobs, by service.
 	lights map[string]*lights
 }
@@ -116,11 +125,26 @@
 	}
 }
 
-// DropOwner forgets the jobs of an entry VM that is gone.
-func (d *Dispatcher) DropOwner(now time.Time, owner string) {
-	d.queue = slices.DeleteFunc(d.queue, func(j *Job) bool { return j.Owner == owner })
+// DropOwner forgets the jobs of an entry VM, those of all services for an empty
+// name.
+func (d *Dispatcher) DropOwner(now time.Time, owner, service string) {
+	drop := func(j *Job) bool { return j.Owner == owner && (service == "" || j.Service == service) }
+	d.queue = slices.DeleteFunc(d.queue, drop)
+	for _, p := range d.placed {
+		if drop(&p.Job) {
+			d.remove(now, p)
+		}
+	}
+}
+
+// expire forgets the jobs whose end was never told.
+func (d *Dispatcher) expire(now time.Time) {
+	if now.Sub(d.expired) < expireInterval {
+		return
+	}
+	d.expired = now
 	for _, p := range d.placed {
-		if p.Owner == owner {
+		if now.Sub(p.Deadline) > expireAfter {
 			d.remove(now, p)
 		}
 	}
--- a/core/membership/node.go
+++ b/core/membership/node.go
@@ -12,6 +12,8 @@
 	Record
 	// candidate was named by the platform's list but has not answered yet.
 	candidate bool
+	// greeted says that the candidate was asked at once.
+	greeted bool
 	// deadline is when a suspected VM is declared dead.
 	deadline time.Time
 	// checking says that a suspected VM's time is over and that it is probed a
@@ -209,6 +211,21 @@
 	n.add(id, &member{Record: Record{ID: id, Address: address, FailureDomain: failureDomain}, candidate: true})
 }
 
+// Greet asks up to count VMs of the platform's list that were never asked, so
+// that a VM that starts knows the others soon.
+func (n *Node) Greet(count int) []Action {
+	var actions []Action
+	for _, id := range n.ids {
+		m := n.members[id]
+		if !m.candidate || m.greeted || len(actions) >= count {
+			continue
+		}
+		m.greeted = true
+		actions = append(actions, n.ask(m.Record))
+	}
+	return actions
+}
+
 // message is what this VM tells the VM to. News that concerns the receiver goes
 // first, so that it can refute.
 func (n *Node) message(to string) Message {
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -19,8 +19,10 @@
 	askTimeout = 80 * time.Millisecond
 	// askAgain is the time after which a holder is asked about a job that waits.
 	askAgain = 250 * time.Millisecond
-	// holderPause is how long a holder that did not answer is passed over.
-	holderPause = time.Second
+	// holderPause is how long a holder that did not answer is passed over; it
+	// doubles with each further time, up to maxHolderPause.
+	holderPause    = time.Second
+	maxHolderPause = 8 * time.Second
 )
 
 // Peers calls the other VMs.
@@ -32,6 +34,8 @@
 type Member struct {
 	VM      string
 	Address string
+	// Incarnation tells one start of the VM from another.
+	Incarnation int64
 }
 
 // verdict is what a waiting request is told.
@@ -116,6 +120,7 @@
 		c.lost(holder, err)
 		return verdict{}, true, nil
 	}
+	c.answered(holder)
 	if answer.decided() {
 		return verdict{answer.decision(), holder.VM}, false, nil
 	}
@@ -262,6 +267,9 @@
 }
 
 func (c *Coordinator) onNote(_ context.Context, from peer.Identity, m noteMessage) (struct{}, error) {
+	if m.Reset != "" {
+		c.local.dropOwner(from.VM, m.Reset)
+	}
 	for _, n := range m.Notes {
 		c.local.note(from.VM, n)
 	}
--- a/internal/coordination/holders.go
+++ b/internal/coordination/holders.go
@@ -10,43 +10,48 @@
 	"cornelsaddle.example/cornelsaddle/internal/event"
 )
 
+// absence is a VM that did not answer.
+type absence struct {
+	// until is when it is asked again, and pause how long it was passed over.
+	until time.Time
+	pause time.Duration
+}
+
 // holders chooses the holder of each group among the live VMs.
 type holders struct {
-	vm   string
-	live map[string]Member
-	ring *rendezvous.Rendezvous
-	// paused are the VMs that did not answer, until when they are passed over.
-	paused map[string]time.Time
+	vm     string
+	live   map[string]Member
+	absent map[string]absence
 	// last are the holders of the groups that were asked for.
-	last map[string]string
+	last map[string]Member
+	// ring has the VMs that are not passed over until ringUntil.
+	ring      *rendezvous.Rendezvous
+	ringUntil time.Time
 }
 
 func newHolders(vm string) holders {
-	h := holders{vm: vm, paused: make(map[string]time.Time), last: make(map[string]string)}
+	h := holders{vm: vm, absent: make(map[string]absence), last: make(map[string]Member)}
 	h.set(nil)
 	return h
 }
 
 // set replaces the live VMs; this one is always among them. It returns those
-// that are gone.
+// that are gone, also those that have started anew.
 func (h *holders) set(live []Member) []string {
 	was := h.live
 	h.live = make(map[string]Member, len(live)+1)
-	names := make([]string, 0, len(live)+1)
 	for _, m := range live {
 		h.live[m.VM] = m
-		names = append(names, m.VM)
 	}
 	if _, ok := h.live[h.vm]; !ok {
 		h.live[h.vm] = Member{VM: h.vm}
-		names = append(names, h.vm)
 	}
-	h.ring = rendezvous.New(names, xxhash.Sum64String)
+	h.ring = nil
 	var gone []string
-	for vm := range was {
-		if _, ok := h.live[vm]; !ok {
+	for vm, m := range was {
+		if vm != h.vm && h.live[vm].Incarnation != m.Incarnation {
 			gone = append(gone, vm)
-			delete(h.paused, vm)
+			delete(h.absent, vm)
 		}
 	}
 	return gone
@@ -57,17 +62,42 @@
 	return m, ok
 }
 
-// of returns the holder of the group. One that did not answer is passed over for
-// this VM itself.
+// of returns the holder of the group: the first VM in the group's order that is
+// not passed over, so that all VMs that miss it turn to the same one.
 func (h *holders) of(now time.Time, group string) Member {
-	m := h.live[h.ring.Lookup(group)]
-	if until, paused := h.paused[m.VM]; paused {
-		if now.Before(until) {
-			return h.live[h.vm]
+	if h.ring == nil || !h.ringUntil.IsZero() && now.After(h.ringUntil) {
+		h.build(now)
+	}
+	return h.live[h.ring.Lookup(group)]
+}
+
+func (h *holders) build(now time.Time) {
+	h.ringUntil = time.Time{}
+	names := make([]string, 0, len(h.live))
+	for vm := range h.live {
+		a, absent := h.absent[vm]
+		if absent && now.Before(a.until) && vm != h.vm {
+			if h.ringUntil.IsZero() || a.until.Before(h.ringUntil) {
+				h.ringUntil = a.until
+			}
+			continue
 		}
-		delete(h.paused, m.VM)
+		names = append(names, vm)
 	}
-	return m
+	h.ring = rendezvous.New(names, xxhash.Sum64String)
+}
+
+// lost passes over a VM that did not answer. It reports whether that is news.
+func (h *holders) lost(now time.Time, vm string) bool {
+	a := h.absent[vm]
+	if now.Before(a.until) {
+		return false
+	}
+	a.pause = min(max(holderPause, 2*a.pause), maxHolderPause)
+	a.until = now.Add(a.pause)
+	h.absent[vm] = a
+	h.ring = nil
+	return true
 }
 
 // holder returns the holder of the service's endpoints, and tells a new one of
@@ -76,54 +106,74 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.holders.of(time.Now(), service)
-	was := c.holders.last[service]
-	if was == m.VM {
+	was, known := c.holders.last[service]
+	if was == m {
 		return m
 	}
-	c.holders.last[service] = m.VM
-	c.log.Emit(event.HolderChanged{Holder: m.VM, Was: was, Live: len(c.holders.live)})
-	if m.VM != c.vm && was != "" {
+	c.holders.last[service] = m
+	c.log.Emit(event.HolderChanged{Service: service, Holder: m.VM, Was: was.VM, Live: len(c.holders.live)})
+	if m.VM != c.vm && known {
 		c.handOver(service, m)
 	}
 	return m
 }
 
-// handOver tells a new holder of the jobs in flight; the lock is held.
+// handOver tells a new holder of all jobs in flight; the lock is held.
 func (c *Coordinator) handOver(service string, to Member) {
-	s := c.senderLocked(to)
+	var notes []note
 	for _, j := range c.jobs {
 		if j.Service == service && j.placement != nil {
-			s.add(note{Job: j.ID, Adopted: c.adopted(j)})
+			notes = append(notes, note{Job: j.ID, Adopted: c.adopted(j)})
 		}
 	}
+	c.senderLocked(to).reset(service, notes)
+}
+
+// answered notes that a VM answers.
+func (c *Coordinator) answered(m Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.holders.absent, m.VM)
 }
 
-// lost passes over a holder that did not answer for a while.
+// lost passes over a holder that did not answer, for a while, and hands what it
+// held to the next ones.
 func (c *Coordinator) lost(holder Member, err error) {
 	c.mu.Lock()
-	c.holders.paused[holder.VM] = time.Now().Add(holderPause)
+	news := c.holders.lost(time.Now(), holder.VM)
 	c.mu.Unlock()
+	if !news {
+		return
+	}
 	c.log.Emit(event.HolderLost{Holder: holder.VM, Reason: err.Error()})
+	c.follow()
 }
 
-// SetMembers replaces the live VMs.
-func (c *Coordinator) SetMembers(live []Member) {
+// follow looks for new holders of all groups that were asked for.
+func (c *Coordinator) follow() {
 	c.mu.Lock()
-	gone := c.holders.set(live)
 	services := make([]string, 0, len(c.holders.last))
 	for s := range c.holders.last {
 		services = append(services, s)
 	}
+	c.mu.Unlock()
+	for _, s := range services {
+		c.holder(s)
+	}
+}
+
+// SetMembers replaces the live VMs.
+func (c *Coordinator) SetMembers(live []Member) {
+	c.mu.Lock()
+	gone := c.holders.set(live)
 	for _, vm := range gone {
 		delete(c.senders, vm)
 	}
 	c.mu.Unlock()
 	for _, vm := range gone {
-		c.local.dropOwner(vm)
-	}
-	for _, s := range services {
-		c.holder(s)
+		c.local.dropOwner(vm, "")
 	}
+	c.follow()
 }
 
 // submitRemote queues a job of another VM and returns the decision, if it comes
--- a/internal/coordination/local.go
+++ b/internal/coordination/local.go
@@ -62,9 +62,9 @@
 	})
 }
 
-// dropOwner forgets the jobs of a VM that is gone.
-func (l *Local) dropOwner(vm string) {
-	l.do(func(now time.Time, d *dispatch.Dispatcher) { d.DropOwner(now, vm) })
+// dropOwner forgets the jobs of a VM, those of all services for an empty name.
+func (l *Local) dropOwner(vm, service string) {
+	l.do(func(now time.Time, d *dispatch.Dispatcher) { d.DropOwner(now, vm, service) })
 }
 
 func (l *Local) poll() {
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -98,6 +98,9 @@
 
 // noteMessage tells a holder how jobs of a VM fare.
 type noteMessage struct {
+	// Reset names a service whose jobs of this VM are forgotten first, as the
+	// notes have all of them.
+	Reset string `json:"r,omitempty"`
 	Notes []note `json:"n"`
 }
 
--- a/internal/coordination/sender.go
+++ b/internal/coordination/sender.go
@@ -10,8 +10,9 @@
 	// noteTimeout bounds the delivery of notes to a holder.
 	noteTimeout = 500 * time.Millisecond
 	// noteTries is how often notes are sent to a holder that does not answer.
-	// What is lost then ends at its holder with the job's deadline.
-	noteTries = 3
+	// What is lost then is told anew when another VM, or the same one again,
+	// becomes the holder; it ends at the latest after the job's deadline.
+	noteTries = 2
 	// maxNotes bounds the notes of one message.
 	maxNotes = 256
 )
@@ -21,9 +22,11 @@
 type sender struct {
 	to    Member
 	peers Peers
+	// lost is called when the VM does not answer.
+	lost func(Member, error)
 
 	mu      sync.Mutex
-	pending []note
+	pending []noteMessage
 	running bool
 }
 
@@ -38,7 +41,7 @@
 func (c *Coordinator) senderLocked(to Member) *sender {
 	s := c.senders[to.VM]
 	if s == nil || s.to != to {
-		s = &sender{to: to, peers: c.peers}
+		s = &sender{to: to, peers: c.peers, lost: c.lost}
 		c.senders[to.VM] = s
 	}
 	return s
@@ -48,7 +51,25 @@
 func (s *sender) add(n note) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pending = append(s.pending, n)
+	last := len(s.pending) - 1
+	if last < 0 || len(s.pending[last].Notes) >= maxNotes {
+		s.pending = append(s.pending, noteMessage{})
+		last++
+	}
+	s.pending[last].Notes = append(s.pending[last].Notes, n)
+	s.start()
+}
+
+// reset queues all notes of a service, in place of what the VM knows.
+func (s *sender) reset(service string, notes []note) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending = append(s.pending, noteMessage{Reset: service, Notes: notes})
+	s.start()
+}
+
+// start runs the sender; the lock is held.
+func (s *sender) start() {
 	if !s.running {
 		s.running = true
 		go s.run()
@@ -57,35 +78,39 @@
 
 func (s *sender) run() {
 	for {
-		batch := s.next()
-		if len(batch) == 0 {
+		m, ok := s.next()
+		if !ok {
 			return
 		}
+		var err error
 		for range noteTries {
-			if s.send(batch) == nil {
+			if err = s.send(m); err == nil {
 				break
 			}
 		}
+		if err != nil {
+			s.lost(s.to, err)
+		}
 	}
 }
 
-// next takes the notes to send; the sender stops where there are none.
-func (s *sender) next() []note {
+// next takes the message to send; the sender stops where there is none.
+func (s *sender) next() (noteMessage, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := min(len(s.pending), maxNotes)
-	batch := s.pending[:n:n]
-	s.pending = s.pending[n:]
-	if n == 0 {
+	if len(s.pending) == 0 {
 		s.running = false
 		s.pending = nil
+		return noteMessage{}, false
 	}
-	return batch
+	m := s.pending[0]
+	s.pending = s.pending[1:]
+	return m, true
 }
 
-func (s *sender) send(batch []note) error {
+func (s *sender) send(m noteMessage) error {
 	ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
 	defer cancel()
-	_, err := s.peers.Call(ctx, s.to.Address, methodNote, noteMessage{batch}, &struct{}{})
+	_, err := s.peers.Call(ctx, s.to.Address, methodNote, m, &struct{}{})
 	return err
 }
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -94,7 +94,7 @@
 	live := e.members.service.Live()
 	list := make([]coordination.Member, 0, len(live))
 	for _, r := range live {
-		list = append(list, coordination.Member{VM: r.ID, Address: r.Address})
+		list = append(list, coordination.Member{VM: r.ID, Address: r.Address, Incarnation: r.Incarnation})
 	}
 	e.parts.Coordinator.SetMembers(list)
 	e.watchers.set(list)
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -198,9 +198,10 @@
 
 // HolderChanged is written when another VM places the requests of this one.
 type HolderChanged struct {
-	Holder string `log:"holder"`
-	Was    string `log:"was"`
-	Live   int    `log:"live"`
+	Service string `log:"service"`
+	Holder  string `log:"holder"`
+	Was     string `log:"was"`
+	Live    int    `log:"live"`
 }
 
 // Def implements Event.
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -15,6 +15,9 @@
 	// minListInterval and maxListInterval bound the time between two reads.
 	minListInterval = 2 * time.Second
 	maxListInterval = 10 * time.Minute
+	// greetFanOut is the number of listed VMs that are asked at once, beside the
+	// probes.
+	greetFanOut = 8
 )
 
 // followList reads the platform's list, which lags: it only says whom to ask.
@@ -28,7 +31,7 @@
 					}
 					s.node.Hint(vm.ID, vm.Peer, vm.FailureDomain)
 				}
-				return nil
+				return s.node.Greet(greetFanOut)
 			})
 			for _, vm := range list.VMs {
 				if vm.State == wire.VMLeaving {
