--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -46,6 +46,11 @@
 	QueueMargin time.Duration
 	// RateWindow is the time over which arrivals are averaged.
 	RateWindow time.Duration
+	// LongWindow is the same for the reading of long prompts, which are fewer.
+	LongWindow time.Duration
+	// RoomyLoad is the part of the engines' time up to which long prompts don't
+	// get into each other's way.
+	RoomyLoad float64
 	// SuspectFor is how long an endpoint that failed gets no work; it doubles
 	// with each further failure up to MaxSuspectFor.
 	SuspectFor    time.Duration
@@ -57,20 +62,22 @@
 	return Config{
 		LateLoss:         0.75,
 		GapShare:         0.9,
-		GoalShare:        0.85,
+		GoalShare:        0.9,
 		LightReadMs:      80,
 		WritersPerEngine: 14,
 		MaxReaders:       17,
 		ShareTokens:      100000,
 		MemoryShare:      0.92,
 		TokensPerWorth:   10000,
-		MaxBacklogMs:     400,
+		MaxBacklogMs:     250,
 		LateBacklogMs:    50,
 		HoldShare:        0.35,
-		DelayWeight:      0.1,
+		DelayWeight:      0.2,
 		ForeignSetWeight: 0.2,
 		QueueMargin:      150 * time.Millisecond,
 		RateWindow:       time.Second,
+		LongWindow:       3 * time.Second,
+		RoomyLoad:        0.2,
 		SuspectFor:       500 * time.Millisecond,
 		MaxSuspectFor:    8 * time.Second,
 	}
--- a/core/dispatch/cost.go
+++ b/core/dispatch/cost.go
@@ -11,6 +11,9 @@
 		c.harm += harm
 		c.firstMs = max(c.firstMs, first)
 	}
+	if !d.light(job) {
+		c.harm += d.readingPrice(now, job.Service) * c.receiver.engine.ReadMs(job.Prompt, 1)
+	}
 	c.cost = c.harm + d.worth(job)*d.lateness(now, job, c.firstMs)
 }
 
@@ -20,10 +23,10 @@
 	part := e.engine.NewPart(job.Prompt, readers, ahead)
 	f := e.model.Forecast(now, *part)
 	for _, p := range e.parts {
-		switch {
-		case p.job.began && p.receiver:
+		if p.receiver {
 			harm += d.pauseHarm(p.job, f.WithoutMs, f.PassMs)
-		case !p.job.began:
+		}
+		if !p.job.began {
 			harm += d.delayHarm(p.job, part.Ms)
 		}
 	}
@@ -68,12 +71,12 @@
 // arrivalHarm is what the light jobs lose that come to one of n engines during a
 // pass: those that wait for its end and the next pass longer than their goal.
 func (d *Dispatcher) arrivalHarm(now time.Time, e *endpoint, passMs float64, n int) float64 {
-	light := d.lights[e.Service]
-	if light == nil || passMs <= 0 {
+	m := d.demandOf(e.Service)
+	if passMs <= 0 {
 		return 0
 	}
-	arrivals := light.rate.now(now, d.cfg.RateWindow) / 1000 * passMs / float64(max(1, n))
-	tooLong := passMs + e.engine.PassMs(e.model.Writers(), e.context) - light.goalMs*d.cfg.GoalShare
+	arrivals := m.lights.now(now, d.cfg.RateWindow) / 1000 * passMs / float64(max(1, n))
+	tooLong := passMs + e.engine.PassMs(e.model.Writers(), e.context) - m.lightGoalMs*d.cfg.GoalShare
 	late := min(1, max(0, tooLong/passMs))
 	return arrivals * late * d.cfg.LateLoss
 }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -40,8 +40,8 @@
 	placed map[string]*placed
 	// expired is when placed was last searched for jobs past their time.
 	expired time.Time
-	// lights is about the light jobs, by service.
-	lights map[string]*lights
+	// demands is what jobs ask, by service.
+	demands map[string]*demand
 }
 
 // New returns a Dispatcher that knows no endpoint.
@@ -52,7 +52,7 @@
 		endpoints: make(map[string]*endpoint),
 		pools:     make(map[string][]*endpoint),
 		placed:    make(map[string]*placed),
-		lights:    make(map[string]*lights),
+		demands:   make(map[string]*demand),
 	}
 }
 
@@ -62,13 +62,7 @@
 	if d.placed[job.ID] != nil || d.queued(job.ID) >= 0 {
 		return
 	}
-	if d.light(&job) {
-		l := d.lightsOf(job.Service)
-		l.rate.add(now, d.cfg.RateWindow)
-		if !job.Due.IsZero() {
-			l.goalMs = ms(job.Due.Sub(job.Arrived))
-		}
-	}
+	d.note(now, &job)
 	d.queue = append(d.queue, &job)
 }
 
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -118,7 +118,7 @@
 			active++
 		}
 	}
-	arriving := d.lightsOf(service).rate.now(now, d.cfg.RateWindow)
+	arriving := d.demandOf(service).lights.now(now, d.cfg.RateWindow)
 	want := (active + arriving*0.2) / d.cfg.WritersPerEngine
 	n := min(int(math.Ceil(want)), pool)
 	set := make(map[string]bool, n)
--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -11,9 +11,10 @@
 	at        time.Time
 }
 
-func (r *rate) add(now time.Time, window time.Duration) {
+// add counts an amount.
+func (r *rate) add(now time.Time, window time.Duration, amount float64) {
 	r.decay(now, window)
-	r.perSecond += 1 / window.Seconds()
+	r.perSecond += amount / window.Seconds()
 }
 
 // now returns the arrivals a second.
@@ -29,20 +30,56 @@
 	r.at = now
 }
 
-// lights is what is known of a service's light jobs.
-type lights struct {
-	rate rate
-	// goalMs is that of the last one.
-	goalMs float64
-	// active is the number of those that wait or were placed.
-	active int
+// demand is what jobs ask of a service.
+type demand struct {
+	// lights counts arrivals of light jobs, and lightGoalMs is the last one's.
+	lights      rate
+	lightGoalMs float64
+	// longMs is the reading time of the long jobs that arrive, and longWorth
+	// their worth.
+	longMs    rate
+	longWorth rate
 }
 
-func (d *Dispatcher) lightsOf(service string) *lights {
-	l := d.lights[service]
-	if l == nil {
-		l = &lights{}
-		d.lights[service] = l
+func (d *Dispatcher) demandOf(service string) *demand {
+	m := d.demands[service]
+	if m == nil {
+		m = &demand{}
+		d.demands[service] = m
 	}
-	return l
+	return m
+}
+
+// note counts a job that arrives.
+func (d *Dispatcher) note(now time.Time, job *Job) {
+	f := d.services[job.Service]
+	if f == nil {
+		return
+	}
+	m := d.demandOf(job.Service)
+	if !d.light(job) {
+		m.longMs.add(now, d.cfg.LongWindow, f.ReadMs(job.Prompt, 1))
+		m.longWorth.add(now, d.cfg.LongWindow, d.worth(job))
+		return
+	}
+	m.lights.add(now, d.cfg.RateWindow, 1)
+	if !job.Due.IsZero() {
+		m.lightGoalMs = ms(job.Due.Sub(job.Arrived))
+	}
+}
+
+// readingPrice is what a ms of an engine's reading is worth to the other long
+// jobs of the service: nothing while there is room for all, and as much as they
+// make of it where they need all engines.
+func (d *Dispatcher) readingPrice(now time.Time, service string) float64 {
+	m := d.demandOf(service)
+	msPerS, worthPerS := m.longMs.now(now, d.cfg.LongWindow), m.longWorth.now(now, d.cfg.LongWindow)
+	engines := float64(len(d.pools[service]))
+	if msPerS <= 0 || engines == 0 {
+		return 0
+	}
+	const msOfSecond = 1000
+	load := msPerS / msOfSecond / engines
+	scarce := min(1, max(0, (load-d.cfg.RoomyLoad)/(1-d.cfg.RoomyLoad)))
+	return worthPerS / msPerS * scarce * scarce
 }
--- a/core/dispatch/sim_test.go
+++ b/core/dispatch/sim_test.go
@@ -82,7 +82,10 @@
 	done    bool
 	failed  bool
 	emitted int
-	engines []*simEngine
+	// placedMs and firstMs are when it was placed and emitted its first event.
+	placedMs float64
+	firstMs  float64
+	engines  []*simEngine
 }
 
 // simPart is what an engine reads of a job.
@@ -241,6 +244,7 @@
 	ids := append([]string{p.Endpoint}, p.Helpers...)
 	f := s.order[0].f
 	j.parts = len(ids)
+	j.placedMs = s.now
 	for i, id := range ids {
 		e := s.engines[id]
 		part := &simPart{job: j, tokens: float64(j.prompt) / float64(len(ids)), costMs: f.ReadMs(j.prompt, len(ids)), helper: i > 0}
@@ -310,7 +314,7 @@
 func (s *sim) first(j *simJob) {
 	e := j.engines[0]
 	j.started = true
-	j.lastMs = s.now
+	j.lastMs, j.firstMs = s.now, s.now
 	if s.now-j.at > j.kind.goalMs {
 		j.late = true
 	}
