Blame the endpoint at fault, and keep an engine's model through changes of figures

Rejections name the one at fault, which gets no work for a while. Long prompts that wait are looked at every 10 ms. Tests of the dispatcher, and of load by simulation against a naive policy.

--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -44,6 +44,8 @@
 	ForeignSetWeight float64
 	// QueueMargin is kept between the predicted first event and the deadline.
 	QueueMargin time.Duration
+	// LookInterval is the time between two looks at a long prompt that waits.
+	LookInterval time.Duration
 	// RateWindow is the time over which arrivals are averaged.
 	RateWindow time.Duration
 	// LongWindow is the same for the reading of long prompts, which are fewer.
@@ -51,8 +53,10 @@
 	// RoomyLoad is the part of the engines' time up to which long prompts don't
 	// get into each other's way.
 	RoomyLoad float64
-	// SuspectFor is how long an endpoint that failed gets no work; it doubles
-	// with each further failure up to MaxSuspectFor.
+	// FullFor is how long an endpoint that rejected a request gets no work, and
+	// SuspectFor one that failed; it doubles with each further time in a row up
+	// to MaxSuspectFor.
+	FullFor       time.Duration
 	SuspectFor    time.Duration
 	MaxSuspectFor time.Duration
 }
@@ -75,9 +79,11 @@
 		DelayWeight:      0.2,
 		ForeignSetWeight: 0.2,
 		QueueMargin:      150 * time.Millisecond,
+		LookInterval:     10 * time.Millisecond,
 		RateWindow:       time.Second,
 		LongWindow:       3 * time.Second,
 		RoomyLoad:        0.2,
+		FullFor:          150 * time.Millisecond,
 		SuspectFor:       500 * time.Millisecond,
 		MaxSuspectFor:    8 * time.Second,
 	}
--- a/core/dispatch/cost.go
+++ b/core/dispatch/cost.go
@@ -12,7 +12,7 @@
 		c.firstMs = max(c.firstMs, first)
 	}
 	if !d.light(job) {
-		c.harm += d.readingPrice(now, job.Service) * c.receiver.engine.ReadMs(job.Prompt, 1)
+		c.harm += d.readingPrice(now, job) * c.receiver.engine.ReadMs(job.Prompt, 1)
 	}
 	c.cost = c.harm + d.worth(job)*d.lateness(now, job, c.firstMs)
 }
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -19,13 +19,21 @@
 	d.held = false
 	var decisions []Decision
 	kept := d.queue[:0]
-	for _, job := range d.queue {
-		decision, decided := d.decide(now, job)
+	for _, q := range d.queue {
+		if now.Before(q.lookAt) {
+			d.held = d.held || d.rank(now, &q.Job) == rankOnTime
+			kept = append(kept, q)
+			continue
+		}
+		decision, decided := d.decide(now, &q.Job)
 		if !decided {
-			kept = append(kept, job)
+			if d.rank(now, &q.Job) != rankLight {
+				q.lookAt = now.Add(d.cfg.LookInterval)
+			}
+			kept = append(kept, q)
 			continue
 		}
-		decision.Owner = job.Owner
+		decision.Owner = q.Owner
 		decisions = append(decisions, decision)
 	}
 	clear(d.queue[len(kept):])
@@ -37,11 +45,11 @@
 // come first those that can still be on time, and among them those that are
 // worth most for the time that engines spend on them.
 func (d *Dispatcher) order(now time.Time) {
-	slices.SortStableFunc(d.queue, func(a, b *Job) int {
-		if c := cmp.Compare(d.rank(now, a), d.rank(now, b)); c != 0 {
+	slices.SortStableFunc(d.queue, func(a, b *queued) int {
+		if c := cmp.Compare(d.rank(now, &a.Job), d.rank(now, &b.Job)); c != 0 {
 			return c
 		}
-		return cmp.Compare(d.readPerWorth(a), d.readPerWorth(b))
+		return cmp.Compare(d.readPerWorth(&a.Job), d.readPerWorth(&b.Job))
 	})
 }
 
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -14,6 +14,13 @@
 	expireAfter = 2 * time.Second
 )
 
+// queued is a job that waits.
+type queued struct {
+	Job
+	// lookAt is when it is looked at again.
+	lookAt time.Time
+}
+
 // placed is a job that went to endpoints.
 type placed struct {
 	Job
@@ -33,7 +40,7 @@
 	endpoints map[string]*endpoint
 	// pools lists the endpoints of a service in the order of their names.
 	pools map[string][]*endpoint
-	queue []*Job
+	queue []*queued
 	// held says that a long job that can be on time waits, so that late ones have
 	// to.
 	held   bool
@@ -59,11 +66,11 @@
 // Submit queues a job; Decide places or refuses it. A job that is known already
 // is left as it is.
 func (d *Dispatcher) Submit(now time.Time, job Job) {
-	if d.placed[job.ID] != nil || d.queued(job.ID) >= 0 {
+	if d.placed[job.ID] != nil || d.find(job.ID) >= 0 {
 		return
 	}
 	d.note(now, &job)
-	d.queue = append(d.queue, &job)
+	d.queue = append(d.queue, &queued{Job: job})
 }
 
 // Adopt takes in a job that was placed elsewhere, by another dispatcher.
@@ -71,7 +78,7 @@
 	if d.placed[job.ID] != nil {
 		return
 	}
-	if i := d.queued(job.ID); i >= 0 {
+	if i := d.find(job.ID); i >= 0 {
 		d.queue = slices.Delete(d.queue, i, i+1)
 	}
 	pl := d.enter(now, &job, p)
@@ -88,9 +95,10 @@
 }
 
 // Finished notes the end of a placed job, or that a queued one is not wanted
-// any more.
-func (d *Dispatcher) Finished(now time.Time, id string, outcome Outcome) {
-	if i := d.queued(id); i >= 0 {
+// any more. blamed is the endpoint that is at fault; empty for the one that
+// received the job.
+func (d *Dispatcher) Finished(now time.Time, id string, outcome Outcome, blamed string) {
+	if i := d.find(id); i >= 0 {
 		d.queue = slices.Delete(d.queue, i, i+1)
 		return
 	}
@@ -99,7 +107,10 @@
 		return
 	}
 	d.remove(now, p)
-	e := d.endpoints[p.Endpoint]
+	if blamed == "" {
+		blamed = p.Endpoint
+	}
+	e := d.endpoints[blamed]
 	if e == nil {
 		return
 	}
@@ -107,15 +118,10 @@
 	case Served:
 		e.served()
 	case Failed:
-		e.failed(now, d.cfg)
-	case Abandoned, Rejected:
-	}
-}
-
-// Suspect notes that an endpoint failed without a job of this dispatcher.
-func (d *Dispatcher) Suspect(now time.Time, endpoint string) {
-	if e := d.endpoints[endpoint]; e != nil {
-		e.failed(now, d.cfg)
+		e.suspect(now, d.cfg.SuspectFor, d.cfg.MaxSuspectFor)
+	case Rejected:
+		e.suspect(now, d.cfg.FullFor, d.cfg.MaxSuspectFor)
+	case Abandoned:
 	}
 }
 
@@ -123,7 +129,7 @@
 // name.
 func (d *Dispatcher) DropOwner(now time.Time, owner, service string) {
 	drop := func(j *Job) bool { return j.Owner == owner && (service == "" || j.Service == service) }
-	d.queue = slices.DeleteFunc(d.queue, drop)
+	d.queue = slices.DeleteFunc(d.queue, func(q *queued) bool { return drop(&q.Job) })
 	for _, p := range d.placed {
 		if drop(&p.Job) {
 			d.remove(now, p)
@@ -150,15 +156,15 @@
 // Placed is the number of jobs at endpoints.
 func (d *Dispatcher) Placed() int { return len(d.placed) }
 
-func (d *Dispatcher) queued(id string) int {
-	return slices.IndexFunc(d.queue, func(j *Job) bool { return j.ID == id })
+// find returns the place of a job in the queue, or -1.
+func (d *Dispatcher) find(id string) int {
+	return slices.IndexFunc(d.queue, func(q *queued) bool { return q.ID == id })
 }
 
 // enter books the job at its endpoints.
 func (d *Dispatcher) enter(now time.Time, job *Job, p Placement) *placed {
 	pl := &placed{Job: *job, Placement: p, light: d.light(job), predicted: now}
 	d.placed[job.ID] = pl
-	readers := 1 + len(p.Helpers)
 	for i, id := range append([]string{p.Endpoint}, p.Helpers...) {
 		e := d.endpoints[id]
 		if e == nil {
@@ -172,11 +178,7 @@
 		} else {
 			e.helped++
 		}
-		if e.model == nil {
-			continue
-		}
-		pt.reading = e.engine.NewPart(job.Prompt, readers, !pt.receiver)
-		e.model.Add(now, pt.reading)
+		d.model(now, e, pt)
 	}
 	return pl
 }
@@ -184,21 +186,7 @@
 // begin notes that a job's prompt is read.
 func (d *Dispatcher) begin(now time.Time, p *placed) {
 	p.began = true
-	d.eachPart(p, func(e *endpoint, pt *part) {
-		if e.model == nil {
-			return
-		}
-		e.model.Remove(now, pt.reading)
-		if pt.receiver {
-			e.model.Write(now, 1, p.contextAt(pt))
-			e.model.Ended(now)
-		}
-	})
-}
-
-// contextAt is what a writer's step costs at an endpoint, in tokens.
-func (p *placed) contextAt(pt *part) int {
-	return pt.tokens / (1 + len(p.Helpers))
+	d.eachPart(p, func(_ *endpoint, pt *part) { pt.began(now) })
 }
 
 // remove forgets a placed job.
@@ -212,13 +200,7 @@
 		} else {
 			e.helped--
 		}
-		if e.model == nil || pt.reading == nil {
-			return
-		}
-		e.model.Remove(now, pt.reading)
-		if pt.receiver && p.began {
-			e.model.Write(now, -1, -p.contextAt(pt))
-		}
+		pt.ended(now)
 	})
 }
 
--- /dev/null
+++ b/core/dispatch/dispatcher_test.go
@@ -0,0 +1,283 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/engine"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms float64) time.Time { return start.Add(fromMs(ms)) }
+
+// fleet returns a dispatcher before engines of the service "s" and plain
+// endpoints of the service "p".
+func fleet(engines, plain int) *Dispatcher {
+	d := New(DefaultConfig())
+	d.SetServices(start, []Service{{Name: "s", Engine: simFigures()}, {Name: "p"}})
+	d.SetEndpoints(start, endpoints(engines, plain))
+	return d
+}
+
+func endpoints(engines, plain int) []Endpoint {
+	var list []Endpoint
+	for i := range engines {
+		list = append(list, Endpoint{ID: "e" + string(rune('a'+i)), Service: "s", Slots: 16})
+	}
+	for i := range plain {
+		list = append(list, Endpoint{ID: "p" + string(rune('a'+i)), Service: "p", Slots: 2})
+	}
+	return list
+}
+
+func prompt(id string, tokens int, now time.Time) Job {
+	goal := 300 * time.Millisecond
+	gap := 200 * time.Millisecond
+	if tokens > 30000 {
+		goal, gap = 3*time.Second, 800*time.Millisecond
+	}
+	return Job{
+		ID: id, Owner: "vm", Service: "s", Arrived: now, Due: now.Add(goal), Deadline: now.Add(15 * time.Second),
+		Gap: gap, Prompt: tokens, Answer: 460,
+	}
+}
+
+func call(id string, now time.Time) Job {
+	return Job{ID: id, Owner: "vm", Service: "p", Arrived: now, Due: now.Add(150 * time.Millisecond), Deadline: now.Add(time.Second)}
+}
+
+// only submits a job and returns what is decided about it.
+func only(t *testing.T, d *Dispatcher, now time.Time, j Job) Decision {
+	t.Helper()
+	d.Submit(now, j)
+	decisions := d.Decide(now)
+	require.Len(t, decisions, 1)
+	require.Equal(t, j.ID, decisions[0].JobID())
+	return decisions[0]
+}
+
+func placedAt(t *testing.T, d *Dispatcher, now time.Time, j Job) *Placement {
+	t.Helper()
+	p := only(t, d, now, j).Placement
+	require.NotNil(t, p)
+	return p
+}
+
+// TestCallsGoToTheLeastLoaded fills plain endpoints evenly, lets the next call
+// wait, and places it when a slot is free.
+func TestCallsGoToTheLeastLoaded(t *testing.T) {
+	d := fleet(0, 2)
+	seen := map[string]int{}
+	for _, id := range []string{"1", "2", "3", "4"} {
+		seen[placedAt(t, d, start, call(id, start)).Endpoint]++
+	}
+	require.Equal(t, map[string]int{"pa": 2, "pb": 2}, seen)
+	d.Submit(start, call("5", start))
+	require.Empty(t, d.Decide(start))
+	require.Equal(t, 1, d.Waiting())
+	d.Finished(at(10), "3", Served, "")
+	decisions := d.Decide(at(10))
+	require.Len(t, decisions, 1)
+	require.NotNil(t, decisions[0].Placement)
+}
+
+// TestCallsAreRefusedInTime gives up on a call while its caller can still come
+// back, and says when.
+func TestCallsAreRefusedInTime(t *testing.T) {
+	d := fleet(0, 0)
+	d.Submit(start, call("1", start))
+	require.Empty(t, d.Decide(at(300)))
+	decisions := d.Decide(at(340))
+	require.Len(t, decisions, 1)
+	require.Equal(t, ReasonNoEndpoint, decisions[0].Refusal.Reason)
+	require.Positive(t, decisions[0].Refusal.RetryAfter)
+	require.Zero(t, d.Waiting())
+}
+
+// TestSubmitIsIdempotent asks twice about one job.
+func TestSubmitIsIdempotent(t *testing.T) {
+	d := fleet(1, 1)
+	placedAt(t, d, start, call("1", start))
+	d.Submit(start, call("1", start))
+	require.Empty(t, d.Decide(start))
+	require.Equal(t, 1, d.Placed())
+}
+
+// TestShortPromptsKeepOutOfLongReading places short prompts beside an engine
+// that reads for seconds.
+func TestShortPromptsKeepOutOfLongReading(t *testing.T) {
+	d := fleet(2, 0)
+	d.Adopt(start, prompt("long", 200000, start), Placement{Job: "long", Endpoint: "ea"}, false)
+	for _, id := range []string{"1", "2", "3"} {
+		require.Equal(t, "eb", placedAt(t, d, start, prompt(id, 5000, start)).Endpoint)
+	}
+}
+
+// TestLongPromptsKeepOutOfWriters lets several engines read a long prompt rather
+// than stretch the pauses of those who write.
+func TestLongPromptsKeepOutOfWriters(t *testing.T) {
+	d := fleet(4, 0)
+	for i, id := range []string{"1", "2", "3", "4", "5", "6"} {
+		d.Adopt(start, prompt(id, 5000, start), Placement{Job: id, Endpoint: []string{"ea", "eb"}[i%2]}, true)
+	}
+	p := placedAt(t, d, at(1), prompt("long", 150000, at(1)))
+	used := append([]string{p.Endpoint}, p.Helpers...)
+	require.NotContains(t, used, "ea")
+	require.NotContains(t, used, "eb")
+	require.Len(t, used, 2)
+}
+
+// TestLargestPromptsShareMemory places a prompt that is larger than an engine
+// with shares that its helpers hold, within each engine's room.
+func TestLargestPromptsShareMemory(t *testing.T) {
+	d := fleet(8, 0)
+	j := prompt("huge", 900000, start)
+	p := placedAt(t, d, start, j)
+	held := 0
+	for _, tokens := range p.Shares {
+		held += tokens
+	}
+	require.LessOrEqual(t, len(p.Shares), len(p.Helpers))
+	require.LessOrEqual(t, j.Prompt-held+j.Answer, 450000)
+	for _, e := range d.endpoints {
+		require.LessOrEqual(t, e.context, e.engine.MemoryTokens)
+	}
+	d.Finished(at(1), "huge", Abandoned, "")
+	for _, e := range d.endpoints {
+		require.Zero(t, e.context)
+	}
+}
+
+// TestPromptsBeyondAllMemoryAreRefused answers at once, as waiting won't help.
+func TestPromptsBeyondAllMemoryAreRefused(t *testing.T) {
+	d := fleet(2, 0)
+	require.Equal(t, ReasonTooLarge, only(t, d, start, prompt("1", 1000000, start)).Refusal.Reason)
+}
+
+// TestBlamedEndpointIsPassedOver rejects a prompt because of a helper: the next
+// one goes elsewhere, and the helper gets work again later.
+func TestBlamedEndpointIsPassedOver(t *testing.T) {
+	d := fleet(2, 0)
+	placedAt(t, d, start, prompt("1", 5000, start))
+	d.Finished(at(1), "1", Rejected, "eb")
+	for _, id := range []string{"2", "3", "4"} {
+		require.Equal(t, "ea", placedAt(t, d, at(2), prompt(id, 5000, at(2))).Endpoint)
+	}
+	later := at(ms(d.cfg.FullFor) + 10)
+	d.Finished(later, "2", Abandoned, "")
+	d.Finished(later, "3", Abandoned, "")
+	d.Finished(later, "4", Abandoned, "")
+	require.True(t, d.endpoints["eb"].usable(later))
+}
+
+// TestFailuresAreSuspectedLonger doubles the time with each failure in a row,
+// and forgets them with an answer.
+func TestFailuresAreSuspectedLonger(t *testing.T) {
+	d := fleet(1, 0)
+	e := d.endpoints["ea"]
+	now := start
+	for _, want := range []time.Duration{d.cfg.SuspectFor, 2 * d.cfg.SuspectFor, 4 * d.cfg.SuspectFor} {
+		e.suspect(now, d.cfg.SuspectFor, d.cfg.MaxSuspectFor)
+		require.Equal(t, now.Add(want), e.suspectUntil)
+		now = e.suspectUntil
+	}
+	e.served()
+	require.True(t, e.usable(now))
+	require.Zero(t, e.failures)
+}
+
+// TestSuspectedEndpointIsBetterThanNone uses the last endpoint although it
+// failed.
+func TestSuspectedEndpointIsBetterThanNone(t *testing.T) {
+	d := fleet(0, 1)
+	placedAt(t, d, start, call("1", start))
+	d.Finished(at(1), "1", Failed, "")
+	require.Equal(t, "pa", placedAt(t, d, at(2), call("2", at(2))).Endpoint)
+}
+
+// TestJobsBeforeTheConfiguration takes in jobs of another VM while this one does
+// not know the services yet, and counts them when it does.
+func TestJobsBeforeTheConfiguration(t *testing.T) {
+	d := New(DefaultConfig())
+	d.SetEndpoints(start, endpoints(2, 0))
+	d.Adopt(start, prompt("1", 5000, start), Placement{Job: "1", Endpoint: "ea"}, false)
+	d.Adopt(start, prompt("2", 5000, start), Placement{Job: "2", Endpoint: "ea"}, true)
+	d.Began(at(1), "1")
+	d.SetServices(at(2), []Service{{Name: "s", Engine: simFigures()}})
+	require.Equal(t, 2, d.endpoints["ea"].model.Writers())
+	d.Finished(at(3), "1", Served, "")
+	d.Finished(at(3), "2", Served, "")
+	require.Zero(t, d.endpoints["ea"].model.Writers())
+}
+
+// TestNewFiguresKeepTheWork changes an engine's figures under its requests.
+func TestNewFiguresKeepTheWork(t *testing.T) {
+	d := fleet(1, 0)
+	d.Adopt(start, prompt("1", 5000, start), Placement{Job: "1", Endpoint: "ea"}, true)
+	d.Adopt(start, prompt("2", 100000, start), Placement{Job: "2", Endpoint: "ea"}, false)
+	faster := *simFigures()
+	faster.StepMs /= 2
+	d.SetServices(at(1), []Service{{Name: "s", Engine: &faster}})
+	m := d.endpoints["ea"].model
+	require.Equal(t, 1, m.Writers())
+	require.Positive(t, m.ReadingMs(at(1)))
+	d.Finished(at(2), "2", Served, "")
+	require.Zero(t, m.ReadingMs(at(2)))
+}
+
+// TestOwnersJobsAreDropped forgets what a VM that is gone had, queued and placed.
+func TestOwnersJobsAreDropped(t *testing.T) {
+	d := fleet(0, 1)
+	placedAt(t, d, start, call("1", start))
+	placedAt(t, d, start, call("2", start))
+	d.Submit(start, call("3", start))
+	other := call("4", start)
+	other.Owner = "other"
+	d.Submit(start, other)
+	d.DropOwner(at(1), "vm", "")
+	require.Zero(t, d.Placed())
+	decisions := d.Decide(at(1))
+	require.Len(t, decisions, 1)
+	require.Equal(t, "4", decisions[0].JobID())
+}
+
+// TestLostEndsAreForgotten drops a placed job whose end was never told, after
+// its deadline.
+func TestLostEndsAreForgotten(t *testing.T) {
+	d := fleet(0, 1)
+	placedAt(t, d, start, call("1", start))
+	d.Decide(at(2500))
+	require.Equal(t, 1, d.Placed())
+	d.Decide(at(4000))
+	require.Zero(t, d.Placed())
+}
+
+// TestEndpointsThatLeaveKeepTheirJobs removes an endpoint under a job.
+func TestEndpointsThatLeaveKeepTheirJobs(t *testing.T) {
+	d := fleet(1, 0)
+	placedAt(t, d, start, prompt("1", 5000, start))
+	d.SetEndpoints(at(1), nil)
+	d.Began(at(2), "1")
+	d.Finished(at(3), "1", Served, "")
+	require.Zero(t, d.Placed())
+}
+
+// TestModelPredictsAPass checks the arithmetic of a pass with a writer and two
+// parts to read.
+func TestModelPredictsAPass(t *testing.T) {
+	f := &engine.Figures{Slots: 4, MemoryTokens: 1000, Stride: 10, ChunkTokens: 100, StepMs: 1, ReadTokensPerMs: 10}
+	m := engine.NewModel(f)
+	m.Write(start, 1, 0)
+	first := m.Forecast(at(4), *f.NewPart(200, 1, false))
+	require.InDelta(t, 6+10+20, first.FirstMs, 0.01, "the rest of the pass, and the next one with the part")
+	require.InDelta(t, 30, first.PassMs, 0.01)
+	require.InDelta(t, 10, first.WithoutMs, 0.01)
+	m.Add(at(4), f.NewPart(200, 1, false))
+	require.InDelta(t, 20, m.ReadingMs(at(4)), 0.01)
+	require.InDelta(t, 6+10+20+10, m.Forecast(at(4), *f.NewPart(100, 1, true)).FirstMs, 0.01)
+	m.Advance(at(10 + 30))
+	require.InDelta(t, 0, m.ReadingMs(at(40)), 0.01)
+}
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -27,8 +27,11 @@
 // part is the work of one job at one endpoint.
 type part struct {
 	job *placed
-	// reading is the part in the engine's model; nil for a plain service.
+	// model is the one that has the part; nil for none. reading is what it reads,
+	// and writes says that the request writes there.
+	model   *engine.Model
 	reading *engine.Part
+	writes  bool
 	// receiver says that the job's request is at this endpoint.
 	receiver bool
 	// tokens is the memory that the job holds here.
@@ -51,8 +54,6 @@
 	// suspectUntil is when it gets work again after failures in a row.
 	suspectUntil time.Time
 	failures     int
-	// failedAt is when it failed last.
-	failedAt time.Time
 }
 
 func (e *endpoint) usable(now time.Time) bool { return !now.Before(e.suspectUntil) }
@@ -62,19 +63,18 @@
 	return int(float64(e.engine.MemoryTokens)*share) - e.context
 }
 
-// failed notes a failure and suspects the endpoint for a while. Failures of
-// requests that were sent side by side count once.
-func (e *endpoint) failed(now time.Time, cfg Config) {
+// suspect gives the endpoint no work for a while, which doubles with each time
+// in a row. What happens to requests that were sent side by side counts once.
+func (e *endpoint) suspect(now time.Time, first, most time.Duration) {
 	if now.Before(e.suspectUntil) {
 		return
 	}
 	e.failures++
-	d := cfg.SuspectFor
-	for i := 1; i < e.failures && d < cfg.MaxSuspectFor; i++ {
+	d := first
+	for i := 1; i < e.failures && d < most; i++ {
 		d *= 2
 	}
-	e.failedAt = now
-	e.suspectUntil = now.Add(min(d, cfg.MaxSuspectFor))
+	e.suspectUntil = now.Add(min(d, most))
 }
 
 func (e *endpoint) served() {
@@ -83,31 +83,84 @@
 }
 
 // SetServices replaces what is known of the services.
-func (d *Dispatcher) SetServices(services []Service) {
+func (d *Dispatcher) SetServices(now time.Time, services []Service) {
 	clear(d.services)
 	for _, s := range services {
 		d.services[s.Name] = s.Engine
 	}
 	for _, e := range d.endpoints {
-		e.setEngine(d.services[e.Service])
+		d.setEngine(now, e)
 	}
 }
 
-// setEngine takes the figures of the endpoint's engine. What it was given before
-// is known by the figures that held then.
-func (e *endpoint) setEngine(f *engine.Figures) {
-	if f == nil {
-		e.engine, e.model = nil, nil
+// setEngine takes the figures of the endpoint's engine. Where they are new, its
+// parts begin anew in a model of theirs.
+func (d *Dispatcher) setEngine(now time.Time, e *endpoint) {
+	f := d.services[e.Service]
+	if f == e.engine || f != nil && e.engine != nil && *f == *e.engine {
 		return
 	}
-	if e.model == nil || e.engine == nil || *e.engine != *f {
-		e.engine, e.model = f, engine.NewModel(f)
+	e.engine, e.model = f, nil
+	if f != nil {
+		e.model = engine.NewModel(f)
+	}
+	for _, p := range e.parts {
+		d.model(now, e, p)
+	}
+}
+
+// model gives a part to its endpoint's model.
+func (d *Dispatcher) model(now time.Time, e *endpoint, p *part) {
+	p.model, p.reading, p.writes = e.model, nil, false
+	switch {
+	case e.model == nil:
+	case !p.job.began:
+		p.reading = e.engine.NewPart(p.job.Prompt, 1+len(p.job.Helpers), !p.receiver)
+		e.model.Add(now, p.reading)
+	case p.receiver:
+		p.writes = true
+		e.model.Write(now, 1, p.context())
+	}
+}
+
+// context is what a writer's step costs at its receiver, in tokens.
+func (p *part) context() int { return p.tokens / (1 + len(p.job.Helpers)) }
+
+// began moves a part from reading to writing.
+func (p *part) began(now time.Time) {
+	if p.model == nil {
+		return
+	}
+	p.stopReading(now)
+	if p.receiver && !p.writes {
+		p.writes = true
+		p.model.Write(now, 1, p.context())
+		p.model.Ended(now)
+	}
+}
+
+// ended takes a part out of its model.
+func (p *part) ended(now time.Time) {
+	if p.model == nil {
+		return
+	}
+	p.stopReading(now)
+	if p.writes {
+		p.writes = false
+		p.model.Write(now, -1, -p.context())
+	}
+}
+
+func (p *part) stopReading(now time.Time) {
+	if p.reading != nil {
+		p.model.Remove(now, p.reading)
+		p.reading = nil
 	}
 }
 
 // SetEndpoints replaces the endpoints that may get work. Jobs at endpoints that
 // are gone stay known until they finish.
-func (d *Dispatcher) SetEndpoints(list []Endpoint) {
+func (d *Dispatcher) SetEndpoints(now time.Time, list []Endpoint) {
 	kept := make(map[string]*endpoint, len(list))
 	d.pools = make(map[string][]*endpoint)
 	for _, spec := range list {
@@ -116,7 +169,7 @@
 			e = &endpoint{parts: make(map[string]*part)}
 		}
 		e.Endpoint = spec
-		e.setEngine(d.services[spec.Service])
+		d.setEngine(now, e)
 		kept[spec.ID] = e
 		d.pools[spec.Service] = append(d.pools[spec.Service], e)
 	}
--- /dev/null
+++ b/core/dispatch/load_test.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// seeds are those of the days that the tests of load play.
+var seeds = []uint64{1, 2}
+
+// days plays days whose load swings and returns the mean of what they bring.
+func days(load float64, shortFirst, naive bool) simResult {
+	mean := simResult{kinds: make(map[string]float64), served: make(map[string]float64)}
+	n := float64(len(seeds))
+	for _, seed := range seeds {
+		r := playSwing(seed, DefaultConfig(), load, shortFirst, naive)
+		mean.worth += r.worth / n
+		mean.windows += r.windows / n
+		for kind, share := range r.kinds {
+			mean.kinds[kind] += share / n
+			mean.served[kind] += r.served[kind] / n
+		}
+	}
+	return mean
+}
+
+// better checks that no kind of prompt fares worse than with the naive policy,
+// and that all together fare better by half of what is missing there.
+func better(t *testing.T, load float64, shortFirst bool) simResult {
+	t.Helper()
+	ours, naive := days(load, shortFirst, false), days(load, shortFirst, true)
+	for kind := range ours.kinds {
+		require.GreaterOrEqual(t, ours.kinds[kind], naive.kinds[kind], kind)
+	}
+	require.Greater(t, 1-naive.worth, 2*(1-ours.worth))
+	return ours
+}
+
+// TestSwingToLongPrompts plays many short prompts, then within seconds few short
+// and many long ones.
+func TestSwingToLongPrompts(t *testing.T) { better(t, 0.8, true) }
+
+// TestSwingToShortPrompts plays the reverse: the engines that read long prompts
+// must be free for short ones soon.
+func TestSwingToShortPrompts(t *testing.T) { better(t, 0.8, false) }
+
+// TestOverload asks for more long reading than the engines have time for: each
+// kind is served at least half as often as it is asked for.
+func TestOverload(t *testing.T) {
+	r := days(1.2, false, false)
+	for kind, share := range r.served {
+		require.Greater(t, share, 0.5, kind)
+	}
+	require.Greater(t, r.worth, days(1.2, false, true).worth)
+}
+
+// TestEveryJobIsDecided plays an overload and checks that no prompt is left
+// without an end, and that nothing stays booked.
+func TestEveryJobIsDecided(t *testing.T) {
+	s := newSim(9, DefaultConfig(), 10)
+	s.arrivals(simKinds(), swing(false), 1.2, 12000)
+	s.run()
+	for _, j := range s.jobs {
+		require.True(t, j.done || j.failed, j.id)
+	}
+	require.Zero(t, s.d.Waiting())
+	require.Zero(t, s.d.Placed())
+	for _, e := range s.d.endpoints {
+		require.Zero(t, e.received, e.ID)
+		require.Zero(t, e.helped, e.ID)
+		require.Zero(t, e.context, e.ID)
+		require.Zero(t, e.model.Writers(), e.ID)
+	}
+}
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -114,7 +114,7 @@
 		}
 	}
 	for _, j := range d.queue {
-		if j.Service == service && d.light(j) {
+		if j.Service == service && d.light(&j.Job) {
 			active++
 		}
 	}
@@ -157,33 +157,35 @@
 	return best, best.receiver != nil
 }
 
-// readers lists the usable engines, those that are not kept for light jobs
-// first, by what they still have to read.
+// usualReaders is the number of readers for which engines are compared.
+const usualReaders = 4
+
+// readers lists the usable engines: those where a part does least harm first,
+// and among them those that would read it first.
 func (d *Dispatcher) readers(now time.Time, job *Job, interactive map[string]bool) []*endpoint {
 	type reader struct {
 		*endpoint
-		backlogMs float64
+		kept    bool
+		harm    float64
+		firstMs float64
 	}
-	var list []reader
 	most := d.cfg.MaxBacklogMs
 	if d.rank(now, job) == rankLate {
 		most = d.cfg.LateBacklogMs
 	}
+	var list []reader
 	for _, e := range d.candidates(now, job) {
-		backlog := e.model.ReadingMs(now)
-		if e.helped < e.Slots && backlog <= most {
-			list = append(list, reader{e, backlog})
+		if e.helped >= e.Slots || e.model.ReadingMs(now) > most {
+			continue
 		}
+		harm, first := d.weighPart(now, job, e, usualReaders, true, interactive)
+		list = append(list, reader{e, interactive[e.ID], harm, first})
 	}
 	slices.SortStableFunc(list, func(a, b reader) int {
-		ia, ib := interactive[a.ID], interactive[b.ID]
-		if ia != ib {
-			if ib {
-				return -1
-			}
-			return 1
+		if a.kept != b.kept {
+			return cmp.Compare(boolRank(a.kept), boolRank(b.kept))
 		}
-		return cmp.Compare(a.backlogMs, b.backlogMs)
+		return cmp.Or(cmp.Compare(a.harm, b.harm), cmp.Compare(a.firstMs, b.firstMs))
 	})
 	readers := make([]*endpoint, 0, len(list))
 	for _, r := range list {
@@ -192,6 +194,13 @@
 	return readers
 }
 
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // group is the choice with k readers: the first of them that can also write
 // receives the request.
 func (d *Dispatcher) group(now time.Time, job *Job, fitting, readers []*endpoint, interactive map[string]bool, k int) (choice, bool) {
--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -69,13 +69,15 @@
 }
 
 // readingPrice is what a ms of an engine's reading is worth to the other long
-// jobs of the service: nothing while there is room for all, and as much as they
-// make of it where they need all engines.
-func (d *Dispatcher) readingPrice(now time.Time, service string) float64 {
-	m := d.demandOf(service)
-	msPerS, worthPerS := m.longMs.now(now, d.cfg.LongWindow), m.longWorth.now(now, d.cfg.LongWindow)
-	engines := float64(len(d.pools[service]))
-	if msPerS <= 0 || engines == 0 {
+// jobs of the job's service: nothing while there is room for all, and as much as
+// they make of it where they need all engines.
+func (d *Dispatcher) readingPrice(now time.Time, job *Job) float64 {
+	m := d.demandOf(job.Service)
+	own := math.Exp(-float64(now.Sub(job.Arrived))/float64(d.cfg.LongWindow)) / d.cfg.LongWindow.Seconds()
+	msPerS := m.longMs.now(now, d.cfg.LongWindow) - own*d.services[job.Service].ReadMs(job.Prompt, 1)
+	worthPerS := m.longWorth.now(now, d.cfg.LongWindow) - own*d.worth(job)
+	engines := float64(len(d.pools[job.Service]))
+	if msPerS <= 0 || worthPerS <= 0 || engines == 0 {
 		return 0
 	}
 	const msOfSecond = 1000
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -94,7 +94,7 @@
 	for {
 		v, again, err := c.ask(ctx, j)
 		if err != nil {
-			c.Finished(dj.ID, dispatch.Abandoned)
+			c.Finished(dj.ID, dispatch.Abandoned, "")
 			return gateway.Placed{}, err
 		}
 		if !again {
@@ -193,12 +193,12 @@
 }
 
 // Finished implements gateway.Placer.
-func (c *Coordinator) Finished(id string, outcome dispatch.Outcome) {
+func (c *Coordinator) Finished(id string, outcome dispatch.Outcome, blamed string) {
 	c.mu.Lock()
 	j := c.jobs[id]
 	delete(c.jobs, id)
 	c.mu.Unlock()
-	c.tell(j, note{Job: id, Finished: true, Outcome: outcome})
+	c.tell(j, note{Job: id, Finished: true, Outcome: outcome, Blamed: blamed})
 }
 
 // tell notes what happened to a job here and at its holder.
--- a/internal/coordination/local.go
+++ b/internal/coordination/local.go
@@ -32,12 +32,12 @@
 
 // SetServices replaces what is known of the services.
 func (l *Local) SetServices(services []dispatch.Service) {
-	l.do(func(_ time.Time, d *dispatch.Dispatcher) { d.SetServices(services) })
+	l.do(func(now time.Time, d *dispatch.Dispatcher) { d.SetServices(now, services) })
 }
 
 // SetEndpoints replaces the endpoints that may get work.
 func (l *Local) SetEndpoints(list []dispatch.Endpoint) {
-	l.do(func(_ time.Time, d *dispatch.Dispatcher) { d.SetEndpoints(list) })
+	l.do(func(now time.Time, d *dispatch.Dispatcher) { d.SetEndpoints(now, list) })
 }
 
 // submit queues a job.
@@ -57,7 +57,7 @@
 		case n.Began:
 			d.Began(now, n.Job)
 		case n.Finished:
-			d.Finished(now, n.Job, n.Outcome)
+			d.Finished(now, n.Job, n.Outcome, n.Blamed)
 		}
 	})
 }
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -113,6 +113,8 @@
 	// Finished says that the job ended with the Outcome.
 	Finished bool             `json:"f,omitempty"`
 	Outcome  dispatch.Outcome `json:"o,omitempty"`
+	// Blamed is the endpoint at fault; empty for the job's own.
+	Blamed string `json:"l,omitempty"`
 }
 
 // adopted is a job with its placement.
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -165,6 +165,7 @@
 	Endpoint string `log:"endpoint"`
 	Status   int    `log:"status"`
 	Outcome  string `log:"outcome"`
+	Blamed   string `log:"blamed"`
 	Reason   string `log:"reason"`
 	Again    bool   `log:"again"`
 	Why      string `log:"why"`
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -45,7 +45,9 @@
 	// mayHaveRun says that some endpoint may have begun to run it.
 	mayHaveRun bool
 	// avoid are the endpoints at which it failed.
-	avoid  []string
+	avoid []string
+	// asked has the addresses of the endpoints that were to help, by ID.
+	asked  map[string]string
 	stream stream
 	// reservations is the number of failed reservations.
 	reservations int
@@ -133,7 +135,7 @@
 	entry, ok := x.gateway.cfg.Directory.Entry(placed.Endpoint)
 	if !ok || entry.State != directory.Ready {
 		// It left while the answer was on its way.
-		x.gateway.cfg.Placer.Finished(job.ID, dispatch.Rejected)
+		x.gateway.cfg.Placer.Finished(job.ID, dispatch.Rejected, "")
 		x.avoid = append(x.avoid, placed.Endpoint)
 		return true
 	}
@@ -149,7 +151,7 @@
 		Holder: placed.Holder, Waited: time.Since(x.arrived),
 	})
 	result := x.send(ctx, job.ID, entry, x.helpers(placed, grant))
-	x.gateway.cfg.Placer.Finished(job.ID, result.outcome)
+	x.gateway.cfg.Placer.Finished(job.ID, result.outcome, result.blamed)
 	return x.conclude(ctx, entry, result)
 }
 
@@ -222,10 +224,13 @@
 		x.mayHaveRun = true
 	}
 	x.avoid = append(x.avoid, entry.ID)
+	if result.blamed != "" {
+		x.avoid = append(x.avoid, result.blamed)
+	}
 	again, why := x.again(ctx, result)
 	x.gateway.cfg.Log.Emit(event.SendEnded{
 		Request: x.call.ID, Attempt: x.sends, Endpoint: entry.ID, Status: result.status,
-		Outcome: result.outcome.String(), Reason: result.reason(), Again: again, Why: why,
+		Outcome: result.outcome.String(), Blamed: result.blamed, Reason: result.reason(), Again: again, Why: why,
 	})
 	if again {
 		return true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,8 +54,9 @@
 	Place(ctx context.Context, job dispatch.Job) (Placed, error)
 	// Began notes the first event of a placed job.
 	Began(job string)
-	// Finished notes the end of a placed job.
-	Finished(job string, outcome dispatch.Outcome)
+	// Finished notes the end of a placed job. blamed is the endpoint at fault;
+	// empty for the one that received it.
+	Finished(job string, outcome dispatch.Outcome, blamed string)
 }
 
 // Config is what a Gateway is made of.
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
+
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
@@ -39,7 +41,12 @@
 
 // notReserved places the request again, a few times.
 func (x *exchange) notReserved(ctx context.Context, job string, err error) bool {
-	x.gateway.cfg.Placer.Finished(job, dispatch.Rejected)
+	var refused *ticket.NotGrantedError
+	blamed := ""
+	if errors.As(err, &refused) {
+		blamed = refused.Endpoint
+	}
+	x.gateway.cfg.Placer.Finished(job, dispatch.Rejected, blamed)
 	x.reservations++
 	again := x.reservations < maxReservations && ctx.Err() == nil
 	x.gateway.cfg.Log.Emit(event.ReservationFailed{Request: x.call.ID, Reason: err.Error(), Again: again})
@@ -58,11 +65,13 @@
 // are left out, unless they hold memory.
 func (x *exchange) helpers(placed Placed, grant *ticket.Grant) []provider.Helper {
 	helpers := make([]provider.Helper, 0, len(placed.Helpers))
+	x.asked = make(map[string]string, len(placed.Helpers))
 	for i, id := range placed.Helpers {
 		entry, ok := x.gateway.cfg.Directory.Entry(id)
 		if !ok {
 			continue
 		}
+		x.asked[id] = entry.Address
 		h := provider.Helper{Address: entry.Address}
 		if i < len(placed.Shares) {
 			h.Reservation = grant.IDs[i]
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -27,7 +27,9 @@
 	// notRun says that the endpoint did not run the request.
 	notRun  bool
 	outcome dispatch.Outcome
-	status  int
+	// blamed is the endpoint at fault where it is another one.
+	blamed string
+	status int
 	// answer is the endpoint's own failure, which is delivered if the request is
 	// not sent again.
 	answer *answer
@@ -80,7 +82,7 @@
 	case about.NotRun:
 		// Read to its end, so that the connection can be kept.
 		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxWholeBytes))
-		return sendResult{notRun: true, outcome: dispatch.Rejected, status: resp.Status, err: err}
+		return sendResult{notRun: true, outcome: dispatch.Rejected, blamed: x.blamed(about.AtFault), status: resp.Status, err: err}
 	case x.route.Kind == routing.Streaming && resp.Status == http.StatusOK:
 		if !about.Sealed {
 			return unsealed(resp.Status)
@@ -90,6 +92,23 @@
 	return x.whole(ctx, resp, about.Sealed)
 }
 
+// blamed is the ID of the endpoint that is named as at fault by its ID or its
+// address; empty where it isn't known.
+func (x *exchange) blamed(named string) string {
+	if named == "" {
+		return ""
+	}
+	if _, ok := x.gateway.cfg.Directory.Entry(named); ok {
+		return named
+	}
+	for id, address := range x.asked {
+		if address == named {
+			return id
+		}
+	}
+	return ""
+}
+
 // failedSend says what a send without an answer leaves open.
 func (x *exchange) failedSend(ctx context.Context, err error) sendResult {
 	result := sendResult{outcome: dispatch.Failed, err: err}
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -161,6 +161,9 @@
 	Sealed bool
 	// NotRun says that the endpoint proves not to have run the request.
 	NotRun bool
+	// AtFault names the endpoint because of which it was not run, by ID or
+	// address; empty for the one that answers.
+	AtFault string
 }
 
 // Dialect translates the headers of requests and answers.
