--- a/cmd/cornelsaddle/gateway.go
+++ b/cmd/cornelsaddle/gateway.go
@@ -18,6 +18,7 @@
 func runGateway(args []string) int {
 	flags := flag.NewFlagSet("gateway", flag.ContinueOnError)
 	path := flags.String("settings", platform.SettingsPath(), "settings file that the platform writes")
+	metricsAddress := flags.String("metrics", "", "address, IP and port, on which the metrics are served; empty for none")
 	level := flags.String("log", "info", "least level of the log: debug, info, warn or error")
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -25,19 +26,22 @@
 		}
 		return exitUsage
 	}
-	if err := serveGateway(*path, *level); err != nil {
+	if err := serveGateway(*path, *level, *metricsAddress); err != nil {
 		fmt.Fprintln(os.Stderr, "cornelsaddle gateway:", err)
 		return exitFailed
 	}
 	return exitDone
 }
 
-func serveGateway(path, level string) error {
+func serveGateway(path, level, metricsAddress string) error {
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
-	log, err := event.New(os.Stdout, "json", level, settings.VM)
+	settings.Metrics = metricsAddress
+	out := event.NewBuffer(os.Stdout)
+	defer out.Close()
+	log, err := event.New(out, "json", level, settings.VM)
 	if err != nil {
 		return err
 	}
@@ -49,7 +53,7 @@
 		Decoder: platform.Documents{},
 		Dialect: platform.Headers{},
 		Memory:  platform.Orders{},
-	}, log)
+	}, log, out.Dropped)
 	if err != nil {
 		return err
 	}
--- a/internal/coordination/local.go
+++ b/internal/coordination/local.go
@@ -67,6 +67,20 @@
 	l.do(func(now time.Time, d *dispatch.Dispatcher) { d.DropOwner(now, vm, service) })
 }
 
+// Waiting is the number of jobs that wait here.
+func (l *Local) Waiting() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dispatcher.Waiting()
+}
+
+// Placed is the number of jobs at endpoints, as far as is known here.
+func (l *Local) Placed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dispatcher.Placed()
+}
+
 func (l *Local) poll() {
 	l.mu.Lock()
 	l.armed = false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,14 +51,17 @@
 	parts    parts
 	callers  *server
 	balancer *server
+	metrics  *server
 	members  *members
 	watchers *watchers
 	// configuration and endpoints are this VM's copies.
 	configuration *mirror.Follower
 	endpoints     *mirror.Follower
 	// joined is closed when members, configuration and endpoints are set.
-	joined  chan struct{}
+	joined chan struct{}
+	// stopped is closed when the VM is to stop, and ended when it has.
 	stopped chan struct{}
+	ended   chan struct{}
 }
 
 // parts is what dig puts together.
@@ -66,6 +69,7 @@
 	dig.In
 	Gateway     *gateway.Gateway
 	Coordinator *coordination.Coordinator
+	Local       *coordination.Local
 	Registry    *registry
 	Tables      *tables
 	Transport   *upstream.Transport
@@ -75,9 +79,10 @@
 	Peers       *peer.Client
 }
 
-// Start wires the VM and begins to listen.
-func Start(settings config.Settings, platform Platform, log *event.Logger) (*Entry, error) {
-	e := &Entry{settings: settings, platform: platform, log: log, watchers: newWatchers(settings.VM), joined: make(chan struct{}), stopped: make(chan struct{})}
+// Start wires the VM and begins to listen. dropped returns the lines that the log
+// dropped since it was last asked.
+func Start(settings config.Settings, platform Platform, log *event.Logger, dropped func() int64) (*Entry, error) {
+	e := &Entry{settings: settings, platform: platform, log: log, watchers: newWatchers(settings.VM), joined: make(chan struct{}), stopped: make(chan struct{}), ended: make(chan struct{})}
 	limitRuntime(settings.Machine)
 	c := dig.New()
 	for _, constructor := range e.constructors() {
@@ -98,7 +103,9 @@
 	e.follow()
 	close(e.joined)
 	e.tellMembers()
-	log.Emit(event.GatewayStarted{Callers: settings.Callers, Peers: settings.Peers})
+	e.registerGauges()
+	go e.reportDropped(dropped)
+	log.Emit(event.GatewayStarted{Callers: settings.Callers, Peers: settings.Peers, Metrics: settings.Metrics})
 	return e, nil
 }
 
@@ -202,10 +209,12 @@
 
 // Close ends everything at once.
 func (e *Entry) Close() {
+	close(e.ended)
 	e.configuration.Stop()
 	e.endpoints.Stop()
 	e.callers.close()
 	e.balancer.close()
+	e.metrics.close()
 	e.parts.Registry.stop()
 	e.members.stop()
 	e.parts.Transport.Close()
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -131,6 +131,13 @@
 	return r.listed
 }
 
+// usable is the number of endpoints that may get work.
+func (r *registry) usable() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.directory.Usable())
+}
+
 func (r *registry) stop() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -58,14 +58,24 @@
 	_ = s.http.Shutdown(ctx)
 }
 
-func (s *server) close() { _ = s.http.Close() }
+// close ends the server; nil for none.
+func (s *server) close() {
+	if s != nil {
+		_ = s.http.Close()
+	}
+}
 
 func (e *Entry) listen() error {
 	var err error
 	if e.callers, err = serve(e.settings.Callers, e.parts.Gateway); err != nil {
 		return err
 	}
-	e.balancer, err = serve(e.settings.Balancer, http.HandlerFunc(e.answerBalancer))
+	if e.balancer, err = serve(e.settings.Balancer, http.HandlerFunc(e.answerBalancer)); err != nil {
+		return err
+	}
+	if e.settings.Metrics != "" {
+		e.metrics, err = serve(e.settings.Metrics, http.HandlerFunc(e.answerMetrics))
+	}
 	return err
 }
 
--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -16,8 +16,8 @@
 	Callers  string
 	Balancer string
 	Peers    string
-	// Ports are free for the VMs' own use.
-	Ports PortRange
+	// Metrics is where the metrics are served; empty for nowhere.
+	Metrics string
 	// Seeds are peer addresses of some VMs, perhaps stale.
 	Seeds []string
 	// Store is the address of the platform's store.
@@ -29,9 +29,6 @@
 	Memory  Memory
 }
 
-// PortRange is a range of ports, both ends included; zero for none.
-type PortRange struct{ First, Last int }
-
 // Machine has the limits of the VM.
 type Machine struct {
 	Cores          int
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -146,6 +146,9 @@
 	defer grant.Release()
 	x.sends++
 	x.endpoint = entry.ID
+	if x.sends == 1 {
+		x.gateway.cfg.Metrics.Queueing(x.organisation, x.route.Name, time.Since(x.arrived))
+	}
 	x.gateway.cfg.Log.Emit(event.RequestPlaced{
 		Request: x.call.ID, Attempt: x.sends, Endpoint: entry.ID, Helpers: len(placed.Helpers),
 		Holder: placed.Holder, Waited: time.Since(x.arrived),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -32,7 +32,9 @@
 	begun bool
 	// lastEvent is the id of the last event delivered.
 	lastEvent string
-	events    int
+	// lastAt is when it was delivered.
+	lastAt time.Time
+	events int
 }
 
 // EventError says that an event is longer than any may be.
@@ -115,6 +117,7 @@
 		x.returnHeader(resp.Header)
 		x.w.WriteHeader(resp.Status)
 	}
+	x.notePause()
 	x.noteEvents(events)
 	if _, err := x.w.Write(events); err != nil {
 		return errors.WithStack(err)
@@ -122,6 +125,15 @@
 	return errors.WithStack(http.NewResponseController(x.w).Flush())
 }
 
+// notePause measures the time between two deliveries of events.
+func (x *exchange) notePause() {
+	now := time.Now()
+	if !x.stream.lastAt.IsZero() {
+		x.gateway.cfg.Metrics.BetweenTokens(x.organisation, x.route.Name).Record(now.Sub(x.stream.lastAt))
+	}
+	x.stream.lastAt = now
+}
+
 // noteEvents remembers the last id and counts the events.
 func (x *exchange) noteEvents(events []byte) {
 	for line := range bytes.SplitSeq(events, []byte("\n")) {
