Keep jobs that a new holder placed before it was told of the earlier ones

Found by TestHolderDies: the message that tells a new holder of all jobs in flight may arrive after it has placed a later one, which was forgotten with those that the message replaces. Jobs bear the owner's term, and only those of earlier terms are replaced. Tests of the coordination over real connections.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -125,13 +125,21 @@
 	}
 }
 
-// DropOwner forgets the jobs of an entry VM, those of all services for an empty
-// name.
-func (d *Dispatcher) DropOwner(now time.Time, owner, service string) {
-	drop := func(j *Job) bool { return j.Owner == owner && (service == "" || j.Service == service) }
-	d.queue = slices.DeleteFunc(d.queue, func(q *queued) bool { return drop(&q.Job) })
+// DropOwner forgets all jobs of an entry VM.
+func (d *Dispatcher) DropOwner(now time.Time, owner string) {
+	d.drop(now, func(j *Job) bool { return j.Owner == owner })
+}
+
+// DropTerms forgets the jobs of an entry VM at a service that are of earlier
+// terms: the VM tells anew of those that last.
+func (d *Dispatcher) DropTerms(now time.Time, owner, service string, before int64) {
+	d.drop(now, func(j *Job) bool { return j.Owner == owner && j.Service == service && j.Term < before })
+}
+
+func (d *Dispatcher) drop(now time.Time, dropped func(*Job) bool) {
+	d.queue = slices.DeleteFunc(d.queue, func(q *queued) bool { return dropped(&q.Job) })
 	for _, p := range d.placed {
-		if drop(&p.Job) {
+		if dropped(&p.Job) {
 			d.remove(now, p)
 		}
 	}
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -237,13 +237,26 @@
 	other := call("4", start)
 	other.Owner = "other"
 	d.Submit(start, other)
-	d.DropOwner(at(1), "vm", "")
+	d.DropOwner(at(1), "vm")
 	require.Zero(t, d.Placed())
 	decisions := d.Decide(at(1))
 	require.Len(t, decisions, 1)
 	require.Equal(t, "4", decisions[0].JobID())
 }
 
+// TestEarlierTermsAreDropped tells of an owner's jobs anew: what it had before is
+// forgotten, and what it has asked for since is kept.
+func TestEarlierTermsAreDropped(t *testing.T) {
+	d := fleet(0, 2)
+	placedAt(t, d, start, call("old", start))
+	newer := call("new", start)
+	newer.Term = 1
+	placedAt(t, d, start, newer)
+	d.DropTerms(at(1), "vm", "p", 1)
+	require.Equal(t, 1, d.Placed())
+	require.NotNil(t, d.placed["new"])
+}
+
 // TestLostEndsAreForgotten drops a placed job whose end was never told, after
 // its deadline.
 func TestLostEndsAreForgotten(t *testing.T) {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -8,6 +8,9 @@
 	ID string
 	// Owner is the entry VM that has the caller's connection.
 	Owner string
+	// Term counts the owner's changes of whom it asks; a job that is told anew
+	// after a change has a later one.
+	Term int64
 	// Service is the pool that may serve it.
 	Service string
 	// Organisation is whose request it is; empty for nobody's.
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -65,6 +65,8 @@
 	holders holders
 	jobs    map[string]*job
 	senders map[string]*sender
+	// term counts the changes of holders.
+	term int64
 }
 
 // New returns the Coordinator of the VM, which answers the methods of the mux.
@@ -107,7 +109,9 @@
 // the holder is to be asked once more, or another one.
 func (c *Coordinator) ask(ctx context.Context, j *job) (verdict, bool, error) {
 	holder := c.holder(j.Service)
-	j.holder = holder.VM
+	c.mu.Lock()
+	j.holder, j.Term = holder.VM, c.term
+	c.mu.Unlock()
 	if holder.VM == c.vm {
 		c.local.submit(j.Job)
 		return c.await(ctx, j, 0)
@@ -165,14 +169,15 @@
 	placement := *v.decision.Placement
 	c.mu.Lock()
 	j.placement, j.holder = &placement, v.holder
+	told := note{Job: j.ID, Adopted: c.adopted(j)}
 	c.mu.Unlock()
 	if v.holder != c.vm {
-		c.local.note(c.vm, note{Job: j.ID, Adopted: c.adopted(j)})
+		c.local.note(c.vm, told)
 	}
 	return gateway.Placed{Placement: placement, Holder: v.holder}, nil
 }
 
-// adopted describes a placed job to another dispatcher.
+// adopted describes a placed job to another dispatcher; the lock is held.
 func (c *Coordinator) adopted(j *job) *adopted {
 	return &adopted{
 		Job:       encodeJob(time.Now(), j.Job),
@@ -267,8 +272,8 @@
 }
 
 func (c *Coordinator) onNote(_ context.Context, from peer.Identity, m noteMessage) (struct{}, error) {
-	if m.Reset != "" {
-		c.local.dropOwner(from.VM, m.Reset)
+	if m.Reset != nil {
+		c.local.dropTerms(from.VM, *m.Reset)
 	}
 	for _, n := range m.Notes {
 		c.local.note(from.VM, n)
--- /dev/null
+++ b/internal/coordination/coordinator_test.go
@@ -0,0 +1,238 @@
+package coordination
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/gateway"
+	"cornelsaddle.example/cornelsaddle/internal/peer"
+)
+
+// vm is one entry VM's part of the coordination.
+type vm struct {
+	*Coordinator
+	name   string
+	server *peer.Server
+	client *peer.Client
+}
+
+const key = "a key of the tests"
+
+// startVMs runs VMs that know each other, before plain endpoints with two slots
+// each.
+func startVMs(t *testing.T, names []string, endpoints int) map[string]*vm {
+	t.Helper()
+	log, err := event.New(io.Discard, "json", "info", "vm")
+	require.NoError(t, err)
+	vms := make(map[string]*vm)
+	var live []Member
+	for i, name := range names {
+		v := &vm{name: name}
+		cfg := peer.Config{Self: peer.Identity{VM: name, Incarnation: int64(i + 1)}, Keys: []string{key}}
+		mux := peer.NewMux()
+		registry := metrics.NewRegistry()
+		v.client, err = peer.NewClient(cfg, mux, log, registry)
+		require.NoError(t, err)
+		local := NewLocal(dispatch.DefaultConfig())
+		v.Coordinator = New(name, local, v.client, mux, log)
+		v.server, err = peer.Listen("127.0.0.1:0", cfg, mux, log, registry)
+		require.NoError(t, err)
+		local.SetServices([]dispatch.Service{{Name: "s"}})
+		var list []dispatch.Endpoint
+		for n := range endpoints {
+			list = append(list, dispatch.Endpoint{ID: "e" + strconv.Itoa(n), Service: "s", Slots: 2})
+		}
+		local.SetEndpoints(list)
+		vms[name] = v
+		live = append(live, Member{VM: name, Address: v.server.Addr(), Incarnation: int64(i + 1)})
+		t.Cleanup(func() {
+			v.client.Close()
+			v.server.Close()
+		})
+	}
+	for _, v := range vms {
+		v.SetMembers(live)
+	}
+	return vms
+}
+
+func someJob(id string, owner *vm) dispatch.Job {
+	now := time.Now()
+	return dispatch.Job{
+		ID: id, Owner: owner.name, Service: "s", Arrived: now, Due: now.Add(time.Second), Deadline: now.Add(6 * time.Second),
+	}
+}
+
+func (v *vm) place(t *testing.T, id string) gateway.Placed {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	p, err := v.Place(ctx, someJob(id, v))
+	require.NoError(t, err)
+	require.Equal(t, id, p.Job)
+	return p
+}
+
+// counts is what a VM's dispatcher knows.
+func (v *vm) counts() (waiting, placed int) { return v.local.Waiting(), v.local.Placed() }
+
+// holderOf is the VM that holds the service, as a VM sees it.
+func holderOf(vms map[string]*vm) *vm {
+	for _, v := range vms {
+		return vms[v.holder("s").VM]
+	}
+	return nil
+}
+
+// other is a VM that is not the given ones.
+func other(vms map[string]*vm, not ...*vm) *vm {
+	for _, name := range []string{"a", "b", "c"} {
+		v, taken := vms[name], false
+		for _, n := range not {
+			taken = taken || n == v
+		}
+		if v != nil && !taken {
+			return v
+		}
+	}
+	return nil
+}
+
+// TestAllAskOneHolder spreads the requests of three VMs over the endpoints
+// without two in one place.
+func TestAllAskOneHolder(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 3)
+	holder := holderOf(vms)
+	seen := make(map[string]int)
+	for i, name := range []string{"a", "b", "c", "a", "b", "c"} {
+		p := vms[name].place(t, "j"+strconv.Itoa(i))
+		require.Equal(t, holder.name, p.Holder)
+		seen[p.Endpoint]++
+	}
+	require.Equal(t, map[string]int{"e0": 2, "e1": 2, "e2": 2}, seen)
+	_, placed := holder.counts()
+	require.Equal(t, 6, placed)
+}
+
+// TestQueuedJobIsGranted lets a job of another VM wait at the holder for a slot.
+func TestQueuedJobIsGranted(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 1)
+	holder := holderOf(vms)
+	asking := other(vms, holder)
+	holder.place(t, "1")
+	holder.place(t, "2")
+	done := make(chan gateway.Placed)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if p, err := asking.Place(ctx, someJob("3", asking)); err == nil {
+			done <- p
+		}
+	}()
+	require.Eventually(t, func() bool { waiting, _ := holder.counts(); return waiting == 1 }, 5*time.Second, time.Millisecond)
+	holder.Finished("1", dispatch.Served, "")
+	p := <-done
+	require.Equal(t, holder.name, p.Holder)
+}
+
+// TestAbandonedJobLeavesTheQueue ends a wait with its caller.
+func TestAbandonedJobLeavesTheQueue(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 1)
+	holder := holderOf(vms)
+	asking := other(vms, holder)
+	holder.place(t, "1")
+	holder.place(t, "2")
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := asking.Place(ctx, someJob("3", asking))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Eventually(t, func() bool { waiting, _ := holder.counts(); return waiting == 0 }, 5*time.Second, time.Millisecond)
+}
+
+// TestHolderDies lets all VMs turn to the same next holder, which learns of what
+// is in flight.
+func TestHolderDies(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 3)
+	dead := holderOf(vms)
+	one := other(vms, dead)
+	two := other(vms, dead, one)
+	one.place(t, "1")
+	two.place(t, "2")
+	dead.client.Close()
+	dead.server.Close()
+	p := one.place(t, "3")
+	q := two.place(t, "4")
+	require.Equal(t, p.Holder, q.Holder)
+	require.NotEqual(t, dead.name, p.Holder)
+	next := vms[p.Holder]
+	require.Eventually(t, func() bool { _, placed := next.counts(); return placed == 4 }, 5*time.Second, time.Millisecond)
+	for i, id := range []string{"1", "2", "3", "4"} {
+		[]*vm{one, two}[i%2].Finished(id, dispatch.Served, "")
+	}
+	require.Eventually(t, func() bool { _, placed := next.counts(); return placed == 0 }, 5*time.Second, time.Millisecond)
+}
+
+// TestVMThatIsGone loses its jobs at the holder, also when it has started anew.
+func TestVMThatIsGone(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 3)
+	holder := holderOf(vms)
+	leaving := other(vms, holder)
+	leaving.place(t, "1")
+	_, placed := holder.counts()
+	require.Equal(t, 1, placed)
+	var live []Member
+	for _, v := range vms {
+		incarnation := int64(1)
+		if v == leaving {
+			incarnation = 99
+		}
+		live = append(live, Member{VM: v.name, Address: v.server.Addr(), Incarnation: incarnation})
+	}
+	holder.SetMembers(live)
+	_, placed = holder.counts()
+	require.Zero(t, placed)
+}
+
+// TestAlone places by its own view where there is nobody else.
+func TestAlone(t *testing.T) {
+	vms := startVMs(t, []string{"a"}, 1)
+	require.Equal(t, "a", vms["a"].place(t, "1").Holder)
+	vms["a"].Finished("1", dispatch.Served, "")
+	_, placed := vms["a"].counts()
+	require.Zero(t, placed)
+}
+
+// TestRefusalReachesItsVM carries a refusal to the VM that asked.
+func TestRefusalReachesItsVM(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 0)
+	asking := other(vms, holderOf(vms))
+	j := someJob("1", asking)
+	j.Deadline = j.Arrived.Add(90 * time.Millisecond)
+	_, err := asking.Place(context.Background(), j)
+	var refused *gateway.RefusedError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, dispatch.ReasonNoEndpoint, refused.Reason)
+	require.Positive(t, refused.RetryAfter)
+}
+
+// TestMessagesKeepTheJob encodes a job and a decision for another VM and back.
+func TestMessagesKeepTheJob(t *testing.T) {
+	now := time.Unix(1000, 0)
+	j := dispatch.Job{
+		ID: "1", Owner: "a", Term: 5, Service: "s", Organisation: "o", Arrived: now.Add(-time.Second), Due: now.Add(time.Second),
+		Deadline: now.Add(2 * time.Second), Gap: time.Millisecond, Priority: 2, Prompt: 3, Answer: 4, Avoid: []string{"e"},
+	}
+	require.Equal(t, j, encodeJob(now, j).job(now, "a"))
+	d := dispatch.Decision{Placement: &dispatch.Placement{Job: "1", Endpoint: "e", Helpers: []string{"f"}, Shares: []int{7}, Urgency: 3}}
+	require.Equal(t, d, encodeDecision(d).decision())
+	r := dispatch.Decision{Refusal: &dispatch.Refusal{Job: "1", Reason: dispatch.ReasonTooLate, RetryAfter: time.Second}}
+	require.Equal(t, r, encodeDecision(r).decision())
+}
--- a/internal/coordination/holders.go
+++ b/internal/coordination/holders.go
@@ -111,6 +111,7 @@
 		return m
 	}
 	c.holders.last[service] = m
+	c.term++
 	c.log.Emit(event.HolderChanged{Service: service, Holder: m.VM, Was: was.VM, Live: len(c.holders.live)})
 	if m.VM != c.vm && known {
 		c.handOver(service, m)
@@ -123,10 +124,11 @@
 	var notes []note
 	for _, j := range c.jobs {
 		if j.Service == service && j.placement != nil {
+			j.Term = c.term
 			notes = append(notes, note{Job: j.ID, Adopted: c.adopted(j)})
 		}
 	}
-	c.senderLocked(to).reset(service, notes)
+	c.senderLocked(to).reset(reset{service, c.term}, notes)
 }
 
 // answered notes that a VM answers.
@@ -171,7 +173,7 @@
 	}
 	c.mu.Unlock()
 	for _, vm := range gone {
-		c.local.dropOwner(vm, "")
+		c.local.dropOwner(vm)
 	}
 	c.follow()
 }
--- a/internal/coordination/local.go
+++ b/internal/coordination/local.go
@@ -62,9 +62,14 @@
 	})
 }
 
-// dropOwner forgets the jobs of a VM, those of all services for an empty name.
-func (l *Local) dropOwner(vm, service string) {
-	l.do(func(now time.Time, d *dispatch.Dispatcher) { d.DropOwner(now, vm, service) })
+// dropOwner forgets the jobs of a VM that is gone.
+func (l *Local) dropOwner(vm string) {
+	l.do(func(now time.Time, d *dispatch.Dispatcher) { d.DropOwner(now, vm) })
+}
+
+// dropTerms forgets the jobs of a VM that are of earlier terms.
+func (l *Local) dropTerms(vm string, r reset) {
+	l.do(func(now time.Time, d *dispatch.Dispatcher) { d.DropTerms(now, vm, r.Service, r.Term) })
 }
 
 // Waiting is the number of jobs that wait here.
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -18,6 +18,7 @@
 // on, in microseconds.
 type jobMessage struct {
 	ID           string   `json:"id"`
+	Term         int64    `json:"k,omitempty"`
 	Service      string   `json:"s"`
 	Organisation string   `json:"o,omitempty"`
 	Age          int64    `json:"a"`
@@ -33,7 +34,7 @@
 
 func encodeJob(now time.Time, j dispatch.Job) jobMessage {
 	m := jobMessage{
-		ID: j.ID, Service: j.Service, Organisation: j.Organisation,
+		ID: j.ID, Term: j.Term, Service: j.Service, Organisation: j.Organisation,
 		Age: now.Sub(j.Arrived).Microseconds(), Deadline: j.Deadline.Sub(now).Microseconds(),
 		Gap: j.Gap.Microseconds(), Priority: j.Priority, Prompt: j.Prompt, Answer: j.Answer, Avoid: j.Avoid,
 	}
@@ -45,7 +46,7 @@
 
 func (m jobMessage) job(now time.Time, owner string) dispatch.Job {
 	j := dispatch.Job{
-		ID: m.ID, Owner: owner, Service: m.Service, Organisation: m.Organisation,
+		ID: m.ID, Owner: owner, Term: m.Term, Service: m.Service, Organisation: m.Organisation,
 		Arrived: now.Add(-microseconds(m.Age)), Deadline: now.Add(microseconds(m.Deadline)),
 		Gap: microseconds(m.Gap), Priority: m.Priority, Prompt: m.Prompt, Answer: m.Answer, Avoid: m.Avoid,
 	}
@@ -98,12 +99,18 @@
 
 // noteMessage tells a holder how jobs of a VM fare.
 type noteMessage struct {
-	// Reset names a service whose jobs of this VM are forgotten first, as the
-	// notes have all of them.
-	Reset string `json:"r,omitempty"`
+	// Reset says which jobs of the VM are forgotten first; nil for none.
+	Reset *reset `json:"r,omitempty"`
 	Notes []note `json:"n"`
 }
 
+// reset names the jobs of a service that are of earlier terms, and of which the
+// notes have those that last.
+type reset struct {
+	Service string `json:"s"`
+	Term    int64  `json:"t"`
+}
+
 // note is one thing that happened to a job.
 type note struct {
 	Job string `json:"j"`
--- a/internal/coordination/sender.go
+++ b/internal/coordination/sender.go
@@ -61,10 +61,10 @@
 }
 
 // reset queues all notes of a service, in place of what the VM knows.
-func (s *sender) reset(service string, notes []note) {
+func (s *sender) reset(r reset, notes []note) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pending = append(s.pending, noteMessage{Reset: service, Notes: notes})
+	s.pending = append(s.pending, noteMessage{Reset: &r, Notes: notes})
 	s.start()
 }
 
