--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -17,6 +17,9 @@
 	// askTimeout bounds a question to a holder. It is a small part of the
 	// tightest goal, as the VM decides by itself after it.
 	askTimeout = 80 * time.Millisecond
+	// maxMisses is the number of unanswered questions in a row after which a holder
+	// is passed over: the first may have met a connection that was just opened.
+	maxMisses = 2
 	// askAgain is the time after which a holder is asked about a job that waits.
 	askAgain = 250 * time.Millisecond
 	// holderPause is how long a holder that did not answer is passed over; it
--- a/internal/coordination/holders.go
+++ b/internal/coordination/holders.go
@@ -1,10 +1,12 @@
 package coordination
 
 import (
+	"context"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
+	"github.com/pkg/errors"
 
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/internal/event"
@@ -12,6 +14,10 @@
 
 // absence is a VM that did not answer.
 type absence struct {
+	// misses counts the spans of time in a row in which it did not answer, the
+	// last of them from missedAt.
+	misses   int
+	missedAt time.Time
 	// until is when it is asked again, and pause how long it was passed over.
 	until time.Time
 	pause time.Duration
@@ -87,12 +93,23 @@
 	h.ring = rendezvous.New(names, xxhash.Sum64String)
 }
 
-// lost passes over a VM that did not answer. It reports whether that is news.
-func (h *holders) lost(now time.Time, vm string) bool {
+// lost notes that a VM did not answer; refused says that there is nobody. It
+// reports whether the VM is passed over from now on. Calls that wait side by side
+// count once.
+func (h *holders) lost(now time.Time, vm string, refused bool) bool {
 	a := h.absent[vm]
 	if now.Before(a.until) {
 		return false
 	}
+	if !refused && now.Sub(a.missedAt) < askTimeout/2 {
+		return false
+	}
+	a.misses, a.missedAt = a.misses+1, now
+	if !refused && a.misses < maxMisses {
+		h.absent[vm] = a
+		return false
+	}
+	a.misses = 0
 	a.pause = min(max(holderPause, 2*a.pause), maxHolderPause)
 	a.until = now.Add(a.pause)
 	h.absent[vm] = a
@@ -142,7 +159,8 @@
 // held to the next ones.
 func (c *Coordinator) lost(holder Member, err error) {
 	c.mu.Lock()
-	news := c.holders.lost(time.Now(), holder.VM)
+	refused := !errors.Is(err, context.DeadlineExceeded)
+	news := c.holders.lost(time.Now(), holder.VM, refused)
 	c.mu.Unlock()
 	if !news {
 		return
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"cornelsaddle.example/cornelsaddle/internal/dial"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 )
 
@@ -169,7 +170,7 @@
 }
 
 func (c *Client) dial(l *link, address string) error {
-	conn, err := net.DialTimeout("tcp4", address, c.cfg.HandshakeTimeout)
+	conn, err := dial.Again(context.Background(), net.Dialer{}, address, c.cfg.HandshakeTimeout)
 	if err != nil {
 		return errors.WithStack(err)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,12 +12,13 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"cornelsaddle.example/cornelsaddle/internal/dial"
 )
 
 const (
-	// dialTimeout bounds the opening of a connection; a lost opening packet is
-	// repeated after a second only.
-	dialTimeout = 1200 * time.Millisecond
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = time.Second
 	// unackedLimit is how long sent bytes may go unacknowledged before the
 	// connection is given up.
 	unackedLimit = 1500 * time.Millisecond
@@ -46,16 +47,15 @@
 	idleUntil time.Time
 }
 
-// dial opens a connection whose silence ends it.
-func dial(ctx context.Context, address string) (*conn, error) {
+// open opens a connection whose silence ends it.
+func open(ctx context.Context, address string) (*conn, error) {
 	d := net.Dialer{
-		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeIdle, Count: probeCount},
 		Control:         limitUnacked,
 	}
-	c, err := d.DialContext(ctx, "tcp4", address)
+	c, err := dial.Again(ctx, d, address, dialTimeout)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return nil, err
 	}
 	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer), address: address}, nil
 }
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -132,7 +132,7 @@
 			return c, nil
 		}
 	}
-	c, err := dial(ctx, req.Address)
+	c, err := open(ctx, req.Address)
 	if err != nil {
 		return nil, err
 	}
