--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -44,11 +44,6 @@
 	ForeignSetWeight float64
 	// QueueMargin is kept between the predicted first event and the deadline.
 	QueueMargin time.Duration
-	// LoadSlack is how many more requests than are known an endpoint may say to
-	// have before others are thought to use it, as its word and the ends of
-	// requests cross. OthersLast is how long such requests are counted.
-	LoadSlack  int
-	OthersLast time.Duration
 	// LookInterval is the time between two looks at a long prompt that waits.
 	LookInterval time.Duration
 	// RateWindow is the time over which arrivals are averaged.
@@ -84,8 +79,6 @@
 		DelayWeight:      0.2,
 		ForeignSetWeight: 0.2,
 		QueueMargin:      150 * time.Millisecond,
-		LoadSlack:        2,
-		OthersLast:       2 * time.Second,
 		LookInterval:     10 * time.Millisecond,
 		RateWindow:       time.Second,
 		LongWindow:       3 * time.Second,
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -131,11 +131,11 @@
 func (d *Dispatcher) decidePlain(now time.Time, job *Job, pool []*endpoint) (Decision, bool) {
 	var best *endpoint
 	for _, e := range pool {
-		if best == nil || d.occupancy(now, e) < d.occupancy(now, best) {
+		if best == nil || e.occupancy() < best.occupancy() {
 			best = e
 		}
 	}
-	if d.occupancy(now, best) >= 1 {
+	if best.occupancy() >= 1 {
 		if now.Before(d.giveUpAt(job)) {
 			return Decision{}, false
 		}
@@ -144,8 +144,8 @@
 	return d.place(now, job, Placement{Job: job.ID, Endpoint: best.ID}), true
 }
 
-func (d *Dispatcher) occupancy(now time.Time, e *endpoint) float64 {
-	return float64(e.taken(now, d.cfg.OthersLast)) / float64(max(1, e.Slots))
+func (e *endpoint) occupancy() float64 {
+	return float64(e.received) / float64(max(1, e.Slots))
 }
 
 func (d *Dispatcher) place(now time.Time, job *Job, p Placement) Decision {
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -50,10 +49,6 @@
 	// whose parts it reads for others.
 	received int
 	helped   int
-	// foreign is the number of requests that it was seen to have beyond those that
-	// are known, at foreignAt.
-	foreign   int
-	foreignAt time.Time
 	// context is the memory in tokens that the requests here hold.
 	context int
 	// suspectUntil is when it gets work again after failures in a row.
@@ -63,21 +58,6 @@
 
 func (e *endpoint) usable(now time.Time) bool { return !now.Before(e.suspectUntil) }
 
-// others is the number of requests here that are not known, which are thought to
-// go as they came.
-func (e *endpoint) others(now time.Time, last time.Duration) int {
-	if e.foreign == 0 {
-		return 0
-	}
-	left := 1 - float64(now.Sub(e.foreignAt))/float64(last)
-	return int(math.Round(float64(e.foreign) * max(0, left)))
-}
-
-// taken is the number of requests here, known or not.
-func (e *endpoint) taken(now time.Time, last time.Duration) int {
-	return e.received + e.others(now, last)
-}
-
 // room is the memory in tokens that may still be given out.
 func (e *endpoint) room(share float64) int {
 	return int(float64(e.engine.MemoryTokens)*share) - e.context
@@ -102,17 +82,6 @@
 	e.suspectUntil = time.Time{}
 }
 
-// Loaded notes the number of requests that an endpoint said to have. What is
-// beyond those that are known was sent by others, or before this dispatcher
-// began.
-func (d *Dispatcher) Loaded(now time.Time, endpoint string, requests int) {
-	e := d.endpoints[endpoint]
-	if e == nil {
-		return
-	}
-	e.foreign, e.foreignAt = max(0, requests-e.received-e.helped-d.cfg.LoadSlack), now
-}
-
 // SetServices replaces what is known of the services.
 func (d *Dispatcher) SetServices(now time.Time, services []Service) {
 	clear(d.services)
--- a/core/dispatch/memory.go
+++ b/core/dispatch/memory.go
@@ -56,7 +56,7 @@
 func (d *Dispatcher) oversizeGroup(now time.Time, job *Job, readers []*endpoint, interactive map[string]bool) (choice, bool) {
 	var c choice
 	for _, e := range readers {
-		if e.taken(now, d.cfg.OthersLast) < e.Slots && (c.receiver == nil || e.room(d.cfg.MemoryShare) > c.receiver.room(d.cfg.MemoryShare)) {
+		if e.received < e.Slots && (c.receiver == nil || e.room(d.cfg.MemoryShare) > c.receiver.room(d.cfg.MemoryShare)) {
 			c.receiver = e
 		}
 	}
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -67,11 +67,11 @@
 }
 
 // fitting lists the engines with a free slot and enough memory.
-func (d *Dispatcher) fitting(now time.Time, job *Job, pool []*endpoint) []*endpoint {
+func (d *Dispatcher) fitting(job *Job, pool []*endpoint) []*endpoint {
 	need := job.Prompt + job.Answer
 	var fit []*endpoint
 	for _, e := range pool {
-		if e.taken(now, d.cfg.OthersLast) < e.Slots && need <= e.room(d.cfg.MemoryShare) {
+		if e.received < e.Slots && need <= e.room(d.cfg.MemoryShare) {
 			fit = append(fit, e)
 		}
 	}
@@ -94,7 +94,7 @@
 	if d.oversize(job, pool) {
 		return d.bestOversize(now, job, interactive)
 	}
-	fitting := d.fitting(now, job, pool)
+	fitting := d.fitting(job, pool)
 	if len(fitting) == 0 {
 		return choice{}, false
 	}
@@ -136,7 +136,6 @@
 		if !interactive[e.ID] {
 			c.cost += d.cfg.ForeignSetWeight * d.worth(job)
 		}
-		c.cost += d.worth(job) * d.cfg.DelayWeight * float64(e.others(now, d.cfg.OthersLast)) / float64(max(1, e.Slots))
 		if c.cost < best.cost {
 			best = c
 		}
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -200,12 +200,6 @@
 	c.tell(j, note{Job: id, Began: true})
 }
 
-// Loaded implements gateway.Placer. The holder knows by itself what the VMs that
-// ask it have sent, so only this VM's own view takes it in.
-func (c *Coordinator) Loaded(endpoint string, requests int) {
-	c.local.note(c.vm, note{Loaded: &loaded{endpoint, requests}})
-}
-
 // Finished implements gateway.Placer.
 func (c *Coordinator) Finished(id string, outcome dispatch.Outcome, blamed string) {
 	c.mu.Lock()
--- a/internal/coordination/local.go
+++ b/internal/coordination/local.go
@@ -54,8 +54,6 @@
 			if placement != nil {
 				d.Adopt(now, n.Adopted.Job.job(now, owner), *placement, n.Adopted.Began)
 			}
-		case n.Loaded != nil:
-			d.Loaded(now, n.Loaded.Endpoint, n.Loaded.Requests)
 		case n.Began:
 			d.Began(now, n.Job)
 		case n.Finished:
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -122,14 +122,6 @@
 	Outcome  dispatch.Outcome `json:"o,omitempty"`
 	// Blamed is the endpoint at fault; empty for the job's own.
 	Blamed string `json:"l,omitempty"`
-	// Loaded has what an endpoint said of its load; nil for none.
-	Loaded *loaded `json:"q,omitempty"`
-}
-
-// loaded is the number of requests that an endpoint said to have.
-type loaded struct {
-	Endpoint string `json:"e"`
-	Requests int    `json:"n"`
 }
 
 // adopted is a job with its placement.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,8 +54,6 @@
 	Place(ctx context.Context, job dispatch.Job) (Placed, error)
 	// Began notes the first event of a placed job.
 	Began(job string)
-	// Loaded notes what an endpoint said of its load.
-	Loaded(endpoint string, requests int)
 	// Finished notes the end of a placed job. blamed is the endpoint at fault;
 	// empty for the one that received it.
 	Finished(job string, outcome dispatch.Outcome, blamed string)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -78,9 +78,6 @@
 	}
 	defer resp.Close()
 	about := x.gateway.cfg.Dialect.Answer(resp.Status, resp.Header)
-	if about.Load != nil {
-		x.gateway.cfg.Placer.Loaded(entry.ID, about.Load.Running+about.Load.Waiting)
-	}
 	switch {
 	case about.NotRun:
 		// Read to its end, so that the connection can be kept.
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -164,15 +164,6 @@
 	// AtFault names the endpoint because of which it was not run, by ID or
 	// address; empty for the one that answers.
 	AtFault string
-	// Load is the answering endpoint's; nil where it does not say.
-	Load *Load
-}
-
-// Load is what an endpoint says of itself with an answer.
-type Load struct {
-	// Running and Waiting are numbers of requests.
-	Running int
-	Waiting int
 }
 
 // Dialect translates the headers of requests and answers.
