--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -44,14 +44,6 @@
 	ForeignSetWeight float64
 	// QueueMargin is kept between the predicted first event and the deadline.
 	QueueMargin time.Duration
-	// SlownessGain is the weight of one observation of how slow an engine is, which
-	// counts up to MaxSlowness and is forgotten with SlownessLasts.
-	SlownessGain  float64
-	MaxSlowness   float64
-	SlownessLasts time.Duration
-	// SlowPace is the pace from which on an engine is kept free for light prompts
-	// only where no other is left.
-	SlowPace float64
 	// LookInterval is the time between two looks at a long prompt that waits.
 	LookInterval time.Duration
 	// RateWindow is the time over which arrivals are averaged.
@@ -87,10 +79,6 @@
 		DelayWeight:      0.2,
 		ForeignSetWeight: 0.2,
 		QueueMargin:      150 * time.Millisecond,
-		SlownessGain:     0.3,
-		MaxSlowness:      8,
-		SlownessLasts:    4 * time.Second,
-		SlowPace:         1.5,
 		LookInterval:     10 * time.Millisecond,
 		RateWindow:       time.Second,
 		LongWindow:       3 * time.Second,
--- a/core/dispatch/cost.go
+++ b/core/dispatch/cost.go
@@ -22,10 +22,6 @@
 func (d *Dispatcher) weighPart(now time.Time, job *Job, e *endpoint, readers int, ahead bool, interactive map[string]bool) (harm, firstMs float64) {
 	part := e.engine.NewPart(job.Prompt, readers, ahead)
 	f := e.model.Forecast(now, *part)
-	pace := e.pace(now, d.cfg)
-	f.FirstMs *= pace
-	f.PassMs *= pace
-	f.WithoutMs *= pace
 	for _, p := range e.parts {
 		if p.receiver {
 			harm += d.pauseHarm(p.job, f.WithoutMs, f.PassMs)
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -29,9 +29,7 @@
 	light bool
 	// began says that the first event came.
 	began bool
-	// placedAt is when it was placed here, and predicted when the first event is
-	// expected; equal where that isn't known.
-	placedAt  time.Time
+	// predicted is when the first event is expected.
 	predicted time.Time
 }
 
@@ -173,7 +171,7 @@
 
 // enter books the job at its endpoints.
 func (d *Dispatcher) enter(now time.Time, job *Job, p Placement) *placed {
-	pl := &placed{Job: *job, Placement: p, light: d.light(job), placedAt: now, predicted: now}
+	pl := &placed{Job: *job, Placement: p, light: d.light(job), predicted: now}
 	d.placed[job.ID] = pl
 	for i, id := range append([]string{p.Endpoint}, p.Helpers...) {
 		e := d.endpoints[id]
@@ -196,12 +194,7 @@
 // begin notes that a job's prompt is read.
 func (d *Dispatcher) begin(now time.Time, p *placed) {
 	p.began = true
-	d.eachPart(p, func(e *endpoint, pt *part) {
-		if pt.receiver && len(p.Helpers) == 0 {
-			e.observed(now, now.Sub(p.placedAt), p.predicted.Sub(p.placedAt), d.cfg)
-		}
-		pt.began(now)
-	})
+	d.eachPart(p, func(_ *endpoint, pt *part) { pt.began(now) })
 }
 
 // remove forgets a placed job.
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -50,10 +49,6 @@
 	// whose parts it reads for others.
 	received int
 	helped   int
-	// slowness is how many times as long as predicted the engine takes, as of
-	// slowAt; zero for as predicted.
-	slowness float64
-	slowAt   time.Time
 	// context is the memory in tokens that the requests here hold.
 	context int
 	// suspectUntil is when it gets work again after failures in a row.
@@ -63,26 +58,6 @@
 
 func (e *endpoint) usable(now time.Time) bool { return !now.Before(e.suspectUntil) }
 
-// observed notes how long an engine took for what was predicted.
-func (e *endpoint) observed(now time.Time, took, predicted time.Duration, cfg Config) {
-	if predicted <= 0 {
-		return
-	}
-	ratio := min(max(float64(took)/float64(predicted), 1), cfg.MaxSlowness)
-	pace := e.pace(now, cfg)
-	e.slowness, e.slowAt = pace+cfg.SlownessGain*(ratio-pace), now
-}
-
-// pace is how many times as long as predicted the engine is thought to take. It
-// is forgotten with time, so that an engine that got little work for it is tried
-// again.
-func (e *endpoint) pace(now time.Time, cfg Config) float64 {
-	if e.slowness <= 1 {
-		return 1
-	}
-	return 1 + (e.slowness-1)*math.Exp(-float64(now.Sub(e.slowAt))/float64(cfg.SlownessLasts))
-}
-
 // room is the memory in tokens that may still be given out.
 func (e *endpoint) room(share float64) int {
 	return int(float64(e.engine.MemoryTokens)*share) - e.context
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -122,12 +122,8 @@
 	want := (active + arriving*0.2) / d.cfg.WritersPerEngine
 	n := min(int(math.Ceil(want)), pool)
 	set := make(map[string]bool, n)
-	for _, slow := range []bool{false, true} {
-		for _, e := range d.pools[service] {
-			if len(set) < n && slow == (e.pace(now, d.cfg) > d.cfg.SlowPace) {
-				set[e.ID] = true
-			}
-		}
+	for _, e := range d.pools[service][:n] {
+		set[e.ID] = true
 	}
 	return set
 }
@@ -140,9 +136,6 @@
 		if !interactive[e.ID] {
 			c.cost += d.cfg.ForeignSetWeight * d.worth(job)
 		}
-		if gap := ms(job.Gap); gap > 0 && e.engine.PassMs(e.model.Writers()+1, e.context)*e.pace(now, d.cfg) > gap*d.cfg.GapShare {
-			c.cost += d.cfg.LateLoss * d.worth(job)
-		}
 		if c.cost < best.cost {
 			best = c
 		}
