Notice within a second that the store is silent to those who watch it

Change: a watcher's call is held 0.7 s; when it goes unanswered, those that wait for news are told at once, and ask elsewhere. Test: TestWatcherThatTheStoreIsSilentTo, seen to fail (4.5 s).

--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -16,11 +16,12 @@
 
 const (
 	// storeWait is the longest that the store holds a call without news. A call
-	// that goes unanswered is given up soon after, so that a VM notices a store
-	// that is silent only to it.
-	storeWait = 2500 * time.Millisecond
+	// that goes unanswered is given up soon after: a store that is silent to the
+	// VMs that watch it must be noticed, and asked by the others, well within the
+	// time in which a configuration comes into force.
+	storeWait = 700 * time.Millisecond
 	// storeSlack is added for the answer to such a call.
-	storeSlack = 700 * time.Millisecond
+	storeSlack = 500 * time.Millisecond
 	// peerWait and peerSlack are the same for calls to other VMs.
 	peerWait  = 800 * time.Millisecond
 	peerSlack = 300 * time.Millisecond
@@ -28,7 +29,7 @@
 	firstPause   = 50 * time.Millisecond
 	longestPause = 500 * time.Millisecond
 	// idlePause is between two looks whether there is something to follow.
-	idlePause = 200 * time.Millisecond
+	idlePause = 100 * time.Millisecond
 )
 
 // Sources says whom to follow.
@@ -161,7 +162,11 @@
 	switch {
 	case answers && !was:
 		f.log.Emit(event.StoreRegained{Topic: f.topic.String(), Version: f.Version()})
-	case !answers && was && err != nil:
+	case !answers && was:
+		// Those that wait for news from here must look elsewhere.
+		f.wake()
+	}
+	if !answers && was && err != nil {
 		f.log.Emit(event.StoreLost{Topic: f.topic.String(), Version: f.Version(), Reason: err.Error()})
 	}
 	f.setStale(stale, time.Now())
@@ -250,6 +255,9 @@
 
 func (f *Follower) content(ctx context.Context, ask readMessage) pageMessage {
 	wait := min(time.Duration(ask.WaitMs)*time.Millisecond, peerWait)
+	if !f.storeAnswers() {
+		wait = 0
+	}
 	if ask.After > 0 {
 		p, err := f.follow(ctx, ask.After, wait)
 		if err == nil {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -122,6 +122,14 @@
 	m.changed = make(chan struct{})
 }
 
+// wake answers all that wait for changes.
+func (m *Mirror) wake() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // keep stores a row and reports whether it is news.
 func (m *Mirror) keep(row provider.Row) bool {
 	known, present := m.rows[row.Key]
@@ -189,23 +197,23 @@
 	return p
 }
 
-// follow returns what changed after the version, as soon as there is something,
-// at the latest after the wait.
+// follow returns what changed after the version, as soon as there is something
+// or those that wait are woken, at the latest after the wait.
 func (m *Mirror) follow(ctx context.Context, after int64, wait time.Duration) (page, error) {
+	p, changed, err := m.since(after)
+	if err != nil || len(p.Rows) > 0 || wait <= 0 {
+		return p, err
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
-		p, changed, err := m.since(after)
-		if err != nil || len(p.Rows) > 0 {
-			return p, err
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return p, nil
-		case <-ctx.Done():
-			return p, errors.WithStack(ctx.Err())
-		}
+	select {
+	case <-changed:
+		p, _, err = m.since(after)
+		return p, err
+	case <-timer.C:
+		return p, nil
+	case <-ctx.Done():
+		return p, errors.WithStack(ctx.Err())
 	}
 }
 
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -126,7 +126,9 @@
 	ver    int64
 	change chan struct{}
 	// away are the VMs that the store does not answer.
-	away      map[string]bool
+	away map[string]bool
+	// silent are those that it lets wait.
+	silent    map[string]bool
 	followers map[string]*Follower
 	observers map[string]*recorder
 	watching  map[string]bool
@@ -141,7 +143,14 @@
 	vm string
 }
 
-func (s store) List(context.Context, provider.Topic) (provider.Page, error) {
+func (s store) List(ctx context.Context, _ provider.Topic) (provider.Page, error) {
+	s.mu.Lock()
+	silent := s.silent[s.vm]
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return provider.Page{}, ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads[s.vm]++
@@ -168,9 +177,13 @@
 		}
 		change := s.change
 		s.mu.Unlock()
-		if len(p.Rows) > 0 {
+		if len(p.Rows) > 0 && !s.isSilent() {
 			return p, nil
 		}
+		if s.isSilent() {
+			<-ctx.Done()
+			return provider.Page{}, ctx.Err()
+		}
 		select {
 		case <-change:
 		case <-deadline:
@@ -181,6 +194,12 @@
 	}
 }
 
+func (s store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent[s.vm]
+}
+
 func (s store) Put(context.Context, provider.Topic, string, []byte) error { return nil }
 
 func (s store) Remove(context.Context, provider.Topic, string) error { return nil }
@@ -297,6 +316,28 @@
 	f.allHave(t, "k", "3")
 }
 
+// TestWatcherThatTheStoreIsSilentTo cuts the only watcher off without an answer:
+// the others, whom the store would serve, must have the next change within the
+// two seconds that a configuration has.
+func TestWatcherThatTheStoreIsSilentTo(t *testing.T) {
+	f := newFleet(t)
+	f.put(row("k", "1", 2))
+	f.allHave(t, "k", "1")
+	require.Eventually(t, func() bool {
+		f.followers["b"].mu.Lock()
+		defer f.followers["b"].mu.Unlock()
+		return f.followers["b"].fromPeer && !f.followers["b"].answers
+	}, 10*time.Second, time.Millisecond)
+	f.mu.Lock()
+	f.silent = map[string]bool{"a": true}
+	f.mu.Unlock()
+	f.put(row("k", "2", 3))
+	const inForce = 2 * time.Second
+	for _, vm := range []string{"b", "c"} {
+		require.Eventually(t, func() bool { return f.observers[vm].has("k", "2") }, inForce, time.Millisecond, vm)
+	}
+}
+
 // TestOutageOfTheStore is told as one by each VM, although they reach each
 // other, and its end as well.
 func TestOutageOfTheStore(t *testing.T) {
