--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -161,7 +160,7 @@
 // job describes the request for placement.
 func (x *exchange) job() dispatch.Job {
 	job := dispatch.Job{
-		ID:           x.call.ID + "/" + strconv.Itoa(x.sends) + "/" + strconv.Itoa(len(x.avoid)+x.reservations),
+		ID:           x.gateway.jobID(x.call.ID),
 		Owner:        x.gateway.cfg.VM,
 		Service:      x.service,
 		Organisation: x.organisation,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,6 +84,8 @@
 	// stopping says that answers end their connections.
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	// jobs counts the jobs, to name them.
+	jobs atomic.Int64
 
 	mu sync.Mutex
 	// repeats are the budgets by service.
@@ -102,6 +105,11 @@
 	}
 }
 
+// jobID names a job: callers may use an id twice.
+func (g *Gateway) jobID(request string) string {
+	return request + "/" + strconv.FormatInt(g.jobs.Add(1), 36)
+}
+
 // Stop makes answers end their connections.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -104,8 +104,10 @@
 	g := &Grant{keeper: k, wants: wants}
 	failures := make([]error, len(wants))
 	var wg sync.WaitGroup
-	for i, w := range wants {
+	for i := range wants {
 		g.IDs = append(g.IDs, name+"."+strconv.Itoa(i))
+	}
+	for i, w := range wants {
 		wg.Go(func() { failures[i] = k.reserve(ctx, g.IDs[i], w) })
 	}
 	wg.Wait()
--- /dev/null
+++ b/internal/upstream/transport_test.go
@@ -0,0 +1,184 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// server hands each request of each connection to a script.
+func server(t *testing.T, script func(conn, n int, c net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for conn := 1; ; conn++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for n := 1; ; n++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, req.Body); err != nil {
+						return
+					}
+					script(conn, n, c)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func send(t *testing.T, tr *Transport, address string, fresh bool) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	resp, err := tr.Send(ctx, &Request{Address: address, Method: "GET", URI: "/", Host: "h", Header: http.Header{}, Fresh: fresh})
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+func newTransport(t *testing.T) (*Transport, *int) {
+	t.Helper()
+	opened := 0
+	tr := New(func() { opened++ })
+	t.Cleanup(tr.Close)
+	return tr, &opened
+}
+
+func say(c net.Conn, s string) { _, _ = io.WriteString(c, s) }
+
+// TestConnectionsAreKept reuses a connection, unless a fresh one is asked for or
+// the endpoint ends it.
+func TestConnectionsAreKept(t *testing.T) {
+	address := server(t, func(_, n int, c net.Conn) {
+		if n == 3 {
+			say(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx")
+			return
+		}
+		say(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nKeep-Alive: timeout=5\r\n\r\nx")
+	})
+	tr, opened := newTransport(t)
+	for i, want := range []int{1, 1, 1, 2} {
+		body, err := send(t, tr, address, false)
+		require.NoError(t, err)
+		require.Equal(t, "x", body)
+		require.Equal(t, want, *opened, i)
+	}
+	_, err := send(t, tr, address, true)
+	require.NoError(t, err)
+	require.Equal(t, 3, *opened)
+}
+
+// TestKeptConnectionThatEnded is not used: the endpoint closed it while it was
+// idle, or sent what belongs to nothing.
+func TestKeptConnectionThatEnded(t *testing.T) {
+	for name, after := range map[string]func(net.Conn){
+		"closed": func(c net.Conn) { _ = c.Close() },
+		"bytes":  func(c net.Conn) { say(c, "stray") },
+	} {
+		address := server(t, func(conn, _ int, c net.Conn) {
+			say(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+			if conn == 1 {
+				time.Sleep(10 * time.Millisecond)
+				after(c)
+			}
+		})
+		tr, opened := newTransport(t)
+		_, err := send(t, tr, address, false)
+		require.NoError(t, err, name)
+		time.Sleep(50 * time.Millisecond)
+		_, err = send(t, tr, address, false)
+		require.NoError(t, err, name)
+		require.Equal(t, 2, *opened, name)
+	}
+}
+
+// TestFailuresSayWhatWasSent tells an unsent request from one that may have run.
+func TestFailuresSayWhatWasSent(t *testing.T) {
+	tr, _ := newTransport(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	refused := l.Addr().String()
+	require.NoError(t, l.Close())
+	_, err = send(t, tr, refused, false)
+	var unsent *UnsentError
+	require.ErrorAs(t, err, &unsent)
+	address := server(t, func(_, _ int, c net.Conn) { _ = c.Close() })
+	_, err = send(t, tr, address, false)
+	var broken *BrokenError
+	require.ErrorAs(t, err, &broken)
+	require.False(t, broken.Reused)
+}
+
+// TestInterimAnswersArePassedOver waits for the answer itself.
+func TestInterimAnswersArePassedOver(t *testing.T) {
+	address := server(t, func(_, _ int, c net.Conn) {
+		say(c, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+	})
+	tr, _ := newTransport(t)
+	body, err := send(t, tr, address, false)
+	require.NoError(t, err)
+	require.Equal(t, "x", body)
+}
+
+// TestAnswerWithoutLength is whole when its connection ends, and broken when it
+// is reset.
+func TestAnswerWithoutLength(t *testing.T) {
+	address := server(t, func(conn, _ int, c net.Conn) {
+		say(c, "HTTP/1.1 200 OK\r\n\r\nabc")
+		if tcp, ok := c.(*net.TCPConn); ok && conn == 2 {
+			time.Sleep(20 * time.Millisecond)
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	})
+	tr, _ := newTransport(t)
+	body, err := send(t, tr, address, false)
+	require.NoError(t, err)
+	require.Equal(t, "abc", body)
+	_, err = send(t, tr, address, false)
+	require.Error(t, err)
+}
+
+// TestContextEndsTheExchange closes the connection of a request that is given
+// up.
+func TestContextEndsTheExchange(t *testing.T) {
+	address := server(t, func(int, int, net.Conn) {})
+	tr, _ := newTransport(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	_, err := tr.Send(ctx, &Request{Address: address, Method: "GET", URI: "/", Host: "h", Header: http.Header{}})
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	var broken *BrokenError
+	require.ErrorAs(t, err, &broken)
+}
+
+// TestIdleTime takes the endpoint's word, less a margin.
+func TestIdleTime(t *testing.T) {
+	for field, want := range map[string]time.Duration{
+		"timeout=5, max=3": 5*time.Second - idleMargin, "": idleDefault, "timeout=x": idleDefault, "timeout=0": 0,
+	} {
+		resp := &http.Response{Header: http.Header{"Keep-Alive": {field}}}
+		require.Equal(t, want, keepFor(resp), field)
+	}
+	require.Zero(t, keepFor(&http.Response{Close: true}))
+}
