Spread many short prompts at once; return an endpoint's own failure

The engines kept for them now also follow the reading that they have before them. Test: TestManyShortPromptsAtOnce, seen to fail. - a repeat of a call waited for another endpoint until it was refused, and its caller got 502 in place of the first endpoint's 500. The last endpoint is tried again at once, and a failure that an endpoint vouches for is returned. Tests: TestFailedEndpointIsBetterThanNone, TestOwnFailureIsReturnedWithoutAnotherEndpoint, the latter seen to fail.

--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -18,6 +18,9 @@
 	// WritersPerEngine is the number of light writers for which one engine is
 	// kept free of long reading.
 	WritersPerEngine float64
+	// UnreadMs is the reading of light prompts, in ms, for which one engine is kept
+	// free, so that many that come at once are not read one after the other.
+	UnreadMs float64
 	// MaxReaders bounds the engines that read one prompt.
 	MaxReaders int
 	// ShareTokens is the memory that one helper holds of a prompt that is larger
@@ -69,6 +72,7 @@
 		GoalShare:        0.9,
 		LightReadMs:      80,
 		WritersPerEngine: 14,
+		UnreadMs:         100,
 		MaxReaders:       17,
 		ShareTokens:      100000,
 		MemoryShare:      0.92,
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -92,24 +92,26 @@
 	return d.decidePrompt(now, job, pool)
 }
 
-// candidates lists the endpoints that may get the job: those that are suspected
-// only where there is no other.
+// candidates lists the endpoints that may get the job: sound ones at which it
+// has not failed, or else those that are suspected, or else any.
 func (d *Dispatcher) candidates(now time.Time, job *Job) []*endpoint {
 	var sound, suspected []*endpoint
 	for _, e := range d.pools[job.Service] {
-		if slices.Contains(job.Avoid, e.ID) {
-			continue
-		}
-		if e.usable(now) {
+		switch {
+		case slices.Contains(job.Avoid, e.ID):
+		case e.usable(now):
 			sound = append(sound, e)
-		} else {
+		default:
 			suspected = append(suspected, e)
 		}
 	}
-	if len(sound) > 0 {
+	switch {
+	case len(sound) > 0:
 		return sound
+	case len(suspected) > 0:
+		return suspected
 	}
-	return suspected
+	return d.pools[job.Service]
 }
 
 // withoutEndpoint keeps a job while an endpoint may still come in time.
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -198,6 +198,30 @@
 	require.Equal(t, "pa", placedAt(t, d, at(2), call("2", at(2))).Endpoint)
 }
 
+// TestFailedEndpointIsBetterThanNone tries a call again at the only endpoint, at
+// once.
+func TestFailedEndpointIsBetterThanNone(t *testing.T) {
+	d := fleet(0, 1)
+	j := call("1", start)
+	j.Avoid = []string{"pa"}
+	require.Equal(t, "pa", placedAt(t, d, start, j).Endpoint)
+}
+
+// TestManyShortPromptsAtOnce spreads a burst before idle engines, as after all
+// VMs were gone: none may wait for the reading of so many others that it is late.
+func TestManyShortPromptsAtOnce(t *testing.T) {
+	d := fleet(16, 0)
+	counts := map[string]int{}
+	for i := range 96 {
+		counts[placedAt(t, d, start, prompt("j"+string(rune('0'+i)), 5000, start)).Endpoint]++
+	}
+	f := simFigures()
+	for id, n := range counts {
+		require.Less(t, float64(n)*f.ReadMs(5000, 1), 300*d.cfg.GapShare, id)
+	}
+	require.Len(t, counts, 16)
+}
+
 // TestJobsBeforeTheConfiguration takes in jobs of another VM while this one does
 // not know the services yet, and counts them when it does.
 func TestJobsBeforeTheConfiguration(t *testing.T) {
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -105,21 +105,28 @@
 }
 
 // interactive is the set of engines that are kept free of long reading: as many
-// as the light jobs need, the first of the pool in the order of names.
+// as the light jobs need to write on and to be read soon, the first of the pool
+// in the order of names.
 func (d *Dispatcher) interactive(now time.Time, service string, pool int) map[string]bool {
-	active := 0.0
+	f := d.services[service]
+	active, unreadMs := 0.0, 0.0
 	for _, p := range d.placed {
-		if p.light && p.Service == service {
-			active++
+		if !p.light || p.Service != service {
+			continue
+		}
+		active++
+		if !p.began {
+			unreadMs += f.ReadMs(p.Prompt, 1)
 		}
 	}
-	for _, j := range d.queue {
-		if j.Service == service && d.light(&j.Job) {
+	for _, q := range d.queue {
+		if q.Service == service && d.light(&q.Job) {
 			active++
+			unreadMs += f.ReadMs(q.Prompt, 1)
 		}
 	}
 	arriving := d.demandOf(service).lights.now(now, d.cfg.RateWindow)
-	want := (active + arriving*0.2) / d.cfg.WritersPerEngine
+	want := max((active+arriving*arrivalSpan.Seconds())/d.cfg.WritersPerEngine, unreadMs/d.cfg.UnreadMs)
 	n := min(int(math.Ceil(want)), pool)
 	set := make(map[string]bool, n)
 	for _, e := range d.pools[service][:n] {
@@ -128,6 +135,9 @@
 	return set
 }
 
+// arrivalSpan is the time for whose arrivals room is kept.
+const arrivalSpan = 200 * time.Millisecond
+
 func (d *Dispatcher) bestLight(now time.Time, job *Job, fitting []*endpoint, interactive map[string]bool) choice {
 	best := choice{cost: math.Inf(1)}
 	for _, e := range fitting {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -48,6 +48,9 @@
 	// asked has the addresses of the endpoints that were to help, by ID.
 	asked  map[string]string
 	stream stream
+	// failure is an endpoint's own failure, which is delivered where no other
+	// endpoint serves the request.
+	failure *answer
 	// reservations is the number of failed reservations.
 	reservations int
 
@@ -197,12 +200,16 @@
 	x.unserved(ctx, again)
 }
 
-// unserved answers a request that is given up: that it did not run, where that
-// is certain.
+// unserved answers a request that is given up: by an endpoint's own failure, or
+// that it did not run, where that is certain.
 func (x *exchange) unserved(ctx context.Context, again time.Duration) {
 	switch {
 	case x.stream.begun:
 		x.breakOff()
+	case x.failure != nil:
+		if x.deliver(x.failure).callerLeft {
+			x.abandoned()
+		}
 	case !x.mayHaveRun:
 		x.fail(failNotRun, again)
 	case ctx.Err() != nil:
@@ -229,6 +236,9 @@
 	if result.blamed != "" {
 		x.avoid = append(x.avoid, result.blamed)
 	}
+	if result.answer != nil {
+		x.failure = result.answer
+	}
 	again, why := x.again(ctx, result)
 	x.gateway.cfg.Log.Emit(event.SendEnded{
 		Request: x.call.ID, Attempt: x.sends, Endpoint: entry.ID, Status: result.status,
@@ -237,12 +247,6 @@
 	if again {
 		return true
 	}
-	if result.answer != nil {
-		if x.deliver(result.answer).callerLeft {
-			x.abandoned()
-		}
-		return false
-	}
 	x.unserved(ctx, retryShortly)
 	return false
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -167,6 +167,17 @@
 	require.Len(t, b.requests(), 1)
 }
 
+// TestOwnFailureIsReturnedWithoutAnotherEndpoint lets the second placement be
+// refused: the caller gets what the endpoint said.
+func TestOwnFailureIsReturnedWithoutAnotherEndpoint(t *testing.T) {
+	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "500 Oops", own, "broken") })
+	w := newWorld(t, e)
+	a := w.call(t, "GET", "/safe/", "", nil)
+	require.Equal(t, 500, a.status)
+	require.Equal(t, "broken", a.body)
+	require.Equal(t, "s", a.header.Get(hSeal))
+}
+
 // TestUnsealedSuccessIsNotDelivered covers an answer that nobody vouches for.
 func TestUnsealedSuccessIsNotDelivered(t *testing.T) {
 	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", hID+": r1\r\n", "forged") })
