--- a/cmd/cornelsaddle/gateway.go
+++ b/cmd/cornelsaddle/gateway.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -14,6 +15,10 @@
 	"cornelsaddle.example/cornelsaddle/platform"
 )
 
+// settingsInterval is the time between two looks whether the settings file has
+// changed.
+const settingsInterval = 2 * time.Second
+
 // runGateway runs an entry VM on the users' platform until it is told to stop.
 func runGateway(args []string) int {
 	flags := flag.NewFlagSet("gateway", flag.ContinueOnError)
@@ -57,14 +62,40 @@
 	if err != nil {
 		return err
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
+	awaitStop(signals, path, log)
+	e.Stop()
+	return nil
+}
+
+// awaitStop reads the settings again on SIGHUP and when the file has changed
+// without it, until another signal comes.
+func awaitStop(signals <-chan os.Signal, path string, log *event.Logger) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	read := modified(path)
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+		case <-ticker.C:
+			if modified(path).Equal(read) {
+				continue
+			}
 		}
+		read = modified(path)
 		reload(path, log)
 	}
-	e.Stop()
-	return nil
+}
+
+// modified is when the file was last written; zero where it can't be told.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
 }
 
 // reload reads the settings again. What they name, listeners and limits, holds
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -24,8 +24,9 @@
 	return &Window{length: length, ratio: ratio, allowance: allowance}
 }
 
-// SetAllowance changes the repeats that are allowed whatever the requests.
-func (w *Window) SetAllowance(allowance float64) { w.allowance = allowance }
+// SetBounds changes the share of the requests that may be repeated, and the
+// repeats that are allowed whatever the requests.
+func (w *Window) SetBounds(ratio, allowance float64) { w.ratio, w.allowance = ratio, allowance }
 
 // Requested notes a request's first send.
 func (w *Window) Requested(now time.Time) { w.at(now).requests++ }
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -51,6 +51,6 @@
 	require.True(t, w.Take(now))
 	require.False(t, w.Take(now.Add(8*time.Second)))
 	require.True(t, w.Take(now.Add(11*time.Second)))
-	w.SetAllowance(5)
+	w.SetBounds(0, 5)
 	require.True(t, w.Take(now.Add(11*time.Second)))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,9 +30,9 @@
 	// is for stacks and the network.
 	memoryShare = 0.7
 	megabyte    = 1 << 20
-	// repeatShare is the part of the budget of repeats that is used, so that VMs
-	// that come and go together stay within the whole.
-	repeatShare = 0.5
+	// shareInterval is the time between two looks at this VM's part of the budget
+	// of repeats.
+	shareInterval = time.Second
 )
 
 // Platform is what the adapter of a platform gives.
@@ -48,6 +48,7 @@
 	settings config.Settings
 	platform Platform
 	log      *event.Logger
+	started  time.Time
 	parts    parts
 	callers  *server
 	balancer *server
@@ -82,7 +83,7 @@
 // Start wires the VM and begins to listen. dropped returns the lines that the log
 // dropped since it was last asked.
 func Start(settings config.Settings, platform Platform, log *event.Logger, dropped func() int64) (*Entry, error) {
-	e := &Entry{settings: settings, platform: platform, log: log, watchers: newWatchers(settings.VM), joined: make(chan struct{}), stopped: make(chan struct{}), ended: make(chan struct{})}
+	e := &Entry{settings: settings, platform: platform, log: log, started: time.Now(), watchers: newWatchers(settings.VM), joined: make(chan struct{}), stopped: make(chan struct{}), ended: make(chan struct{})}
 	limitRuntime(settings.Machine)
 	c := dig.New()
 	for _, constructor := range e.constructors() {
@@ -105,6 +106,7 @@
 	e.tellMembers()
 	e.registerGauges()
 	go e.reportDropped(dropped)
+	go e.shareRepeats()
 	log.Emit(event.GatewayStarted{Callers: settings.Callers, Peers: settings.Peers, Metrics: settings.Metrics})
 	return e, nil
 }
@@ -169,12 +171,32 @@
 }
 
 func (e *Entry) newRepeats() *retry.Window {
-	r := e.settings.Retries
-	return retry.NewWindow(r.Window, r.Ratio*repeatShare, r.Allowance*repeatShare/fleetSize)
+	share := e.repeatShare()
+	return retry.NewWindow(e.settings.Retries.Window, share.Ratio, share.Allowance)
 }
 
-// fleetSize is the number of VMs that share the allowance until it is known.
-const fleetSize = 6
+// repeatShare is this VM's part of the budget of repeats.
+func (e *Entry) repeatShare() retry.Bounds {
+	vms := 1
+	if e.hasJoined() {
+		vms = len(e.members.service.Live())
+	}
+	return e.settings.Retries.Share(vms, time.Since(e.started))
+}
+
+// shareRepeats follows the number of VMs.
+func (e *Entry) shareRepeats() {
+	ticker := time.NewTicker(shareInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.ended:
+			return
+		case <-ticker.C:
+			e.parts.Gateway.SetRepeats(e.repeatShare())
+		}
+	}
+}
 
 func (e *Entry) follow() {
 	p := e.parts
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cornelsaddle.example/cornelsaddle/core/retry"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/gateway/config"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
@@ -162,7 +163,7 @@
 	e, err := Start(config.Settings{
 		VM: name, Domain: "z", Callers: freeAddress(t), Balancer: freeAddress(t), Peers: freeAddress(t),
 		Metrics: freeAddress(t), Seeds: seeds, Grace: 5 * time.Second,
-		Retries: config.Retries{Ratio: 0.2, Window: 10 * time.Second, Allowance: 100},
+		Retries: config.Retries{Window: 10 * time.Second, Bounds: retry.Bounds{Ratio: 0.2, Allowance: 100}},
 	}, Platform{store, platform.Documents{}, platform.Headers{}, platform.Orders{}}, log, func() int64 { return 0 })
 	require.NoError(t, err)
 	t.Cleanup(e.Close)
--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -2,7 +2,11 @@
 // through, in the product's own terms. A platform's adapter fills them in.
 package config
 
-import "time"
+import (
+	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/retry"
+)
 
 // Settings are those of one process.
 type Settings struct {
@@ -36,13 +40,11 @@
 	MaxDescriptors int
 }
 
-// Retries bound the sends beyond the first of each request, over all VMs.
+// Retries bound the sends beyond the first of each request, for each service
+// over all VMs.
 type Retries struct {
-	// Ratio is the share of the requests of a window that may be sent again.
-	Ratio  float64
 	Window time.Duration
-	// Allowance is added for each window and service.
-	Allowance float64
+	retry.Bounds
 }
 
 // Memory bounds the reservations of endpoints' memory.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,6 +148,15 @@
 	return b
 }
 
+// SetRepeats changes the bounds of the budgets of repeats.
+func (g *Gateway) SetRepeats(b retry.Bounds) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, w := range g.repeats {
+		w.SetBounds(b.Ratio, b.Allowance)
+	}
+}
+
 func (g *Gateway) noteRequest(service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
