--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -42,8 +42,9 @@
 	// Shares are the parts of the prompt's memory that helpers hold, in place of
 	// the receiver: for each of the first helpers a number of tokens.
 	Shares []int
-	// Urgency is the rank that the endpoint is told, 0 to 9, where 0 is first.
-	Urgency int
+	// Predicted is the time until the first event that the choice was made by; zero
+	// for a plain service.
+	Predicted time.Duration
 }
 
 // Reason says why a job was refused.
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -79,12 +79,12 @@
 }
 
 func (d *Dispatcher) placeChoice(now time.Time, job *Job, c choice) Decision {
-	p := Placement{Job: job.ID, Endpoint: c.receiver.ID, Shares: c.shares}
+	p := Placement{Job: job.ID, Endpoint: c.receiver.ID, Shares: c.shares, Predicted: fromMs(c.firstMs)}
 	for _, h := range c.helpers {
 		p.Helpers = append(p.Helpers, h.ID)
 	}
 	decision := d.place(now, job, p)
-	d.placed[job.ID].predicted = now.Add(fromMs(c.firstMs))
+	d.placed[job.ID].predicted = now.Add(p.Predicted)
 	return decision
 }
 
--- a/internal/coordination/coordinator_test.go
+++ b/internal/coordination/coordinator_test.go
@@ -231,7 +231,7 @@
 		Deadline: now.Add(2 * time.Second), Gap: time.Millisecond, Priority: 2, Prompt: 3, Answer: 4, Avoid: []string{"e"},
 	}
 	require.Equal(t, j, encodeJob(now, j).job(now, "a"))
-	d := dispatch.Decision{Placement: &dispatch.Placement{Job: "1", Endpoint: "e", Helpers: []string{"f"}, Shares: []int{7}, Urgency: 3}}
+	d := dispatch.Decision{Placement: &dispatch.Placement{Job: "1", Endpoint: "e", Helpers: []string{"f"}, Shares: []int{7}, Predicted: time.Second}}
 	require.Equal(t, d, encodeDecision(d).decision())
 	r := dispatch.Decision{Refusal: &dispatch.Refusal{Job: "1", Reason: dispatch.ReasonTooLate, RetryAfter: time.Second}}
 	require.Equal(t, r, encodeDecision(r).decision())
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -65,7 +65,7 @@
 	Endpoint   string   `json:"e,omitempty"`
 	Helpers    []string `json:"h,omitempty"`
 	Shares     []int    `json:"m,omitempty"`
-	Urgency    int      `json:"u,omitempty"`
+	Predicted  int64    `json:"f,omitempty"`
 	Reason     string   `json:"r,omitempty"`
 	RetryAfter int64    `json:"t,omitempty"`
 }
@@ -75,7 +75,7 @@
 		return decisionMessage{Job: d.Refusal.Job, Reason: string(d.Refusal.Reason), RetryAfter: d.Refusal.RetryAfter.Microseconds()}
 	}
 	p := d.Placement
-	return decisionMessage{Job: p.Job, Endpoint: p.Endpoint, Helpers: p.Helpers, Shares: p.Shares, Urgency: p.Urgency}
+	return decisionMessage{Job: p.Job, Endpoint: p.Endpoint, Helpers: p.Helpers, Shares: p.Shares, Predicted: p.Predicted.Microseconds()}
 }
 
 // decided reports whether the message has a decision.
@@ -88,7 +88,7 @@
 		}}
 	}
 	return dispatch.Decision{Placement: &dispatch.Placement{
-		Job: m.Job, Endpoint: m.Endpoint, Helpers: m.Helpers, Shares: m.Shares, Urgency: m.Urgency,
+		Job: m.Job, Endpoint: m.Endpoint, Helpers: m.Helpers, Shares: m.Shares, Predicted: microseconds(m.Predicted),
 	}}
 }
 
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -137,11 +137,13 @@
 	Helpers  int           `log:"helpers"`
 	Holder   string        `log:"holder"`
 	Waited   time.Duration `log:"waited"`
+	// Predicted is when the first event was expected, from the placement on.
+	Predicted time.Duration `log:"predicted"`
 }
 
 // Def implements Event.
 func (RequestPlaced) Def() Def {
-	return Def{710, "request_placed", log.InfoLevel, "A request is sent to an endpoint, with helpers that read parts of its prompt, as holder decided."}
+	return Def{710, "request_placed", log.InfoLevel, "A request is sent to an endpoint, with helpers that read parts of its prompt, as holder decided; predicted is the time to its first event that the choice was made by."}
 }
 
 // RequestRefused is written when a request gets no endpoint.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -153,7 +153,7 @@
 	}
 	x.gateway.cfg.Log.Emit(event.RequestPlaced{
 		Request: x.call.ID, Attempt: x.sends, Endpoint: entry.ID, Helpers: len(placed.Helpers),
-		Holder: placed.Holder, Waited: time.Since(x.arrived),
+		Holder: placed.Holder, Waited: time.Since(x.arrived), Predicted: placed.Predicted,
 	})
 	result := x.send(ctx, job.ID, entry, x.helpers(placed, grant))
 	x.gateway.cfg.Placer.Finished(job.ID, result.outcome, result.blamed)
