--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -12,8 +12,9 @@
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 func ids(d *Directory) []string {
-	var list []string
-	for _, e := range d.Usable() {
+	usable := d.Usable()
+	list := make([]string, 0, len(usable))
+	for _, e := range usable {
 		list = append(list, e.ID)
 	}
 	return list
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -234,10 +234,3 @@
 func (d *Dispatcher) worth(j *Job) float64 {
 	return 1 + float64(j.Prompt)/d.cfg.TokensPerWorth
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -23,7 +23,7 @@
 }
 
 func endpoints(engines, plain int) []Endpoint {
-	var list []Endpoint
+	list := make([]Endpoint, 0, engines+plain)
 	for i := range engines {
 		list = append(list, Endpoint{ID: "e" + string(rune('a'+i)), Service: "s", Slots: 16})
 	}
--- a/core/dispatch/sim_test.go
+++ b/core/dispatch/sim_test.go
@@ -74,7 +74,7 @@
 	events int
 	value  float64
 
-	left    float64 // reading parts not yet read
+	// parts are those that are not yet read.
 	parts   int
 	started bool
 	lastMs  float64
@@ -132,7 +132,7 @@
 	}
 	f := simFigures()
 	s.d.SetServices(s.start, []Service{{Name: "s", Engine: f}})
-	var list []Endpoint
+	list := make([]Endpoint, 0, engines)
 	for i := range engines {
 		e := &simEngine{id: fmt.Sprintf("e%03d", i), f: f, endMs: math.Inf(1), slow: 1}
 		s.engines[e.id] = e
@@ -437,7 +437,7 @@
 		r.served[k] /= count[k]
 	}
 	r.worth = got / all
-	var spans []float64
+	spans := make([]float64, 0, len(spanOwed))
 	for k, o := range spanOwed {
 		spans = append(spans, spanEarned[k]/o)
 	}
--- a/internal/coordination/coordinator_test.go
+++ b/internal/coordination/coordinator_test.go
@@ -33,7 +33,7 @@
 	log, err := event.New(io.Discard, "json", "info", "vm")
 	require.NoError(t, err)
 	vms := make(map[string]*vm)
-	var live []Member
+	live := make([]Member, 0, 3)
 	for i, name := range names {
 		v := &vm{name: name}
 		cfg := peer.Config{Self: peer.Identity{VM: name, Incarnation: int64(i + 1)}, Keys: []string{key}}
@@ -46,7 +46,7 @@
 		v.server, err = peer.Listen("127.0.0.1:0", cfg, mux, log, registry)
 		require.NoError(t, err)
 		local.SetServices([]dispatch.Service{{Name: "s"}})
-		var list []dispatch.Endpoint
+		list := make([]dispatch.Endpoint, 0, endpoints)
 		for n := range endpoints {
 			list = append(list, dispatch.Endpoint{ID: "e" + strconv.Itoa(n), Service: "s", Slots: 2})
 		}
@@ -188,7 +188,7 @@
 	leaving.place(t, "1")
 	_, placed := holder.counts()
 	require.Equal(t, 1, placed)
-	var live []Member
+	live := make([]Member, 0, 3)
 	for _, v := range vms {
 		incarnation := int64(1)
 		if v == leaving {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -250,7 +250,7 @@
 		})
 		w := newWorld(t, e)
 		c := w.dial(t)
-		req, err := http.NewRequest("POST", "http://h"+path, strings.NewReader("b"))
+		req, err := http.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("b"))
 		require.NoError(t, err)
 		req.Header.Set(hKey, "key")
 		req.Header.Set(hID, "r1")
