--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -25,8 +25,9 @@
 type placed struct {
 	Job
 	Placement
-	// light says that the prompt is read in no time.
-	light bool
+	// light says that the prompt is read in no time, and unreadMs in how much.
+	light    bool
+	unreadMs float64
 	// began says that the first event came.
 	began bool
 	// predicted is when the first event is expected.
@@ -173,13 +174,14 @@
 func (d *Dispatcher) enter(now time.Time, job *Job, p Placement) *placed {
 	pl := &placed{Job: *job, Placement: p, light: d.light(job), predicted: now}
 	d.placed[job.ID] = pl
+	d.demandOf(job.Service).entered(pl, d.services[job.Service])
 	for i, id := range append([]string{p.Endpoint}, p.Helpers...) {
 		e := d.endpoints[id]
 		if e == nil {
 			continue
 		}
 		pt := &part{job: pl, receiver: i == 0, tokens: p.memory(job, i)}
-		e.parts[job.ID] = pt
+		e.parts = append(e.parts, pt)
 		e.context += pt.tokens
 		if pt.receiver {
 			e.received++
@@ -193,6 +195,7 @@
 
 // begin notes that a job's prompt is read.
 func (d *Dispatcher) begin(now time.Time, p *placed) {
+	d.demandOf(p.Service).read(p)
 	p.began = true
 	d.eachPart(p, func(_ *endpoint, pt *part) { pt.began(now) })
 }
@@ -200,8 +203,9 @@
 // remove forgets a placed job.
 func (d *Dispatcher) remove(now time.Time, p *placed) {
 	delete(d.placed, p.ID)
+	d.demandOf(p.Service).left(p)
 	d.eachPart(p, func(e *endpoint, pt *part) {
-		delete(e.parts, p.ID)
+		e.parts = slices.DeleteFunc(e.parts, func(other *part) bool { return other == pt })
 		e.context -= pt.tokens
 		if pt.receiver {
 			e.received--
@@ -218,8 +222,8 @@
 		if e == nil {
 			continue
 		}
-		if pt := e.parts[p.ID]; pt != nil {
-			do(e, pt)
+		if i := slices.IndexFunc(e.parts, func(pt *part) bool { return pt.job == p }); i >= 0 {
+			do(e, e.parts[i])
 		}
 	}
 }
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -44,7 +44,7 @@
 	engine *engine.Figures
 	// model follows what the engine does; nil for a plain service.
 	model *engine.Model
-	parts map[string]*part
+	parts []*part
 	// received is the number of requests here, and helped that of the prompts
 	// whose parts it reads for others.
 	received int
@@ -166,7 +166,7 @@
 	for _, spec := range list {
 		e := d.endpoints[spec.ID]
 		if e == nil {
-			e = &endpoint{parts: make(map[string]*part)}
+			e = &endpoint{}
 		}
 		e.Endpoint = spec
 		d.setEngine(now, e)
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -66,6 +66,8 @@
 	}
 	require.Zero(t, s.d.Waiting())
 	require.Zero(t, s.d.Placed())
+	require.Zero(t, s.d.demandOf("s").active)
+	require.InDelta(t, 0, s.d.demandOf("s").unreadMs, 1e-6)
 	for _, e := range s.d.endpoints {
 		require.Zero(t, e.received, e.ID)
 		require.Zero(t, e.helped, e.ID)
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -109,23 +109,15 @@
 // in the order of names.
 func (d *Dispatcher) interactive(now time.Time, service string, pool int) map[string]bool {
 	f := d.services[service]
-	active, unreadMs := 0.0, 0.0
-	for _, p := range d.placed {
-		if !p.light || p.Service != service {
-			continue
-		}
-		active++
-		if !p.began {
-			unreadMs += f.ReadMs(p.Prompt, 1)
-		}
-	}
+	m := d.demandOf(service)
+	active, unreadMs := float64(m.active), m.unreadMs
 	for _, q := range d.queue {
 		if q.Service == service && d.light(&q.Job) {
 			active++
 			unreadMs += f.ReadMs(q.Prompt, 1)
 		}
 	}
-	arriving := d.demandOf(service).lights.now(now, d.cfg.RateWindow)
+	arriving := m.lights.now(now, d.cfg.RateWindow)
 	want := max((active+arriving*arrivalSpan.Seconds())/d.cfg.WritersPerEngine, unreadMs/d.cfg.UnreadMs)
 	n := min(int(math.Ceil(want)), pool)
 	set := make(map[string]bool, n)
--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/engine"
 )
 
 // rate averages arrivals over a window, with exponential decay.
@@ -39,6 +41,34 @@
 	// their worth.
 	longMs    rate
 	longWorth rate
+	// active is the number of light jobs at engines, and unreadMs what is still to
+	// be read of them.
+	active   int
+	unreadMs float64
+}
+
+// entered counts a job that goes to engines.
+func (m *demand) entered(p *placed, f *engine.Figures) {
+	if !p.light {
+		return
+	}
+	m.active++
+	p.unreadMs = f.ReadMs(p.Prompt, 1)
+	m.unreadMs += p.unreadMs
+}
+
+// read notes that a job's prompt is read.
+func (m *demand) read(p *placed) {
+	m.unreadMs -= p.unreadMs
+	p.unreadMs = 0
+}
+
+// left counts a job that is gone.
+func (m *demand) left(p *placed) {
+	if p.light {
+		m.active--
+		m.read(p)
+	}
 }
 
 func (d *Dispatcher) demandOf(service string) *demand {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -346,6 +346,19 @@
 	require.Empty(t, strings.Join(storedVMs(store), ","), "its line is gone")
 }
 
+// TestDeadVMsLineIsDropped kills one of two VMs: the other removes its line.
+func TestDeadVMsLineIsDropped(t *testing.T) {
+	store := newMemoryStore()
+	a, b := startVM(t, "a", store), startVM(t, "b", store)
+	require.Eventually(t, func() bool { return len(a.members.service.Live()) == 2 }, 20*time.Second, 10*time.Millisecond)
+	require.ElementsMatch(t, []string{"a", "b"}, storedVMs(store))
+	b.members.service.Stop()
+	b.members.server.Close()
+	require.Eventually(t, func() bool { return len(a.members.service.Live()) == 1 }, 30*time.Second, 10*time.Millisecond)
+	a.members.dropDead(context.Background())
+	require.Equal(t, []string{"a"}, storedVMs(store))
+}
+
 func storedVMs(s *memoryStore) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -25,6 +25,8 @@
 	identifyTimeout = time.Second
 	// listTimeout bounds a read of the list of VMs.
 	listTimeout = 3 * time.Second
+	// linesInterval is the time between two looks for lines of VMs that are gone.
+	linesInterval = 30 * time.Second
 	// registerPause is between two tries to write this VM's line.
 	registerPause = time.Second
 )
@@ -127,6 +129,7 @@
 		Version:  p.Tables.version,
 		Digest:   e.digest,
 	}, p.Mux)
+	go m.dropLines(ctx)
 	return m, nil
 }
 
@@ -147,6 +150,41 @@
 	}
 }
 
+// dropLines removes the lines of VMs that are dead, where this VM is the one that
+// does so for all. A VM that lives after all writes its line anew when it starts,
+// and is known to the others until then.
+func (m *members) dropLines(ctx context.Context) {
+	ticker := time.NewTicker(linesInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if m.entry.watchers.Watches(provider.VMs) {
+			m.dropDead(ctx)
+		}
+	}
+}
+
+// dropDead removes the lines of the VMs that are dead now.
+func (m *members) dropDead(ctx context.Context) {
+	for _, r := range m.service.Records() {
+		if r.Status != membership.StatusDead {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, listTimeout)
+		err := m.entry.platform.Store.Remove(limited, provider.VMs, r.ID)
+		cancel()
+		if err != nil {
+			m.entry.log.Emit(event.RegistrationFailed{Member: r.ID, Reason: err.Error()})
+			continue
+		}
+		m.entry.log.Emit(event.LineDropped{Member: r.ID, Incarnation: r.Incarnation})
+	}
+}
+
 // leave tells the others that this VM stops, and drops its line.
 func (m *members) leave() {
 	m.cancel()
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -11,7 +11,7 @@
 	DeploymentApplied{}, DeploymentUnreadable{}, EndpointListed{}, EndpointUnlisted{}, EntryUnreadable{},
 	StoreLost{}, StoreRegained{}, HistoryExpired{}, SettingsLoaded{}, SettingsUnreadable{},
 	RequestPlaced{}, RequestRefused{}, SendEnded{}, RequestEnded{}, HolderChanged{}, HolderLost{},
-	GatewayStarted{}, GatewayStopping{}, GatewayStopped{}, RegistrationFailed{}, LinesDropped{}, DigestUnreadable{},
+	GatewayStarted{}, GatewayStopping{}, GatewayStopped{}, RegistrationFailed{}, LineDropped{}, LinesDropped{}, DigestUnreadable{},
 	ReservationFailed{}, ReservationNotRenewed{}, ReservationNotReleased{},
 }
 
@@ -258,12 +258,14 @@
 
 // RegistrationFailed is written when a VM can't list itself.
 type RegistrationFailed struct {
+	// Member is the VM whose line it is; empty for this one.
+	Member string `log:"member"`
 	Reason string `log:"reason"`
 }
 
 // Def implements Event.
 func (RegistrationFailed) Def() Def {
-	return Def{719, "registration_failed", log.WarnLevel, "This VM could not write its line in the store; it tries again."}
+	return Def{719, "registration_failed", log.WarnLevel, "A VM's line in the store, this one's where no member is named, could not be written or removed; it is tried again."}
 }
 
 // LinesDropped is written when the log could not keep up.
@@ -322,3 +324,14 @@
 func (ReservationNotReleased) Def() Def {
 	return Def{724, "reservation_not_released", log.WarnLevel, "No release of a reservation was answered; it ends with its hold."}
 }
+
+// LineDropped is written when the line of a VM that is dead is removed.
+type LineDropped struct {
+	Member      string `log:"member"`
+	Incarnation int64  `log:"incarnation"`
+}
+
+// Def implements Event.
+func (LineDropped) Def() Def {
+	return Def{725, "line_dropped", log.InfoLevel, "The line of a VM that is dead was removed from the store."}
+}
