--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -11,8 +11,8 @@
 	DeploymentApplied{}, DeploymentUnreadable{}, EndpointListed{}, EndpointUnlisted{}, EntryUnreadable{},
 	StoreLost{}, StoreRegained{}, HistoryExpired{}, SettingsLoaded{}, SettingsUnreadable{},
 	RequestPlaced{}, RequestRefused{}, SendEnded{}, RequestEnded{}, HolderChanged{}, HolderLost{},
-	GatewayStarted{}, GatewayStopping{}, GatewayStopped{}, RegistrationFailed{}, LineDropped{}, LinesDropped{}, DigestUnreadable{},
-	ReservationFailed{}, ReservationNotRenewed{}, ReservationNotReleased{},
+	GatewayStarted{}, GatewayStopping{}, GatewayStopped{}, RegistrationFailed{}, LinesDropped{}, DigestUnreadable{},
+	ReservationFailed{}, ReservationNotRenewed{}, ReservationNotReleased{}, LineDropped{},
 }
 
 // DeploymentApplied is written when a configuration comes into force.
