--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/engine"
 )
 
 // refusedAgain is the least time after which a refused caller comes back.
@@ -17,6 +19,7 @@
 	}
 	d.order(now)
 	d.held = false
+	d.full = ""
 	var decisions []Decision
 	kept := d.queue[:0]
 	for _, q := range d.queue {
@@ -27,7 +30,7 @@
 		}
 		decision, decided := d.decide(now, &q.Job)
 		if !decided {
-			if d.rank(now, &q.Job) != rankLight {
+			if d.rank(now, &q.Job) > rankLightLate {
 				q.lookAt = now.Add(d.cfg.LookInterval)
 			}
 			kept = append(kept, q)
@@ -53,17 +56,34 @@
 	})
 }
 
+// passesToFirst is the mean number of passes until a prompt that comes at any time
+// is read: half of the one under way, and the next.
+const passesToFirst = 1.5
+
 // The ranks of queued jobs.
 const (
 	rankLight = iota
+	rankLightLate
 	rankOnTime
 	rankLate
 )
 
+// leastWait is the time to the first event of a light job on an engine that has
+// no free slot but the one that it gets.
+func leastWait(f *engine.Figures, j *Job) time.Duration {
+	return fromMs(f.ReadMs(j.Prompt, 1) + f.PassMs(f.Slots, 0)*passesToFirst)
+}
+
+// rank is the place of a queued job before others: light jobs that can be on time
+// go before those that can't, so that with too many for all slots some are late
+// and not all.
 func (d *Dispatcher) rank(now time.Time, j *Job) int {
 	f := d.services[j.Service]
 	switch {
 	case f == nil || d.light(j):
+		if f != nil && !j.Due.IsZero() && now.Add(leastWait(f, j)).After(j.Due) {
+			return rankLightLate
+		}
 		return rankLight
 	case j.Due.IsZero() || now.Add(fromMs(f.ReadMs(j.Prompt, d.cfg.MaxReaders))).Before(j.Due):
 		return rankOnTime
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -44,7 +44,9 @@
 	queue []*queued
 	// held says that a long job that can be on time waits, so that late ones have
 	// to.
-	held   bool
+	held bool
+	// full names a service that had no room for a light job in this round.
+	full   string
 	placed map[string]*placed
 	// expired is when placed was last searched for jobs past their time.
 	expired time.Time
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -75,3 +75,24 @@
 		require.Zero(t, e.model.Writers(), e.ID)
 	}
 }
+
+// TestMoreShortPromptsThanSlots asks for a tenth more short prompts than the
+// engines have slots for, for ten seconds: most must still be in time, rather than
+// all a little late.
+func TestMoreShortPromptsThanSlots(t *testing.T) {
+	kinds := simKinds()[:1]
+	s := newSim(3, DefaultConfig(), 10)
+	s.arrivals(kinds, []simPhase{{0, [3]float64{2.3, 0, 0}}, {10000, [3]float64{0.5, 0, 0}}}, 1, 14000)
+	s.run()
+	inTime, all := 0.0, 0.0
+	for _, j := range s.jobs {
+		if j.at > 10000 {
+			continue
+		}
+		all++
+		if j.done && !j.late {
+			inTime++
+		}
+	}
+	require.Greater(t, inTime/all, 0.5)
+}
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -25,12 +25,16 @@
 // for a better time.
 func (d *Dispatcher) decidePrompt(now time.Time, job *Job, pool []*endpoint) (Decision, bool) {
 	late := d.rank(now, job) == rankLate
-	if late && d.held {
+	light := d.light(job)
+	if late && d.held || light && d.full == job.Service {
 		return d.hold(now, job)
 	}
 	best, found := d.best(now, job, pool)
 	if !found {
-		d.held = d.held || !late && !d.light(job)
+		if light && len(job.Avoid) == 0 {
+			d.full = job.Service
+		}
+		d.held = d.held || !late && !light
 		return d.withoutRoom(now, job, pool)
 	}
 	worth := d.worth(job)
