Give a lost placement again; drop fields that nothing reads

Found by reading: a holder that was asked twice about a job, as its first answer was lost or late, told the asking VM that the job waits, and the request hung until its deadline. It now gives the placement that it made. Test: TestLostAnswerIsGivenAgain, seen to fail.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -76,6 +76,16 @@
 	d.queue = append(d.queue, &queued{Job: job})
 }
 
+// Placement returns where a job was placed; ok is false for one that waits or
+// isn't known.
+func (d *Dispatcher) Placement(id string) (p Placement, ok bool) {
+	pl := d.placed[id]
+	if pl == nil {
+		return Placement{}, false
+	}
+	return pl.Placement, true
+}
+
 // Adopt takes in a job that was placed elsewhere, by another dispatcher.
 func (d *Dispatcher) Adopt(now time.Time, job Job, p Placement, began bool) {
 	if d.placed[job.ID] != nil {
--- a/core/routing/deployment.go
+++ b/core/routing/deployment.go
@@ -73,11 +73,7 @@
 
 // Service is a pool of endpoints that serve the same requests.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConnections is what one endpoint accepts from all callers together;
-	// zero for no bound.
-	MaxConnections int
+	Name string
 	// Engine has the figures of model engines; nil for a plain service.
 	Engine *engine.Figures
 }
--- a/internal/coordination/coordinator_test.go
+++ b/internal/coordination/coordinator_test.go
@@ -143,6 +143,26 @@
 	require.Equal(t, holder.name, p.Holder)
 }
 
+// TestLostAnswerIsGivenAgain asks a holder twice about one job, as a VM does that
+// did not get the first answer: it gets the same place.
+func TestLostAnswerIsGivenAgain(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 3)
+	holder := holderOf(vms)
+	asking := other(vms, holder)
+	j := someJob("1", asking)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	m, _ := asking.holders.member(holder.name)
+	first, err := asking.submit(ctx, m, j)
+	require.NoError(t, err)
+	require.True(t, first.decided())
+	second, err := asking.submit(ctx, m, j)
+	require.NoError(t, err)
+	require.Equal(t, first, second)
+	_, placed := holder.counts()
+	require.Equal(t, 1, placed)
+}
+
 // TestAbandonedJobLeavesTheQueue ends a wait with its caller.
 func TestAbandonedJobLeavesTheQueue(t *testing.T) {
 	vms := startVMs(t, []string{"a", "b", "c"}, 1)
--- a/internal/coordination/holders.go
+++ b/internal/coordination/holders.go
@@ -8,7 +8,6 @@
 	"github.com/dgryski/go-rendezvous"
 	"github.com/pkg/errors"
 
-	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 )
 
@@ -195,30 +194,3 @@
 	}
 	c.follow()
 }
-
-// submitRemote queues a job of another VM and returns the decision, if it comes
-// at once.
-func (l *Local) submitRemote(m jobMessage, owner string) decisionMessage {
-	l.mu.Lock()
-	now := time.Now()
-	l.dispatcher.Submit(now, m.job(now, owner))
-	decisions := l.dispatcher.Decide(now)
-	if l.dispatcher.Waiting() > 0 && !l.armed {
-		l.armed = true
-		l.wake.Reset(pollInterval)
-	}
-	l.mu.Unlock()
-	answer := decisionMessage{Job: m.ID}
-	others := make([]dispatch.Decision, 0, len(decisions))
-	for _, d := range decisions {
-		if d.JobID() == m.ID {
-			answer = encodeDecision(d)
-			continue
-		}
-		others = append(others, d)
-	}
-	if len(others) > 0 {
-		l.told(others)
-	}
-	return answer
-}
--- a/internal/coordination/local.go
+++ b/internal/coordination/local.go
@@ -45,6 +45,33 @@
 	l.do(func(now time.Time, d *dispatch.Dispatcher) { d.Submit(now, job) })
 }
 
+// submitRemote queues a job of another VM and returns the decision, if it comes
+// at once or was made before and its answer lost.
+func (l *Local) submitRemote(m jobMessage, owner string) decisionMessage {
+	var placed dispatch.Placement
+	var known bool
+	decisions := l.step(func(now time.Time, d *dispatch.Dispatcher) {
+		d.Submit(now, m.job(now, owner))
+		placed, known = d.Placement(m.ID)
+	})
+	answer := decisionMessage{Job: m.ID}
+	if known {
+		answer = encodeDecision(dispatch.Decision{Placement: &placed})
+	}
+	others := make([]dispatch.Decision, 0, len(decisions))
+	for _, d := range decisions {
+		if d.JobID() == m.ID {
+			answer = encodeDecision(d)
+			continue
+		}
+		others = append(others, d)
+	}
+	if len(others) > 0 {
+		l.told(others)
+	}
+	return answer
+}
+
 // note carries out what happened to a job of the owner.
 func (l *Local) note(owner string, n note) {
 	l.do(func(now time.Time, d *dispatch.Dispatcher) {
@@ -94,17 +121,22 @@
 }
 
 // do hands the dispatcher an event and tells what it decides.
-func (l *Local) do(step func(now time.Time, d *dispatch.Dispatcher)) {
+func (l *Local) do(event func(now time.Time, d *dispatch.Dispatcher)) {
+	if decisions := l.step(event); len(decisions) > 0 {
+		l.told(decisions)
+	}
+}
+
+// step hands the dispatcher an event and returns what it decides.
+func (l *Local) step(event func(now time.Time, d *dispatch.Dispatcher)) []dispatch.Decision {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	now := time.Now()
-	step(now, l.dispatcher)
+	event(now, l.dispatcher)
 	decisions := l.dispatcher.Decide(now)
 	if l.dispatcher.Waiting() > 0 && !l.armed {
 		l.armed = true
 		l.wake.Reset(pollInterval)
 	}
-	l.mu.Unlock()
-	if len(decisions) > 0 {
-		l.told(decisions)
-	}
+	return decisions
 }
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -93,13 +93,9 @@
 	Patience time.Duration
 	// LastEvent is the last event that the caller has of a stream.
 	LastEvent string
-	// Model is the model asked for.
-	Model string
 	// Prompt and Answer are numbers of tokens; Answer is the most.
 	Prompt int
 	Answer int
-	// AnswerHint is the caller's guess of the answer's tokens; zero for none.
-	AnswerHint int
 }
 
 // Onward is what the product adds to a request for an endpoint.
