--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -20,8 +20,6 @@
 	// retryShortly is when a caller comes back that found the VM without a
 	// configuration or a service without an endpoint.
 	retryShortly = 500 * time.Millisecond
-	// noUrgency leaves an endpoint's own order as it is.
-	noUrgency = -1
 )
 
 // exchange is one request of a caller and all that is done for it.
@@ -275,7 +273,6 @@
 		Endpoint:     entry.ID,
 		Organisation: x.organisation,
 		LastEvent:    x.stream.lastEvent,
-		Urgency:      noUrgency,
 		Helpers:      helpers,
 	}
 	return x.gateway.cfg.Dialect.Onward(x.r.Header, o)
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -110,8 +110,6 @@
 	LastEvent string
 	// Helpers read parts of the prompt.
 	Helpers []Helper
-	// Urgency ranks the request at the endpoint, 0 first; negative for none.
-	Urgency int
 }
 
 // Helper is an endpoint that reads a part of a prompt.
