Bound the placements at endpoints that have left

Found by reading: where the holder knows no other endpoint than one that the asking VM knows to have left, the request was placed there again and again until its deadline. It is refused after the third time, and each is logged. Test: TestEndpointThatOnlyTheHolderKnows, seen to fail.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -13,6 +13,7 @@
 	RequestPlaced{}, RequestRefused{}, SendEnded{}, RequestEnded{}, HolderChanged{}, HolderLost{},
 	GatewayStarted{}, GatewayStopping{}, GatewayStopped{}, RegistrationFailed{}, LinesDropped{}, DigestUnreadable{},
 	ReservationFailed{}, ReservationNotRenewed{}, ReservationNotReleased{}, LineDropped{},
+	RequestMisplaced{},
 }
 
 // DeploymentApplied is written when a configuration comes into force.
@@ -335,3 +336,16 @@
 func (LineDropped) Def() Def {
 	return Def{725, "line_dropped", log.InfoLevel, "The line of a VM that is dead was removed from the store."}
 }
+
+// RequestMisplaced is written when a request got an endpoint that has left.
+type RequestMisplaced struct {
+	Request  string `log:"request"`
+	Endpoint string `log:"endpoint"`
+	Holder   string `log:"holder"`
+	Again    bool   `log:"again"`
+}
+
+// Def implements Event.
+func (RequestMisplaced) Def() Def {
+	return Def{726, "request_misplaced", log.InfoLevel, "The holder placed a request at an endpoint that, as this VM knows, has left; again says whether it is placed once more."}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -20,6 +20,9 @@
 	// retryShortly is when a caller comes back that found the VM without a
 	// configuration or a service without an endpoint.
 	retryShortly = 500 * time.Millisecond
+	// maxMisplacements bounds the placements of one request at endpoints that have
+	// left.
+	maxMisplacements = 3
 )
 
 // exchange is one request of a caller and all that is done for it.
@@ -49,8 +52,10 @@
 	// failure is an endpoint's own failure, which is delivered where no other
 	// endpoint serves the request.
 	failure *answer
-	// reservations is the number of failed reservations.
-	reservations int
+	// reservations is the number of failed reservations, and misplacements that of
+	// placements at endpoints that have left.
+	reservations  int
+	misplacements int
 
 	// status, code, endpoint and first are for the log.
 	status   int
@@ -134,10 +139,8 @@
 	}
 	entry, ok := x.gateway.cfg.Directory.Entry(placed.Endpoint)
 	if !ok || entry.State != directory.Ready {
-		// It left while the answer was on its way.
 		x.gateway.cfg.Placer.Finished(job.ID, dispatch.Rejected, "")
-		x.avoid = append(x.avoid, placed.Endpoint)
-		return true
+		return x.misplaced(ctx, placed)
 	}
 	grant, err := x.reserve(ctx, job.ID, placed)
 	if err != nil {
@@ -158,6 +161,21 @@
 	return x.conclude(ctx, entry, result)
 }
 
+// misplaced places a request again that got an endpoint which has left, a few
+// times: the holder may not know yet.
+func (x *exchange) misplaced(ctx context.Context, placed Placed) bool {
+	x.misplacements++
+	x.avoid = append(x.avoid, placed.Endpoint)
+	again := x.misplacements < maxMisplacements
+	x.gateway.cfg.Log.Emit(event.RequestMisplaced{
+		Request: x.call.ID, Endpoint: placed.Endpoint, Holder: placed.Holder, Again: again,
+	})
+	if !again {
+		x.unserved(ctx, retryShortly)
+	}
+	return again
+}
+
 // job describes the request for placement.
 func (x *exchange) job() dispatch.Job {
 	job := dispatch.Job{
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -147,15 +147,17 @@
 
 // world is a gateway before scripted endpoints.
 type world struct {
-	table     *routing.Table
-	entries   map[string]directory.Entry
-	order     []string
-	mu        sync.Mutex
-	jobs      []dispatch.Job
-	outcomes  []dispatch.Outcome
-	blamed    []string
-	began     int
-	refuse    *dispatch.Refusal
+	table    *routing.Table
+	entries  map[string]directory.Entry
+	order    []string
+	mu       sync.Mutex
+	jobs     []dispatch.Job
+	outcomes []dispatch.Outcome
+	blamed   []string
+	began    int
+	refuse   *dispatch.Refusal
+	// insist is the endpoint that every job gets; empty for one by the order.
+	insist    string
 	allowance float64
 	server    net.Listener
 	gateway   *Gateway
@@ -178,6 +180,9 @@
 	if w.refuse != nil {
 		return Placed{}, &RefusedError{Refusal: *w.refuse, Holder: "test"}
 	}
+	if w.insist != "" {
+		return Placed{Placement: dispatch.Placement{Job: job.ID, Endpoint: w.insist}, Holder: "test"}, ctx.Err()
+	}
 	for _, id := range w.order {
 		avoided := false
 		for _, a := range job.Avoid {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -286,6 +286,20 @@
 	require.Equal(t, "700ms", a.header.Get("Retry-After"))
 }
 
+// TestEndpointThatOnlyTheHolderKnows places a request again and again at an
+// endpoint that has left, by a holder that does not know it: the request is
+// refused soon, and truly not run.
+func TestEndpointThatOnlyTheHolderKnows(t *testing.T) {
+	w := newWorld(t)
+	w.insist = "gone"
+	a := w.call(t, "POST", "/once/", "b", nil)
+	require.Equal(t, 503, a.status)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	require.LessOrEqual(t, len(w.jobs), 4)
+}
+
 // TestStoppingEndsConnections tells callers that their connection ends.
 func TestStoppingEndsConnections(t *testing.T) {
 	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
