--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -53,7 +53,6 @@
 	told chan verdict
 	// placement is nil while the job waits.
 	placement *dispatch.Placement
-	holder    string
 	began     bool
 }
 
@@ -113,7 +112,7 @@
 func (c *Coordinator) ask(ctx context.Context, j *job) (verdict, bool, error) {
 	holder := c.holder(j.Service)
 	c.mu.Lock()
-	j.holder, j.Term = holder.VM, c.term
+	j.Term = c.term
 	c.mu.Unlock()
 	if holder.VM == c.vm {
 		c.local.submit(j.Job)
@@ -171,7 +170,7 @@
 	}
 	placement := *v.decision.Placement
 	c.mu.Lock()
-	j.placement, j.holder = &placement, v.holder
+	j.placement = &placement
 	told := note{Job: j.ID, Adopted: c.adopted(j)}
 	c.mu.Unlock()
 	if v.holder != c.vm {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -75,7 +75,7 @@
 
 // Failed counts a failure by its code.
 func (m *Metrics) Failed(code string) {
-	gometrics.GetOrRegisterCounter(failuresPrefix+code, m.Registry).Inc(1)
+	m.Counter(failuresPrefix + code).Inc(1)
 }
 
 // series returns the histograms of the pair, or those of the overflow.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -118,14 +118,18 @@
 		return
 	}
 	m.observer.Changed(news, true)
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.signal()
 }
 
 // wake answers all that wait for changes.
 func (m *Mirror) wake() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.signal()
+}
+
+// signal ends the waits for changes; the lock is held.
+func (m *Mirror) signal() {
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
