--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -126,16 +126,23 @@
 // context is what a writer's step costs at its receiver, in tokens.
 func (p *part) context() int { return p.tokens / (1 + len(p.job.Helpers)) }
 
-// began moves a part from reading to writing.
+// began moves a part from reading to writing. The first event tells when a pass
+// of the receiver ended; of its helpers it only says that they are done.
 func (p *part) began(now time.Time) {
 	if p.model == nil {
 		return
 	}
-	p.stopReading(now)
-	if p.receiver && !p.writes {
+	if !p.receiver {
+		p.stopReading(now)
+		return
+	}
+	if !p.writes {
 		p.writes = true
 		p.model.Write(now, 1, p.context())
-		p.model.Ended(now)
+	}
+	if p.reading != nil {
+		p.model.Read(now, p.reading)
+		p.reading = nil
 	}
 }
 
--- a/core/engine/model.go
+++ b/core/engine/model.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -13,11 +14,18 @@
 	// Ahead says that the part is read before those that are not, as an engine
 	// does for prompts that it helps with.
 	Ahead bool
+	// Shared says that other engines read parts of the same prompt.
+	Shared bool
 }
 
 // NewPart is the part of a prompt that each of the readers has.
 func (f *Figures) NewPart(tokens, readers int, ahead bool) *Part {
-	return &Part{Tokens: float64(tokens) / float64(readers), Ms: f.ReadMs(tokens, readers), Ahead: ahead}
+	return &Part{
+		Tokens: float64(tokens) / float64(readers),
+		Ms:     f.ReadMs(tokens, readers),
+		Ahead:  ahead,
+		Shared: readers > 1,
+	}
 }
 
 // slice is the piece of a part that is read in a pass.
@@ -37,8 +45,10 @@
 	context int
 	// parts wait to be read, or are being read, in order.
 	parts []*Part
-	// passEnd is when the pass under way ends; zero for an idle engine.
-	passEnd time.Time
+	// passStart and passEnd are when the pass under way began and ends; passEnd is
+	// zero for an idle engine.
+	passStart time.Time
+	passEnd   time.Time
 	// reading is what the pass under way reads.
 	reading []slice
 }
@@ -88,6 +98,7 @@
 		ms += s.ms
 		m.reading = append(m.reading, s)
 	}
+	m.passStart = at
 	m.passEnd = at.Add(duration(ms))
 }
 
@@ -132,16 +143,30 @@
 	}
 }
 
-// Ended corrects the model by a pass that was seen to end.
-func (m *Model) Ended(now time.Time) {
+// Read takes away a part whose prompt was seen to be read, at the end of a pass,
+// and corrects the model by that.
+func (m *Model) Read(now time.Time, p *Part) {
 	m.Advance(now)
+	ended := slices.Contains(m.parts, p) || p.Shared && m.halfOver(now)
+	m.Remove(now, p)
 	if m.passEnd.IsZero() {
 		return
 	}
-	m.finish()
+	if ended {
+		m.finish()
+	} else {
+		// The pass that ended is the one before: the model was ahead of the engine.
+		m.reading = m.reading[:0]
+	}
 	m.begin(now)
 }
 
+// halfOver reports whether the end of the pass under way is nearer than its
+// beginning.
+func (m *Model) halfOver(now time.Time) bool {
+	return !m.passEnd.IsZero() && now.Sub(m.passStart) > m.passEnd.Sub(now)
+}
+
 // Writers is the number of requests that write.
 func (m *Model) Writers() int { return m.writers }
 
@@ -159,19 +184,25 @@
 // Forecast predicts how the engine would read a part.
 func (m *Model) Forecast(now time.Time, p Part) Forecast {
 	m.Advance(now)
-	before, behind := m.pending(p.Ahead)
+	first := len(m.parts)
+	if p.Ahead {
+		first = m.ahead()
+	}
+	before := m.pending(m.parts[:first], math.Inf(1))
 	if m.writers == 0 {
 		steps := 1 + p.Tokens/float64(max(1, m.figures.ChunkTokens))
-		readMs := before + p.Ms + steps*m.figures.StepMs
+		readMs := before.ms + p.Ms + steps*m.figures.StepMs
 		return Forecast{FirstMs: m.restMs(now) + readMs, PassMs: m.figures.StepMs, WithoutMs: m.figures.StepMs}
 	}
 	base := m.figures.PassMs(m.writers, m.context)
-	passes := max(1, (m.tokensBefore(p.Ahead)+p.Tokens)/float64(max(1, m.figures.Stride)*max(1, m.figures.ChunkTokens)))
-	readMs := before + behind + p.Ms
+	budget := float64(max(1, m.figures.Stride) * max(1, m.figures.ChunkTokens))
+	passes := max(1, math.Ceil((before.tokens+p.Tokens)/budget))
+	behind := m.pending(m.parts[first:], passes*budget-before.tokens-p.Tokens)
+	readMs := before.ms + p.Ms + behind.ms
 	return Forecast{
 		FirstMs:   m.restMs(now) + passes*base + readMs,
 		PassMs:    base + readMs/passes,
-		WithoutMs: base + before + behind,
+		WithoutMs: base + m.pending(m.parts, budget).ms,
 	}
 }
 
@@ -183,45 +214,36 @@
 	return max(0, float64(m.passEnd.Sub(now))/float64(time.Millisecond))
 }
 
-// pending is the reading in ms that is not part of the pass under way: before
-// and behind a new part.
-func (m *Model) pending(ahead bool) (before, behind float64) {
-	first := len(m.parts)
-	if ahead {
-		first = m.ahead()
-	}
-	for i, p := range m.parts {
-		if i < first {
-			before += p.Ms
-		} else {
-			behind += p.Ms
+// pending is what the passes after the one under way read of the parts, up to a
+// number of tokens.
+func (m *Model) pending(parts []*Part, budget float64) slice {
+	var sum slice
+	for _, p := range parts {
+		left := m.afterPass(p)
+		if left.tokens <= 0 {
+			continue
 		}
-	}
-	for _, s := range m.reading {
-		if slices.Index(m.parts, s.part) < first {
-			before -= s.ms
-		} else {
-			behind -= s.ms
+		if left.tokens > budget {
+			left.ms *= budget / left.tokens
+			left.tokens = budget
 		}
+		sum.tokens += left.tokens
+		sum.ms += left.ms
+		budget -= left.tokens
 	}
-	return max(0, before), max(0, behind)
+	return sum
 }
 
-// tokensBefore is the number of tokens that are read before a new part, beside
-// those of the pass under way.
-func (m *Model) tokensBefore(ahead bool) float64 {
-	tokens := 0.0
-	for _, p := range m.parts {
-		if !ahead || p.Ahead {
-			tokens += p.Tokens
-		}
-	}
+// afterPass is what the pass under way leaves of a part.
+func (m *Model) afterPass(p *Part) slice {
+	left := slice{part: p, tokens: p.Tokens, ms: p.Ms}
 	for _, s := range m.reading {
-		if !ahead || s.part.Ahead {
-			tokens -= s.tokens
+		if s.part == p {
+			left.tokens -= s.tokens
+			left.ms -= s.ms
 		}
 	}
-	return max(0, tokens)
+	return left
 }
 
 // ReadingMs is the time of all reading that is still to be done.
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -132,12 +132,16 @@
 
 // RequestPlaced is written when a request gets an endpoint.
 type RequestPlaced struct {
-	Request  string        `log:"request"`
-	Attempt  int           `log:"attempt"`
-	Endpoint string        `log:"endpoint"`
-	Helpers  int           `log:"helpers"`
-	Holder   string        `log:"holder"`
-	Waited   time.Duration `log:"waited"`
+	Request  string `log:"request"`
+	Attempt  int    `log:"attempt"`
+	Endpoint string `log:"endpoint"`
+	// Helpers are the IDs of the endpoints that read parts of the prompt,
+	// separated by commas.
+	Helpers string `log:"helpers"`
+	// Prompt is the length of the prompt in tokens; 0 for a plain service.
+	Prompt int           `log:"prompt"`
+	Holder string        `log:"holder"`
+	Waited time.Duration `log:"waited"`
 	// Predicted is when the first event was expected, from the placement on.
 	Predicted time.Duration `log:"predicted"`
 }
@@ -191,13 +195,14 @@
 	Status       int           `log:"status"`
 	Code         string        `log:"code"`
 	First        time.Duration `log:"first"`
+	Pause        time.Duration `log:"pause"`
 	Took         time.Duration `log:"took"`
 	Events       int           `log:"events"`
 }
 
 // Def implements Event.
 func (RequestEnded) Def() Def {
-	return Def{713, "request_ended", log.InfoLevel, "A request ended; code is empty where an endpoint's answer was delivered."}
+	return Def{713, "request_ended", log.InfoLevel, "A request ended; code is empty where an endpoint's answer was delivered. first is the time to a stream's first event, and pause the longest between two of its events."}
 }
 
 // HolderChanged is written when another VM places the requests of this one.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -153,8 +153,8 @@
 		x.gateway.cfg.Metrics.Queueing(x.organisation, x.route.Name, time.Since(x.arrived))
 	}
 	x.gateway.cfg.Log.Emit(event.RequestPlaced{
-		Request: x.call.ID, Attempt: x.sends, Endpoint: entry.ID, Helpers: len(placed.Helpers),
-		Holder: placed.Holder, Waited: time.Since(x.arrived), Predicted: placed.Predicted,
+		Request: x.call.ID, Attempt: x.sends, Endpoint: entry.ID, Helpers: strings.Join(placed.Helpers, ","),
+		Prompt: job.Prompt, Holder: placed.Holder, Waited: time.Since(x.arrived), Predicted: placed.Predicted,
 	})
 	result := x.send(ctx, job.ID, entry, x.helpers(placed, grant))
 	x.gateway.cfg.Placer.Finished(job.ID, result.outcome, result.blamed)
@@ -316,7 +316,7 @@
 func (x *exchange) logEnd() {
 	e := event.RequestEnded{
 		Request: x.call.ID, Service: x.service, Organisation: x.organisation, Endpoint: x.endpoint,
-		Attempts: x.sends, Status: x.status, Code: string(x.code), First: x.first,
+		Attempts: x.sends, Status: x.status, Code: string(x.code), First: x.first, Pause: x.stream.longest,
 		Took: time.Since(x.arrived), Events: x.stream.events,
 	}
 	if x.route != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -34,7 +34,9 @@
 	lastEvent string
 	// lastAt is when it was delivered.
 	lastAt time.Time
-	events int
+	// longest is the longest time between two deliveries.
+	longest time.Duration
+	events  int
 }
 
 // EventError says that an event is longer than any may be.
@@ -129,7 +131,9 @@
 func (x *exchange) notePause() {
 	now := time.Now()
 	if !x.stream.lastAt.IsZero() {
-		x.gateway.cfg.Metrics.BetweenTokens(x.organisation, x.route.Name).Record(now.Sub(x.stream.lastAt))
+		pause := now.Sub(x.stream.lastAt)
+		x.stream.longest = max(x.stream.longest, pause)
+		x.gateway.cfg.Metrics.BetweenTokens(x.organisation, x.route.Name).Record(pause)
 	}
 	x.stream.lastAt = now
 }
