Keep the requests of VMs that stop in the holder's view

Cause: a VM that leaves was taken out of the holders' list of live VMs, so the holder forgot its requests, which fill slots for up to the grace time; the leaving VM went on to ask itself, and no other holder learnt of what it had placed. Change: members carry whether they leave; those that leave keep their jobs and get grants, and hold nothing where another VM stays.

--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -39,6 +39,13 @@
 	Address string
 	// Incarnation tells one start of the VM from another.
 	Incarnation int64
+	// Leaving says that the VM stops: it finishes what it has, and holds nothing.
+	Leaving bool
+}
+
+// same reports whether both are one start of one VM.
+func (m Member) same(other Member) bool {
+	return m.VM == other.VM && m.Incarnation == other.Incarnation && m.Address == other.Address
 }
 
 // verdict is what a waiting request is told.
--- a/internal/coordination/coordinator_test.go
+++ b/internal/coordination/coordinator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -256,3 +257,78 @@
 	r := dispatch.Decision{Refusal: &dispatch.Refusal{Job: "1", Reason: dispatch.ReasonTooLate, RetryAfter: time.Second}}
 	require.Equal(t, r, encodeDecision(r).decision())
 }
+
+// announce tells all VMs of the members, of which the given ones leave.
+func announce(vms map[string]*vm, leaving ...*vm) {
+	list := make([]Member, 0, len(vms))
+	for i, name := range []string{"a", "b", "c"} {
+		v := vms[name]
+		list = append(list, Member{
+			VM: name, Address: v.server.Addr(), Incarnation: int64(i + 1), Leaving: slices.Contains(leaving, v),
+		})
+	}
+	for _, v := range vms {
+		v.SetMembers(list)
+	}
+}
+
+// A VM that stops still has requests at endpoints, whose slots are not free.
+func TestJobsOfALeavingVMAreCountedUntilTheyEnd(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 1)
+	holder := holderOf(vms)
+	leaving := other(vms, holder)
+	leaving.place(t, "1")
+	announce(vms, leaving)
+	require.Equal(t, holder.name, leaving.place(t, "2").Holder)
+	_, placed := holder.counts()
+	require.Equal(t, 2, placed)
+	leaving.Finished("1", dispatch.Served, "")
+	require.Eventually(t, func() bool { _, placed := holder.counts(); return placed == 1 }, 5*time.Second, time.Millisecond)
+}
+
+// A holder that stops hands over what it and the others have in flight, and asks
+// the next holder like them.
+func TestLeavingHolderHandsOverAndAsksTheNext(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 3)
+	leaving := holderOf(vms)
+	one := other(vms, leaving)
+	leaving.place(t, "1")
+	one.place(t, "2")
+	announce(vms, leaving)
+	next := vms[one.holder("s").VM]
+	require.NotEqual(t, leaving, next)
+	require.Equal(t, next.name, leaving.place(t, "3").Holder)
+	require.Eventually(t, func() bool { _, placed := next.counts(); return placed == 3 }, 5*time.Second, time.Millisecond)
+}
+
+// A request that waits at the holder while its VM stops still gets its place.
+func TestQueuedJobOfALeavingVMIsGranted(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 1)
+	holder := holderOf(vms)
+	leaving := other(vms, holder)
+	holder.place(t, "1")
+	holder.place(t, "2")
+	done := make(chan gateway.Placed, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if p, err := leaving.Place(ctx, someJob("3", leaving)); err == nil {
+			done <- p
+		}
+	}()
+	require.Eventually(t, func() bool { waiting, _ := holder.counts(); return waiting == 1 }, 5*time.Second, time.Millisecond)
+	announce(vms, leaving)
+	waiting, _ := holder.counts()
+	require.Equal(t, 1, waiting)
+	holder.Finished("1", dispatch.Served, "")
+	require.Equal(t, "e0", (<-done).Endpoint)
+}
+
+// Where all VMs stop, their requests are still placed with one view.
+func TestAllVMsLeave(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 3)
+	announce(vms, vms["a"], vms["b"], vms["c"])
+	holder := vms["a"].place(t, "1").Holder
+	require.Equal(t, holder, vms["b"].place(t, "2").Holder)
+	require.Equal(t, holder, vms["c"].place(t, "3").Holder)
+}
--- a/internal/coordination/holders.go
+++ b/internal/coordination/holders.go
@@ -24,7 +24,8 @@
 
 // holders chooses the holder of each group among the live VMs.
 type holders struct {
-	vm     string
+	vm string
+	// live are the VMs that may have requests in flight, also those that leave.
 	live   map[string]Member
 	absent map[string]absence
 	// last are the holders of the groups that were asked for.
@@ -76,20 +77,37 @@
 	return h.live[h.ring.Lookup(group)]
 }
 
+// build makes the ring of the VMs that may hold: those that stay, or, where none
+// stays, those that leave.
 func (h *holders) build(now time.Time) {
 	h.ringUntil = time.Time{}
-	names := make([]string, 0, len(h.live))
-	for vm := range h.live {
-		a, absent := h.absent[vm]
-		if absent && now.Before(a.until) && vm != h.vm {
-			if h.ringUntil.IsZero() || a.until.Before(h.ringUntil) {
-				h.ringUntil = a.until
-			}
-			continue
+	var staying, leaving []string
+	for vm, m := range h.live {
+		switch {
+		case h.passedOver(now, vm):
+		case m.Leaving:
+			leaving = append(leaving, vm)
+		default:
+			staying = append(staying, vm)
 		}
-		names = append(names, vm)
 	}
-	h.ring = rendezvous.New(names, xxhash.Sum64String)
+	if len(staying) == 0 {
+		staying = leaving
+	}
+	h.ring = rendezvous.New(staying, xxhash.Sum64String)
+}
+
+// passedOver reports whether a VM is not asked for now, and has the ring made anew
+// when it is again.
+func (h *holders) passedOver(now time.Time, vm string) bool {
+	a, absent := h.absent[vm]
+	if !absent || vm == h.vm || !now.Before(a.until) {
+		return false
+	}
+	if h.ringUntil.IsZero() || a.until.Before(h.ringUntil) {
+		h.ringUntil = a.until
+	}
+	return true
 }
 
 // lost notes that a VM did not answer; refused says that there is nobody. It
@@ -123,7 +141,7 @@
 	defer c.mu.Unlock()
 	m := c.holders.of(time.Now(), service)
 	was, known := c.holders.last[service]
-	if was == m {
+	if was.same(m) {
 		return m
 	}
 	c.holders.last[service] = m
--- a/internal/coordination/sender.go
+++ b/internal/coordination/sender.go
@@ -40,7 +40,7 @@
 // senderLocked is sender with the lock held.
 func (c *Coordinator) senderLocked(to Member) *sender {
 	s := c.senders[to.VM]
-	if s == nil || s.to != to {
+	if s == nil || !s.to.same(to) {
 		s = &sender{to: to, peers: c.peers, lost: c.lost}
 		c.senders[to.VM] = s
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -189,6 +189,7 @@
 func (m *members) leave() {
 	m.cancel()
 	m.service.Leave()
+	m.entry.tellMembers()
 	<-m.registered
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -89,15 +89,21 @@
 	}
 }
 
-// tellMembers hands on who lives.
+// tellMembers hands on who lives, and who of them leaves.
 func (e *Entry) tellMembers() {
-	live := e.members.service.Live()
-	list := make([]coordination.Member, 0, len(live))
-	for _, r := range live {
-		list = append(list, coordination.Member{VM: r.ID, Address: r.Address, Incarnation: r.Incarnation})
+	var live, staying []coordination.Member
+	for _, r := range e.members.service.Records() {
+		if r.Status == membership.StatusDead {
+			continue
+		}
+		m := coordination.Member{VM: r.ID, Address: r.Address, Incarnation: r.Incarnation, Leaving: r.Leaving}
+		live = append(live, m)
+		if !m.Leaving {
+			staying = append(staying, m)
+		}
 	}
-	e.parts.Coordinator.SetMembers(list)
-	e.watchers.set(list)
+	e.parts.Coordinator.SetMembers(live)
+	e.watchers.set(staying)
 }
 
 func (e *Entry) addressOf(vm string) (string, bool) {
