--- a/core/engine/model.go
+++ b/core/engine/model.go
@@ -152,15 +152,22 @@
 	if m.passEnd.IsZero() {
 		return
 	}
-	if ended {
-		m.finish()
-	} else {
+	if !ended {
 		// The pass that ended is the one before: the model was ahead of the engine.
 		m.reading = m.reading[:0]
 	}
+	m.dropUnread(now)
+	m.finish()
 	m.begin(now)
 }
 
+// dropUnread takes out of the pass under way, which ends now, what it had no time
+// to read: those parts came too late for it.
+func (m *Model) dropUnread(now time.Time) {
+	elapsedMs := float64(now.Sub(m.passStart)) / float64(time.Millisecond)
+	m.reading = slices.DeleteFunc(m.reading, func(s slice) bool { return s.ms > elapsedMs })
+}
+
 // halfOver reports whether the end of the pass under way is nearer than its
 // beginning.
 func (m *Model) halfOver(now time.Time) bool {
