Leave an engine alone whose first event is overdue

Change: by as much as a first event is overdue, beyond 100 ms, the engine's first events are expected later.

--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -56,6 +56,9 @@
 	// RoomyLoad is the part of the engines' time up to which long prompts don't
 	// get into each other's way.
 	RoomyLoad float64
+	// OverdueSlack is how late a first event is before its endpoint counts as
+	// overdue.
+	OverdueSlack time.Duration
 	// FullFor is how long an endpoint that rejected a request gets no work, and
 	// SuspectFor one that failed; it doubles with each further time in a row up
 	// to MaxSuspectFor.
@@ -87,6 +90,7 @@
 		RateWindow:       time.Second,
 		LongWindow:       3 * time.Second,
 		RoomyLoad:        0.2,
+		OverdueSlack:     100 * time.Millisecond,
 		FullFor:          150 * time.Millisecond,
 		SuspectFor:       500 * time.Millisecond,
 		MaxSuspectFor:    8 * time.Second,
--- a/core/dispatch/cost.go
+++ b/core/dispatch/cost.go
@@ -33,7 +33,7 @@
 	if interactive[e.ID] {
 		harm += d.arrivalHarm(now, e, f.PassMs, len(interactive))
 	}
-	return harm, f.FirstMs
+	return harm, f.FirstMs + d.overdueMs(now, e)
 }
 
 // lateness is the share of a job's worth that is lost with a first event after
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -95,6 +95,7 @@
 		d.queue = slices.Delete(d.queue, i, i+1)
 	}
 	pl := d.enter(now, &job, p)
+	pl.predicted = now.Add(p.Predicted)
 	if began {
 		d.begin(now, pl)
 	}
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -318,3 +318,20 @@
 	m.Advance(at(10 + 30))
 	require.InDelta(t, 0, m.ReadingMs(at(40)), 0.01)
 }
+
+// An engine whose first event is overdue does something that the model doesn't
+// know of; what comes meanwhile goes elsewhere, and comes back with the event.
+func TestEngineThatIsOverdueIsLeftAlone(t *testing.T) {
+	d := fleet(3, 0)
+	first := placedAt(t, d, start, prompt("1", 5000, start))
+	late := at(600)
+	for _, id := range []string{"2", "3", "4", "5"} {
+		require.NotEqual(t, first.Endpoint, placedAt(t, d, late, prompt(id, 5000, late)).Endpoint)
+	}
+	d.Began(late, "1")
+	seen := map[string]bool{}
+	for _, id := range []string{"6", "7", "8", "9", "10", "11", "12"} {
+		seen[placedAt(t, d, late, prompt(id, 5000, late)).Endpoint] = true
+	}
+	require.True(t, seen[first.Endpoint])
+}
