Read shared parts newest first in the model, and charge what a prompt delays

Cause: an engine reads a part of a prompt that several engines share before all that it has, also before such parts that came earlier; the model took them in their order. Ruled out: preempted requests (none), a slow engine (the last ones had no engine in common that later ones did without). Change: the model's order; a placement costs what it delays those that are still being read, by the same measure as its own delay, and moves when they are expected.

--- a/core/dispatch/cost.go
+++ b/core/dispatch/cost.go
@@ -5,9 +5,9 @@
 // weigh fills in the choice's prediction and cost.
 func (d *Dispatcher) weigh(now time.Time, job *Job, c *choice, interactive map[string]bool) {
 	readers := 1 + len(c.helpers)
-	c.harm, c.firstMs = d.weighPart(now, job, c.receiver, readers, false, interactive)
+	c.harm, c.firstMs = d.weighPart(now, job, c.receiver, readers, interactive)
 	for _, h := range c.helpers {
-		harm, first := d.weighPart(now, job, h, readers, true, interactive)
+		harm, first := d.weighPart(now, job, h, readers, interactive)
 		c.harm += harm
 		c.firstMs = max(c.firstMs, first)
 	}
@@ -19,15 +19,15 @@
 
 // weighPart is the harm that one part of the job does at an engine, and when it
 // would be read.
-func (d *Dispatcher) weighPart(now time.Time, job *Job, e *endpoint, readers int, ahead bool, interactive map[string]bool) (harm, firstMs float64) {
-	part := e.engine.NewPart(job.Prompt, readers, ahead)
+func (d *Dispatcher) weighPart(now time.Time, job *Job, e *endpoint, readers int, interactive map[string]bool) (harm, firstMs float64) {
+	part := e.engine.NewPart(job.Prompt, readers)
 	f := e.model.Forecast(now, *part)
 	for _, p := range e.parts {
 		if p.receiver {
 			harm += d.pauseHarm(p.job, f.WithoutMs, f.PassMs)
 		}
 		if !p.job.began {
-			harm += d.delayHarm(p.job, part.Ms)
+			harm += d.delayHarm(now, p.job, part.Ms)
 		}
 	}
 	if interactive[e.ID] {
@@ -61,11 +61,25 @@
 }
 
 // delayHarm is what a job that is still being read loses when it is delayed.
-func (d *Dispatcher) delayHarm(p *placed, byMs float64) float64 {
-	if p.Due.IsZero() || !p.predicted.Before(p.Due) || p.predicted.Add(fromMs(byMs)).Before(p.Due) {
-		return 0
-	}
-	return d.worth(&p.Job) * d.cfg.LateLoss
+func (d *Dispatcher) delayHarm(now time.Time, p *placed, byMs float64) float64 {
+	firstMs := max(0, ms(p.predicted.Sub(now)))
+	return d.worth(&p.Job) * (d.lateness(now, &p.Job, firstMs+byMs) - d.lateness(now, &p.Job, firstMs))
+}
+
+// postpone expects the first events of the jobs later that the engines of a new
+// one are reading: each by what the new one adds to it at one engine, which is the
+// same at all.
+func (d *Dispatcher) postpone(job *placed) {
+	delayed := make(map[*placed]bool)
+	d.eachPart(job, func(e *endpoint, own *part) {
+		for _, p := range e.parts {
+			if p == own || p.job.began || delayed[p.job] || own.reading == nil {
+				continue
+			}
+			delayed[p.job] = true
+			p.job.predicted = p.job.predicted.Add(fromMs(own.reading.Ms))
+		}
+	})
 }
 
 // arrivalHarm is what the light jobs lose that come to one of n engines during a
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -308,13 +308,13 @@
 	f := &engine.Figures{Slots: 4, MemoryTokens: 1000, Stride: 10, ChunkTokens: 100, StepMs: 1, ReadTokensPerMs: 10}
 	m := engine.NewModel(f)
 	m.Write(start, 1, 0)
-	first := m.Forecast(at(4), *f.NewPart(200, 1, false))
+	first := m.Forecast(at(4), *f.NewPart(200, 1))
 	require.InDelta(t, 6+10+20, first.FirstMs, 0.01, "the rest of the pass, and the next one with the part")
 	require.InDelta(t, 30, first.PassMs, 0.01)
 	require.InDelta(t, 10, first.WithoutMs, 0.01)
-	m.Add(at(4), f.NewPart(200, 1, false))
+	m.Add(at(4), f.NewPart(200, 1))
 	require.InDelta(t, 20, m.ReadingMs(at(4)), 0.01)
-	require.InDelta(t, 6+10+20+10, m.Forecast(at(4), *f.NewPart(100, 1, true)).FirstMs, 0.01)
+	require.InDelta(t, 6+10+20+10, m.Forecast(at(4), *f.NewPart(100, 1)).FirstMs, 0.01)
 	m.Advance(at(10 + 30))
 	require.InDelta(t, 0, m.ReadingMs(at(40)), 0.01)
 }
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -115,7 +115,7 @@
 	switch {
 	case e.model == nil:
 	case !p.job.began:
-		p.reading = e.engine.NewPart(p.job.Prompt, 1+len(p.job.Helpers), !p.receiver)
+		p.reading = e.engine.NewPart(p.job.Prompt, 1+len(p.job.Helpers))
 		e.model.Add(now, p.reading)
 	case p.receiver:
 		p.writes = true
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -89,6 +89,7 @@
 	}
 	decision := d.place(now, job, p)
 	d.placed[job.ID].predicted = now.Add(p.Predicted)
+	d.postpone(d.placed[job.ID])
 	return decision
 }
 
@@ -184,7 +185,7 @@
 		if e.helped >= e.Slots || e.model.ReadingMs(now) > most {
 			continue
 		}
-		harm, first := d.weighPart(now, job, e, usualReaders, true, interactive)
+		harm, first := d.weighPart(now, job, e, usualReaders, interactive)
 		list = append(list, reader{e, interactive[e.ID], harm, first})
 	}
 	slices.SortStableFunc(list, func(a, b reader) int {
--- a/core/engine/model.go
+++ b/core/engine/model.go
@@ -11,19 +11,16 @@
 	// Tokens and Ms are what is left to read, and the time that it takes.
 	Tokens float64
 	Ms     float64
-	// Ahead says that the part is read before those that are not, as an engine
-	// does for prompts that it helps with.
-	Ahead bool
-	// Shared says that other engines read parts of the same prompt.
+	// Shared says that other engines read parts of the same prompt. An engine
+	// reads such a part before all that it got earlier.
 	Shared bool
 }
 
 // NewPart is the part of a prompt that each of the readers has.
-func (f *Figures) NewPart(tokens, readers int, ahead bool) *Part {
+func (f *Figures) NewPart(tokens, readers int) *Part {
 	return &Part{
 		Tokens: float64(tokens) / float64(readers),
 		Ms:     f.ReadMs(tokens, readers),
-		Ahead:  ahead,
 		Shared: readers > 1,
 	}
 }
@@ -105,24 +102,18 @@
 // Add gives the engine a part to read.
 func (m *Model) Add(now time.Time, p *Part) {
 	m.Advance(now)
-	at := len(m.parts)
-	if p.Ahead {
-		at = m.ahead()
-	}
-	m.parts = slices.Insert(m.parts, at, p)
+	m.parts = slices.Insert(m.parts, m.place(p), p)
 	if m.passEnd.IsZero() {
 		m.begin(now)
 	}
 }
 
-// ahead is the number of parts before which a part that is read ahead does not
-// go.
-func (m *Model) ahead() int {
-	n := slices.IndexFunc(m.parts, func(p *Part) bool { return !p.Ahead })
-	if n < 0 {
-		return len(m.parts)
+// place is the number of parts that are read before a new one.
+func (m *Model) place(p *Part) int {
+	if p.Shared {
+		return 0
 	}
-	return n
+	return len(m.parts)
 }
 
 // Remove takes a part away, whether it was read or not.
@@ -191,10 +182,7 @@
 // Forecast predicts how the engine would read a part.
 func (m *Model) Forecast(now time.Time, p Part) Forecast {
 	m.Advance(now)
-	first := len(m.parts)
-	if p.Ahead {
-		first = m.ahead()
-	}
+	first := m.place(&p)
 	before := m.pending(m.parts[:first], math.Inf(1))
 	if m.writers == 0 {
 		steps := 1 + p.Tokens/float64(max(1, m.figures.ChunkTokens))
