Let a long prompt wait while the choice at hand would make it late

Change: what a choice costs the prompt itself against all engines at once counts when it is weighed against waiting, and half the goal forces only a choice that is on time. As many readers count as the pool has engines. The simulation reads shared parts newest first, like the engines.

--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -36,8 +36,8 @@
 	// same for prompts that are late already.
 	MaxBacklogMs  float64
 	LateBacklogMs float64
-	// HoldShare is the share of its worth that a placement may cost before the
-	// request rather waits for a better one.
+	// HoldShare is the share of its worth that a placement may cost others, and
+	// itself against the best that could be, before the request rather waits.
 	HoldShare float64
 	// DelayWeight is the share of its worth that a request loses when its first
 	// event comes just at its goal rather than at once.
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -85,7 +85,7 @@
 			return rankLightLate
 		}
 		return rankLight
-	case j.Due.IsZero() || now.Add(fromMs(f.ReadMs(j.Prompt, d.cfg.MaxReaders))).Before(j.Due):
+	case j.Due.IsZero() || now.Add(fromMs(d.leastReadMs(j))).Before(j.Due):
 		return rankOnTime
 	}
 	return rankLate
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -335,3 +335,22 @@
 	}
 	require.True(t, seen[first.Endpoint])
 }
+
+// A long prompt that finds one engine free, which would make it late, waits for
+// more of them as long as it can still be on time.
+func TestLongPromptWaitsForEnginesEnoughToBeOnTime(t *testing.T) {
+	d := fleet(4, 0)
+	for _, id := range []string{"ea", "eb", "ec"} {
+		d.Adopt(start, prompt(id, 150000, start), Placement{Job: id, Endpoint: id}, false)
+	}
+	d.Submit(start, prompt("long", 260000, start))
+	require.Empty(t, d.Decide(start))
+	require.Empty(t, d.Decide(at(1600)))
+	for _, id := range []string{"ea", "eb", "ec"} {
+		d.Finished(at(1650), id, Served, "")
+	}
+	decisions := d.Decide(at(1650))
+	require.Len(t, decisions, 1)
+	require.NotNil(t, decisions[0].Placement)
+	require.Len(t, decisions[0].Placement.Helpers, 3)
+}
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -55,6 +55,17 @@
 	require.Greater(t, r.worth, days(1.2, false, true).worth)
 }
 
+// TestLongPromptsWhenAllEnginesRead asks for nearly as much reading as the engines
+// have time for. Long prompts that each take one engine for seconds are late
+// then, while the same work one after the other, each read by many, is not: most
+// of what they are worth is earned.
+func TestLongPromptsWhenAllEnginesRead(t *testing.T) {
+	for _, shortFirst := range []bool{true, false} {
+		r := days(1.1, shortFirst, false)
+		require.Greater(t, r.kinds["long"], 0.6)
+	}
+}
+
 // TestEveryJobIsDecided plays an overload and checks that no prompt is left
 // without an end, and that nothing stays booked.
 func TestEveryJobIsDecided(t *testing.T) {
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -41,21 +41,45 @@
 	if late {
 		worth *= 1 - d.cfg.LateLoss
 	}
-	if best.harm <= d.cfg.HoldShare*worth {
+	regret := best.harm
+	if !late && !light {
+		regret += worth * d.lateFor(now, job, best.firstMs)
+	}
+	if regret <= d.cfg.HoldShare*worth {
 		return d.placeChoice(now, job, best), true
 	}
-	if now.Sub(job.Arrived) > job.Due.Sub(job.Arrived)/2 && best.harm < worth {
+	if best.harm < worth && d.isPressing(now, job, best) {
 		return d.placeChoice(now, job, best), true
 	}
 	d.held = d.held || !late
 	return d.hold(now, job)
 }
 
+// lateFor is the share of a job's worth that it loses against being read by all
+// engines at once.
+func (d *Dispatcher) lateFor(now time.Time, job *Job, firstMs float64) float64 {
+	return d.lateness(now, job, firstMs) - d.lateness(now, job, d.leastReadMs(job))
+}
+
+// isPressing reports whether a job has waited for half the time to its goal, and
+// the choice is still on time: a better one may come too late.
+func (d *Dispatcher) isPressing(now time.Time, job *Job, c choice) bool {
+	half := now.Sub(job.Arrived) > job.Due.Sub(job.Arrived)/2
+	return half && now.Add(fromMs(c.firstMs)).Before(job.Due)
+}
+
+// leastReadMs is the time in which as many engines as there may be read a prompt
+// together.
+func (d *Dispatcher) leastReadMs(job *Job) float64 {
+	readers := min(d.cfg.MaxReaders, max(1, len(d.pools[job.Service])))
+	return d.services[job.Service].ReadMs(job.Prompt, readers)
+}
+
 // hold lets a job wait as long as it can still be answered.
 func (d *Dispatcher) hold(now time.Time, job *Job) (Decision, bool) {
 	f := d.services[job.Service]
 	answerMs := float64(f.Events(job.Answer)) * f.PassMs(1, 0)
-	least := fromMs(f.ReadMs(job.Prompt, d.cfg.MaxReaders)+answerMs) + d.cfg.QueueMargin
+	least := fromMs(d.leastReadMs(job)+answerMs) + d.cfg.QueueMargin
 	if now.Add(least).After(job.Deadline) {
 		return refuse(job, ReasonTooLate, refusedAgain), true
 	}
--- a/core/dispatch/sim_test.go
+++ b/core/dispatch/sim_test.go
@@ -93,7 +93,6 @@
 	job    *simJob
 	tokens float64
 	costMs float64
-	helper bool
 }
 
 // simEngine works in passes.
@@ -273,14 +272,13 @@
 	f := s.order[0].f
 	j.parts = len(ids)
 	j.placedMs = s.now
-	for i, id := range ids {
+	for _, id := range ids {
 		e := s.engines[id]
-		part := &simPart{job: j, tokens: float64(j.prompt) / float64(len(ids)), costMs: f.ReadMs(j.prompt, len(ids)), helper: i > 0}
+		part := &simPart{job: j, tokens: float64(j.prompt) / float64(len(ids)), costMs: f.ReadMs(j.prompt, len(ids))}
 		at := len(e.reads)
-		if part.helper {
-			for at = 0; at < len(e.reads) && e.reads[at].helper; at++ {
-				continue
-			}
+		if len(ids) > 1 {
+			// A part of a shared prompt goes before all others.
+			at = 0
 		}
 		e.reads = slices.Insert(e.reads, at, part)
 		j.engines = append(j.engines, e)
