Price reading from the first load on

RoomyLoad kept the price at nothing up to a fifth of the engines' time; the square of the load does the same. One field less.

--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -53,9 +53,6 @@
 	RateWindow time.Duration
 	// LongWindow is the same for the reading of long prompts, which are fewer.
 	LongWindow time.Duration
-	// RoomyLoad is the part of the engines' time up to which long prompts don't
-	// get into each other's way.
-	RoomyLoad float64
 	// OverdueSlack is how late a first event is before its endpoint counts as
 	// overdue.
 	OverdueSlack time.Duration
@@ -89,7 +86,6 @@
 		LookInterval:     10 * time.Millisecond,
 		RateWindow:       time.Second,
 		LongWindow:       3 * time.Second,
-		RoomyLoad:        0.2,
 		OverdueSlack:     100 * time.Millisecond,
 		FullFor:          150 * time.Millisecond,
 		SuspectFor:       500 * time.Millisecond,
--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -99,7 +99,7 @@
 }
 
 // readingPrice is what a ms of an engine's reading is worth to the other long
-// jobs of the job's service: nothing while there is room for all, and as much as
+// jobs of the job's service: little while there is room for all, and as much as
 // they make of it where they need all engines.
 func (d *Dispatcher) readingPrice(now time.Time, job *Job) float64 {
 	m := d.demandOf(job.Service)
@@ -112,6 +112,6 @@
 	}
 	const msOfSecond = 1000
 	load := msPerS / msOfSecond / engines
-	scarce := min(1, max(0, (load-d.cfg.RoomyLoad)/(1-d.cfg.RoomyLoad)))
+	scarce := min(1, load)
 	return worthPerS / msPerS * scarce * scarce
 }
