--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -12,6 +12,9 @@
 	GapShare float64
 	// GoalShare is the part of the goal that a predicted first event may fill.
 	GoalShare float64
+	// SafeShare is the part of the time to the last useful first event that a
+	// predicted one may fill without risk.
+	SafeShare float64
 	// LightReadMs is the longest reading time, in ms on one engine, of a prompt
 	// that counts as light.
 	LightReadMs float64
@@ -70,6 +73,7 @@
 		LateLoss:         0.75,
 		GapShare:         0.9,
 		GoalShare:        0.9,
+		SafeShare:        0.5,
 		LightReadMs:      80,
 		WritersPerEngine: 14,
 		UnreadMs:         100,
--- a/core/dispatch/cost.go
+++ b/core/dispatch/cost.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// lossOfUseless is the share of its worth that a job loses whose answer is of no
+// use: more than any other, so that a choice which is of use goes first.
+const lossOfUseless = 2
+
 // weigh fills in the choice's prediction and cost.
 func (d *Dispatcher) weigh(now time.Time, job *Job, c *choice, interactive map[string]bool) {
 	readers := 1 + len(c.helpers)
@@ -37,20 +41,47 @@
 }
 
 // lateness is the share of a job's worth that is lost with a first event after
-// so long.
+// so long: some for a late one, and all that is left as the time nears at which
+// it helps nobody.
 func (d *Dispatcher) lateness(now time.Time, job *Job, firstMs float64) float64 {
 	if job.Due.IsZero() {
 		return 0
 	}
-	goal := ms(job.Due.Sub(job.Arrived))
-	share := (ms(now.Sub(job.Arrived)) + firstMs) / max(1, goal)
+	sinceMs := ms(now.Sub(job.Arrived)) + firstMs
+	share := sinceMs / max(1, ms(job.Due.Sub(job.Arrived)))
 	loss := d.cfg.DelayWeight * min(1, share)
 	if share > d.cfg.GoalShare {
 		loss += d.cfg.LateLoss * min(1, (share-d.cfg.GoalShare)/(1-d.cfg.GoalShare))
 	}
+	if d.comesTooLate(now, job, firstMs) {
+		return lossOfUseless
+	}
+	used := sinceMs / max(1, ms(d.lastFirst(job).Sub(job.Arrived)))
+	if used > d.cfg.SafeShare {
+		loss += (1 - d.cfg.LateLoss) * (used - d.cfg.SafeShare) / (1 - d.cfg.SafeShare)
+	}
 	return loss
 }
 
+// comesTooLate reports whether a first event after so long is of no use.
+func (d *Dispatcher) comesTooLate(now time.Time, job *Job, firstMs float64) bool {
+	return now.Add(fromMs(firstMs)).After(d.lastFirst(job))
+}
+
+// lastFirst is when a job's first event is of use at the latest: before its caller
+// leaves, and early enough for the rest of the answer.
+func (d *Dispatcher) lastFirst(job *Job) time.Time {
+	f := d.services[job.Service]
+	last := job.Deadline
+	if f != nil {
+		last = last.Add(-fromMs(float64(f.Events(job.Answer)) * f.PassMs(1, 0)))
+	}
+	if !job.FirstBy.IsZero() && job.FirstBy.Before(last) {
+		return job.FirstBy
+	}
+	return last
+}
+
 // pauseHarm is what a writer loses when a pass grows from one length to another.
 func (d *Dispatcher) pauseHarm(p *placed, from, to float64) float64 {
 	limit := ms(p.Gap) * d.cfg.GapShare
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -354,3 +354,27 @@
 	require.NotNil(t, decisions[0].Placement)
 	require.Len(t, decisions[0].Placement.Helpers, 3)
 }
+
+// A late prompt isn't given to so few engines that its caller leaves before it
+// is read.
+func TestLatePromptIsReadBeforeItsCallerLeaves(t *testing.T) {
+	d := fleet(10, 0)
+	for i, id := range []string{"ea", "eb", "ec", "ed", "ee", "ef", "eg", "eh"} {
+		for n := range 6 {
+			j := prompt(id+string(rune('0'+n)), 3000+i, start)
+			d.Adopt(start, j, Placement{Job: j.ID, Endpoint: id}, true)
+		}
+	}
+	j := prompt("huge", 850000, start)
+	j.FirstBy = at(12000)
+	d.Submit(start, j)
+	now := at(5000)
+	var decisions []Decision
+	for ; len(decisions) == 0 && now.Before(at(12000)); now = now.Add(20 * time.Millisecond) {
+		decisions = d.Decide(now)
+	}
+	require.Len(t, decisions, 1)
+	if p := decisions[0].Placement; p != nil {
+		require.True(t, now.Add(p.Predicted).Before(j.FirstBy), p.Predicted)
+	}
+}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -21,6 +21,9 @@
 	Due time.Time
 	// Deadline is when its caller, or its route, gives up.
 	Deadline time.Time
+	// FirstBy is when its caller leaves if no event has come; zero for not before
+	// the deadline.
+	FirstBy time.Time
 	// Gap is the longest pause between two events that is on time.
 	Gap time.Duration
 	// Priority ranks the job; 0 is the highest.
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -37,14 +37,17 @@
 		d.held = d.held || !late && !light
 		return d.withoutRoom(now, job, pool)
 	}
-	worth := d.worth(job)
-	if late {
-		worth *= 1 - d.cfg.LateLoss
+	if d.comesTooLate(now, job, best.firstMs) {
+		return d.hold(now, job)
 	}
+	worth := d.worth(job)
 	regret := best.harm
-	if !late && !light {
+	if !light {
 		regret += worth * d.lateFor(now, job, best.firstMs)
 	}
+	if late {
+		worth *= 1 - d.cfg.LateLoss
+	}
 	if regret <= d.cfg.HoldShare*worth {
 		return d.placeChoice(now, job, best), true
 	}
@@ -77,10 +80,8 @@
 
 // hold lets a job wait as long as it can still be answered.
 func (d *Dispatcher) hold(now time.Time, job *Job) (Decision, bool) {
-	f := d.services[job.Service]
-	answerMs := float64(f.Events(job.Answer)) * f.PassMs(1, 0)
-	least := fromMs(d.leastReadMs(job)+answerMs) + d.cfg.QueueMargin
-	if now.Add(least).After(job.Deadline) {
+	least := fromMs(d.leastReadMs(job)) + d.cfg.QueueMargin
+	if now.Add(least).After(d.lastFirst(job)) {
 		return refuse(job, ReasonTooLate, refusedAgain), true
 	}
 	return Decision{}, false
--- a/core/dispatch/sim_test.go
+++ b/core/dispatch/sim_test.go
@@ -231,6 +231,7 @@
 	s.d.Submit(now, Job{
 		ID: j.id, Owner: "vm", Service: "s", Arrived: now, Due: now.Add(fromMs(j.kind.goalMs)),
 		Deadline: now.Add(fromMs(j.kind.deadline)), Gap: fromMs(j.kind.gapMs), Prompt: j.prompt, Answer: j.events * 46,
+		FirstBy: now.Add(fromMs(j.kind.patienceMs())),
 	})
 }
 
--- a/core/routing/deployment.go
+++ b/core/routing/deployment.go
@@ -53,6 +53,9 @@
 	// Gap is the longest pause between two events of a stream that is on time;
 	// zero where the route has none.
 	Gap time.Duration
+	// Patience is how long callers wait for the first event of a stream, or for the
+	// next one, before they leave; zero for as long as the request may take.
+	Patience time.Duration
 	// Priority ranks the route; 0 is the highest.
 	Priority int
 	Shares   []Share
--- a/internal/coordination/coordinator_test.go
+++ b/internal/coordination/coordinator_test.go
@@ -249,7 +249,7 @@
 	now := time.Unix(1000, 0)
 	j := dispatch.Job{
 		ID: "1", Owner: "a", Term: 5, Service: "s", Organisation: "o", Arrived: now.Add(-time.Second), Due: now.Add(time.Second),
-		Deadline: now.Add(2 * time.Second), Gap: time.Millisecond, Priority: 2, Prompt: 3, Answer: 4, Avoid: []string{"e"},
+		Deadline: now.Add(2 * time.Second), FirstBy: now.Add(1500 * time.Millisecond), Gap: time.Millisecond, Priority: 2, Prompt: 3, Answer: 4, Avoid: []string{"e"},
 	}
 	require.Equal(t, j, encodeJob(now, j).job(now, "a"))
 	d := dispatch.Decision{Placement: &dispatch.Placement{Job: "1", Endpoint: "e", Helpers: []string{"f"}, Shares: []int{7}, Predicted: time.Second}}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -25,6 +25,8 @@
 	Due          int64    `json:"d,omitempty"`
 	HasDue       bool     `json:"hd,omitempty"`
 	Deadline     int64    `json:"e"`
+	FirstBy      int64    `json:"fb,omitempty"`
+	HasFirstBy   bool     `json:"hf,omitempty"`
 	Gap          int64    `json:"g,omitempty"`
 	Priority     int      `json:"p,omitempty"`
 	Prompt       int      `json:"n,omitempty"`
@@ -41,6 +43,9 @@
 	if !j.Due.IsZero() {
 		m.HasDue, m.Due = true, j.Due.Sub(now).Microseconds()
 	}
+	if !j.FirstBy.IsZero() {
+		m.HasFirstBy, m.FirstBy = true, j.FirstBy.Sub(now).Microseconds()
+	}
 	return m
 }
 
@@ -53,6 +58,9 @@
 	if m.HasDue {
 		j.Due = now.Add(microseconds(m.Due))
 	}
+	if m.HasFirstBy {
+		j.FirstBy = now.Add(microseconds(m.FirstBy))
+	}
 	return j
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -192,12 +192,23 @@
 	if x.route.Goal > 0 {
 		job.Due = x.arrived.Add(x.route.Goal)
 	}
+	if x.route.Patience > 0 {
+		job.FirstBy = x.lastEventAt().Add(x.route.Patience)
+	}
 	if x.route.Prompts {
 		job.Prompt, job.Answer = x.call.Prompt, x.call.Answer
 	}
 	return job
 }
 
+// lastEventAt is since when the caller waits for an event.
+func (x *exchange) lastEventAt() time.Time {
+	if x.stream.lastAt.IsZero() {
+		return x.arrived
+	}
+	return x.stream.lastAt
+}
+
 // notPlaced answers a request that got no endpoint.
 func (x *exchange) notPlaced(ctx context.Context, err error) {
 	if x.r.Context().Err() != nil {
