--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -22,10 +22,15 @@
 	"cornelsaddle.example/cornelsaddle/platform"
 )
 
-var errStoreDown = errors.New("the store is down")
+var (
+	errStoreDown  = errors.New("the store is down")
+	errAnswerLost = errors.New("the store's answer was lost")
+)
 
-// memoryStore is a provider.Store in memory, which may be down.
+// memoryStore is a provider.Store in memory, which may be down, and may lose the
+// answers to the next writes that it carries out.
 type memoryStore struct {
+	loses   int
 	mu      sync.Mutex
 	rows    map[provider.Topic]map[string]provider.Row
 	version int64
@@ -100,6 +105,10 @@
 	}
 	s.rows[topic][row.Key] = row
 	s.wake()
+	if s.loses > 0 {
+		s.loses--
+		return errAnswerLost
+	}
 	return nil
 }
 
@@ -346,6 +355,48 @@
 	require.Empty(t, strings.Join(storedVMs(store), ","), "its line is gone")
 }
 
+// TestLeavingVMsRequestsStayInView stops one of two VMs under a request: the other
+// one, which holds the endpoints then, counts it until it ends.
+func TestLeavingVMsRequestsStayInView(t *testing.T) {
+	store := newMemoryStore()
+	address, _ := runner(t, 3*time.Second)
+	store.configure(t, 1, "/a/")
+	store.list(t, "i-1", address, "ready")
+	a, b := startVM(t, "a", store), startVM(t, "b", store)
+	for _, e := range []*Entry{a, b} {
+		awaitStatus(t, e.settings.Balancer, "/readyz", http.StatusOK)
+		require.Eventually(t, func() bool { return len(e.members.service.Live()) == 2 }, 20*time.Second, 10*time.Millisecond)
+	}
+	done := make(chan int, 1)
+	go func() { done <- status(t, b.settings.Callers, "/a/x") }()
+	require.Eventually(t, func() bool { return a.parts.Local.Placed()+b.parts.Local.Placed() > 0 }, 5*time.Second, time.Millisecond)
+	stopped := make(chan struct{})
+	go func() {
+		b.Stop()
+		close(stopped)
+	}()
+	require.Eventually(t, func() bool { return len(a.members.service.Live()) == 1 }, 20*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return a.parts.Local.Placed() == 1 }, 2*time.Second, time.Millisecond)
+	require.Equal(t, http.StatusOK, <-done)
+	require.Eventually(t, func() bool { return a.parts.Local.Placed() == 0 }, 5*time.Second, time.Millisecond)
+	<-stopped
+}
+
+// TestStoreThatLosesAnswers carries out a VM's first writes without an answer: the
+// VM writes its line until it is told that it stands, and drops it when it stops.
+func TestStoreThatLosesAnswers(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "/a/")
+	store.loses = 2
+	e := startVM(t, "a", store)
+	awaitStatus(t, e.settings.Balancer, "/readyz", http.StatusOK)
+	<-e.members.registered
+	require.Equal(t, []string{"a"}, storedVMs(store))
+	require.Zero(t, store.loses)
+	e.Stop()
+	require.Empty(t, storedVMs(store))
+}
+
 // TestDeadVMsLineIsDropped kills one of two VMs: the other removes its line.
 func TestDeadVMsLineIsDropped(t *testing.T) {
 	store := newMemoryStore()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -108,6 +108,28 @@
 	}
 }
 
+// TestAddressUsedAgain finds another endpoint at the address of the one that is
+// meant: it is named in the request, so that the other does not run it, and the
+// request goes on.
+func TestAddressUsedAgain(t *testing.T) {
+	for _, path := range []string{"/once/", "/safe/"} {
+		ran := 0
+		other := newEndpoint(t, func(_ int, req *http.Request, _ []byte, c net.Conn) {
+			if req.Header.Get(hExpect) == "e1" {
+				say(c, "421 Misdirected Request", hNotRun+": 1\r\n", "")
+				return
+			}
+			ran++
+			say(c, "200 OK", own, "x")
+		})
+		spare := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+		w := newWorld(t, other, spare)
+		require.Equal(t, 200, w.call(t, "POST", path, "b", nil).status, path)
+		require.Equal(t, []dispatch.Outcome{dispatch.Rejected, dispatch.Served}, w.ends())
+		require.Zero(t, ran)
+	}
+}
+
 // TestAttemptsAreBounded rejects everywhere: two sends, and an honest refusal.
 func TestAttemptsAreBounded(t *testing.T) {
 	reject := func(_ int, _ *http.Request, _ []byte, c net.Conn) {
--- a/internal/upstream/transport_test.go
+++ b/internal/upstream/transport_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // server hands each request of each connection to a script.
@@ -182,3 +183,39 @@
 	}
 	require.Zero(t, keepFor(&http.Response{Close: true}))
 }
+
+// TestSilenceEndsConnections checks that the system ends a connection whose other
+// side does not acknowledge what was sent, or does not answer probes.
+func TestSilenceEndsConnections(t *testing.T) {
+	address := server(t, func(_, _ int, _ net.Conn) {})
+	c, err := open(context.Background(), address)
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	option := func(level, name int) int {
+		value := 0
+		var failure error
+		require.NoError(t, raw.Control(func(fd uintptr) { value, failure = unix.GetsockoptInt(int(fd), level, name) }))
+		require.NoError(t, failure)
+		return value
+	}
+	require.Equal(t, int(unackedLimit.Milliseconds()), option(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT))
+	require.Equal(t, 1, option(unix.SOL_SOCKET, unix.SO_KEEPALIVE))
+	require.Equal(t, int(probeIdle.Seconds()), option(unix.IPPROTO_TCP, unix.TCP_KEEPIDLE))
+	require.Equal(t, int(probeIdle.Seconds()), option(unix.IPPROTO_TCP, unix.TCP_KEEPINTVL))
+	require.Equal(t, probeCount, option(unix.IPPROTO_TCP, unix.TCP_KEEPCNT))
+}
+
+// TestEndpointThatNeverAnswers ends the wait with the request's time; what became
+// of it is not known.
+func TestEndpointThatNeverAnswers(t *testing.T) {
+	tr, _ := newTransport(t)
+	address := server(t, func(_, _ int, _ net.Conn) {})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := tr.Send(ctx, &Request{Address: address, Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Fresh: true})
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	var unsent *UnsentError
+	require.NotErrorAs(t, err, &unsent)
+}
