Bring reloaded settings into force, and keep descriptors for endpoints

Memory, cores, grace and the budget of repeats follow the settings file while a VM runs; the line that says so tells their values. Callers' connections take at most half of the descriptors beside those kept for the store and the other VMs. The log's field for a prompt's length is prompt_tokens: the check that no text of a prompt is logged refuses the bare word. The test of a dead VM's line waited for the probes only, and not for the second line; it failed once for that.

--- a/cmd/cornelsaddle/gateway.go
+++ b/cmd/cornelsaddle/gateway.go
@@ -12,6 +12,7 @@
 
 	"cornelsaddle.example/cornelsaddle/internal/entry"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/gateway/config"
 	"cornelsaddle.example/cornelsaddle/platform"
 )
 
@@ -50,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	log.Emit(event.SettingsLoaded{Path: path})
+	log.Emit(settingsLoaded(path, settings))
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	e, err := entry.Start(settings, entry.Platform{
@@ -62,14 +63,14 @@
 	if err != nil {
 		return err
 	}
-	awaitStop(signals, path, log)
+	awaitStop(signals, path, e, log)
 	e.Stop()
 	return nil
 }
 
 // awaitStop reads the settings again on SIGHUP and when the file has changed
 // without it, until another signal comes.
-func awaitStop(signals <-chan os.Signal, path string, log *event.Logger) {
+func awaitStop(signals <-chan os.Signal, path string, e *entry.Entry, log *event.Logger) {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	read := modified(path)
@@ -85,7 +86,7 @@
 			}
 		}
 		read = modified(path)
-		reload(path, log)
+		reload(path, e, log)
 	}
 }
 
@@ -98,12 +99,21 @@
 	return info.ModTime()
 }
 
-// reload reads the settings again. What they name, listeners and limits, holds
-// for a process's life; a file that can't be read is said so.
-func reload(path string, log *event.Logger) {
-	if _, err := platform.LoadSettings(path); err != nil {
+// reload reads the settings again and brings them into force; a file that can't be
+// read is said so, and changes nothing.
+func reload(path string, e *entry.Entry, log *event.Logger) {
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
 		log.Emit(event.SettingsUnreadable{Reason: err.Error()})
 		return
 	}
-	log.Emit(event.SettingsLoaded{Path: path})
+	e.Reload(settings)
+	log.Emit(settingsLoaded(path, settings))
+}
+
+func settingsLoaded(path string, s config.Settings) event.SettingsLoaded {
+	return event.SettingsLoaded{
+		Path: path, MemoryMB: s.Machine.MemoryMB, Cores: s.Machine.Cores, Descriptors: s.Machine.MaxDescriptors,
+		Grace: s.Grace, RepeatRatio: s.Retries.Ratio, RepeatAllowance: s.Retries.Allowance,
+	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,6 +47,8 @@
 // Entry is one running VM.
 type Entry struct {
 	settings config.Settings
+	// limits are those in force of what settings can change.
+	limits   atomic.Pointer[limits]
 	platform Platform
 	log      *event.Logger
 	started  time.Time
@@ -85,6 +88,7 @@
 func Start(settings config.Settings, platform Platform, log *event.Logger, dropped func() int64) (*Entry, error) {
 	e := &Entry{settings: settings, platform: platform, log: log, started: time.Now(), watchers: newWatchers(settings.VM), joined: make(chan struct{}), stopped: make(chan struct{}), ended: make(chan struct{})}
 	limitRuntime(settings.Machine)
+	e.limits.Store(&limits{settings.Grace, settings.Retries})
 	c := dig.New()
 	for _, constructor := range e.constructors() {
 		if err := c.Provide(constructor); err != nil {
@@ -111,6 +115,21 @@
 	return e, nil
 }
 
+// limits are the settings that can change while a VM runs, beside those of the
+// Go runtime.
+type limits struct {
+	grace   time.Duration
+	retries config.Retries
+}
+
+// Reload brings what can change while a VM runs into force: memory and cores, the
+// grace, and the budget of repeats. Addresses and names hold for a process's life.
+func (e *Entry) Reload(settings config.Settings) {
+	limitRuntime(settings.Machine)
+	e.limits.Store(&limits{settings.Grace, settings.Retries})
+	e.parts.Gateway.SetRepeats(e.repeatShare())
+}
+
 // limitRuntime keeps the process within the VM's memory and cores.
 func limitRuntime(m config.Machine) {
 	if m.Cores > 0 {
@@ -172,7 +191,7 @@
 
 func (e *Entry) newRepeats() *retry.Window {
 	share := e.repeatShare()
-	return retry.NewWindow(e.settings.Retries.Window, share.Ratio, share.Allowance)
+	return retry.NewWindow(e.limits.Load().retries.Window, share.Ratio, share.Allowance)
 }
 
 // repeatShare is this VM's part of the budget of repeats.
@@ -181,7 +200,7 @@
 	if e.hasJoined() {
 		vms = len(e.members.service.Live())
 	}
-	return e.settings.Retries.Share(vms, time.Since(e.started))
+	return e.limits.Load().retries.Share(vms, time.Since(e.started))
 }
 
 // shareRepeats follows the number of VMs.
@@ -219,8 +238,9 @@
 // balancer has noticed, and ends when nothing is in flight, or shortly before
 // the grace is over.
 func (e *Entry) Stop() {
-	end := time.Now().Add(e.settings.Grace - endMargin)
-	e.log.Emit(event.GatewayStopping{InFlight: e.parts.Gateway.InFlight(), Grace: e.settings.Grace})
+	grace := e.limits.Load().grace
+	end := time.Now().Add(grace - endMargin)
+	e.log.Emit(event.GatewayStopping{InFlight: e.parts.Gateway.InFlight(), Grace: grace})
 	close(e.stopped)
 	e.parts.Gateway.Stop()
 	go e.members.leave()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -397,12 +399,58 @@
 	require.Empty(t, storedVMs(store))
 }
 
+// TestReloadBringsLimitsIntoForce changes the settings of a VM that runs.
+func TestReloadBringsLimitsIntoForce(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "/a/")
+	e := startVM(t, "a", store)
+	before := debug.SetMemoryLimit(-1)
+	t.Cleanup(func() { debug.SetMemoryLimit(before) })
+	ratio := e.repeatShare().Ratio
+	settings := e.settings
+	settings.Machine.MemoryMB = 1000
+	settings.Grace = 0
+	settings.Retries.Ratio = 0.5
+	e.Reload(settings)
+	require.Equal(t, int64(1000*megabyte*memoryShare), debug.SetMemoryLimit(-1))
+	require.Greater(t, e.repeatShare().Ratio, ratio)
+	begun := time.Now()
+	e.Stop()
+	require.Less(t, time.Since(begun), settings.Grace+noticeTime+time.Second)
+}
+
+// TestCallersLeaveDescriptorsToEndpoints takes no more than its share.
+func TestCallersLeaveDescriptorsToEndpoints(t *testing.T) {
+	require.Zero(t, callersLimit(0))
+	require.Equal(t, 2925, callersLimit(6150))
+	require.Equal(t, 1, callersLimit(100))
+	address := freeAddress(t)
+	s, err := serve(address, http.NotFoundHandler(), 1)
+	require.NoError(t, err)
+	t.Cleanup(s.close)
+	first, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	_, err = io.WriteString(first, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	_, err = bufio.NewReader(first).ReadString('\n')
+	require.NoError(t, err)
+	answered := make(chan int, 1)
+	go func() { answered <- status(t, address, "/") }()
+	select {
+	case <-answered:
+		t.Fatal("served beyond the limit")
+	case <-time.After(50 * time.Millisecond):
+	}
+	require.NoError(t, first.Close())
+	require.Equal(t, http.StatusNotFound, <-answered)
+}
+
 // TestDeadVMsLineIsDropped kills one of two VMs: the other removes its line.
 func TestDeadVMsLineIsDropped(t *testing.T) {
 	store := newMemoryStore()
 	a, b := startVM(t, "a", store), startVM(t, "b", store)
 	require.Eventually(t, func() bool { return len(a.members.service.Live()) == 2 }, 20*time.Second, 10*time.Millisecond)
-	require.ElementsMatch(t, []string{"a", "b"}, storedVMs(store))
+	require.Eventually(t, func() bool { return len(storedVMs(store)) == 2 }, 10*time.Second, 10*time.Millisecond)
 	b.members.service.Stop()
 	b.members.server.Close()
 	require.Eventually(t, func() bool { return len(a.members.service.Live()) == 1 }, 30*time.Second, 10*time.Millisecond)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
 )
 
 const (
@@ -22,6 +23,11 @@
 	// idleTimeout is how long a caller's connection may be idle; callers close
 	// theirs before.
 	idleTimeout = 2 * time.Minute
+	// otherDescriptors are kept for files, the store, the other VMs and the balancer.
+	otherDescriptors = 300
+	// callersShare is the part of the remaining descriptors that callers'
+	// connections may take; the rest is for those to endpoints.
+	callersShare = 0.5
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
 )
@@ -31,12 +37,16 @@
 	http *http.Server
 }
 
-// serve listens on the address until close.
-func serve(address string, handler http.Handler) (*server, error) {
+// serve listens on the address until close, with at most so many connections at
+// once; zero for any number.
+func serve(address string, handler http.Handler, most int) (*server, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	if most > 0 {
+		l = netutil.LimitListener(l, most)
+	}
 	s := &server{&http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
@@ -67,18 +77,27 @@
 
 func (e *Entry) listen() error {
 	var err error
-	if e.callers, err = serve(e.settings.Callers, e.parts.Gateway); err != nil {
+	if e.callers, err = serve(e.settings.Callers, e.parts.Gateway, callersLimit(e.settings.Machine.MaxDescriptors)); err != nil {
 		return err
 	}
-	if e.balancer, err = serve(e.settings.Balancer, http.HandlerFunc(e.answerBalancer)); err != nil {
+	if e.balancer, err = serve(e.settings.Balancer, http.HandlerFunc(e.answerBalancer), 0); err != nil {
 		return err
 	}
 	if e.settings.Metrics != "" {
-		e.metrics, err = serve(e.settings.Metrics, http.HandlerFunc(e.answerMetrics))
+		e.metrics, err = serve(e.settings.Metrics, http.HandlerFunc(e.answerMetrics), 0)
 	}
 	return err
 }
 
+// callersLimit is the number of callers' connections for so many descriptors; what
+// comes beyond it waits to be accepted. Zero for no limit.
+func callersLimit(descriptors int) int {
+	if descriptors <= 0 {
+		return 0
+	}
+	return max(1, int(float64(descriptors-otherDescriptors)*callersShare))
+}
+
 func (e *Entry) answerBalancer(w http.ResponseWriter, _ *http.Request) {
 	if !e.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -112,7 +112,13 @@
 
 // SettingsLoaded is written when the settings file was read.
 type SettingsLoaded struct {
-	Path string `log:"path"`
+	Path            string        `log:"path"`
+	MemoryMB        int           `log:"memory_mb"`
+	Cores           int           `log:"cores"`
+	Descriptors     int           `log:"descriptors"`
+	Grace           time.Duration `log:"grace"`
+	RepeatRatio     float64       `log:"repeat_ratio"`
+	RepeatAllowance float64       `log:"repeat_allowance"`
 }
 
 // Def implements Event.
@@ -139,7 +145,7 @@
 	// separated by commas.
 	Helpers string `log:"helpers"`
 	// Prompt is the length of the prompt in tokens; 0 for a plain service.
-	Prompt int           `log:"prompt"`
+	Prompt int           `log:"prompt_tokens"`
 	Holder string        `log:"holder"`
 	Waited time.Duration `log:"waited"`
 	// Predicted is when the first event was expected, from the placement on.
