Order the queue by priority, of the organisation or else of the route

Priorities were carried to the dispatcher and not used. Among requests of one rank the higher priority goes first; it rises while a request waits, so that none is starved. The queue's ranks are worked out once for each decision and not once for each comparison. Tests failed first (order of waiting calls).

--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -48,6 +48,9 @@
 	// ForeignSetWeight is the share of its worth that a light request pays for
 	// an engine that is meant for long reading.
 	ForeignSetWeight float64
+	// LevelsByGoal is by how many levels a queued request's priority rises in the
+	// time to its goal.
+	LevelsByGoal float64
 	// QueueMargin is kept between the predicted first event and the deadline.
 	QueueMargin time.Duration
 	// LookInterval is the time between two looks at a long prompt that waits.
@@ -86,6 +89,7 @@
 		HoldShare:        0.35,
 		DelayWeight:      0.2,
 		ForeignSetWeight: 0.2,
+		LevelsByGoal:     4,
 		QueueMargin:      150 * time.Millisecond,
 		LookInterval:     10 * time.Millisecond,
 		RateWindow:       time.Second,
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -44,18 +43,6 @@
 	return decisions
 }
 
-// order puts the light jobs first, in the order of their arrival. Of the others
-// come first those that can still be on time, and among them those that are
-// worth most for the time that engines spend on them.
-func (d *Dispatcher) order(now time.Time) {
-	slices.SortStableFunc(d.queue, func(a, b *queued) int {
-		if c := cmp.Compare(d.rank(now, &a.Job), d.rank(now, &b.Job)); c != 0 {
-			return c
-		}
-		return cmp.Compare(d.readPerWorth(&a.Job), d.readPerWorth(&b.Job))
-	})
-}
-
 // passesToFirst is the mean number of passes until a prompt that comes at any time
 // is read: half of the one under way, and the next.
 const passesToFirst = 1.5
@@ -91,16 +78,6 @@
 	return rankLate
 }
 
-// readPerWorth is the reading time for each unit of worth; jobs that are read in
-// no time are all the same.
-func (d *Dispatcher) readPerWorth(j *Job) float64 {
-	f := d.services[j.Service]
-	if f == nil || d.light(j) {
-		return 0
-	}
-	return f.ReadMs(j.Prompt, 1) / d.worth(j)
-}
-
 func (d *Dispatcher) decide(now time.Time, job *Job) (Decision, bool) {
 	pool := d.candidates(now, job)
 	if len(pool) == 0 {
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -378,3 +379,49 @@
 		require.True(t, now.Add(p.Predicted).Before(j.FirstBy), p.Predicted)
 	}
 }
+
+// Of calls that wait for a slot the one with the higher priority goes first, and
+// among equals the one that came first.
+func TestHigherPriorityGoesFirst(t *testing.T) {
+	d := fleet(0, 1)
+	placedAt(t, d, start, call("1", start))
+	placedAt(t, d, start, call("2", start))
+	for i, id := range []string{"low", "high", "high too"} {
+		j := call(id, start)
+		j.Priority = []int{2, 1, 1}[i]
+		d.Submit(start, j)
+	}
+	require.Empty(t, d.Decide(start))
+	var order []string
+	for _, id := range []string{"1", "2", "high"} {
+		d.Finished(at(1), id, Served, "")
+		for _, decision := range d.Decide(at(1)) {
+			order = append(order, decision.JobID())
+		}
+	}
+	require.Equal(t, []string{"high", "high too", "low"}, order)
+}
+
+// A call of the lowest priority gets a slot in time though others keep coming.
+func TestLowPriorityIsNotStarved(t *testing.T) {
+	d := fleet(0, 1)
+	placedAt(t, d, start, call("a", start))
+	placedAt(t, d, start, call("b", start))
+	low := call("low", start)
+	low.Priority = 3
+	d.Submit(start, low)
+	busy := []string{"a", "b"}
+	for n := range 20 {
+		now := at(float64(10 * (n + 1)))
+		d.Submit(now, call("n"+strconv.Itoa(n), now))
+		d.Finished(now, busy[0], Served, "")
+		decisions := d.Decide(now)
+		require.Len(t, decisions, 1)
+		if decisions[0].JobID() == "low" {
+			require.Less(t, now, low.Due)
+			return
+		}
+		busy = append(busy[1:], decisions[0].JobID())
+	}
+	t.Fatal("never served")
+}
--- /dev/null
+++ b/core/dispatch/order.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// turn is what a queued job's place in the order depends on.
+type turn struct {
+	*queued
+	rank         int
+	level        int
+	readPerWorth float64
+}
+
+// order puts the light jobs first, in the order of their arrival. Of the others
+// come first those that can still be on time. Among equals go first those of the
+// higher priority, and then those that are worth most for the time that engines
+// spend on them.
+func (d *Dispatcher) order(now time.Time) {
+	highest := d.highestPriority()
+	turns := make([]turn, 0, len(d.queue))
+	for _, q := range d.queue {
+		turns = append(turns, turn{q, d.rank(now, &q.Job), d.level(now, &q.Job, highest), d.readPerWorth(&q.Job)})
+	}
+	slices.SortStableFunc(turns, func(a, b turn) int {
+		return cmp.Or(
+			cmp.Compare(a.rank, b.rank),
+			cmp.Compare(a.level, b.level),
+			cmp.Compare(a.readPerWorth, b.readPerWorth),
+		)
+	})
+	for i, t := range turns {
+		d.queue[i] = t.queued
+	}
+}
+
+// highestPriority is that of the queue; 0 is the highest of all.
+func (d *Dispatcher) highestPriority() int {
+	highest := d.queue[0].Priority
+	for _, q := range d.queue {
+		highest = min(highest, q.Priority)
+	}
+	return highest
+}
+
+// level is a job's priority, which rises to the highest one that waits while the
+// job does, so that none waits for ever.
+func (d *Dispatcher) level(now time.Time, j *Job, highest int) int {
+	until := j.Due
+	if until.IsZero() {
+		until = j.Deadline
+	}
+	span := until.Sub(j.Arrived)
+	if span <= 0 || j.Priority <= highest {
+		return highest
+	}
+	risen := float64(now.Sub(j.Arrived)) / float64(span) * d.cfg.LevelsByGoal
+	return max(highest, j.Priority-int(risen))
+}
+
+// readPerWorth is the reading time for each unit of worth; jobs that are read in
+// no time are all the same.
+func (d *Dispatcher) readPerWorth(j *Job) float64 {
+	f := d.services[j.Service]
+	if f == nil || d.light(j) {
+		return 0
+	}
+	return f.ReadMs(j.Prompt, 1) / d.worth(j)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -38,7 +38,9 @@
 	route        *routing.Route
 	service      string
 	organisation string
-	body         []byte
+	// priority is that of the organisation, or else of the route.
+	priority int
+	body     []byte
 
 	// sends is the number of endpoints that the request was sent to.
 	sends int
@@ -101,6 +103,7 @@
 
 // identify finds the organisation of the request's key.
 func (x *exchange) identify() bool {
+	x.priority = x.route.Priority
 	if !x.table.NeedsKey(x.route) {
 		return true
 	}
@@ -109,6 +112,9 @@
 		return false
 	}
 	x.organisation = o.Name
+	if o.HasPriority {
+		x.priority = o.Priority
+	}
 	return true
 }
 
@@ -186,7 +192,7 @@
 		Arrived:      x.arrived,
 		Deadline:     x.deadline,
 		Gap:          x.route.Gap,
-		Priority:     x.route.Priority,
+		Priority:     x.priority,
 		Avoid:        x.avoid,
 	}
 	if x.route.Goal > 0 {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -231,13 +231,16 @@
 		Version: 1,
 		Routes: []routing.Route{
 			{Name: "once", Host: "h", Prefix: "/once/", Kind: routing.NonIdempotent, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
-			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Idempotent, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
-			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.Streaming, Resumable: true, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Idempotent, Priority: 2, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.Streaming, Resumable: true, Patience: time.Second, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
 			{Name: "fixed", Host: "h", Prefix: "/fixed/", Kind: routing.Streaming, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
 			{Name: "public", Host: "h", Prefix: "/public/", Public: true, Kind: routing.Idempotent, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
 		},
 		Services:      []routing.Service{{Name: "s"}},
-		Organisations: []routing.Organisation{{Name: "org", Keys: []string{"key"}}},
+		Organisations: []routing.Organisation{
+			{Name: "org", Keys: []string{"key"}},
+			{Name: "first", Keys: []string{"key of the first"}, Priority: 0, HasPriority: true},
+		},
 		Limits:        routing.Limits{MaxBodyBytes: 1 << 20},
 	})
 	log, err := event.New(io.Discard, "json", "info", "vm")
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -108,6 +108,26 @@
 	}
 }
 
+// TestOrganisationsPriorityGoesBeforeTheRoutes tells the placement of it.
+func TestOrganisationsPriorityGoesBeforeTheRoutes(t *testing.T) {
+	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+	w := newWorld(t, e)
+	require.Equal(t, 200, w.call(t, "GET", "/safe/", "", nil).status)
+	require.Equal(t, 200, w.call(t, "GET", "/safe/", "", http.Header{hKey: {"key of the first"}}).status)
+	require.Equal(t, 2, w.jobs[0].Priority)
+	require.Zero(t, w.jobs[1].Priority)
+}
+
+// TestPlacementKnowsHowLongCallersWait tells it by when a first event is of use.
+func TestPlacementKnowsHowLongCallersWait(t *testing.T) {
+	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+	w := newWorld(t, e)
+	w.call(t, "GET", "/stream/", "", nil)
+	w.call(t, "GET", "/safe/", "", nil)
+	require.Equal(t, time.Second, w.jobs[0].FirstBy.Sub(w.jobs[0].Arrived))
+	require.Zero(t, w.jobs[1].FirstBy)
+}
+
 // TestAddressUsedAgain finds another endpoint at the address of the one that is
 // meant: it is named in the request, so that the other does not run it, and the
 // request goes on.
