Say in one place whether a choice is acceptable; drop what nothing reads

Engines' figures that nothing uses, the failure domain of placement's endpoints and the argument of Observer.Changed that was always true are gone. A long prompt that waits since its choice comes too late keeps late ones waiting too.

--- a/core/dispatch/cost.go
+++ b/core/dispatch/cost.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // lossOfUseless is the share of its worth that a job loses whose answer is of no
 // use: more than any other, so that a choice which is of use goes first.
@@ -97,17 +100,16 @@
 	return d.worth(&p.Job) * (d.lateness(now, &p.Job, firstMs+byMs) - d.lateness(now, &p.Job, firstMs))
 }
 
-// postpone expects the first events of the jobs later that the engines of a new
-// one are reading: each by what the new one adds to it at one engine, which is the
-// same at all.
+// postpone expects the first events later of the jobs that the engines of a new one
+// are reading: each once, by what the new one adds to it at an engine.
 func (d *Dispatcher) postpone(job *placed) {
-	delayed := make(map[*placed]bool)
+	var delayed []*placed
 	d.eachPart(job, func(e *endpoint, own *part) {
 		for _, p := range e.parts {
-			if p == own || p.job.began || delayed[p.job] || own.reading == nil {
+			if own.reading == nil || p == own || p.job.began || slices.Contains(delayed, p.job) {
 				continue
 			}
-			delayed[p.job] = true
+			delayed = append(delayed, p.job)
 			p.job.predicted = p.job.predicted.Add(fromMs(own.reading.Ms))
 		}
 	})
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -12,7 +12,6 @@
 	// ID names one incarnation of an endpoint.
 	ID      string
 	Service string
-	Domain  string
 	// Slots is the number of requests that it works on at once.
 	Slots int
 }
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -37,25 +37,32 @@
 		d.held = d.held || !late && !light
 		return d.withoutRoom(now, job, pool)
 	}
-	if d.comesTooLate(now, job, best.firstMs) {
-		return d.hold(now, job)
+	if d.acceptable(now, job, best, late) {
+		return d.placeChoice(now, job, best), true
+	}
+	d.held = d.held || !late
+	return d.hold(now, job)
+}
+
+// acceptable reports whether a job rather takes the choice than waits for a better
+// one.
+func (d *Dispatcher) acceptable(now time.Time, job *Job, c choice, late bool) bool {
+	if d.comesTooLate(now, job, c.firstMs) {
+		return false
 	}
 	worth := d.worth(job)
-	regret := best.harm
-	if !light {
-		regret += worth * d.lateFor(now, job, best.firstMs)
+	regret := c.harm
+	if !d.light(job) {
+		regret += worth * d.lateFor(now, job, c.firstMs)
 	}
+	atStake := worth
 	if late {
-		worth *= 1 - d.cfg.LateLoss
-	}
-	if regret <= d.cfg.HoldShare*worth {
-		return d.placeChoice(now, job, best), true
+		atStake *= 1 - d.cfg.LateLoss
 	}
-	if best.harm < worth && d.isPressing(now, job, best) {
-		return d.placeChoice(now, job, best), true
+	if regret <= d.cfg.HoldShare*atStake {
+		return true
 	}
-	d.held = d.held || !late
-	return d.hold(now, job)
+	return c.harm < atStake && d.isPressing(now, job, c)
 }
 
 // lateFor is the share of a job's worth that it loses against being read by all
--- a/core/dispatch/sim_test.go
+++ b/core/dispatch/sim_test.go
@@ -46,7 +46,7 @@
 func simFigures() *engine.Figures {
 	return &engine.Figures{
 		Slots: 16, MemoryTokens: 450000, Stride: 46, ChunkTokens: 2048, StepMs: 0.925, PerWriterMs: 0.00483,
-		ContextPer1kMs: 0.00254, ReadTokensPerMs: 256, PairsPerMillionMs: 0.0917, HopMs: 0.1,
+		ContextPer1kMs: 0.00254, ReadTokensPerMs: 256, PairsPerMillionMs: 0.0917,
 	}
 }
 
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -8,8 +8,6 @@
 // of their length.
 package engine
 
-import "time"
-
 const (
 	// pairsUnit is the number of pairs that Figures.PairsPerMillion counts by.
 	pairsUnit = 1e6
@@ -38,13 +36,6 @@
 	ReadTokensPerMs float64
 	// PairsPerMillionMs is the time of a million pairs of tokens.
 	PairsPerMillionMs float64
-	// HopMs is added to each step of a writer whose prompt several engines read.
-	HopMs float64
-	// UsualPrompt and UsualAnswer are mean numbers of tokens.
-	UsualPrompt int
-	UsualAnswer int
-	// ReportLag is how old an engine's report of itself is.
-	ReportLag time.Duration
 }
 
 // ReadMs is the time in which each of the given number of engines reads its part
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -43,11 +43,11 @@
 }
 
 // Changed implements mirror.Observer.
-func (r *registry) Changed(rows []provider.Row, complete bool) {
+func (r *registry) Changed(rows []provider.Row) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed := complete && !r.listed
-	r.listed = r.listed || complete
+	changed := !r.listed
+	r.listed = true
 	for _, row := range rows {
 		changed = r.change(row) || changed
 	}
@@ -119,7 +119,7 @@
 	usable := r.directory.Usable()
 	list := make([]dispatch.Endpoint, 0, len(usable))
 	for _, e := range usable {
-		list = append(list, dispatch.Endpoint{ID: e.ID, Service: e.Service, Domain: e.Domain, Slots: e.Slots})
+		list = append(list, dispatch.Endpoint{ID: e.ID, Service: e.Service, Slots: e.Slots})
 	}
 	r.sink.SetEndpoints(list)
 }
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -32,7 +32,7 @@
 func (t *tables) Current() *routing.Table { return t.current.Load() }
 
 // Changed implements mirror.Observer.
-func (t *tables) Changed(rows []provider.Row, _ bool) {
+func (t *tables) Changed(rows []provider.Row) {
 	for _, row := range rows {
 		t.take(row)
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -17,9 +17,9 @@
 // Observer takes what changes in a topic. Its methods are called one after the
 // other.
 type Observer interface {
-	// Changed takes rows that are new, have changed, or are gone. complete says
-	// that the topic is now known in whole.
-	Changed(rows []provider.Row, complete bool)
+	// Changed takes rows that are new, have changed, or are gone. The first call
+	// has all rows of the topic.
+	Changed(rows []provider.Row)
 	// Outage and Restored say whether the store answers somebody.
 	Outage()
 	Restored(at time.Time)
@@ -117,7 +117,7 @@
 	if len(news) == 0 && !first {
 		return
 	}
-	m.observer.Changed(news, true)
+	m.observer.Changed(news)
 	m.signal()
 }
 
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -19,17 +19,17 @@
 type recorder struct {
 	mu       sync.Mutex
 	rows     map[string]string
-	complete bool
+	listed   bool
 	outages  int
 	restored int
 }
 
 func newRecorder() *recorder { return &recorder{rows: make(map[string]string)} }
 
-func (r *recorder) Changed(rows []provider.Row, complete bool) {
+func (r *recorder) Changed(rows []provider.Row) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.complete = r.complete || complete
+	r.listed = true
 	for _, row := range rows {
 		if row.Removed {
 			delete(r.rows, row.Key)
@@ -71,7 +71,7 @@
 	r := newRecorder()
 	m := New(r)
 	m.listed(provider.Page{Version: 10, Rows: []provider.Row{row("a", "new", 9), row("b", "x", 3)}})
-	require.True(t, r.complete)
+	require.True(t, r.listed)
 	m.followed(provider.Page{Version: 8, Rows: []provider.Row{row("a", "old", 7), gone("b", 2)}})
 	require.True(t, r.has("a", "new"))
 	require.True(t, r.has("b", "x"))
