--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -158,6 +158,23 @@
 	awaitFree(t, a, b)
 }
 
+// TestMemoryOfADeadVMEndsByItself stops renewing without a release, as a VM does
+// that is killed: what it held ends within the bound on idle memory.
+func TestMemoryOfADeadVMEndsByItself(t *testing.T) {
+	k := newKeeper(t)
+	a, want := newEngine(t, 100)
+	g, err := k.Reserve(context.Background(), "r", []Want{want})
+	require.NoError(t, err)
+	g.cancel()
+	g.done.Wait()
+	died := time.Now()
+	a.mu.Lock()
+	until := a.until["r.0"]
+	a.mu.Unlock()
+	require.LessOrEqual(t, until.Sub(died), freeWithin)
+	awaitFree(t, a)
+}
+
 // TestAllOrNothing frees what was granted when another engine has no room, and
 // two prompts that want each other's engines don't wait for each other.
 func TestAllOrNothing(t *testing.T) {
