--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -236,12 +236,12 @@
 			{Name: "fixed", Host: "h", Prefix: "/fixed/", Kind: routing.Streaming, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
 			{Name: "public", Host: "h", Prefix: "/public/", Public: true, Kind: routing.Idempotent, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
 		},
-		Services:      []routing.Service{{Name: "s"}},
+		Services: []routing.Service{{Name: "s"}},
 		Organisations: []routing.Organisation{
 			{Name: "org", Keys: []string{"key"}},
 			{Name: "first", Keys: []string{"key of the first"}, Priority: 0, HasPriority: true},
 		},
-		Limits:        routing.Limits{MaxBodyBytes: 1 << 20},
+		Limits: routing.Limits{MaxBodyBytes: 1 << 20},
 	})
 	log, err := event.New(io.Discard, "json", "info", "vm")
 	require.NoError(t, err)
