--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -392,7 +392,7 @@
 		d.Submit(start, j)
 	}
 	require.Empty(t, d.Decide(start))
-	var order []string
+	order := make([]string, 0, 3)
 	for _, id := range []string{"1", "2", "high"} {
 		d.Finished(at(1), id, Served, "")
 		for _, decision := range d.Decide(at(1)) {
