Place a short prompt though its first event seems too late

Change: the rule holds for long prompts only; a short one costs engines next to nothing, and forecasts of busy ones err.

--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -425,3 +425,13 @@
 	}
 	t.Fatal("never served")
 }
+
+// A short prompt costs engines next to nothing, and forecasts of busy ones err: it
+// gets the best place there is rather than a refusal.
+func TestShortPromptIsPlacedThoughItsFirstEventSeemsTooLate(t *testing.T) {
+	d := fleet(1, 0)
+	d.Adopt(start, prompt("long", 400000, start), Placement{Job: "long", Endpoint: "ea"}, false)
+	j := prompt("short", 3000, start)
+	j.FirstBy = at(2000)
+	require.Greater(t, placedAt(t, d, start, j).Predicted, 2*time.Second)
+}
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -47,12 +47,13 @@
 // acceptable reports whether a job rather takes the choice than waits for a better
 // one.
 func (d *Dispatcher) acceptable(now time.Time, job *Job, c choice, late bool) bool {
-	if d.comesTooLate(now, job, c.firstMs) {
+	light := d.light(job)
+	if !light && d.comesTooLate(now, job, c.firstMs) {
 		return false
 	}
 	worth := d.worth(job)
 	regret := c.harm
-	if !d.light(job) {
+	if !light {
 		regret += worth * d.lateFor(now, job, c.firstMs)
 	}
 	atStake := worth
