One conversion of engines' times, and the library's comparison of IDs

core/dispatch converted to ms and back beside core/engine, which did so in three places; both now call engine.Ms and engine.Duration. compareIDs, and its twin in core/membership, were cmp.Compare.

--- a/core/dispatch/cost.go
+++ b/core/dispatch/cost.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/engine"
 )
 
 // lossOfUseless is the share of its worth that a job loses whose answer is of no
@@ -50,8 +52,8 @@
 	if job.Due.IsZero() {
 		return 0
 	}
-	sinceMs := ms(now.Sub(job.Arrived)) + firstMs
-	share := sinceMs / max(1, ms(job.Due.Sub(job.Arrived)))
+	sinceMs := engine.Ms(now.Sub(job.Arrived)) + firstMs
+	share := sinceMs / max(1, engine.Ms(job.Due.Sub(job.Arrived)))
 	loss := d.cfg.DelayWeight * min(1, share)
 	if share > d.cfg.GoalShare {
 		loss += d.cfg.LateLoss * min(1, (share-d.cfg.GoalShare)/(1-d.cfg.GoalShare))
@@ -59,7 +61,7 @@
 	if d.comesTooLate(now, job, firstMs) {
 		return lossOfUseless
 	}
-	used := sinceMs / max(1, ms(d.lastFirst(job).Sub(job.Arrived)))
+	used := sinceMs / max(1, engine.Ms(d.lastFirst(job).Sub(job.Arrived)))
 	if used > d.cfg.SafeShare {
 		loss += (1 - d.cfg.LateLoss) * (used - d.cfg.SafeShare) / (1 - d.cfg.SafeShare)
 	}
@@ -68,7 +70,7 @@
 
 // comesTooLate reports whether a first event after so long is of no use.
 func (d *Dispatcher) comesTooLate(now time.Time, job *Job, firstMs float64) bool {
-	return now.Add(fromMs(firstMs)).After(d.lastFirst(job))
+	return now.Add(engine.Duration(firstMs)).After(d.lastFirst(job))
 }
 
 // lastFirst is when a job's first event is of use at the latest: before its caller
@@ -77,7 +79,7 @@
 	f := d.services[job.Service]
 	last := job.Deadline
 	if f != nil {
-		last = last.Add(-fromMs(float64(f.Events(job.Answer)) * f.PassMs(1, 0)))
+		last = last.Add(-engine.Duration(float64(f.Events(job.Answer)) * f.PassMs(1, 0)))
 	}
 	if !job.FirstBy.IsZero() && job.FirstBy.Before(last) {
 		return job.FirstBy
@@ -87,7 +89,7 @@
 
 // pauseHarm is what a writer loses when a pass grows from one length to another.
 func (d *Dispatcher) pauseHarm(p *placed, from, to float64) float64 {
-	limit := ms(p.Gap) * d.cfg.GapShare
+	limit := engine.Ms(p.Gap) * d.cfg.GapShare
 	if limit <= 0 || from > limit || to <= limit {
 		return 0
 	}
@@ -96,7 +98,7 @@
 
 // delayHarm is what a job that is still being read loses when it is delayed.
 func (d *Dispatcher) delayHarm(now time.Time, p *placed, byMs float64) float64 {
-	firstMs := max(0, ms(p.predicted.Sub(now)))
+	firstMs := max(0, engine.Ms(p.predicted.Sub(now)))
 	return d.worth(&p.Job) * (d.lateness(now, &p.Job, firstMs+byMs) - d.lateness(now, &p.Job, firstMs))
 }
 
@@ -110,7 +112,7 @@
 				continue
 			}
 			delayed = append(delayed, p.job)
-			p.job.predicted = p.job.predicted.Add(fromMs(own.reading.Ms))
+			p.job.predicted = p.job.predicted.Add(engine.Duration(own.reading.Ms))
 		}
 	})
 }
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -58,7 +58,7 @@
 // leastWait is the time to the first event of a light job on an engine that has
 // no free slot but the one that it gets.
 func leastWait(f *engine.Figures, j *Job) time.Duration {
-	return fromMs(f.ReadMs(j.Prompt, 1) + f.PassMs(f.Slots, 0)*passesToFirst)
+	return engine.Duration(f.ReadMs(j.Prompt, 1) + f.PassMs(f.Slots, 0)*passesToFirst)
 }
 
 // rank is the place of a queued job before others: light jobs that can be on time
@@ -72,7 +72,7 @@
 			return rankLightLate
 		}
 		return rankLight
-	case j.Due.IsZero() || now.Add(fromMs(d.leastReadMs(j))).Before(j.Due):
+	case j.Due.IsZero() || now.Add(engine.Duration(d.leastReadMs(j))).Before(j.Due):
 		return rankOnTime
 	}
 	return rankLate
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -12,7 +12,7 @@
 
 var start = time.Unix(1000, 0)
 
-func at(ms float64) time.Time { return start.Add(fromMs(ms)) }
+func at(ms float64) time.Time { return start.Add(engine.Duration(ms)) }
 
 // fleet returns a dispatcher before engines of the service "s" and plain
 // endpoints of the service "p".
@@ -167,7 +167,7 @@
 	for _, id := range []string{"2", "3", "4"} {
 		require.Equal(t, "ea", placedAt(t, d, at(2), prompt(id, 5000, at(2))).Endpoint)
 	}
-	later := at(ms(d.cfg.FullFor) + 10)
+	later := at(engine.Ms(d.cfg.FullFor) + 10)
 	d.Finished(later, "2", Abandoned, "")
 	d.Finished(later, "3", Abandoned, "")
 	d.Finished(later, "4", Abandoned, "")
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -180,22 +181,7 @@
 		d.pools[spec.Service] = append(d.pools[spec.Service], e)
 	}
 	for _, pool := range d.pools {
-		slices.SortFunc(pool, func(a, b *endpoint) int { return compareIDs(a.ID, b.ID) })
+		slices.SortFunc(pool, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	d.endpoints = kept
 }
-
-func compareIDs(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
-// ms and fromMs convert times to the unit of the engines' figures.
-func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
-func fromMs(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
--- a/core/dispatch/overdue.go
+++ b/core/dispatch/overdue.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/engine"
+)
 
 // overdueMs is by how much the oldest first event that the endpoint owes is late,
 // beyond what forecasts are usually off by. It stands for work that the endpoint
@@ -10,8 +14,8 @@
 	most := 0.0
 	for _, p := range e.parts {
 		if p.receiver && !p.job.began {
-			most = max(most, ms(now.Sub(p.job.predicted)))
+			most = max(most, engine.Ms(now.Sub(p.job.predicted)))
 		}
 	}
-	return max(0, most-ms(d.cfg.OverdueSlack))
+	return max(0, most-engine.Ms(d.cfg.OverdueSlack))
 }
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/engine"
 )
 
 // choice is one way to serve a prompt.
@@ -76,7 +78,7 @@
 // the choice is still on time: a better one may come too late.
 func (d *Dispatcher) isPressing(now time.Time, job *Job, c choice) bool {
 	half := now.Sub(job.Arrived) > job.Due.Sub(job.Arrived)/2
-	return half && now.Add(fromMs(c.firstMs)).Before(job.Due)
+	return half && now.Add(engine.Duration(c.firstMs)).Before(job.Due)
 }
 
 // leastReadMs is the time in which as many engines as there may be read a prompt
@@ -88,7 +90,7 @@
 
 // hold lets a job wait as long as it can still be answered.
 func (d *Dispatcher) hold(now time.Time, job *Job) (Decision, bool) {
-	least := fromMs(d.leastReadMs(job)) + d.cfg.QueueMargin
+	least := engine.Duration(d.leastReadMs(job)) + d.cfg.QueueMargin
 	if now.Add(least).After(d.lastFirst(job)) {
 		return refuse(job, ReasonTooLate, refusedAgain), true
 	}
@@ -116,7 +118,7 @@
 }
 
 func (d *Dispatcher) placeChoice(now time.Time, job *Job, c choice) Decision {
-	p := Placement{Job: job.ID, Endpoint: c.receiver.ID, Shares: c.shares, Predicted: fromMs(c.firstMs)}
+	p := Placement{Job: job.ID, Endpoint: c.receiver.ID, Shares: c.shares, Predicted: engine.Duration(c.firstMs)}
 	for _, h := range c.helpers {
 		p.Helpers = append(p.Helpers, h.ID)
 	}
--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -94,7 +94,7 @@
 	}
 	m.lights.add(now, d.cfg.RateWindow, 1)
 	if !job.Due.IsZero() {
-		m.lightGoalMs = ms(job.Due.Sub(job.Arrived))
+		m.lightGoalMs = engine.Ms(job.Due.Sub(job.Arrived))
 	}
 }
 
--- a/core/dispatch/sim_test.go
+++ b/core/dispatch/sim_test.go
@@ -142,7 +142,7 @@
 	return s
 }
 
-func (s *sim) time() time.Time { return s.start.Add(fromMs(s.now)) }
+func (s *sim) time() time.Time { return s.start.Add(engine.Duration(s.now)) }
 
 // arrivals draws the prompts of a day.
 func (s *sim) arrivals(kinds []simKind, phases []simPhase, load, untilMs float64) {
@@ -229,9 +229,9 @@
 		return
 	}
 	s.d.Submit(now, Job{
-		ID: j.id, Owner: "vm", Service: "s", Arrived: now, Due: now.Add(fromMs(j.kind.goalMs)),
-		Deadline: now.Add(fromMs(j.kind.deadline)), Gap: fromMs(j.kind.gapMs), Prompt: j.prompt, Answer: j.events * 46,
-		FirstBy: now.Add(fromMs(j.kind.patienceMs())),
+		ID: j.id, Owner: "vm", Service: "s", Arrived: now, Due: now.Add(engine.Duration(j.kind.goalMs)),
+		Deadline: now.Add(engine.Duration(j.kind.deadline)), Gap: engine.Duration(j.kind.gapMs), Prompt: j.prompt, Answer: j.events * 46,
+		FirstBy: now.Add(engine.Duration(j.kind.patienceMs())),
 	})
 }
 
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -8,6 +8,8 @@
 // of their length.
 package engine
 
+import "time"
+
 const (
 	// pairsUnit is the number of pairs that Figures.PairsPerMillion counts by.
 	pairsUnit = 1e6
@@ -65,3 +67,9 @@
 	stride := max(1, f.Stride)
 	return (answer + stride - 1) / stride
 }
+
+// Ms is a time in the unit of the figures.
+func Ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Duration is the time of so many ms.
+func Duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/core/engine/model.go
+++ b/core/engine/model.go
@@ -96,7 +96,7 @@
 		m.reading = append(m.reading, s)
 	}
 	m.passStart = at
-	m.passEnd = at.Add(duration(ms))
+	m.passEnd = at.Add(Duration(ms))
 }
 
 // Add gives the engine a part to read.
@@ -155,7 +155,7 @@
 // dropUnread takes out of the pass under way, which ends now, what it had no time
 // to read: those parts came too late for it.
 func (m *Model) dropUnread(now time.Time) {
-	elapsedMs := float64(now.Sub(m.passStart)) / float64(time.Millisecond)
+	elapsedMs := Ms(now.Sub(m.passStart))
 	m.reading = slices.DeleteFunc(m.reading, func(s slice) bool { return s.ms > elapsedMs })
 }
 
@@ -206,7 +206,7 @@
 	if m.passEnd.IsZero() {
 		return 0
 	}
-	return max(0, float64(m.passEnd.Sub(now))/float64(time.Millisecond))
+	return max(0, Ms(m.passEnd.Sub(now)))
 }
 
 // pending is what the passes after the one under way read of the parts, up to a
@@ -253,5 +253,3 @@
 	}
 	return max(0, total)
 }
-
-func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/core/engine/model_test.go
+++ b/core/engine/model_test.go
@@ -10,7 +10,7 @@
 // start is the time at which the tests begin.
 var start = time.Unix(1_700_000_000, 0)
 
-func at(ms float64) time.Time { return start.Add(duration(ms)) }
+func at(ms float64) time.Time { return start.Add(Duration(ms)) }
 
 func figures() *Figures {
 	return &Figures{
@@ -46,7 +46,7 @@
 		first := m.Forecast(now, *p).FirstMs
 		m.Add(now, p)
 		seen := 0.0
-		for m.ReadingMs(now.Add(duration(seen))) > 0 {
+		for m.ReadingMs(now.Add(Duration(seen))) > 0 {
 			seen++
 		}
 		passes := float64(tokens) / float64(m.figures.Stride*m.figures.ChunkTokens)
@@ -102,7 +102,7 @@
 	m.Read(early, shared)
 	require.InDelta(t, m.figures.ReadMs(60_000, 1), m.ReadingMs(early), 0.01)
 
-	late := early.Add(duration((pass + later.Ms) * 0.9))
+	late := early.Add(Duration((pass + later.Ms) * 0.9))
 	m.Read(late, shared)
 	require.Zero(t, m.ReadingMs(late))
 }
--- a/core/membership/node.go
+++ b/core/membership/node.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -126,14 +127,14 @@
 			list = append(list, m.Record)
 		}
 	}
-	slices.SortFunc(list, func(a, b Record) int { return compare(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b Record) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
 // Marks lists the endpoints that leave.
 func (n *Node) Marks() []Mark {
 	list := slices.Collect(maps.Keys(n.marks))
-	slices.SortFunc(list, func(a, b Mark) int { return compare(a.Endpoint+"/"+a.Incarnation, b.Endpoint+"/"+b.Incarnation) })
+	slices.SortFunc(list, func(a, b Mark) int { return cmp.Compare(a.Endpoint+"/"+a.Incarnation, b.Endpoint+"/"+b.Incarnation) })
 	return list
 }
 
@@ -158,16 +159,6 @@
 	return list
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func (n *Node) selfCopy() *Record {
 	r := n.self
 	return &r
