Work out a placement's inputs once

The candidates were listed twice for a long prompt, its rank up to four times, its last useful time twice for each forecast, the price of its reading for each choice though it is the same for all, and the predicted first event was set in three places after a booking. Each is done once now; queued jobs carry what decides their turn in place of a copy of the queue.

--- a/core/dispatch/cost.go
+++ b/core/dispatch/cost.go
@@ -20,9 +20,6 @@
 		c.harm += harm
 		c.firstMs = max(c.firstMs, first)
 	}
-	if !d.light(job) {
-		c.harm += d.readingPrice(now, job) * c.receiver.engine.ReadMs(job.Prompt, 1)
-	}
 	c.cost = c.harm + d.worth(job)*d.lateness(now, job, c.firstMs)
 }
 
@@ -52,25 +49,27 @@
 	if job.Due.IsZero() {
 		return 0
 	}
+	last := d.lastFirst(job)
+	if comesTooLate(now, firstMs, last) {
+		return lossOfUseless
+	}
 	sinceMs := engine.Ms(now.Sub(job.Arrived)) + firstMs
 	share := sinceMs / max(1, engine.Ms(job.Due.Sub(job.Arrived)))
 	loss := d.cfg.DelayWeight * min(1, share)
 	if share > d.cfg.GoalShare {
 		loss += d.cfg.LateLoss * min(1, (share-d.cfg.GoalShare)/(1-d.cfg.GoalShare))
 	}
-	if d.comesTooLate(now, job, firstMs) {
-		return lossOfUseless
-	}
-	used := sinceMs / max(1, engine.Ms(d.lastFirst(job).Sub(job.Arrived)))
+	used := sinceMs / max(1, engine.Ms(last.Sub(job.Arrived)))
 	if used > d.cfg.SafeShare {
 		loss += (1 - d.cfg.LateLoss) * (used - d.cfg.SafeShare) / (1 - d.cfg.SafeShare)
 	}
 	return loss
 }
 
-// comesTooLate reports whether a first event after so long is of no use.
-func (d *Dispatcher) comesTooLate(now time.Time, job *Job, firstMs float64) bool {
-	return now.Add(engine.Duration(firstMs)).After(d.lastFirst(job))
+// comesTooLate reports whether a first event after so long comes after the last
+// time at which it is of use.
+func comesTooLate(now time.Time, firstMs float64, last time.Time) bool {
+	return now.Add(engine.Duration(firstMs)).After(last)
 }
 
 // lastFirst is when a job's first event is of use at the latest: before its caller
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -23,13 +23,13 @@
 	kept := d.queue[:0]
 	for _, q := range d.queue {
 		if now.Before(q.lookAt) {
-			d.held = d.held || d.rank(now, &q.Job) == rankOnTime
+			d.held = d.held || q.rank == rankOnTime
 			kept = append(kept, q)
 			continue
 		}
 		decision, decided := d.decide(now, &q.Job)
 		if !decided {
-			if d.rank(now, &q.Job) > rankLightLate {
+			if q.rank > rankLightLate {
 				q.lookAt = now.Add(d.cfg.LookInterval)
 			}
 			kept = append(kept, q)
@@ -148,7 +148,7 @@
 }
 
 func (d *Dispatcher) place(now time.Time, job *Job, p Placement) Decision {
-	d.enter(now, job, p)
+	d.postpone(d.enter(now, job, p))
 	return Decision{Placement: &p}
 }
 
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -19,6 +19,10 @@
 	Job
 	// lookAt is when it is looked at again.
 	lookAt time.Time
+	// rank, level and readPerWorth decide its turn; they are as of the last order.
+	rank         int
+	level        int
+	readPerWorth float64
 }
 
 // placed is a job that went to endpoints.
@@ -95,7 +99,6 @@
 		d.queue = slices.Delete(d.queue, i, i+1)
 	}
 	pl := d.enter(now, &job, p)
-	pl.predicted = now.Add(p.Predicted)
 	if began {
 		d.begin(now, pl)
 	}
@@ -185,10 +188,10 @@
 
 // enter books the job at its endpoints.
 func (d *Dispatcher) enter(now time.Time, job *Job, p Placement) *placed {
-	pl := &placed{Job: *job, Placement: p, light: d.light(job), predicted: now}
+	pl := &placed{Job: *job, Placement: p, light: d.light(job), predicted: now.Add(p.Predicted)}
 	d.placed[job.ID] = pl
 	d.demandOf(job.Service).entered(pl, d.services[job.Service])
-	for i, id := range append([]string{p.Endpoint}, p.Helpers...) {
+	for i, id := range p.endpoints() {
 		e := d.endpoints[id]
 		if e == nil {
 			continue
@@ -230,7 +233,7 @@
 }
 
 func (d *Dispatcher) eachPart(p *placed, do func(*endpoint, *part)) {
-	for _, id := range append([]string{p.Endpoint}, p.Helpers...) {
+	for _, id := range p.endpoints() {
 		e := d.endpoints[id]
 		if e == nil {
 			continue
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -50,6 +50,9 @@
 	Predicted time.Duration
 }
 
+// endpoints are those that read the prompt, the receiver first.
+func (p *Placement) endpoints() []string { return append([]string{p.Endpoint}, p.Helpers...) }
+
 // Reason says why a job was refused.
 type Reason string
 
--- a/core/dispatch/memory.go
+++ b/core/dispatch/memory.go
@@ -39,8 +39,8 @@
 }
 
 // bestOversize weighs the groups that have the memory for the job together.
-func (d *Dispatcher) bestOversize(now time.Time, job *Job, interactive map[string]bool) (choice, bool) {
-	readers := d.readers(now, job, interactive)
+func (d *Dispatcher) bestOversize(now time.Time, job *Job, pool []*endpoint, interactive map[string]bool) (choice, bool) {
+	readers := d.readers(now, job, pool, interactive)
 	best, found := choice{}, false
 	for k := 2; k <= min(d.cfg.MaxReaders, len(readers)); k++ {
 		c, ok := d.oversizeGroup(now, job, readers[:k], interactive)
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -6,34 +6,24 @@
 	"time"
 )
 
-// turn is what a queued job's place in the order depends on.
-type turn struct {
-	*queued
-	rank         int
-	level        int
-	readPerWorth float64
-}
-
 // order puts the light jobs first, in the order of their arrival. Of the others
 // come first those that can still be on time. Among equals go first those of the
 // higher priority, and then those that are worth most for the time that engines
 // spend on them.
 func (d *Dispatcher) order(now time.Time) {
 	highest := d.highestPriority()
-	turns := make([]turn, 0, len(d.queue))
 	for _, q := range d.queue {
-		turns = append(turns, turn{q, d.rank(now, &q.Job), d.level(now, &q.Job, highest), d.readPerWorth(&q.Job)})
+		q.rank = d.rank(now, &q.Job)
+		q.level = d.level(now, &q.Job, highest)
+		q.readPerWorth = d.readPerWorth(&q.Job)
 	}
-	slices.SortStableFunc(turns, func(a, b turn) int {
+	slices.SortStableFunc(d.queue, func(a, b *queued) int {
 		return cmp.Or(
 			cmp.Compare(a.rank, b.rank),
 			cmp.Compare(a.level, b.level),
 			cmp.Compare(a.readPerWorth, b.readPerWorth),
 		)
 	})
-	for i, t := range turns {
-		d.queue[i] = t.queued
-	}
 }
 
 // highestPriority is that of the queue; 0 is the highest of all.
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -19,7 +19,8 @@
 	firstMs float64
 	// cost is what the choice costs in worth, to this job and to others.
 	cost float64
-	// harm is the part of the cost that others pay.
+	// harm is the part of the cost that others pay, without the time that is taken
+	// from them, which is the same for each choice.
 	harm float64
 }
 
@@ -50,13 +51,14 @@
 // one.
 func (d *Dispatcher) acceptable(now time.Time, job *Job, c choice, late bool) bool {
 	light := d.light(job)
-	if !light && d.comesTooLate(now, job, c.firstMs) {
+	if !light && comesTooLate(now, c.firstMs, d.lastFirst(job)) {
 		return false
 	}
 	worth := d.worth(job)
-	regret := c.harm
+	harm, regret := c.harm, c.harm
 	if !light {
-		regret += worth * d.lateFor(now, job, c.firstMs)
+		harm += d.readingPrice(now, job) * c.receiver.engine.ReadMs(job.Prompt, 1)
+		regret = harm + worth*d.lateFor(now, job, c.firstMs)
 	}
 	atStake := worth
 	if late {
@@ -65,7 +67,7 @@
 	if regret <= d.cfg.HoldShare*atStake {
 		return true
 	}
-	return c.harm < atStake && d.isPressing(now, job, c)
+	return harm < atStake && d.isPressing(now, job, c)
 }
 
 // lateFor is the share of a job's worth that it loses against being read by all
@@ -122,17 +124,14 @@
 	for _, h := range c.helpers {
 		p.Helpers = append(p.Helpers, h.ID)
 	}
-	decision := d.place(now, job, p)
-	d.placed[job.ID].predicted = now.Add(p.Predicted)
-	d.postpone(d.placed[job.ID])
-	return decision
+	return d.place(now, job, p)
 }
 
 // best weighs each receiver and number of readers.
 func (d *Dispatcher) best(now time.Time, job *Job, pool []*endpoint) (choice, bool) {
 	interactive := d.interactive(now, job.Service, len(d.pools[job.Service]))
 	if d.oversize(job, pool) {
-		return d.bestOversize(now, job, interactive)
+		return d.bestOversize(now, job, pool, interactive)
 	}
 	fitting := d.fitting(job, pool)
 	if len(fitting) == 0 {
@@ -141,7 +140,7 @@
 	if d.light(job) {
 		return d.bestLight(now, job, fitting, interactive), true
 	}
-	return d.bestLong(now, job, fitting, interactive)
+	return d.bestLong(now, job, pool, fitting, interactive)
 }
 
 // interactive is the set of engines that are kept free of long reading: as many
@@ -187,8 +186,8 @@
 
 // bestLong tries each number of readers, the engines with the least to read
 // first.
-func (d *Dispatcher) bestLong(now time.Time, job *Job, fitting []*endpoint, interactive map[string]bool) (choice, bool) {
-	readers := d.readers(now, job, interactive)
+func (d *Dispatcher) bestLong(now time.Time, job *Job, pool, fitting []*endpoint, interactive map[string]bool) (choice, bool) {
+	readers := d.readers(now, job, pool, interactive)
 	best := choice{cost: math.Inf(1)}
 	for k := 1; k <= min(d.cfg.MaxReaders, len(readers)); k++ {
 		c, ok := d.group(now, job, fitting, readers, interactive, k)
@@ -202,9 +201,9 @@
 // usualReaders is the number of readers for which engines are compared.
 const usualReaders = 4
 
-// readers lists the usable engines: those where a part does least harm first,
+// readers lists the engines of the pool that can take a part: those where a part does least harm first,
 // and among them those that would read it first.
-func (d *Dispatcher) readers(now time.Time, job *Job, interactive map[string]bool) []*endpoint {
+func (d *Dispatcher) readers(now time.Time, job *Job, pool []*endpoint, interactive map[string]bool) []*endpoint {
 	type reader struct {
 		*endpoint
 		kept    bool
@@ -216,7 +215,7 @@
 		most = d.cfg.LateBacklogMs
 	}
 	var list []reader
-	for _, e := range d.candidates(now, job) {
+	for _, e := range pool {
 		if e.helped >= e.Slots || e.model.ReadingMs(now) > most {
 			continue
 		}
