One loop for what a VM does again and again; jobs' missing times as missing fields

The two tickers of an entry VM ran in loops of their own, the limits from the settings were set in two places, and a job's message had a flag beside each time that may be missing. Tests of the gateway and of the coordination write their common scripts once; their assertions are unchanged.

--- a/internal/coordination/coordinator_test.go
+++ b/internal/coordination/coordinator_test.go
@@ -82,6 +82,19 @@
 	return p
 }
 
+// placeLater places a job that may have to wait.
+func (v *vm) placeLater(id string) <-chan gateway.Placed {
+	done := make(chan gateway.Placed, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if p, err := v.Place(ctx, someJob(id, v)); err == nil {
+			done <- p
+		}
+	}()
+	return done
+}
+
 // counts is what a VM's dispatcher knows.
 func (v *vm) counts() (waiting, placed int) { return v.local.Waiting(), v.local.Placed() }
 
@@ -130,14 +143,7 @@
 	asking := other(vms, holder)
 	holder.place(t, "1")
 	holder.place(t, "2")
-	done := make(chan gateway.Placed)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		if p, err := asking.Place(ctx, someJob("3", asking)); err == nil {
-			done <- p
-		}
-	}()
+	done := asking.placeLater("3")
 	require.Eventually(t, func() bool { waiting, _ := holder.counts(); return waiting == 1 }, 5*time.Second, time.Millisecond)
 	holder.Finished("1", dispatch.Served, "")
 	p := <-done
@@ -308,14 +314,7 @@
 	leaving := other(vms, holder)
 	holder.place(t, "1")
 	holder.place(t, "2")
-	done := make(chan gateway.Placed, 1)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		if p, err := leaving.Place(ctx, someJob("3", leaving)); err == nil {
-			done <- p
-		}
-	}()
+	done := leaving.placeLater("3")
 	require.Eventually(t, func() bool { waiting, _ := holder.counts(); return waiting == 1 }, 5*time.Second, time.Millisecond)
 	announce(vms, leaving)
 	waiting, _ := holder.counts()
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -22,11 +22,9 @@
 	Service      string   `json:"s"`
 	Organisation string   `json:"o,omitempty"`
 	Age          int64    `json:"a"`
-	Due          int64    `json:"d,omitempty"`
-	HasDue       bool     `json:"hd,omitempty"`
+	Due          *int64   `json:"d,omitempty"`
 	Deadline     int64    `json:"e"`
-	FirstBy      int64    `json:"fb,omitempty"`
-	HasFirstBy   bool     `json:"hf,omitempty"`
+	FirstBy      *int64   `json:"f,omitempty"`
 	Gap          int64    `json:"g,omitempty"`
 	Priority     int      `json:"p,omitempty"`
 	Prompt       int      `json:"n,omitempty"`
@@ -35,33 +33,38 @@
 }
 
 func encodeJob(now time.Time, j dispatch.Job) jobMessage {
-	m := jobMessage{
+	return jobMessage{
 		ID: j.ID, Term: j.Term, Service: j.Service, Organisation: j.Organisation,
-		Age: now.Sub(j.Arrived).Microseconds(), Deadline: j.Deadline.Sub(now).Microseconds(),
+		Age: now.Sub(j.Arrived).Microseconds(), Due: until(now, j.Due),
+		Deadline: j.Deadline.Sub(now).Microseconds(), FirstBy: until(now, j.FirstBy),
 		Gap: j.Gap.Microseconds(), Priority: j.Priority, Prompt: j.Prompt, Answer: j.Answer, Avoid: j.Avoid,
 	}
-	if !j.Due.IsZero() {
-		m.HasDue, m.Due = true, j.Due.Sub(now).Microseconds()
-	}
-	if !j.FirstBy.IsZero() {
-		m.HasFirstBy, m.FirstBy = true, j.FirstBy.Sub(now).Microseconds()
-	}
-	return m
 }
 
 func (m jobMessage) job(now time.Time, owner string) dispatch.Job {
-	j := dispatch.Job{
+	return dispatch.Job{
 		ID: m.ID, Owner: owner, Term: m.Term, Service: m.Service, Organisation: m.Organisation,
-		Arrived: now.Add(-microseconds(m.Age)), Deadline: now.Add(microseconds(m.Deadline)),
+		Arrived: now.Add(-microseconds(m.Age)), Due: moment(now, m.Due),
+		Deadline: now.Add(microseconds(m.Deadline)), FirstBy: moment(now, m.FirstBy),
 		Gap: microseconds(m.Gap), Priority: m.Priority, Prompt: m.Prompt, Answer: m.Answer, Avoid: m.Avoid,
 	}
-	if m.HasDue {
-		j.Due = now.Add(microseconds(m.Due))
+}
+
+// until is the time from now on, in microseconds; nil for the zero time.
+func until(now, at time.Time) *int64 {
+	if at.IsZero() {
+		return nil
 	}
-	if m.HasFirstBy {
-		j.FirstBy = now.Add(microseconds(m.FirstBy))
+	n := at.Sub(now).Microseconds()
+	return &n
+}
+
+// moment is the time that until told of.
+func moment(now time.Time, n *int64) time.Time {
+	if n == nil {
+		return time.Time{}
 	}
-	return j
+	return now.Add(microseconds(*n))
 }
 
 func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,9 +86,17 @@
 // Start wires the VM and begins to listen. dropped returns the lines that the log
 // dropped since it was last asked.
 func Start(settings config.Settings, platform Platform, log *event.Logger, dropped func() int64) (*Entry, error) {
-	e := &Entry{settings: settings, platform: platform, log: log, started: time.Now(), watchers: newWatchers(settings.VM), joined: make(chan struct{}), stopped: make(chan struct{}), ended: make(chan struct{})}
-	limitRuntime(settings.Machine)
-	e.limits.Store(&limits{settings.Grace, settings.Retries})
+	e := &Entry{
+		settings: settings,
+		platform: platform,
+		log:      log,
+		started:  time.Now(),
+		watchers: newWatchers(settings.VM),
+		joined:   make(chan struct{}),
+		stopped:  make(chan struct{}),
+		ended:    make(chan struct{}),
+	}
+	e.limit(settings)
 	c := dig.New()
 	for _, constructor := range e.constructors() {
 		if err := c.Provide(constructor); err != nil {
@@ -109,8 +117,8 @@
 	close(e.joined)
 	e.tellMembers()
 	e.registerGauges()
-	go e.reportDropped(dropped)
-	go e.shareRepeats()
+	go e.every(droppedInterval, e.dropReporter(dropped))
+	go e.every(shareInterval, func() { e.parts.Gateway.SetRepeats(e.repeatShare()) })
 	log.Emit(event.GatewayStarted{Callers: settings.Callers, Peers: settings.Peers, Metrics: settings.Metrics})
 	return e, nil
 }
@@ -125,9 +133,13 @@
 // Reload brings what can change while a VM runs into force: memory and cores, the
 // grace, and the budget of repeats. Addresses and names hold for a process's life.
 func (e *Entry) Reload(settings config.Settings) {
+	e.limit(settings)
+	e.parts.Gateway.SetRepeats(e.repeatShare())
+}
+
+func (e *Entry) limit(settings config.Settings) {
 	limitRuntime(settings.Machine)
 	e.limits.Store(&limits{settings.Grace, settings.Retries})
-	e.parts.Gateway.SetRepeats(e.repeatShare())
 }
 
 // limitRuntime keeps the process within the VM's memory and cores.
@@ -203,16 +215,16 @@
 	return e.limits.Load().retries.Share(vms, time.Since(e.started))
 }
 
-// shareRepeats follows the number of VMs.
-func (e *Entry) shareRepeats() {
-	ticker := time.NewTicker(shareInterval)
+// every does something again and again until the VM has ended.
+func (e *Entry) every(interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-e.ended:
 			return
 		case <-ticker.C:
-			e.parts.Gateway.SetRepeats(e.repeatShare())
+			do()
 		}
 	}
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -43,17 +43,10 @@
 	_ = e.parts.Metrics.WritePrometheus(w, detail)
 }
 
-// reportDropped counts the lines that the log dropped, and says so.
-func (e *Entry) reportDropped(dropped func() int64) {
+// dropReporter returns what counts the lines that the log dropped, and says so.
+func (e *Entry) dropReporter(dropped func() int64) func() {
 	counter := e.parts.Metrics.Counter("log.dropped")
-	ticker := time.NewTicker(droppedInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-e.ended:
-			return
-		case <-ticker.C:
-		}
+	return func() {
 		if n := dropped(); n > 0 {
 			counter.Inc(n)
 			e.log.Emit(event.LinesDropped{Lines: n})
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -101,6 +101,11 @@
 	return e
 }
 
+// says is a script that gives each request the same answer.
+func says(status, header, body string) func(int, *http.Request, []byte, net.Conn) {
+	return func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, status, header, body) }
+}
+
 func (e *endpoint) run() {
 	for {
 		c, err := e.listener.Accept()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -16,9 +16,7 @@
 
 // TestPassesBytesUnchanged checks what the endpoint and the caller see.
 func TestPassesBytesUnchanged(t *testing.T) {
-	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) {
-		say(c, "201 Created", own+"X-Extra: 7\r\n", "\x00answer\r\n")
-	})
+	e := newEndpoint(t, says("201 Created", own+"X-Extra: 7\r\n", "\x00answer\r\n"))
 	w := newWorld(t, e)
 	a := w.call(t, "PUT", "/once/a%2Fb?x=%20&y", "\x01body", http.Header{"X-Mine": {"1", "2"}})
 	require.Equal(t, 201, a.status)
@@ -41,7 +39,7 @@
 
 // TestRefusesWhatNoConfigurationAllows checks the failures before a send.
 func TestRefusesWhatNoConfigurationAllows(t *testing.T) {
-	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+	e := newEndpoint(t, says("200 OK", own, "x"))
 	w := newWorld(t, e)
 	require.Equal(t, 404, w.call(t, "GET", "/none/", "", nil).status)
 	require.Equal(t, 401, w.call(t, "GET", "/safe/", "", http.Header{hKey: {"wrong"}}).status)
@@ -58,7 +56,7 @@
 // have run, so it is neither sent again nor said not to have run.
 func TestSendsOnceWhatMayRunOnce(t *testing.T) {
 	cut := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { reset(c) })
-	spare := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+	spare := newEndpoint(t, says("200 OK", own, "x"))
 	for _, path := range []string{"/once/", "/fixed/"} {
 		w := newWorld(t, cut, spare)
 		a := w.call(t, "POST", path, "b", nil)
@@ -72,7 +70,7 @@
 // TestUsesFreshConnectionsForWhatMayRunOnce checks that an idle connection,
 // which the endpoint may be closing, is not used.
 func TestUsesFreshConnectionsForWhatMayRunOnce(t *testing.T) {
-	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+	e := newEndpoint(t, says("200 OK", own, "x"))
 	w := newWorld(t, e)
 	for range 3 {
 		require.Equal(t, 200, w.call(t, "POST", "/once/", "b", nil).status)
@@ -84,7 +82,7 @@
 
 // TestKeepsConnectionsForWhatMayBeRepeated is the other side of it.
 func TestKeepsConnectionsForWhatMayBeRepeated(t *testing.T) {
-	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+	e := newEndpoint(t, says("200 OK", own, "x"))
 	w := newWorld(t, e)
 	for range 3 {
 		require.Equal(t, 200, w.call(t, "GET", "/safe/", "", nil).status)
@@ -97,10 +95,8 @@
 // TestSendsElsewhereOnProofOfNotRun follows a rejection, for all kinds.
 func TestSendsElsewhereOnProofOfNotRun(t *testing.T) {
 	for _, path := range []string{"/once/", "/safe/"} {
-		full := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) {
-			say(c, "503 Service Unavailable", hNotRun+": 1\r\n", "")
-		})
-		spare := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+		full := newEndpoint(t, says("503 Service Unavailable", hNotRun+": 1\r\n", ""))
+		spare := newEndpoint(t, says("200 OK", own, "x"))
 		w := newWorld(t, full, spare)
 		require.Equal(t, 200, w.call(t, "POST", path, "b", nil).status, path)
 		require.Equal(t, []dispatch.Outcome{dispatch.Rejected, dispatch.Served}, w.ends())
@@ -110,7 +106,7 @@
 
 // TestOrganisationsPriorityGoesBeforeTheRoutes tells the placement of it.
 func TestOrganisationsPriorityGoesBeforeTheRoutes(t *testing.T) {
-	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+	e := newEndpoint(t, says("200 OK", own, "x"))
 	w := newWorld(t, e)
 	require.Equal(t, 200, w.call(t, "GET", "/safe/", "", nil).status)
 	require.Equal(t, 200, w.call(t, "GET", "/safe/", "", http.Header{hKey: {"key of the first"}}).status)
@@ -120,7 +116,7 @@
 
 // TestPlacementKnowsHowLongCallersWait tells it by when a first event is of use.
 func TestPlacementKnowsHowLongCallersWait(t *testing.T) {
-	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+	e := newEndpoint(t, says("200 OK", own, "x"))
 	w := newWorld(t, e)
 	w.call(t, "GET", "/stream/", "", nil)
 	w.call(t, "GET", "/safe/", "", nil)
@@ -142,7 +138,7 @@
 			ran++
 			say(c, "200 OK", own, "x")
 		})
-		spare := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+		spare := newEndpoint(t, says("200 OK", own, "x"))
 		w := newWorld(t, other, spare)
 		require.Equal(t, 200, w.call(t, "POST", path, "b", nil).status, path)
 		require.Equal(t, []dispatch.Outcome{dispatch.Rejected, dispatch.Served}, w.ends())
@@ -152,9 +148,7 @@
 
 // TestAttemptsAreBounded rejects everywhere: two sends, and an honest refusal.
 func TestAttemptsAreBounded(t *testing.T) {
-	reject := func(_ int, _ *http.Request, _ []byte, c net.Conn) {
-		say(c, "503 Service Unavailable", hNotRun+": 1\r\n", "")
-	}
+	reject := says("503 Service Unavailable", hNotRun+": 1\r\n", "")
 	a, b, c := newEndpoint(t, reject), newEndpoint(t, reject), newEndpoint(t, reject)
 	w := newWorld(t, a, b, c)
 	got := w.call(t, "POST", "/once/", "b", nil)
@@ -168,9 +162,7 @@
 
 // TestBudgetBoundsRepeats spends the allowance of one repeat.
 func TestBudgetBoundsRepeats(t *testing.T) {
-	reject := func(_ int, _ *http.Request, _ []byte, c net.Conn) {
-		say(c, "503 Service Unavailable", hNotRun+": 1\r\n", "")
-	}
+	reject := says("503 Service Unavailable", hNotRun+": 1\r\n", "")
 	a, b := newEndpoint(t, reject), newEndpoint(t, reject)
 	w := newWorld(t, a, b)
 	w.allowance = 1
@@ -185,7 +177,7 @@
 // take it for a request that did not run.
 func TestUnprovenRefusalIsNoPromise(t *testing.T) {
 	for _, status := range []string{"503 Busy", "429 Slow", "408 Late"} {
-		e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, status, own, "no") })
+		e := newEndpoint(t, says(status, own, "no"))
 		w := newWorld(t, e)
 		a := w.call(t, "POST", "/once/", "b", nil)
 		require.Equal(t, 502, a.status, status)
@@ -196,7 +188,7 @@
 // TestOwnFailureIsReturned passes an endpoint's 500 on, and tries elsewhere
 // first where it may.
 func TestOwnFailureIsReturned(t *testing.T) {
-	fail := func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "500 Oops", own, "broken") }
+	fail := says("500 Oops", own, "broken")
 	a, b := newEndpoint(t, fail), newEndpoint(t, fail)
 	w := newWorld(t, a, b)
 	got := w.call(t, "POST", "/once/", "b", nil)
@@ -212,7 +204,7 @@
 // TestOwnFailureIsReturnedWithoutAnotherEndpoint lets the second placement be
 // refused: the caller gets what the endpoint said.
 func TestOwnFailureIsReturnedWithoutAnotherEndpoint(t *testing.T) {
-	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "500 Oops", own, "broken") })
+	e := newEndpoint(t, says("500 Oops", own, "broken"))
 	w := newWorld(t, e)
 	a := w.call(t, "GET", "/safe/", "", nil)
 	require.Equal(t, 500, a.status)
@@ -222,7 +214,7 @@
 
 // TestUnsealedSuccessIsNotDelivered covers an answer that nobody vouches for.
 func TestUnsealedSuccessIsNotDelivered(t *testing.T) {
-	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", hID+": r1\r\n", "forged") })
+	e := newEndpoint(t, says("200 OK", hID+": r1\r\n", "forged"))
 	w := newWorld(t, e)
 	require.Equal(t, 502, w.call(t, "POST", "/once/", "b", nil).status)
 }
@@ -236,7 +228,7 @@
 			time.Sleep(20 * time.Millisecond)
 			reset(c)
 		})
-		spare := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "whole") })
+		spare := newEndpoint(t, says("200 OK", own, "whole"))
 		w := newWorld(t, cut, spare)
 		a := w.call(t, "GET", "/safe/", "", nil)
 		require.Equal(t, "whole", a.body, name)
@@ -344,7 +336,7 @@
 
 // TestStoppingEndsConnections tells callers that their connection ends.
 func TestStoppingEndsConnections(t *testing.T) {
-	e := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, "200 OK", own, "x") })
+	e := newEndpoint(t, says("200 OK", own, "x"))
 	w := newWorld(t, e)
 	w.gateway.Stop()
 	a := w.call(t, "GET", "/safe/", "", nil)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -94,7 +94,7 @@
 func TestFailedResumptionIsBroken(t *testing.T) {
 	for _, status := range []string{"500 Oops", "400 No", "404 Gone"} {
 		cut := newEndpoint(t, breaksAfterTwo)
-		spare := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { say(c, status, own, "failed") })
+		spare := newEndpoint(t, says(status, own, "failed"))
 		w := newWorld(t, cut, spare)
 		a := w.call(t, "POST", "/stream/", "b", nil)
 		require.Equal(t, event1+event2, a.body, status)
