Dispatch keys jobs by owner and ID

Cause: the dispatcher, and the look-up of a decision for a VM that submits a job, knew jobs by their ID alone. Ruled out: a lost grant (the holder logged no decision at all), the caller's budget (no retry was counted). Change: JobKey, owner and ID, wherever jobs, placements and updates are looked up. While there: a grant of an earlier holder that is buffered when the current holder decides is withdrawn, so that its placement does not occupy the endpoint until it expires.

--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -37,7 +37,7 @@
 				for b.Loop() {
 					d.Submit(now, j)
 					d.Decide(now)
-					d.Finished(now, "x", Abandoned, "")
+					d.Finished(now, testKey("x"), Abandoned, "")
 				}
 			})
 		}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -55,7 +55,7 @@
 	// fullService is a service that had no capacity for a light job in this
 	// call of Decide.
 	fullService string
-	placed      map[string]*placedJob
+	placed      map[JobKey]*placedJob
 	// lastExpiry is when placed was last scanned for expired jobs.
 	lastExpiry time.Time
 	// demands holds the load of each service.
@@ -69,7 +69,7 @@
 		services:  make(map[string]*engine.CostModel),
 		endpoints: make(map[string]*endpoint),
 		pools:     make(map[string][]*endpoint),
-		placed:    make(map[string]*placedJob),
+		placed:    make(map[JobKey]*placedJob),
 		demands:   make(map[string]*demand),
 	}
 }
@@ -77,7 +77,7 @@
 // Submit queues a job; Decide places or refuses it. A job that is already
 // queued or placed is left unchanged.
 func (d *Dispatcher) Submit(now time.Time, job Job) {
-	if d.placed[job.ID] != nil || d.queueIndex(job.ID) >= 0 {
+	if d.placed[job.Key()] != nil || d.queueIndex(job.Key()) >= 0 {
 		return
 	}
 	d.recordArrival(now, &job)
@@ -86,8 +86,8 @@
 
 // Placement returns where a job was placed; ok is false for a queued or unknown
 // job.
-func (d *Dispatcher) Placement(id string) (p Placement, ok bool) {
-	pl := d.placed[id]
+func (d *Dispatcher) Placement(key JobKey) (p Placement, ok bool) {
+	pl := d.placed[key]
 	if pl == nil {
 		return Placement{}, false
 	}
@@ -97,10 +97,10 @@
 // Adopt records a job that another dispatcher placed, and removes it from the
 // queue. started is set if its first event has been reported.
 func (d *Dispatcher) Adopt(now time.Time, job Job, p Placement, started bool) {
-	if d.placed[job.ID] != nil {
+	if d.placed[job.Key()] != nil {
 		return
 	}
-	if i := d.queueIndex(job.ID); i >= 0 {
+	if i := d.queueIndex(job.Key()); i >= 0 {
 		d.queue = slices.Delete(d.queue, i, i+1)
 	}
 	pl := d.addPlaced(now, &job, p)
@@ -110,8 +110,8 @@
 }
 
 // FirstEvent records a placed job's first event.
-func (d *Dispatcher) FirstEvent(now time.Time, id string) {
-	if p := d.placed[id]; p != nil && !p.started {
+func (d *Dispatcher) FirstEvent(now time.Time, key JobKey) {
+	if p := d.placed[key]; p != nil && !p.started {
 		d.markStarted(now, p)
 	}
 }
@@ -119,12 +119,12 @@
 // Finished records the end of a placed job, or removes a queued one that is no
 // longer wanted. blamed is the ID of the endpoint that the outcome is
 // attributed to; if it is empty, that is the job's receiver.
-func (d *Dispatcher) Finished(now time.Time, id string, outcome Outcome, blamed string) {
-	if i := d.queueIndex(id); i >= 0 {
+func (d *Dispatcher) Finished(now time.Time, key JobKey, outcome Outcome, blamed string) {
+	if i := d.queueIndex(key); i >= 0 {
 		d.queue = slices.Delete(d.queue, i, i+1)
 		return
 	}
-	p := d.placed[id]
+	p := d.placed[key]
 	if p == nil {
 		return
 	}
@@ -188,14 +188,14 @@
 func (d *Dispatcher) Placed() int { return len(d.placed) }
 
 // queueIndex returns the index of a job in the queue, or -1.
-func (d *Dispatcher) queueIndex(id string) int {
-	return slices.IndexFunc(d.queue, func(q *queuedJob) bool { return q.ID == id })
+func (d *Dispatcher) queueIndex(key JobKey) int {
+	return slices.IndexFunc(d.queue, func(q *queuedJob) bool { return q.Key() == key })
 }
 
 // addPlaced records a placed job and adds its parts to its endpoints.
 func (d *Dispatcher) addPlaced(now time.Time, job *Job, p Placement) *placedJob {
 	pl := &placedJob{Job: *job, Placement: p, light: d.light(job), predicted: now.Add(p.Predicted)}
-	d.placed[job.ID] = pl
+	d.placed[job.Key()] = pl
 	d.demandOf(job.Service).add(pl, d.services[job.Service])
 	for i, id := range p.endpoints() {
 		e := d.endpoints[id]
@@ -224,7 +224,7 @@
 
 // removePlaced removes a placed job and its parts.
 func (d *Dispatcher) removePlaced(now time.Time, p *placedJob) {
-	delete(d.placed, p.ID)
+	delete(d.placed, p.Key())
 	d.demandOf(p.Service).remove(p)
 	d.forEachPart(p, func(e *endpoint, pt *part) {
 		e.parts = slices.DeleteFunc(e.parts, func(other *part) bool { return other == pt })
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -46,6 +46,9 @@
 	}
 }
 
+// testKey returns the key of a job that prompt or call made.
+func testKey(id string) JobKey { return JobKey{Owner: "vm", ID: id} }
+
 func call(id string, now time.Time) Job {
 	return Job{ID: id, Owner: "vm", Service: "p", Arrived: now, Due: now.Add(150 * time.Millisecond), Deadline: now.Add(time.Second)}
 }
@@ -57,7 +60,7 @@
 	d.Submit(now, j)
 	decisions := d.Decide(now)
 	require.Len(t, decisions, 1)
-	require.Equal(t, j.ID, decisions[0].JobID())
+	require.Equal(t, j.ID, decisions[0].Key().ID)
 	return decisions[0]
 }
 
@@ -80,7 +83,7 @@
 	d.Submit(start, call("5", start))
 	require.Empty(t, d.Decide(start))
 	require.Equal(t, 1, d.Queued())
-	d.Finished(at(10), "3", Served, "")
+	d.Finished(at(10), testKey("3"), Served, "")
 	decisions := d.Decide(at(10))
 	require.Len(t, decisions, 1)
 	require.NotNil(t, decisions[0].Placement)
@@ -146,7 +149,7 @@
 	for _, e := range d.endpoints {
 		require.LessOrEqual(t, e.heldTokens, e.engine.MemoryTokens)
 	}
-	d.Finished(at(1), "huge", Abandoned, "")
+	d.Finished(at(1), testKey("huge"), Abandoned, "")
 	for _, e := range d.endpoints {
 		require.Zero(t, e.heldTokens)
 	}
@@ -164,14 +167,14 @@
 func TestBlamedEndpointIsBackedOff(t *testing.T) {
 	d := fleet(2, 0)
 	submitAndPlace(t, d, start, prompt("1", 5000, start))
-	d.Finished(at(1), "1", Rejected, "eb")
+	d.Finished(at(1), testKey("1"), Rejected, "eb")
 	for _, id := range []string{"2", "3", "4"} {
 		require.Equal(t, "ea", submitAndPlace(t, d, at(2), prompt(id, 5000, at(2))).Endpoint)
 	}
 	later := at(engine.Ms(d.cfg.RejectBackoff) + 10)
-	d.Finished(later, "2", Abandoned, "")
-	d.Finished(later, "3", Abandoned, "")
-	d.Finished(later, "4", Abandoned, "")
+	d.Finished(later, testKey("2"), Abandoned, "")
+	d.Finished(later, testKey("3"), Abandoned, "")
+	d.Finished(later, testKey("4"), Abandoned, "")
 	require.True(t, d.endpoints["eb"].usable(later))
 }
 
@@ -195,7 +198,7 @@
 func TestBackedOffEndpointIsUsedIfItIsTheOnlyOne(t *testing.T) {
 	d := fleet(0, 1)
 	submitAndPlace(t, d, start, call("1", start))
-	d.Finished(at(1), "1", Failed, "")
+	d.Finished(at(1), testKey("1"), Failed, "")
 	require.Equal(t, "pa", submitAndPlace(t, d, at(2), call("2", at(2))).Endpoint)
 }
 
@@ -229,11 +232,11 @@
 	d.SetEndpoints(start, endpoints(2, 0))
 	d.Adopt(start, prompt("1", 5000, start), Placement{Job: "1", Endpoint: "ea"}, false)
 	d.Adopt(start, prompt("2", 5000, start), Placement{Job: "2", Endpoint: "ea"}, true)
-	d.FirstEvent(at(1), "1")
+	d.FirstEvent(at(1), testKey("1"))
 	d.SetServices(at(2), []Service{{Name: "s", Engine: simCostModel()}})
 	require.Equal(t, 2, d.endpoints["ea"].model.Decoding())
-	d.Finished(at(3), "1", Served, "")
-	d.Finished(at(3), "2", Served, "")
+	d.Finished(at(3), testKey("1"), Served, "")
+	d.Finished(at(3), testKey("2"), Served, "")
 	require.Zero(t, d.endpoints["ea"].model.Decoding())
 }
 
@@ -248,7 +251,7 @@
 	m := d.endpoints["ea"].model
 	require.Equal(t, 1, m.Decoding())
 	require.Positive(t, m.PendingPrefillMs(at(1)))
-	d.Finished(at(2), "2", Served, "")
+	d.Finished(at(2), testKey("2"), Served, "")
 	require.Zero(t, m.PendingPrefillMs(at(2)))
 }
 
@@ -266,7 +269,7 @@
 	require.Zero(t, d.Placed())
 	decisions := d.Decide(at(1))
 	require.Len(t, decisions, 1)
-	require.Equal(t, "4", decisions[0].JobID())
+	require.Equal(t, "4", decisions[0].Key().ID)
 }
 
 // When a VM reports its jobs again, those of earlier terms are removed, and
@@ -279,7 +282,7 @@
 	submitAndPlace(t, d, start, newer)
 	d.DropTerms(at(1), "vm", "p", 1)
 	require.Equal(t, 1, d.Placed())
-	require.NotNil(t, d.placed["new"])
+	require.NotNil(t, d.placed[testKey("new")])
 }
 
 // A placed job whose end is never reported is removed after its deadline.
@@ -298,8 +301,8 @@
 	d := fleet(1, 0)
 	submitAndPlace(t, d, start, prompt("1", 5000, start))
 	d.SetEndpoints(at(1), nil)
-	d.FirstEvent(at(2), "1")
-	d.Finished(at(3), "1", Served, "")
+	d.FirstEvent(at(2), testKey("1"))
+	d.Finished(at(3), testKey("1"), Served, "")
 	require.Zero(t, d.Placed())
 }
 
@@ -329,7 +332,7 @@
 	for _, id := range []string{"2", "3", "4", "5"} {
 		require.NotEqual(t, first.Endpoint, submitAndPlace(t, d, late, prompt(id, 5000, late)).Endpoint)
 	}
-	d.FirstEvent(late, "1")
+	d.FirstEvent(late, testKey("1"))
 	seen := map[string]bool{}
 	for _, id := range []string{"6", "7", "8", "9", "10", "11", "12"} {
 		seen[submitAndPlace(t, d, late, prompt(id, 5000, late)).Endpoint] = true
@@ -348,7 +351,7 @@
 	require.Empty(t, d.Decide(start))
 	require.Empty(t, d.Decide(at(1600)))
 	for _, id := range []string{"ea", "eb", "ec"} {
-		d.Finished(at(1650), id, Served, "")
+		d.Finished(at(1650), testKey(id), Served, "")
 	}
 	decisions := d.Decide(at(1650))
 	require.Len(t, decisions, 1)
@@ -394,9 +397,9 @@
 	require.Empty(t, d.Decide(start))
 	order := make([]string, 0, 3)
 	for _, id := range []string{"1", "2", "high"} {
-		d.Finished(at(1), id, Served, "")
+		d.Finished(at(1), testKey(id), Served, "")
 		for _, decision := range d.Decide(at(1)) {
-			order = append(order, decision.JobID())
+			order = append(order, decision.Key().ID)
 		}
 	}
 	require.Equal(t, []string{"high", "high too", "low"}, order)
@@ -415,14 +418,14 @@
 	for n := range 20 {
 		now := at(float64(10 * (n + 1)))
 		d.Submit(now, call("n"+strconv.Itoa(n), now))
-		d.Finished(now, busy[0], Served, "")
+		d.Finished(now, testKey(busy[0]), Served, "")
 		decisions := d.Decide(now)
 		require.Len(t, decisions, 1)
-		if decisions[0].JobID() == "low" {
+		if decisions[0].Key().ID == "low" {
 			require.Less(t, now, low.Due)
 			return
 		}
-		busy = append(busy[1:], decisions[0].JobID())
+		busy = append(busy[1:], decisions[0].Key().ID)
 	}
 	t.Fatal("the low-priority call was not placed")
 }
@@ -436,3 +439,44 @@
 	j.FirstEventBy = at(2000)
 	require.Greater(t, submitAndPlace(t, d, start, j).Predicted, 2*time.Second)
 }
+
+// Two entry VMs may submit jobs under one ID, as a caller can send the same
+// request to both. Each of them is decided, whether the other one is queued,
+// placed here or adopted from another dispatcher.
+func TestJobsOfTwoOwnersWithOneID(t *testing.T) {
+	mine, other := call("1", start), call("1", start)
+	other.Owner = "other"
+	for name, prepare := range map[string]func(d *Dispatcher){
+		"queued": func(d *Dispatcher) { d.Submit(start, mine) },
+		"placed": func(d *Dispatcher) { submitAndPlace(t, d, start, mine) },
+		"adopted": func(d *Dispatcher) {
+			d.Adopt(start, mine, Placement{Job: mine.ID, Endpoint: "pa"}, false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := fleet(0, 2)
+			prepare(d)
+			d.Submit(start, other)
+			owners := []string{}
+			for _, decision := range d.Decide(start) {
+				require.NotNil(t, decision.Placement)
+				owners = append(owners, decision.Owner)
+			}
+			require.Contains(t, owners, "other")
+			require.Equal(t, 2, d.Placed())
+		})
+	}
+}
+
+// A job that is adopted takes its own place in the queue, not that of another
+// owner's job with the same ID.
+func TestAdoptedJobLeavesOtherOwnersJobQueued(t *testing.T) {
+	d := fleet(0, 2)
+	mine, other := call("1", start), call("1", start)
+	other.Owner = "other"
+	d.Submit(start, other)
+	d.Adopt(start, mine, Placement{Job: mine.ID, Endpoint: "pa"}, false)
+	decisions := d.Decide(start)
+	require.Len(t, decisions, 1)
+	require.Equal(t, "other", decisions[0].Owner)
+}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -2,9 +2,18 @@
 
 import "time"
 
+// JobKey identifies a job among those of all entry VMs. Two VMs may use the same
+// ID, as a caller can send one request to both.
+type JobKey struct {
+	// Owner is the entry VM that holds the caller's connection.
+	Owner string
+	// ID is unique among the owner's jobs.
+	ID string
+}
+
 // Job is a request that needs an endpoint.
 type Job struct {
-	// ID is unique among the jobs of all entry VMs.
+	// ID is unique among the jobs of the owner.
 	ID string
 	// Owner is the entry VM that holds the caller's connection.
 	Owner string
@@ -36,8 +45,12 @@
 	Avoid []string
 }
 
+// Key returns the job's key.
+func (j *Job) Key() JobKey { return JobKey{Owner: j.Owner, ID: j.ID} }
+
 // Placement assigns a job to endpoints.
 type Placement struct {
+	// Job is the job's ID.
 	Job string
 	// Endpoint is the receiver: it gets the request and produces the answer.
 	Endpoint string
@@ -71,6 +84,7 @@
 
 // Refusal is the decision not to place a job. The job has not run.
 type Refusal struct {
+	// Job is the job's ID.
 	Job    string
 	Reason Reason
 	// RetryAfter is the minimum time before a retry; zero if a retry would fail
@@ -114,10 +128,10 @@
 	return "failed"
 }
 
-// JobID returns the ID of the job that was decided.
-func (d Decision) JobID() string {
+// Key returns the key of the job that was decided.
+func (d Decision) Key() JobKey {
 	if d.Placement != nil {
-		return d.Placement.Job
+		return JobKey{Owner: d.Owner, ID: d.Placement.Job}
 	}
-	return d.Refusal.Job
+	return JobKey{Owner: d.Owner, ID: d.Refusal.Job}
 }
--- a/core/dispatch/sim_test.go
+++ b/core/dispatch/sim_test.go
@@ -261,7 +261,7 @@
 
 func (s *sim) decide() {
 	for _, d := range s.d.Decide(s.time()) {
-		j := s.byID[d.JobID()]
+		j := s.byID[d.Key().ID]
 		if d.Refusal != nil {
 			j.failed = true
 			s.refused++
@@ -349,7 +349,7 @@
 		j.late = true
 	}
 	e.decoding = append(e.decoding, j)
-	s.d.FirstEvent(s.time(), j.id)
+	s.d.FirstEvent(s.time(), testKey(j.id))
 	j.emitted = 1
 	s.finishIfComplete(e, j)
 	if len(e.prefilled) == 0 {
@@ -372,7 +372,7 @@
 	}
 	j.done = true
 	s.stopDecoding(e, j)
-	s.d.Finished(s.time(), j.id, Served, "")
+	s.d.Finished(s.time(), testKey(j.id), Served, "")
 }
 
 func (s *sim) stopDecoding(e *simEngine, j *simJob) {
@@ -395,7 +395,7 @@
 			s.stopDecoding(e, j)
 			e.prefillQueue = slices.DeleteFunc(e.prefillQueue, func(p *simPart) bool { return p.job == j })
 		}
-		s.d.Finished(s.time(), j.id, Abandoned, "")
+		s.d.Finished(s.time(), testKey(j.id), Abandoned, "")
 	}
 }
 
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -109,6 +109,7 @@
 		d, retry, err := c.requestDecision(ctx, j)
 		if err != nil {
 			c.Finished(dj.ID, dispatch.Abandoned, "")
+			c.withdrawUnused(j, "")
 			return gateway.Placed{}, err
 		}
 		if !retry {
@@ -179,6 +180,7 @@
 		c.mu.Lock()
 		delete(c.jobs, j.ID)
 		c.mu.Unlock()
+		c.withdrawUnused(j, d.holder)
 		return gateway.Placed{}, &gateway.RefusedError{Refusal: *d.decision.Refusal, Holder: d.holder}
 	}
 	placement := *d.decision.Placement
@@ -186,12 +188,40 @@
 	j.placement = &placement
 	update := jobUpdate{Job: j.ID, Adopted: c.encodeAdopted(j)}
 	c.mu.Unlock()
+	c.withdrawUnused(j, d.holder)
 	if d.holder != c.vm {
 		c.local.applyUpdate(c.vm, update)
 	}
 	return gateway.Placed{Placement: placement, Holder: d.holder}, nil
 }
 
+// withdrawUnused withdraws a placement that an earlier holder granted while the
+// holder decidedBy made the decision that counts. Otherwise it would occupy its
+// endpoint until it expires. The job must be decided or ended already, so that no
+// further decision is delivered to it.
+func (c *Coordinator) withdrawUnused(j *job, decidedBy string) {
+	var unused holderDecision
+	select {
+	case unused = <-j.decisions:
+	default:
+		return
+	}
+	if unused.decision.Placement == nil || unused.holder == decidedBy {
+		return
+	}
+	update := jobUpdate{Job: j.ID, Finished: true, Outcome: dispatch.Abandoned}
+	if unused.holder == c.vm {
+		c.local.applyUpdate(c.vm, update)
+		return
+	}
+	c.mu.Lock()
+	holder, live := c.holders.member(unused.holder)
+	c.mu.Unlock()
+	if live {
+		c.sender(holder).enqueue(update)
+	}
+}
+
 // encodeAdopted encodes a placed job for another dispatcher. The caller must hold
 // the lock.
 func (c *Coordinator) encodeAdopted(j *job) *adoptedJob {
@@ -251,7 +281,7 @@
 func (c *Coordinator) deliver(d holderDecision) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	j := c.jobs[d.decision.JobID()]
+	j := c.jobs[d.decision.Key().ID]
 	if j == nil || j.placement != nil {
 		return false
 	}
@@ -278,7 +308,7 @@
 		wanted = err == nil && answer.Wanted
 	}
 	if !wanted && d.Placement != nil {
-		c.local.applyUpdate(d.Owner, jobUpdate{Job: d.JobID(), Finished: true, Outcome: dispatch.Abandoned})
+		c.local.applyUpdate(d.Owner, jobUpdate{Job: d.Key().ID, Finished: true, Outcome: dispatch.Abandoned})
 	}
 }
 
--- a/internal/coordination/coordinator_test.go
+++ b/internal/coordination/coordinator_test.go
@@ -337,3 +337,38 @@
 	require.Equal(t, holder, vms["b"].place(t, "2").Holder)
 	require.Equal(t, holder, vms["c"].place(t, "3").Holder)
 }
+
+// TestUnusedGrantIsWithdrawn checks that a placement of an earlier holder that
+// arrives while the current holder decides does not stay counted at the earlier one.
+func TestUnusedGrantIsWithdrawn(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 2)
+	holder := holderOf(vms)
+	requester := otherVM(vms, holder)
+	earlier := otherVM(vms, holder, requester)
+	pending := &job{Job: newJob("1", requester), decisions: make(chan holderDecision, 1)}
+	requester.jobs["1"] = pending
+	granted := earlier.local.submitRemote(encodeJob(time.Now(), pending.Job), requester.name)
+	require.True(t, granted.decided())
+	require.True(t, requester.deliver(holderDecision{granted.decision(), earlier.name}))
+	decided := holder.local.submitRemote(encodeJob(time.Now(), pending.Job), requester.name)
+	_, err := requester.accept(pending, holderDecision{decided.decision(), holder.name})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { _, placed := earlier.counts(); return placed == 0 }, 5*time.Second, time.Millisecond)
+	_, placed := holder.counts()
+	require.Equal(t, 1, placed)
+}
+
+// TestHolderKeepsJobsOfTwoOwnersWithOneID checks that a holder decides its own job
+// although it was handed another VM's job with the same ID just before.
+func TestHolderKeepsJobsOfTwoOwnersWithOneID(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 2)
+	holder := holderOf(vms)
+	other := otherVM(vms, holder)
+	p := other.place(t, "1")
+	holder.local.applyUpdate(other.name, jobUpdate{Job: "1", Adopted: &adoptedJob{
+		Job: encodeJob(time.Now(), newJob("1", other)), Placement: encodeDecision(dispatch.Decision{Placement: &p.Placement}),
+	}})
+	holder.place(t, "1")
+	_, placed := holder.counts()
+	require.Equal(t, 2, placed)
+}
--- a/internal/coordination/local.go
+++ b/internal/coordination/local.go
@@ -53,9 +53,10 @@
 func (l *LocalDispatcher) submitRemote(m jobMessage, owner string) decisionMessage {
 	var placed dispatch.Placement
 	var known bool
+	key := dispatch.JobKey{Owner: owner, ID: m.ID}
 	decisions := l.step(func(now time.Time, d *dispatch.Dispatcher) {
 		d.Submit(now, m.job(now, owner))
-		placed, known = d.Placement(m.ID)
+		placed, known = d.Placement(key)
 	})
 	answer := decisionMessage{Job: m.ID}
 	if known {
@@ -63,7 +64,7 @@
 	}
 	others := make([]dispatch.Decision, 0, len(decisions))
 	for _, d := range decisions {
-		if d.JobID() == m.ID {
+		if d.Key() == key {
 			answer = encodeDecision(d)
 			continue
 		}
@@ -77,6 +78,7 @@
 
 // applyUpdate applies an update on a job of the owner.
 func (l *LocalDispatcher) applyUpdate(owner string, u jobUpdate) {
+	key := dispatch.JobKey{Owner: owner, ID: u.Job}
 	l.handle(func(now time.Time, d *dispatch.Dispatcher) {
 		switch {
 		case u.Adopted != nil:
@@ -85,9 +87,9 @@
 				d.Adopt(now, u.Adopted.Job.job(now, owner), *placement, u.Adopted.Began)
 			}
 		case u.Began:
-			d.FirstEvent(now, u.Job)
+			d.FirstEvent(now, key)
 		case u.Finished:
-			d.Finished(now, u.Job, u.Outcome, u.Blamed)
+			d.Finished(now, key, u.Outcome, u.Blamed)
 		}
 	})
 }
