Order store rows by epoch and version

Cause: the store may be restored from a backup some seconds old. Its versions go back and are issued again, so a copy that orders rows by version alone waits for versions that were reissued already, and takes rows of the backup, or the absence of lost ones, for news: an endpoint that had left is asked again, one that registered since is dropped, a VM that starts meanwhile learns an older configuration, and the VM's own row is gone. Ruled out: the configuration in force, which has a version of its own that never decreases in a process. Mirrors, the VMs' polls of one another and the digests on probes order by (epoch, version). On a new epoch the topic is listed again; rows that the store lost or has in an older version are kept, endpoints for four heartbeats, configurations until one of at least their version is written, and are handed to VMs that start meanwhile. Each VM writes its own row again. Messages stay readable both ways: a missing epoch is epoch zero, and VMs that send none are answered by version as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -164,7 +164,9 @@
 		v.newPeers,
 		func() *coordination.LocalDispatcher { return coordination.NewLocalDispatcher(dispatch.DefaultConfig()) },
 		v.newCoordinator,
-		func(l *coordination.LocalDispatcher) *registry { return newRegistry(v.platform.Decoder, v.log, l) },
+		func(l *coordination.LocalDispatcher) *registry {
+			return newRegistry(v.platform.Decoder, v.log, l, v.settings.Heartbeat)
+		},
 		func(l *coordination.LocalDispatcher) *tables { return newTables(v.platform.Decoder, v.log, l) },
 		newTransport,
 		v.newTickets,
@@ -235,8 +237,8 @@
 
 func (v *VM) startFollowers() {
 	p := v.components
-	v.configuration = mirror.Start(provider.Configuration, p.Tables, v.platform.Store, p.Peers, v.watchers, v.log)
-	v.endpoints = mirror.Start(provider.Endpoints, p.Registry, v.platform.Store, p.Peers, v.watchers, v.log)
+	v.configuration = mirror.Start(provider.Configuration, p.Tables, v.platform.Store, p.Peers, v.watchers, v.log, v.members.registerAgain)
+	v.endpoints = mirror.Start(provider.Endpoints, p.Registry, v.platform.Store, p.Peers, v.watchers, v.log, v.members.registerAgain)
 	mirror.RegisterHandler(p.Mux, v.configuration, v.endpoints)
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -37,8 +37,10 @@
 	mu              sync.Mutex
 	rows            map[provider.Topic]map[string]provider.Row
 	version         int64
-	unavailable     bool
-	change          chan struct{}
+	// epoch counts the calls of restore.
+	epoch       int64
+	unavailable bool
+	change      chan struct{}
 }
 
 func newMemoryStore() *memoryStore {
@@ -51,7 +53,7 @@
 	if s.unavailable {
 		return provider.Page{}, errStoreUnavailable
 	}
-	p := provider.Page{Version: s.version}
+	p := provider.Page{Version: s.version, Epoch: s.epoch}
 	for _, r := range s.rows[topic] {
 		if !r.Removed {
 			p.Rows = append(p.Rows, r)
@@ -64,7 +66,7 @@
 	timer := time.After(wait)
 	for {
 		s.mu.Lock()
-		p, change, unavailable := provider.Page{Version: s.version}, s.change, s.unavailable
+		p, change, unavailable := provider.Page{Version: s.version, Epoch: s.epoch}, s.change, s.unavailable
 		for _, r := range s.rows[topic] {
 			if r.Version > after {
 				p.Rows = append(p.Rows, r)
@@ -74,6 +76,9 @@
 		if unavailable {
 			return provider.Page{}, errStoreUnavailable
 		}
+		if after > p.Version {
+			return provider.Page{}, &provider.ExpiredError{After: after}
+		}
 		if len(p.Rows) > 0 {
 			return p, nil
 		}
@@ -102,7 +107,7 @@
 		return errStoreUnavailable
 	}
 	s.version++
-	row.Version = s.version
+	row.Version, row.Epoch = s.version, s.epoch
 	if s.rows[topic] == nil {
 		s.rows[topic] = make(map[string]provider.Row)
 	}
@@ -401,7 +406,7 @@
 	store.responsesToLose = 2
 	e := startVM(t, "a", store)
 	awaitStatus(t, e.settings.Balancer, "/readyz", http.StatusOK)
-	<-e.members.registered
+	e.members.registrations.Wait()
 	require.Equal(t, []string{"a"}, storedVMs(store))
 	require.Zero(t, store.responsesToLose)
 	e.Stop()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +32,9 @@
 	deadRowInterval = 30 * time.Second
 	// registerRetryDelay is the delay between attempts to write this VM's row.
 	registerRetryDelay = time.Second
+	// reregisterSpread is the time over which the VMs write their rows again after the
+	// store was restored.
+	reregisterSpread = 2 * time.Second
 )
 
 // vmRow is the value of a VM's row in the store.
@@ -96,12 +101,20 @@
 // service, and the VM's row in the store.
 type members struct {
 	vm       *VM
+	ctx      context.Context //nolint:containedctx // bounds the background tasks of the VM's lifetime
 	server   *peer.Server
 	service  *member.Service
 	identity peer.Identity
 	cancel   context.CancelFunc
-	// registered is closed when the row was written, or registration was cancelled.
-	registered chan struct{}
+
+	mu sync.Mutex
+	// epoch is the latest epoch of the store in which the row was written again.
+	epoch int64
+	// leaving is set when this VM stops, and no more registrations are started.
+	leaving bool
+	// registrations are the writes of the row in progress, which end early when the
+	// context is cancelled.
+	registrations sync.WaitGroup
 }
 
 // join starts the peer server, registers this VM in the store and starts the
@@ -116,8 +129,8 @@
 		return identifyResponse{p.Identity.VM}, nil
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &members{vm: v, server: server, identity: p.Identity, cancel: cancel, registered: make(chan struct{})}
-	go m.register(ctx)
+	m := &members{vm: v, ctx: ctx, server: server, identity: p.Identity, cancel: cancel}
+	m.registerAfter(0)
 	m.service = member.Start(member.Config{
 		Self: membership.Record{
 			ID:            p.Identity.VM,
@@ -137,10 +150,37 @@
 	return m, nil
 }
 
+// registerAgain writes this VM's row again once in each epoch of the store, as the
+// store may have lost it. The VMs do so at random times within reregisterSpread.
+func (m *members) registerAgain(epoch int64) {
+	m.mu.Lock()
+	known := epoch <= m.epoch
+	m.epoch = max(m.epoch, epoch)
+	m.mu.Unlock()
+	if !known {
+		m.registerAfter(rand.N(reregisterSpread))
+	}
+}
+
+// registerAfter starts a registration after the delay, unless this VM is leaving.
+func (m *members) registerAfter(delay time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leaving {
+		return
+	}
+	m.registrations.Go(func() {
+		select {
+		case <-m.ctx.Done():
+		case <-time.After(delay):
+			m.register(m.ctx)
+		}
+	})
+}
+
 // register writes this VM's row, so that VMs that start later find it. It retries
 // until the store confirms the write or the context ends.
 func (m *members) register(ctx context.Context) {
-	defer close(m.registered)
 	value, err := json.Marshal(vmRow{m.vm.settings.Peers, m.vm.settings.FailureDomain})
 	for err == nil && ctx.Err() == nil {
 		failure := m.vm.platform.Store.Put(ctx, provider.VMs, m.identity.VM, value)
@@ -192,10 +232,13 @@
 
 // leave announces to the other VMs that this one stops, and removes its row.
 func (m *members) leave() {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
 	m.cancel()
 	m.service.Leave()
 	m.vm.updateMembers()
-	<-m.registered
+	m.registrations.Wait()
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	if err := m.vm.platform.Store.Remove(ctx, provider.VMs, m.identity.VM); err != nil {
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -9,17 +9,23 @@
 	"cornelsaddle.example/cornelsaddle/internal/coordination"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/mirror"
+	"cornelsaddle.example/cornelsaddle/internal/provider"
 )
 
 // pullDelay is how long a VM waits for rows to arrive through its follower before
 // it pulls them from the VM that announced them.
 const pullDelay = 150 * time.Millisecond
 
-// digest is the data that VMs attach to their membership probes: the newest row
-// version of each topic's copy.
+// digest is the data that VMs attach to their membership probes: for each topic's
+// copy, the version and the epoch of its newest row, and the number of rows that it
+// keeps from earlier epochs. VMs that don't know epochs send the versions only.
 type digest struct {
-	Configuration int64 `json:"c"`
-	Endpoints     int64 `json:"e"`
+	Configuration      int64 `json:"c"`
+	Endpoints          int64 `json:"e"`
+	ConfigurationEpoch int64 `json:"ce,omitempty"`
+	EndpointsEpoch     int64 `json:"ee,omitempty"`
+	ConfigurationKept  int   `json:"ck,omitempty"`
+	EndpointsKept      int   `json:"ek,omitempty"`
 }
 
 // digest returns this VM's encoded digest, or nil before it has joined.
@@ -27,7 +33,11 @@
 	if !v.hasJoined() {
 		return nil
 	}
-	b, err := json.Marshal(digest{v.configuration.Latest(), v.endpoints.Latest()})
+	configuration, endpoints := v.configuration.Latest(), v.endpoints.Latest()
+	b, err := json.Marshal(digest{
+		Configuration: configuration.Version, ConfigurationEpoch: configuration.Epoch, ConfigurationKept: v.configuration.Kept(),
+		Endpoints: endpoints.Version, EndpointsEpoch: endpoints.Epoch, EndpointsKept: v.endpoints.Kept(),
+	})
 	if err != nil {
 		return nil
 	}
@@ -52,18 +62,20 @@
 	if !o.vm.hasJoined() {
 		return
 	}
-	o.pull(vm, o.vm.configuration, d.Configuration)
-	o.pull(vm, o.vm.endpoints, d.Endpoints)
+	o.pull(vm, o.vm.configuration, provider.Revision{Epoch: d.ConfigurationEpoch, Version: d.Configuration}, d.ConfigurationKept)
+	o.pull(vm, o.vm.endpoints, provider.Revision{Epoch: d.EndpointsEpoch, Version: d.Endpoints}, d.EndpointsKept)
 }
 
-// pull fetches newer rows from the VM, unless they arrive within pullDelay.
-func (o *observer) pull(vm string, f *mirror.Follower, latest int64) {
-	if latest <= f.Latest() {
+// pull fetches rows from a VM that has newer ones, or keeps more of earlier epochs,
+// unless they arrive within pullDelay.
+func (o *observer) pull(vm string, f *mirror.Follower, latest provider.Revision, kept int) {
+	behind := func() bool { return latest.Compare(f.Latest()) > 0 || kept > f.Kept() }
+	if !behind() {
 		return
 	}
 	time.AfterFunc(pullDelay, func() {
 		address, live := o.vm.addressOf(vm)
-		if latest > f.Latest() && live {
+		if live && behind() {
 			f.Pull(context.Background(), address)
 		}
 	})
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -15,6 +15,14 @@
 // two seconds.
 const relistTimeout = 2 * time.Second
 
+const (
+	// keepHeartbeats is the number of heartbeat intervals for which endpoints are kept
+	// that a restored store has lost: live ones write their rows again, and the store
+	// removes those that miss three heartbeats.
+	keepHeartbeats = 4
+	minKeepFor     = 3 * time.Second
+)
+
 // endpointSink receives the endpoints that requests may be dispatched to.
 type endpointSink interface {
 	SetEndpoints(list []dispatch.Endpoint)
@@ -26,6 +34,8 @@
 	decoder provider.Decoder
 	log     *event.Logger
 	sink    endpointSink
+	// keepFor is how long endpoints are kept that a restored store has lost.
+	keepFor time.Duration
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -33,8 +43,13 @@
 	expiry    *time.Timer
 }
 
-func newRegistry(decoder provider.Decoder, log *event.Logger, sink endpointSink) *registry {
-	return &registry{decoder: decoder, log: log, sink: sink, directory: directory.New(relistTimeout)}
+// newRegistry returns an empty registry of endpoints that write a heartbeat to the
+// store at the given interval.
+func newRegistry(decoder provider.Decoder, log *event.Logger, sink endpointSink, heartbeat time.Duration) *registry {
+	return &registry{
+		decoder: decoder, log: log, sink: sink, directory: directory.New(relistTimeout),
+		keepFor: max(minKeepFor, keepHeartbeats*heartbeat),
+	}
 }
 
 // Entry implements gateway.Directory.
@@ -118,6 +133,27 @@
 	r.publish()
 }
 
+// Supersedes implements mirror.Observer. An endpoint's row that may be from a backup
+// replaces a later one only if it tells of a later incarnation, or that the same one
+// drains.
+func (r *registry) Supersedes(known, row provider.Row, rewritten bool) bool {
+	if rewritten || row.Removed || known.Removed {
+		return rewritten
+	}
+	old, err := r.decoder.Entry(known)
+	if err != nil {
+		return true
+	}
+	e, err := r.decoder.Entry(row)
+	if err != nil {
+		return false
+	}
+	return e.Started > old.Started || e.Started == old.Started && e.State == directory.Draining
+}
+
+// KeepFor implements mirror.Observer.
+func (r *registry) KeepFor() time.Duration { return r.keepFor }
+
 // publish passes the usable endpoints to the sink; the lock is held.
 func (r *registry) publish() {
 	usable := r.directory.Usable()
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -59,6 +59,26 @@
 	t.log.Emit(event.DeploymentApplied{Version: deployment.Version, Was: active, Routes: len(deployment.Routes)})
 }
 
+// Supersedes implements mirror.Observer. Configurations have a version of their own,
+// which tells whether one that a restored store holds, or that was written to it, is
+// older than the known one.
+func (t *tables) Supersedes(known, row provider.Row, _ bool) bool {
+	return t.versionOf(row) >= t.versionOf(known)
+}
+
+// versionOf returns the version of the configuration in a row; zero if there is none.
+func (t *tables) versionOf(row provider.Row) int64 {
+	deployment, found, err := t.decoder.Deployment(row)
+	if !found || err != nil {
+		return 0
+	}
+	return deployment.Version
+}
+
+// KeepFor implements mirror.Observer. A configuration is kept until one of at least
+// its version is written again.
+func (t *tables) KeepFor() time.Duration { return 0 }
+
 // version returns the version of the configuration in force, or zero for none.
 func (t *tables) version() int64 {
 	if table := t.current.Load(); table != nil {
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -13,7 +13,7 @@
 	RequestPlaced{}, RequestRefused{}, SendEnded{}, RequestEnded{}, HolderChanged{}, HolderLost{},
 	GatewayStarted{}, GatewayStopping{}, GatewayStopped{}, RegistrationFailed{}, LinesDropped{}, DigestUnreadable{},
 	ReservationFailed{}, ReservationNotRenewed{}, ReservationNotReleased{}, LineDropped{},
-	RequestMisplaced{},
+	RequestMisplaced{}, StoreRestored{}, RowsReleased{},
 }
 
 // DeploymentApplied is emitted when a configuration version takes effect.
@@ -81,6 +81,7 @@
 // StoreLost is emitted when the store stops answering for a topic.
 type StoreLost struct {
 	Topic   string `log:"topic"`
+	Epoch   int64  `log:"epoch"`
 	Version int64  `log:"version"`
 	Reason  string `log:"reason"`
 }
@@ -93,6 +94,7 @@
 // StoreRegained is emitted when the store begins to answer for a topic.
 type StoreRegained struct {
 	Topic   string `log:"topic"`
+	Epoch   int64  `log:"epoch"`
 	Version int64  `log:"version"`
 }
 
@@ -104,6 +106,7 @@
 // HistoryExpired is emitted when the store no longer has the requested changes.
 type HistoryExpired struct {
 	Topic   string `log:"topic"`
+	Epoch   int64  `log:"epoch"`
 	Version int64  `log:"version"`
 }
 
@@ -366,3 +369,36 @@
 func (RequestMisplaced) Def() Def {
 	return Def{726, "request_misplaced", log.InfoLevel, "The holder assigned a request to an endpoint that, by this VM's directory, has left; again reports whether the request is placed again."}
 }
+
+// StoreRestored is emitted when a VM finds that the store was restored from a backup.
+type StoreRestored struct {
+	Topic string `log:"topic"`
+	Epoch int64  `log:"epoch"`
+	// Version is the store's version in the epoch.
+	Version  int64 `log:"version"`
+	WasEpoch int64 `log:"was_epoch"`
+	Was      int64 `log:"was"`
+	// Kept is the number of rows that are kept from before, and Rows the
+	// comma-separated keys of the first of them.
+	Kept int    `log:"kept"`
+	Rows string `log:"rows"`
+}
+
+// Def implements Event.
+func (StoreRestored) Def() Def {
+	return Def{727, "store_restored", log.WarnLevel, "The store was restored from a backup and lost what was written after it. The topic was listed again; rows that the store lost or holds in an older version are kept until they are written again, of endpoints for a limited time."}
+}
+
+// RowsReleased is emitted when rows kept from before a restoration of the store are
+// given up.
+type RowsReleased struct {
+	Topic string `log:"topic"`
+	Epoch int64  `log:"epoch"`
+	Count int    `log:"count"`
+	Rows  string `log:"rows"`
+}
+
+// Def implements Event.
+func (RowsReleased) Def() Def {
+	return Def{728, "rows_released", log.InfoLevel, "Rows that were kept after a restoration of the store were not written again in time; the store's rows replace them."}
+}
--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -27,8 +27,11 @@
 	// Seeds are peer addresses of some VMs; they may be stale.
 	Seeds []string
 	// Store is the address of the platform's store.
-	Store  string
-	Limits Limits
+	Store string
+	// Heartbeat is the interval at which endpoints write their rows to the store; zero
+	// if it is unknown.
+	Heartbeat time.Duration
+	Limits    Limits
 	// Grace is the time from a request to stop to the end of the process.
 	Grace        time.Duration
 	Retries      Retries
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -56,6 +58,8 @@
 	peers   Peers
 	sources Sources
 	log     *event.Logger
+	// onEpoch is called when the copy has entered a new epoch of the store.
+	onEpoch func(epoch int64)
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -70,14 +74,16 @@
 }
 
 // Start starts following the topic and returns its Follower, which runs until Stop.
-func Start(topic provider.Topic, observer Observer, store provider.Store, peers Peers, sources Sources, log *event.Logger) *Follower {
+// onEpoch is called when the copy has entered a new epoch of the store.
+func Start(topic provider.Topic, observer Observer, store provider.Store, peers Peers, sources Sources, log *event.Logger, onEpoch func(epoch int64)) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{
 		Mirror: New(observer), topic: topic, store: store, peers: peers,
-		sources: sources, log: log, cancel: cancel,
+		sources: sources, log: log, onEpoch: onEpoch, cancel: cancel,
 	}
 	f.done.Go(func() { f.followStore(ctx) })
 	f.done.Go(func() { f.followPeers(ctx) })
+	f.done.Go(func() { f.releaseKeptPeriodically(ctx) })
 	return f
 }
 
@@ -125,21 +131,24 @@
 // readStore lists the topic if the copy is empty, and otherwise makes one long poll.
 // If the changes have expired in the store, it lists the topic again.
 func (f *Follower) readStore(ctx context.Context) error {
-	version := f.Version()
-	if version == 0 {
+	after := f.Revision()
+	if after.Version == 0 {
 		return f.listStore(ctx)
 	}
 	pollCtx, cancel := context.WithTimeout(ctx, storePollWait+storePollMargin)
 	defer cancel()
-	p, err := f.store.Follow(pollCtx, f.topic, version, storePollWait)
+	p, err := f.store.Follow(pollCtx, f.topic, after.Version, storePollWait)
 	var expired *provider.ExpiredError
 	if errors.As(err, &expired) {
-		f.log.Emit(event.HistoryExpired{Topic: f.topic.String(), Version: version})
+		f.log.Emit(event.HistoryExpired{Topic: f.topic.String(), Epoch: after.Epoch, Version: after.Version})
 		return f.listStore(ctx)
 	}
 	if err != nil {
 		return err
 	}
+	if p.Epoch != after.Epoch {
+		return f.listStore(ctx)
+	}
 	f.setStoreReachable(ctx, true, nil)
 	f.applyChanges(p)
 	return nil
@@ -150,11 +159,52 @@
 	if err != nil {
 		return err
 	}
+	if !f.enter(p) {
+		return errors.WithStack(&StaleEpochError{Epoch: p.Epoch, Known: f.Revision().Epoch})
+	}
 	f.setStoreReachable(ctx, true, nil)
-	f.applyList(p)
 	return nil
 }
 
+// enter applies a list and logs an entry into a new epoch of the store. It returns
+// false for a list of an earlier epoch.
+func (f *Follower) enter(p provider.Page) bool {
+	change, ok := f.applyList(p)
+	if change.entered {
+		f.log.Emit(event.StoreRestored{
+			Topic: f.topic.String(), Epoch: change.to.Epoch, Version: change.to.Version,
+			WasEpoch: change.from.Epoch, Was: change.from.Version,
+			Kept: len(change.kept), Rows: joinKeys(change.kept),
+		})
+		f.onEpoch(change.to.Epoch)
+	}
+	return ok
+}
+
+// maxLoggedKeys bounds the keys of rows that one log line lists.
+const maxLoggedKeys = 8
+
+func joinKeys(keys []string) string { return strings.Join(keys[:min(len(keys), maxLoggedKeys)], ",") }
+
+// releaseKeptPeriodically ends the use of rows of earlier epochs that the store does
+// not have.
+func (f *Follower) releaseKeptPeriodically(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, idleInterval)
+		if released := f.releaseKept(time.Now()); len(released) > 0 {
+			f.log.Emit(event.RowsReleased{Topic: f.topic.String(), Epoch: f.Revision().Epoch, Count: len(released), Rows: joinKeys(released)})
+		}
+	}
+}
+
+// StaleEpochError reports a list of an earlier epoch of the store than the copy's.
+type StaleEpochError struct{ Epoch, Known int64 }
+
+// Error implements error.
+func (e *StaleEpochError) Error() string {
+	return fmt.Sprintf("list is of the store's epoch %d, epoch %d is known", e.Epoch, e.Known)
+}
+
 // setStoreReachable records whether the store is reachable, and logs a change. err
 // is the failure; nil if the store was reached or is not followed.
 func (f *Follower) setStoreReachable(ctx context.Context, reachable bool, err error) {
@@ -168,13 +218,13 @@
 	f.mu.Unlock()
 	switch {
 	case reachable && !previous:
-		f.log.Emit(event.StoreRegained{Topic: f.topic.String(), Version: f.Version()})
+		f.log.Emit(event.StoreRegained{Topic: f.topic.String(), Epoch: f.Revision().Epoch, Version: f.Revision().Version})
 	case !reachable && previous:
 		// The VMs polling this one must fail over to another source.
 		f.wakeWaiters()
 	}
 	if !reachable && previous && err != nil {
-		f.log.Emit(event.StoreLost{Topic: f.topic.String(), Version: f.Version(), Reason: err.Error()})
+		f.log.Emit(event.StoreLost{Topic: f.topic.String(), Epoch: f.Revision().Epoch, Version: f.Revision().Version, Reason: err.Error()})
 	}
 	f.setStale(stale, time.Now())
 }
@@ -244,23 +294,42 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+peerPollMargin)
 	defer cancel()
 	var m pageMessage
-	request := readMessage{Topic: f.topic, After: f.Version(), WaitMs: wait.Milliseconds()}
+	after := f.Revision()
+	request := readMessage{
+		Topic: f.topic, After: after.Version, AfterEpoch: &after.Epoch, Kept: f.Kept(), WaitMs: wait.Milliseconds(),
+	}
 	if _, err := f.peers.Call(ctx, address, methodRead, request, &m); err != nil || m.NoCopy {
 		return m, false
 	}
-	if m.Full {
-		f.applyList(m.page())
-	} else {
-		f.applyChanges(m.page())
+	if !f.apply(m) {
+		return m, false
 	}
 	return m, true
 }
 
+// apply applies another VM's rows. It returns false if they are of an earlier epoch.
+func (f *Follower) apply(m pageMessage) bool {
+	if m.Full {
+		if !f.enter(m.page()) {
+			return false
+		}
+	} else if !f.applyChanges(m.page()) {
+		return false
+	}
+	if len(m.Kept) > 0 {
+		f.applyKept(m.kept(), m.Epoch, time.Duration(m.KeptMs)*time.Millisecond)
+	}
+	return true
+}
+
 // serve returns the response to another VM's read. It is marked stale unless this
 // VM itself reaches the store, so that two VMs cut off from the store do not take
 // each other for a fresh source.
 func (f *Follower) serve(ctx context.Context, request readMessage) pageMessage {
 	m := f.readCopy(ctx, request)
+	if len(m.Kept) == request.Kept {
+		m.Kept, m.KeptMs = nil, 0
+	}
 	m.Stale = !f.isStoreReachable()
 	return m
 }
@@ -273,7 +342,7 @@
 		wait = 0
 	}
 	if request.After > 0 {
-		p, err := f.waitForChanges(ctx, request.After, wait)
+		p, err := f.waitForChanges(ctx, f.requested(request), wait)
 		if err == nil {
 			return encodePage(p, false)
 		}
@@ -285,6 +354,15 @@
 	return encodePage(p, true)
 }
 
+// requested returns the revision after which changes are requested. A VM that doesn't
+// know epochs compares versions only.
+func (f *Follower) requested(request readMessage) provider.Revision {
+	if request.AfterEpoch == nil {
+		return provider.Revision{Epoch: f.Revision().Epoch, Version: request.After}
+	}
+	return provider.Revision{Epoch: *request.AfterEpoch, Version: request.After}
+}
+
 // RegisterHandler registers the handler for reads of the followers' topics by other VMs.
 func RegisterHandler(mux *peer.Mux, followers ...*Follower) {
 	peer.Register(mux, methodRead, func(ctx context.Context, _ peer.Identity, request readMessage) (pageMessage, error) {
--- a/internal/mirror/messages.go
+++ b/internal/mirror/messages.go
@@ -14,8 +14,11 @@
 type readMessage struct {
 	Topic provider.Topic `json:"t"`
 	// After is the version after which changes are requested; zero requests the whole
-	// topic.
-	After int64 `json:"a,omitempty"`
+	// topic. AfterEpoch is its epoch; VMs that don't know epochs leave it out.
+	After      int64  `json:"a,omitempty"`
+	AfterEpoch *int64 `json:"ae,omitempty"`
+	// Kept is the number of rows of earlier epochs that the requester keeps.
+	Kept int `json:"k,omitempty"`
 	// WaitMs bounds how long the response is held if there are no changes.
 	WaitMs int64 `json:"w,omitempty"`
 }
@@ -24,6 +27,14 @@
 type pageMessage struct {
 	Rows    []rowMessage `json:"r,omitempty"`
 	Version int64        `json:"v"`
+	// Epoch is the epoch of the version and the rows; zero from VMs that don't know
+	// epochs.
+	Epoch int64 `json:"e,omitempty"`
+	// Kept are rows of earlier epochs that the sender prefers to those of the store,
+	// for another KeptMs; zero for no limit. They are left out if the requester has
+	// as many.
+	Kept   []rowMessage `json:"k,omitempty"`
+	KeptMs int64        `json:"km,omitempty"`
 	// Stale is true if the sender does not reach the store.
 	Stale bool `json:"s,omitempty"`
 	// RestoredMs is the time since the store was last regained, as recorded by the
@@ -40,28 +51,46 @@
 	Value   []byte `json:"d,omitempty"`
 	Version int64  `json:"v"`
 	Removed bool   `json:"x,omitempty"`
+	Epoch   int64  `json:"e,omitempty"`
 }
 
 func encodePage(p page, full bool) pageMessage {
-	m := pageMessage{Version: p.Version, RestoredMs: p.restored.Milliseconds(), Full: full}
+	m := pageMessage{
+		Version: p.Version, Epoch: p.Epoch, KeptMs: p.keepFor.Milliseconds(),
+		RestoredMs: p.restored.Milliseconds(), Full: full,
+	}
 	if p.restored < 0 {
 		m.RestoredMs = -1
 	}
 	for _, r := range p.Rows {
 		m.Rows = append(m.Rows, rowMessage(r))
 	}
+	for _, r := range p.kept {
+		m.Kept = append(m.Kept, rowMessage(r))
+	}
 	return m
 }
 
 // page returns the rows and the version of the message.
 func (m pageMessage) page() provider.Page {
-	p := provider.Page{Version: m.Version}
+	p := provider.Page{Version: m.Version, Epoch: m.Epoch}
 	for _, r := range m.Rows {
-		p.Rows = append(p.Rows, provider.Row(r))
+		row := provider.Row(r)
+		row.Epoch = m.Epoch
+		p.Rows = append(p.Rows, row)
 	}
 	return p
 }
 
+// kept returns the rows of earlier epochs that the sender keeps.
+func (m pageMessage) kept() []provider.Row {
+	rows := make([]provider.Row, 0, len(m.Kept))
+	for _, r := range m.Kept {
+		rows = append(rows, provider.Row(r))
+	}
+	return rows
+}
+
 // restored returns the time at which the store was last regained as recorded by the
 // sender, by this VM's clock; zero for never.
 func (m pageMessage) restored(now time.Time) time.Time {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -24,11 +24,23 @@
 	// follows reaches the store. Restored is called when it becomes fresh.
 	Outage()
 	Restored(at time.Time)
+	// Supersedes reports whether a row of the store's present epoch, which may be a
+	// tombstone, replaces the row or tombstone known from an earlier epoch. rewritten
+	// is true if the row was certainly written in the present epoch, and false if it
+	// may be what the backup held for its key.
+	Supersedes(known, row provider.Row, rewritten bool) bool
+	// KeepFor is how long rows of an earlier epoch are kept that the store has lost
+	// or holds an older version of; zero means until they are superseded.
+	KeepFor() time.Duration
 }
 
 // page is a page of rows for another VM.
 type page struct {
 	provider.Page
+	// kept are the rows of earlier epochs that the sender prefers to those of the
+	// page, and keepFor the time for which it still does.
+	kept    []provider.Row
+	keepFor time.Duration
 	// restored is the time since the store was last regained, as recorded by this VM;
 	// negative for never.
 	restored time.Duration
@@ -44,11 +56,20 @@
 	tombstones []provider.Row
 	// compactedTo is the version up to which tombstones may be missing.
 	compactedTo int64
-	// version is the store version up to which the copy is complete; zero for an empty
-	// copy.
+	// epoch is the store's epoch, and version the store version of that epoch up to
+	// which the copy is complete; zero for an empty copy.
+	epoch   int64
 	version int64
-	// latest is the latest version of any row or tombstone.
+	// latest is the latest version of any row or tombstone of the epoch.
 	latest int64
+	// enteredAt is the version of the list with which the copy entered the epoch:
+	// later rows were certainly written in it.
+	enteredAt int64
+	// withheld are rows of the epoch, by key, that the copy has later ones of from an
+	// earlier epoch; tombstones for keys that the store has lost. keepUntil is when
+	// they replace the kept rows; zero for never.
+	withheld  map[string]provider.Row
+	keepUntil time.Time
 	// stale is true while no source that reaches the store responds.
 	stale bool
 	// restored is when the store was last regained, recorded when the copy became
@@ -63,52 +84,82 @@
 	return &Mirror{
 		observer: observer,
 		rows:     make(map[string]provider.Row),
+		withheld: make(map[string]provider.Row),
 		stale:    true,
 		changed:  make(chan struct{}),
 	}
 }
 
-// Version returns the store version up to which the copy is complete; zero for an
-// empty copy.
-func (m *Mirror) Version() int64 {
+// Revision returns the store revision up to which the copy is complete; its version
+// is zero for an empty copy.
+func (m *Mirror) Revision() provider.Revision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.version
+	return provider.Revision{Epoch: m.epoch, Version: m.version}
 }
 
-// Latest returns the latest version of any row; zero for an empty copy.
-func (m *Mirror) Latest() int64 {
+// Latest returns the latest revision of any row; its version is zero for an empty
+// copy.
+func (m *Mirror) Latest() provider.Revision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.latest
+	return provider.Revision{Epoch: m.epoch, Version: m.latest}
 }
 
-// applyList applies a page with all rows of the topic as of its version. Rows of the
-// copy that the page lacks are removed, unless they are of later versions.
-func (m *Mirror) applyList(p provider.Page) {
+// applyList applies a page with all rows of the topic as of its revision. Rows of the
+// copy that the page lacks are removed, unless they are of later versions. If the
+// page is of a later epoch, the copy enters that epoch, and keeps the rows that the
+// store may have lost. It returns false, and changes nothing, for a page of an
+// earlier epoch.
+func (m *Mirror) applyList(p provider.Page) (epochChange, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.version > 0 && p.Epoch < m.epoch {
+		return epochChange{}, false
+	}
 	present := make(map[string]bool, len(p.Rows))
 	for _, row := range p.Rows {
 		present[row.Key] = true
 	}
 	rows := p.Rows
 	for key, row := range m.rows {
-		if !present[key] && row.Version <= p.Version {
-			rows = append(rows, provider.Row{Key: key, Version: p.Version, Removed: true})
+		if !present[key] && row.Revision().Compare(p.Revision()) <= 0 {
+			rows = append(rows, m.missing(row, p))
 		}
 	}
 	if m.version == 0 {
-		m.compactedTo = p.Version
+		m.epoch, m.enteredAt, m.compactedTo = p.Epoch, p.Version, p.Version
+	}
+	var change epochChange
+	if p.Epoch > m.epoch {
+		change = m.enterEpoch(p)
 	}
 	m.applyRows(rows, p.Version)
+	change.kept = m.withheldKeys()
+	return change, true
+}
+
+// missing returns the tombstone of a row that a list lacks. The caller must hold the
+// lock.
+func (m *Mirror) missing(row provider.Row, list provider.Page) provider.Row {
+	tombstone := provider.Row{Key: row.Key, Version: list.Version, Epoch: list.Epoch, Removed: true}
+	if list.Epoch == m.epoch && row.Epoch < m.epoch {
+		// The row is kept from an earlier epoch; it may still just be lost.
+		tombstone.Version = m.enteredAt
+	}
+	return tombstone
 }
 
-// applyChanges applies a page with the changes up to its version.
-func (m *Mirror) applyChanges(p provider.Page) {
+// applyChanges applies a page with the changes up to its version. It returns false,
+// and changes nothing, for a page of another epoch.
+func (m *Mirror) applyChanges(p provider.Page) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if p.Epoch != m.epoch {
+		return false
+	}
 	m.applyRows(p.Rows, p.Version)
+	return true
 }
 
 // applyRows applies the rows that are later than those of the copy, and passes them
@@ -118,14 +169,24 @@
 	m.version = max(m.version, version)
 	var changedRows []provider.Row
 	for _, row := range rows {
+		if m.withhold(row) {
+			continue
+		}
 		if m.putRow(row) {
 			changedRows = append(changedRows, row)
 		}
 	}
-	if len(changedRows) == 0 && !first {
+	m.pass(changedRows, first)
+}
+
+// pass passes changed rows to the observer and wakes the waiters; first is true for
+// the first rows of the copy, which are passed on even if there are none. The caller
+// must hold the lock.
+func (m *Mirror) pass(rows []provider.Row, first bool) {
+	if len(rows) == 0 && !first {
 		return
 	}
-	m.observer.Changed(changedRows)
+	m.observer.Changed(rows)
 	m.signal()
 }
 
@@ -146,17 +207,21 @@
 // that is not later than the stored row or tombstone is ignored.
 func (m *Mirror) putRow(row provider.Row) bool {
 	current, present := m.rows[row.Key]
-	if present && row.Version <= current.Version || m.hasNewerTombstone(row) {
+	if present && row.Revision().Compare(current.Revision()) <= 0 || m.hasNewerTombstone(row) {
 		return false
 	}
-	m.latest = max(m.latest, row.Version)
+	if row.Epoch == m.epoch {
+		m.latest = max(m.latest, row.Version)
+	}
 	if !row.Removed {
 		m.rows[row.Key] = row
 		return true
 	}
 	m.tombstones = append(m.tombstones, row)
 	if excess := len(m.tombstones) - maxTombstones; excess > 0 {
-		m.compactedTo = max(m.compactedTo, m.tombstones[excess-1].Version)
+		if last := m.tombstones[excess-1]; last.Epoch == m.epoch {
+			m.compactedTo = max(m.compactedTo, last.Version)
+		}
 		m.tombstones = m.tombstones[excess:]
 	}
 	delete(m.rows, row.Key)
@@ -167,7 +232,7 @@
 // later one.
 func (m *Mirror) hasNewerTombstone(row provider.Row) bool {
 	for _, r := range m.tombstones {
-		if r.Key == row.Key && r.Version >= row.Version {
+		if r.Key == row.Key && r.Revision().Compare(row.Revision()) >= 0 {
 			return true
 		}
 	}
@@ -189,7 +254,7 @@
 	m.stale = stale
 }
 
-// list returns all rows of the copy, and false if the copy is empty.
+// list returns all rows of the store's epoch, and false if the copy is empty.
 func (m *Mirror) list() (page, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -197,25 +262,33 @@
 		return page{}, false
 	}
 	p := m.emptyPage()
-	for _, row := range m.rows {
-		p.Rows = append(p.Rows, row)
+	for key, row := range m.rows {
+		if _, kept := m.withheld[key]; !kept {
+			p.Rows = append(p.Rows, row)
+		}
+	}
+	for _, row := range m.withheld {
+		if !row.Removed {
+			p.Rows = append(p.Rows, row)
+		}
 	}
 	return p, true
 }
 
-// emptyPage returns a page without rows. The caller must hold the lock.
+// emptyPage returns a page without rows of the epoch. The caller must hold the lock.
 func (m *Mirror) emptyPage() page {
-	p := page{Page: provider.Page{Version: m.version}, restored: -1}
+	p := page{Page: provider.Page{Version: m.version, Epoch: m.epoch}, restored: -1}
+	p.kept, p.keepFor = m.keptRows()
 	if !m.restored.IsZero() {
 		p.restored = time.Since(m.restored)
 	}
 	return p
 }
 
-// waitForChanges returns the rows that changed after the version, as soon as there
+// waitForChanges returns the rows that changed after the revision, as soon as there
 // are any or wakeWaiters is called, and otherwise an empty page when the wait has
 // passed. It returns an ExpiredError if the changes are no longer available.
-func (m *Mirror) waitForChanges(ctx context.Context, after int64, wait time.Duration) (page, error) {
+func (m *Mirror) waitForChanges(ctx context.Context, after provider.Revision, wait time.Duration) (page, error) {
 	p, changed, err := m.changesSince(after)
 	if err != nil || len(p.Rows) > 0 || wait <= 0 {
 		return p, err
@@ -233,24 +306,30 @@
 	}
 }
 
-// changesSince returns the rows that changed after the version, and a channel that
-// is closed on the next change. It returns an ExpiredError if the copy is empty or
-// the changes are no longer available.
-func (m *Mirror) changesSince(after int64) (page, <-chan struct{}, error) {
+// changesSince returns the rows that changed after the revision, and a channel that
+// is closed on the next change. It returns an ExpiredError if the copy is empty or of
+// another epoch, or the changes are no longer available.
+func (m *Mirror) changesSince(after provider.Revision) (page, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.emptyPage()
-	if m.version == 0 || after < m.compactedTo {
-		return p, nil, errors.WithStack(&provider.ExpiredError{After: after})
+	if m.version == 0 || after.Epoch != m.epoch || after.Version < m.compactedTo {
+		return p, nil, errors.WithStack(&provider.ExpiredError{After: after.Version})
 	}
-	for _, row := range m.rows {
-		if row.Version > after {
+	add := func(row provider.Row) {
+		if row.Epoch == m.epoch && row.Version > after.Version {
 			p.Rows = append(p.Rows, row)
 		}
 	}
+	for _, row := range m.rows {
+		add(row)
+	}
 	for _, row := range m.tombstones {
-		if row.Version > after {
-			p.Rows = append(p.Rows, row)
+		add(row)
+	}
+	for _, row := range m.withheld {
+		if !row.Removed {
+			add(row)
 		}
 	}
 	return p, m.changed, nil
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -24,6 +24,9 @@
 	restored int
 }
 
+// testKeepFor is how long a recorder's copy keeps rows of earlier epochs.
+const testKeepFor = 300 * time.Millisecond
+
 func newRecorder() *recorder { return &recorder{rows: make(map[string]string)} }
 
 func (r *recorder) Changed(rows []provider.Row) {
@@ -51,6 +54,11 @@
 	r.restored++
 }
 
+// Supersedes takes a row that was written in the present epoch only.
+func (r *recorder) Supersedes(_, _ provider.Row, rewritten bool) bool { return rewritten }
+
+func (r *recorder) KeepFor() time.Duration { return testKeepFor }
+
 func (r *recorder) has(key, value string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -80,8 +88,8 @@
 	require.True(t, r.has("b", ""), "an older version must not restore a removed row")
 	m.applyChanges(provider.Page{Version: 14, Rows: []provider.Row{row("b", "again", 13)}})
 	require.True(t, r.has("b", "again"))
-	require.Equal(t, int64(14), m.Version())
-	require.Equal(t, int64(13), m.Latest())
+	require.Equal(t, int64(14), m.Revision().Version)
+	require.Equal(t, int64(13), m.Latest().Version)
 }
 
 // TestOlderListKeepsNewerRows applies a list from a source that is behind: rows that
@@ -104,7 +112,7 @@
 	m.applyList(provider.Page{Version: 10, Rows: []provider.Row{row("a", "1", 9), row("b", "1", 4)}})
 	done := make(chan page)
 	go func() {
-		p, err := m.waitForChanges(context.Background(), 10, 5*time.Second)
+		p, err := m.waitForChanges(context.Background(), provider.Revision{Version: 10}, 5*time.Second)
 		if err == nil {
 			done <- p
 		}
@@ -114,10 +122,10 @@
 	p := <-done
 	require.Len(t, p.Rows, 2)
 	require.Equal(t, int64(12), p.Version)
-	p, err := m.waitForChanges(context.Background(), 12, time.Millisecond)
+	p, err := m.waitForChanges(context.Background(), provider.Revision{Version: 12}, time.Millisecond)
 	require.NoError(t, err)
 	require.Empty(t, p.Rows)
-	_, err = m.waitForChanges(context.Background(), 3, time.Millisecond)
+	_, err = m.waitForChanges(context.Background(), provider.Revision{Version: 3}, time.Millisecond)
 	var expired *provider.ExpiredError
 	require.ErrorAs(t, err, &expired, "rows removed before the copy began are unknown")
 }
@@ -128,6 +136,8 @@
 	mu      sync.Mutex
 	rows    []provider.Row
 	version int64
+	// epoch counts the calls of restore.
+	epoch   int64
 	changed chan struct{}
 	// rejected are the VMs whose calls the store fails.
 	rejected map[string]bool
@@ -161,7 +171,7 @@
 	if s.rejected[s.vm] {
 		return provider.Page{}, errRejected
 	}
-	return provider.Page{Rows: append([]provider.Row(nil), s.rows...), Version: s.version}, nil
+	return provider.Page{Rows: append([]provider.Row(nil), s.rows...), Version: s.version, Epoch: s.epoch}, nil
 }
 
 func (s clusterStore) Follow(ctx context.Context, _ provider.Topic, after int64, wait time.Duration) (provider.Page, error) {
@@ -173,7 +183,11 @@
 			s.mu.Unlock()
 			return provider.Page{}, errRejected
 		}
-		p := provider.Page{Version: s.version}
+		p := provider.Page{Version: s.version, Epoch: s.epoch}
+		if after > s.version {
+			s.mu.Unlock()
+			return provider.Page{}, &provider.ExpiredError{After: after}
+		}
 		for _, r := range s.rows {
 			if r.Version > after {
 				p.Rows = append(p.Rows, r)
@@ -249,11 +263,32 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.version = r.Version
+	r.Epoch = c.epoch
 	c.rows = append(c.rows, r)
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
 
+// backup returns the store's rows and version.
+func (c *cluster) backup() provider.Page {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return provider.Page{Rows: append([]provider.Row(nil), c.rows...), Version: c.version}
+}
+
+// restore replaces the store's content by a backup and begins a new epoch.
+func (c *cluster) restore(backup provider.Page) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rows, c.version = backup.Rows, backup.Version
+	c.epoch++
+	for i := range c.rows {
+		c.rows[i].Epoch = c.epoch
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
 func (c *cluster) rejectVMs(vms ...string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -276,7 +311,7 @@
 	require.NoError(t, err)
 	for _, vm := range []string{"a", "b", "c"} {
 		r := newRecorder()
-		follower := Start(provider.Configuration, r, clusterStore{c, vm}, clusterPeers{c}, clusterSources{c, vm}, log)
+		follower := Start(provider.Configuration, r, clusterStore{c, vm}, clusterPeers{c}, clusterSources{c, vm}, log, func(int64) {})
 		c.mu.Lock()
 		c.followers[vm], c.observers[vm] = follower, r
 		c.mu.Unlock()
@@ -379,7 +414,7 @@
 	log, err := event.New(io.Discard, "json", "info", "vm")
 	require.NoError(t, err)
 	r := newRecorder()
-	d := Start(provider.Configuration, r, clusterStore{c, "d"}, clusterPeers{c}, clusterSources{c, "d"}, log)
+	d := Start(provider.Configuration, r, clusterStore{c, "d"}, clusterPeers{c}, clusterSources{c, "d"}, log, func(int64) {})
 	defer d.Stop()
 	require.Eventually(t, func() bool { return r.has("k", "1") }, 10*time.Second, time.Millisecond)
 }
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -6,7 +6,9 @@
 package provider
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -38,31 +40,57 @@
 	return "vms"
 }
 
+// Revision is a point in the history of the store. The store's versions increase
+// with each transaction within an epoch. A new epoch begins when the store has been
+// restored from a backup: its version goes back, and versions are issued again for
+// other changes, so that versions of different epochs are not comparable.
+type Revision struct {
+	Epoch   int64
+	Version int64
+}
+
+// Compare returns -1, 0 or 1 if r is before, equal to or after other.
+func (r Revision) Compare(other Revision) int {
+	return cmp.Or(cmp.Compare(r.Epoch, other.Epoch), cmp.Compare(r.Version, other.Version))
+}
+
 // Row is one row of a topic.
 type Row struct {
 	Key   string
 	Value []byte
-	// Version is the store version at which the row last changed. It increases with
-	// each transaction of the store.
+	// Version is the store version at which the row last changed, in the epoch in
+	// which it was read.
 	Version int64
 	// Removed marks a tombstone.
 	Removed bool
+	// Epoch is the epoch of the store in which the row was read.
+	Epoch int64
 }
 
+// Revision returns the revision at which the row last changed.
+func (r Row) Revision() Revision { return Revision{Epoch: r.Epoch, Version: r.Version} }
+
 // Page is the result of listing or following a topic.
 type Page struct {
 	Rows []Row
 	// Version is the latest store version; the next call to Follow starts from it.
 	Version int64
+	// Epoch is the epoch of the store; all rows have the same one.
+	Epoch int64
 }
 
+// Revision returns the revision of the page.
+func (p Page) Revision() Revision { return Revision{Epoch: p.Epoch, Version: p.Version} }
+
 // Store is the platform's row store. A read that fails with an ExpiredError must
 // be replaced by a List; after any other error it may be retried.
 type Store interface {
 	// List returns all rows of the topic.
 	List(ctx context.Context, topic Topic) (Page, error)
 	// Follow is a long poll: it returns the rows that changed after the version as
-	// soon as there are any, and otherwise an empty page when the wait has passed.
+	// soon as there are any, and otherwise an empty page when the wait has passed. A
+	// page of another epoch than that of the version is no continuation of it, and
+	// the topic must be listed again.
 	Follow(ctx context.Context, topic Topic, after int64, wait time.Duration) (Page, error)
 	// Put writes a row unconditionally.
 	Put(ctx context.Context, topic Topic, key string, value []byte) error
@@ -77,6 +105,15 @@
 // Error implements error.
 func (e *ExpiredError) Error() string { return "requested changes are no longer available" }
 
+// EpochChangedError reports that the store was restored from a backup while a topic
+// was being listed; the list must be read again.
+type EpochChangedError struct{ From, To int64 }
+
+// Error implements error.
+func (e *EpochChangedError) Error() string {
+	return fmt.Sprintf("store was restored during a list: epoch %d became %d", e.From, e.To)
+}
+
 // Decoder decodes the platform's documents.
 type Decoder interface {
 	// Deployment decodes the configuration. found is false for a row that does not
