Obey endpoints that leave or ask for no requests

Cause: an endpoint that leaves was known only from the registry, which lags and may be lost; what it says in its answers was passed on and not read. A 503 with Retry-After backed the endpoint off at the holder for 150 ms and more, for all VMs alike, whatever time it had asked for, and a holder's grant was followed. Ruled out: leaving it to the holder alone, which another VM's requests reach with a delay and which an earlier build may run. Change: the directory of a VM marks an incarnation as leaving for good (by registry, by an answer of it, or by another VM, which hears of it by gossip) and pauses an endpoint for the time that it asked for, an hour at most; values that are no positive number mean no pause. The VM checks each placement, each reservation and, immediately before the first byte, each send against it; placement gets the paused endpoints as excluded. With all endpoints of a service paused callers are refused at once with the time until the first may be asked. The remaining time counts suspensions of the VM.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -31,6 +31,16 @@
 	Started int64
 }
 
+// Incarnation identifies one run of an endpoint.
+type Incarnation struct {
+	ID string
+	// Started is the Started field of its entries.
+	Started int64
+}
+
+// Incarnation returns the incarnation that the entry describes.
+func (e Entry) Incarnation() Incarnation { return Incarnation{ID: e.ID, Started: e.Started} }
+
 // record is an entry with its removal state.
 type record struct {
 	Entry
@@ -48,13 +58,25 @@
 	// restoredAt is when the registry last became available after an outage.
 	restoredAt time.Time
 	outage     bool
+	// leaving are the incarnations that are known to leave, and leavingOrder the same
+	// in the order in which that became known.
+	leaving      map[Incarnation]bool
+	leavingOrder []Incarnation
+	// pausedUntil maps the IDs of endpoints that have asked for no requests to the end
+	// of that time.
+	pausedUntil map[string]time.Time
 }
 
 // New returns an empty Directory. Ready entries that are removed during a
 // registry outage or within gracePeriod after its end are kept until that time
 // has passed.
 func New(gracePeriod time.Duration) *Directory {
-	return &Directory{gracePeriod: gracePeriod, records: make(map[string]*record)}
+	return &Directory{
+		gracePeriod: gracePeriod,
+		records:     make(map[string]*record),
+		leaving:     make(map[Incarnation]bool),
+		pausedUntil: make(map[string]time.Time),
+	}
 }
 
 // Outage records that the registry is unavailable.
@@ -69,8 +91,20 @@
 	}
 }
 
-// Put adds or replaces an entry.
-func (d *Directory) Put(e Entry) { d.records[e.ID] = &record{Entry: e} }
+// Put adds or replaces an entry. An incarnation that is known to leave stays in
+// Draining.
+func (d *Directory) Put(e Entry) {
+	if previous := d.records[e.ID]; previous != nil && previous.Started != e.Started {
+		delete(d.pausedUntil, e.ID)
+	}
+	if e.State == Draining {
+		d.MarkLeaving(e.Incarnation())
+	}
+	if d.leaving[e.Incarnation()] {
+		e.State = Draining
+	}
+	d.records[e.ID] = &record{Entry: e}
+}
 
 // Remove deletes an entry. During an outage and the grace period after it, a
 // ready entry is only marked as removed.
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -95,12 +95,15 @@
 
 // candidates returns the endpoints that may get the job: those not in back-off
 // at which it has not failed, or else those in back-off at which it has not
-// failed, or else the whole pool.
+// failed, or else those at which it has failed. Excluded endpoints are none of them.
 func (d *Dispatcher) candidates(now time.Time, job *Job) []*endpoint {
 	var healthy, backedOff []*endpoint
+	var avoided []*endpoint
 	for _, e := range d.pools[job.Service] {
 		switch {
+		case slices.Contains(job.Exclude, e.ID):
 		case slices.Contains(job.Avoid, e.ID):
+			avoided = append(avoided, e)
 		case e.usable(now):
 			healthy = append(healthy, e)
 		default:
@@ -113,13 +116,14 @@
 	case len(backedOff) > 0:
 		return backedOff
 	}
-	return d.pools[job.Service]
+	return avoided
 }
 
 // handleNoEndpoint holds a job whose pool is empty until its refusal time,
-// since an endpoint may still join, and refuses it then.
+// since an endpoint may still join, and refuses it then. A job from which all
+// endpoints of the pool are excluded is refused immediately.
 func (d *Dispatcher) handleNoEndpoint(now time.Time, job *Job) (Decision, bool) {
-	if now.Before(d.refusalTime(job)) {
+	if len(d.pools[job.Service]) == 0 && now.Before(d.refusalTime(job)) {
 		return Decision{}, false
 	}
 	return refuse(job, ReasonNoEndpoint, refusalRetryAfter), true
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -480,3 +480,15 @@
 	require.Len(t, decisions, 1)
 	require.Equal(t, "other", decisions[0].Owner)
 }
+
+// An excluded endpoint gets no job, not even as the last one; a job from which all
+// endpoints are excluded is refused at once.
+func TestExcludedEndpointGetsNoJob(t *testing.T) {
+	d := fleet(0, 2)
+	j := call("1", start)
+	j.Exclude, j.Avoid = []string{"pa"}, []string{"pb"}
+	require.Equal(t, "pb", submitAndPlace(t, d, start, j).Endpoint)
+	j = call("2", start)
+	j.Exclude = []string{"pa", "pb"}
+	require.Equal(t, ReasonNoEndpoint, submitAndDecide(t, d, start, j).Refusal.Reason)
+}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -41,8 +41,11 @@
 	// PromptTokens and Answer are lengths in tokens; zero for a plain service.
 	PromptTokens int
 	AnswerTokens int
-	// Avoid lists the IDs of endpoints at which the job has failed.
+	// Avoid lists the IDs of endpoints at which the job has failed. They are used if
+	// there is no other.
 	Avoid []string
+	// Exclude lists the IDs of endpoints that must not get the job.
+	Exclude []string
 }
 
 // Key returns the job's key.
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -30,6 +30,9 @@
 	Prompt       int      `json:"n,omitempty"`
 	Answer       int      `json:"w,omitempty"`
 	Avoid        []string `json:"v,omitempty"`
+	// Exclude is unknown to earlier builds, which may place the job at an excluded
+	// endpoint; its owner checks each placement.
+	Exclude []string `json:"x,omitempty"`
 }
 
 func encodeJob(now time.Time, j dispatch.Job) jobMessage {
@@ -37,7 +40,7 @@
 		ID: j.ID, Term: j.Term, Service: j.Service, Organisation: j.Organisation,
 		Age: now.Sub(j.Arrived).Microseconds(), Due: encodeTime(now, j.Due),
 		Deadline: j.Deadline.Sub(now).Microseconds(), FirstBy: encodeTime(now, j.FirstEventBy),
-		Gap: j.MaxGap.Microseconds(), Priority: j.Priority, Prompt: j.PromptTokens, Answer: j.AnswerTokens, Avoid: j.Avoid,
+		Gap: j.MaxGap.Microseconds(), Priority: j.Priority, Prompt: j.PromptTokens, Answer: j.AnswerTokens, Avoid: j.Avoid, Exclude: j.Exclude,
 	}
 }
 
@@ -46,7 +49,7 @@
 		ID: m.ID, Owner: owner, Term: m.Term, Service: m.Service, Organisation: m.Organisation,
 		Arrived: now.Add(-microseconds(m.Age)), Due: decodeTime(now, m.Due),
 		Deadline: now.Add(microseconds(m.Deadline)), FirstEventBy: decodeTime(now, m.FirstBy),
-		MaxGap: microseconds(m.Gap), Priority: m.Priority, PromptTokens: m.Prompt, AnswerTokens: m.Answer, Avoid: m.Avoid,
+		MaxGap: microseconds(m.Gap), Priority: m.Priority, PromptTokens: m.Prompt, AnswerTokens: m.Answer, Avoid: m.Avoid, Exclude: m.Exclude,
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -120,6 +121,7 @@
 	e.updateMembers()
 	e.registerGauges()
 	go e.runPeriodically(droppedLinesInterval, e.newDroppedLinesReporter(dropped))
+	go e.runPeriodically(markSweepInterval, e.dropMarks)
 	go e.runPeriodically(retryShareInterval, func() { e.components.Gateway.SetRetryBounds(e.retryShare()) })
 	log.Emit(event.GatewayStarted{Callers: settings.Callers, Peers: settings.Peers, Metrics: settings.Metrics})
 	return e, nil
@@ -165,7 +167,7 @@
 		func() *coordination.LocalDispatcher { return coordination.NewLocalDispatcher(dispatch.DefaultConfig()) },
 		v.newCoordinator,
 		func(l *coordination.LocalDispatcher) *registry {
-			return newRegistry(v.platform.Decoder, v.log, l, v.settings.Heartbeat)
+			return newRegistry(v.platform.Decoder, v.log, l, v.settings.Heartbeat, v.announceLeaving)
 		},
 		func(l *coordination.LocalDispatcher) *tables { return newTables(v.platform.Decoder, v.log, l) },
 		newTransport,
@@ -187,8 +189,12 @@
 	return upstream.New(func() { opened.Inc(1) })
 }
 
-func (v *VM) newTickets(u *upstream.Transport) *ticket.Reserver {
-	return ticket.NewReserver(v.platform.Memory, u, v.log, v.settings.Reservations.ReleaseWithin, v.settings.Reservations.MaxHold)
+func (v *VM) newTickets(u *upstream.Transport, r *registry) *ticket.Reserver {
+	observe := func(endpoint string, status int, h http.Header) {
+		r.Observed(endpoint, v.platform.Dialect.DecodeResponse(status, h))
+	}
+	limits := v.settings.Reservations
+	return ticket.NewReserver(v.platform.Memory, u, v.log, limits.ReleaseWithin, limits.MaxHold, observe)
 }
 
 func (v *VM) newGateway(c *coordination.Coordinator, r *registry, t *tables, u *upstream.Transport, reserver *ticket.Reserver, m *metrics.Metrics) *gateway.Gateway {
--- a/internal/entry/epoch_test.go
+++ b/internal/entry/epoch_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
 )
 
@@ -88,8 +89,8 @@
 	store.putEndpoint(t, "i-draining", draining, "draining")
 	require.NoError(t, store.Remove(t.Context(), provider.Endpoints, "i-gone"))
 	require.Eventually(t, func() bool {
-		_, listed := a.components.Registry.Entry("i-gone")
-		return !listed && a.components.Registry.usable() == 1
+		_, availability := a.components.Registry.Lookup("i-gone")
+		return availability == directory.Unlisted && a.components.Registry.usable() == 1
 	}, 10*time.Second, time.Millisecond)
 	store.restore(rows, version)
 	awaitEpoch(t, a, 1)
--- /dev/null
+++ b/internal/entry/leaving_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/directory"
+)
+
+// startLeavingEndpoint starts an endpoint that says in each response that it leaves.
+func startLeavingEndpoint(t *testing.T) (address string, served *atomic.Int64) {
+	t.Helper()
+	served = &atomic.Int64{}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		served.Add(1)
+		w.Header().Set("X-Cornelsaddle-Attempt-Id", r.Header.Get("X-Cornelsaddle-Attempt-Id"))
+		w.Header().Set("X-Cornelsaddle-Runner-Seal", "seal")
+		w.Header().Set("Server-Leaving", "1")
+		_, _ = io.WriteString(w, "answer")
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String(), served
+}
+
+// TestLeavingEndpointIsAnnounced lets an endpoint tell one of two VMs in a response
+// that it leaves, while the registry lists it as ready, also by a later row. Neither
+// VM sends it a request any more.
+func TestLeavingEndpointIsAnnounced(t *testing.T) {
+	store := newMemoryStore()
+	address, served := startLeavingEndpoint(t)
+	store.putConfiguration(t, 1, "/a/")
+	store.putEndpoint(t, "i-1", address, "ready")
+	a := startVM(t, "a", store)
+	b := startVM(t, "b", store, a.settings.Peers)
+	for _, v := range []*VM{a, b} {
+		awaitStatus(t, v.settings.Balancer, "/readyz", http.StatusOK)
+	}
+	require.Eventually(t, func() bool { return len(a.members.service.Live()) == 2 }, 20*time.Second, 10*time.Millisecond)
+	require.Equal(t, http.StatusOK, status(t, a.settings.Callers, "/a/x"))
+	isLeaving := func(v *VM) bool {
+		_, availability := v.components.Registry.Lookup("i-1")
+		return availability == directory.Leaving
+	}
+	require.True(t, isLeaving(a))
+	require.Eventually(t, func() bool { return isLeaving(b) }, 5*time.Second, time.Millisecond)
+	store.putEndpoint(t, "i-1", address, "ready")
+	for _, v := range []*VM{a, b} {
+		require.Equal(t, http.StatusServiceUnavailable, status(t, v.settings.Callers, "/a/x"))
+	}
+	require.Equal(t, int64(1), served.Load())
+}
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"time"
 
+	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/core/membership"
 	"cornelsaddle.example/cornelsaddle/internal/coordination"
 	"cornelsaddle.example/cornelsaddle/internal/event"
@@ -16,6 +18,9 @@
 // it pulls them from the VM that announced them.
 const pullDelay = 150 * time.Millisecond
 
+// markSweepInterval is the time between two removals of marks that are not needed.
+const markSweepInterval = 30 * time.Second
+
 // digest is the data that VMs attach to their membership probes: for each topic's
 // copy, the version and the epoch of its newest row, and the number of rows that it
 // keeps from earlier epochs. VMs that don't know epochs send the versions only.
@@ -81,9 +86,36 @@
 	})
 }
 
-// EndpointMarked implements member.Observer. It does nothing, because the registry
-// reports endpoints that drain.
-func (o *observer) EndpointMarked(membership.Mark) {}
+// EndpointMarked implements member.Observer. It stops the use of an endpoint that has
+// told another VM that it leaves.
+func (o *observer) EndpointMarked(m membership.Mark) {
+	started, err := strconv.ParseInt(m.Incarnation, 10, 64)
+	if err != nil {
+		o.vm.log.Emit(event.EntryUnreadable{Endpoint: m.Endpoint, Reason: err.Error()})
+		return
+	}
+	o.vm.components.Registry.markLeaving(directory.Incarnation{ID: m.Endpoint, Started: started}, sourcePeer)
+}
+
+// announceLeaving tells the other VMs that an endpoint leaves.
+func (v *VM) announceLeaving(i directory.Incarnation) {
+	if v.hasJoined() {
+		v.members.service.MarkEndpoint(mark(i))
+	}
+}
+
+// mark returns the mark by which VMs tell each other that the incarnation leaves.
+func mark(i directory.Incarnation) membership.Mark {
+	return membership.Mark{Endpoint: i.ID, Incarnation: strconv.FormatInt(i.Started, 10)}
+}
+
+// dropMarks drops the marks of endpoints that are no longer listed.
+func (v *VM) dropMarks() {
+	v.members.service.RetainMarks(func(m membership.Mark) bool {
+		started, err := strconv.ParseInt(m.Incarnation, 10, 64)
+		return err == nil && v.components.Registry.lists(directory.Incarnation{ID: m.Endpoint, Started: started})
+	})
+}
 
 // ListedLeaving implements member.Observer. It does nothing, because the store's
 // list marks no VM as leaving.
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -34,6 +34,8 @@
 	decoder provider.Decoder
 	log     *event.Logger
 	sink    endpointSink
+	// announce tells the other VMs that an endpoint leaves.
+	announce func(directory.Incarnation)
 	// keepFor is how long endpoints are kept that a restored store has lost.
 	keepFor time.Duration
 
@@ -44,19 +46,77 @@
 }
 
 // newRegistry returns an empty registry of endpoints that write a heartbeat to the
-// store at the given interval.
-func newRegistry(decoder provider.Decoder, log *event.Logger, sink endpointSink, heartbeat time.Duration) *registry {
+// store at the given interval. announce tells the other VMs that an endpoint leaves.
+func newRegistry(decoder provider.Decoder, log *event.Logger, sink endpointSink, heartbeat time.Duration, announce func(directory.Incarnation)) *registry {
 	return &registry{
 		decoder: decoder, log: log, sink: sink, directory: directory.New(relistTimeout),
-		keepFor: max(minKeepFor, keepHeartbeats*heartbeat),
+		announce: announce,
+		keepFor:  max(minKeepFor, keepHeartbeats*heartbeat),
 	}
 }
 
-// Entry implements gateway.Directory.
-func (r *registry) Entry(id string) (directory.Entry, bool) {
+// Lookup implements gateway.Directory.
+func (r *registry) Lookup(id string) (directory.Entry, directory.Availability) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.directory.Entry(id)
+	return r.directory.Lookup(time.Now(), id)
+}
+
+// Paused implements gateway.Directory.
+func (r *registry) Paused(service string) ([]string, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.directory.Paused(time.Now(), service)
+}
+
+// Observed implements gateway.Directory. It stops the use of an endpoint that leaves,
+// announces that to the other VMs, and pauses an endpoint that asks for it.
+func (r *registry) Observed(id string, h provider.ResponseHeader) {
+	if h.RetryAfter > 0 {
+		r.pause(id, h.RetryAfter)
+	}
+	if !h.Leaving {
+		return
+	}
+	r.mu.Lock()
+	e, listed := r.directory.Entry(id)
+	r.mu.Unlock()
+	if listed && r.markLeaving(e.Incarnation(), sourceResponse) {
+		r.announce(e.Incarnation())
+	}
+}
+
+// Sources of the news that an endpoint leaves, in the log.
+const (
+	sourceResponse = "response"
+	sourcePeer     = "peer"
+)
+
+// markLeaving stops the use of an incarnation and reports whether its leaving is news.
+func (r *registry) markLeaving(i directory.Incarnation, source string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.directory.MarkLeaving(i) {
+		return false
+	}
+	r.log.Emit(event.EndpointLeaving{Endpoint: i.ID, Started: i.Started, Source: source})
+	r.publish()
+	return true
+}
+
+func (r *registry) pause(id string, retryAfter time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until := r.directory.Pause(time.Now(), id, retryAfter)
+	r.log.Emit(event.EndpointPaused{Endpoint: id, RetryAfter: retryAfter, Pause: max(0, time.Until(until))})
+}
+
+// lists reports whether the registry lists the incarnation.
+func (r *registry) lists(i directory.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, listed := r.directory.Entry(i.ID)
+	return listed && e.Incarnation() == i
 }
 
 // Changed implements mirror.Observer.
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -13,7 +13,7 @@
 	RequestPlaced{}, RequestRefused{}, SendEnded{}, RequestEnded{}, HolderChanged{}, HolderLost{},
 	GatewayStarted{}, GatewayStopping{}, GatewayStopped{}, RegistrationFailed{}, LinesDropped{}, DigestUnreadable{},
 	ReservationFailed{}, ReservationNotRenewed{}, ReservationNotReleased{}, LineDropped{},
-	RequestMisplaced{}, StoreRestored{}, RowsReleased{},
+	RequestMisplaced{}, StoreRestored{}, RowsReleased{}, EndpointLeaving{}, EndpointPaused{},
 }
 
 // DeploymentApplied is emitted when a configuration version takes effect.
@@ -356,18 +356,20 @@
 	return Def{725, "line_dropped", log.InfoLevel, "The row of a dead VM was removed from the store."}
 }
 
-// RequestMisplaced is emitted when a request is assigned to an endpoint that,
-// by this VM's directory, is not ready or not listed.
+// RequestMisplaced is emitted when a request is assigned to an endpoint that, by
+// this VM's directory, may be sent no requests.
 type RequestMisplaced struct {
 	Request  string `log:"request"`
 	Endpoint string `log:"endpoint"`
-	Holder   string `log:"holder"`
-	Again    bool   `log:"again"`
+	// Availability is why the endpoint may be sent no requests.
+	Availability string `log:"availability"`
+	Holder       string `log:"holder"`
+	Again        bool   `log:"again"`
 }
 
 // Def implements Event.
 func (RequestMisplaced) Def() Def {
-	return Def{726, "request_misplaced", log.InfoLevel, "The holder assigned a request to an endpoint that, by this VM's directory, has left; again reports whether the request is placed again."}
+	return Def{726, "request_misplaced", log.InfoLevel, "The holder assigned a request to an endpoint that, by this VM's directory, may be sent no requests: availability is unlisted, leaving or paused; again reports whether the request is placed again."}
 }
 
 // StoreRestored is emitted when a VM finds that the store was restored from a backup.
@@ -402,3 +404,31 @@
 func (RowsReleased) Def() Def {
 	return Def{728, "rows_released", log.InfoLevel, "Rows that were kept after a restoration of the store were not written again in time; the store's rows replace them."}
 }
+
+// EndpointLeaving is emitted when a VM learns from an endpoint's response, or from
+// another VM, that the endpoint leaves.
+type EndpointLeaving struct {
+	Endpoint string `log:"endpoint"`
+	Started  int64  `log:"started"`
+	// Source is response or peer.
+	Source string `log:"source"`
+}
+
+// Def implements Event.
+func (EndpointLeaving) Def() Def {
+	return Def{729, "endpoint_leaving", log.InfoLevel, "An endpoint said in a response, to this VM or another one as source tells, that it leaves; that incarnation, given by started, gets no more requests."}
+}
+
+// EndpointPaused is emitted when an endpoint turns a request away and asks for no
+// more for some time.
+type EndpointPaused struct {
+	Endpoint   string        `log:"endpoint"`
+	RetryAfter time.Duration `log:"retry_after"`
+	// Pause is the time from now to the end of the pause.
+	Pause time.Duration `log:"pause"`
+}
+
+// Def implements Event.
+func (EndpointPaused) Def() Def {
+	return Def{730, "endpoint_paused", log.InfoLevel, "An endpoint turned a request away and asked for no more for retry_after; this VM sends it none for pause."}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/core/routing"
+	"cornelsaddle.example/cornelsaddle/internal/clock"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
@@ -20,8 +21,8 @@
 	// defaultRetryAfter is the Retry-After of a response when the VM has no
 	// configuration, or when no endpoint was usable and placement gave no delay.
 	defaultRetryAfter = 500 * time.Millisecond
-	// maxStalePlacements bounds the placements of one request at endpoints that
-	// are no longer listed or not ready.
+	// maxStalePlacements bounds the placements of one request at endpoints that may
+	// be sent no requests.
 	maxStalePlacements = 3
 )
 
@@ -33,6 +34,8 @@
 	r       *http.Request
 	call    provider.CallerHeader
 	arrived time.Time
+	// stopwatch runs from the request's arrival.
+	stopwatch clock.Stopwatch
 	// deadline is when the caller's or the route's timeout expires, whichever is
 	// earlier.
 	deadline     time.Time
@@ -60,7 +63,7 @@
 	// delivered if no other endpoint serves the request.
 	failureResponse *bufferedResponse
 	// failedReservations counts the failed reservations, and stalePlacements the
-	// placements at endpoints that are no longer listed or not ready.
+	// placements at endpoints that may be sent no requests.
 	failedReservations int
 	stalePlacements    int
 
@@ -101,6 +104,7 @@
 	}
 	x.body = body
 	x.arrived = time.Now()
+	x.stopwatch = clock.Start()
 	x.deadline = x.arrived.Add(x.timeout())
 	x.service = x.route.PickService(x.gateway.cfg.Random())
 	x.gateway.countRequest(x.service)
@@ -144,16 +148,22 @@
 // attempt places the request and sends it to one endpoint. It reports whether the
 // request is to be placed again.
 func (x *exchange) attempt(ctx context.Context) bool {
+	paused, wait := x.gateway.cfg.Directory.Paused(x.service)
+	if wait > 0 {
+		x.refusePaused(ctx, wait)
+		return false
+	}
 	job := x.job()
+	job.Exclude = paused
 	placed, err := x.gateway.cfg.Placer.Place(ctx, job)
 	if err != nil {
 		x.handlePlacementError(ctx, err)
 		return false
 	}
-	entry, ok := x.gateway.cfg.Directory.Entry(placed.Endpoint)
-	if !ok || entry.State != directory.Ready {
-		x.gateway.cfg.Placer.Finished(job.ID, dispatch.Rejected, "")
-		return x.handleStalePlacement(ctx, placed)
+	entry, availability := x.gateway.cfg.Directory.Lookup(placed.Endpoint)
+	if availability != directory.Available {
+		x.gateway.cfg.Placer.Finished(job.ID, unavailableOutcome(availability), "")
+		return x.handleStalePlacement(ctx, placed, availability)
 	}
 	grant, err := x.reserve(ctx, job.ID, placed)
 	if err != nil {
@@ -174,16 +184,39 @@
 	return x.finishAttempt(ctx, entry, result)
 }
 
-// handleStalePlacement handles a placement at an endpoint that is no longer
-// listed or not ready. It reports whether the request is to be placed again,
-// which is bounded by maxStalePlacements: the VM that made the placement may
-// not have received the change yet.
-func (x *exchange) handleStalePlacement(ctx context.Context, placed Placed) bool {
+// refusePaused refuses a request to a service all endpoints of which want no requests
+// from this VM for the given time.
+func (x *exchange) refusePaused(ctx context.Context, wait time.Duration) {
+	x.gateway.cfg.Log.Emit(event.RequestRefused{
+		Request: x.call.ID, Reason: reasonPaused, Holder: x.gateway.cfg.VM,
+		Waited: time.Since(x.arrived), RetryAfter: wait,
+	})
+	x.giveUp(ctx, wait)
+}
+
+// reasonPaused is the reason of a refusal, in the log, because all endpoints of the
+// service have asked this VM for no requests.
+const reasonPaused = "endpoints_paused"
+
+// unavailableOutcome returns the outcome of a placement at an endpoint that may be
+// sent no requests. A paused one is not at fault, and may serve other VMs.
+func unavailableOutcome(a directory.Availability) dispatch.Outcome {
+	if a == directory.Paused {
+		return dispatch.Abandoned
+	}
+	return dispatch.Rejected
+}
+
+// handleStalePlacement handles a placement at an endpoint that may be sent no
+// requests. It reports whether the request is to be placed again, which is bounded
+// by maxStalePlacements: the VM that made the placement may not have received the
+// change yet.
+func (x *exchange) handleStalePlacement(ctx context.Context, placed Placed, availability directory.Availability) bool {
 	x.stalePlacements++
 	x.avoid = append(x.avoid, placed.Endpoint)
 	retry := x.stalePlacements < maxStalePlacements
 	x.gateway.cfg.Log.Emit(event.RequestMisplaced{
-		Request: x.call.ID, Endpoint: placed.Endpoint, Holder: placed.Holder, Again: retry,
+		Request: x.call.ID, Endpoint: placed.Endpoint, Availability: availability.String(), Holder: placed.Holder, Again: retry,
 	})
 	if !retry {
 		x.giveUp(ctx, defaultRetryAfter)
@@ -317,7 +350,7 @@
 // endpointHeader returns the request header for an endpoint.
 func (x *exchange) endpointHeader(entry directory.Entry, helpers []provider.Helper) http.Header {
 	o := provider.EndpointHeader{
-		Remaining:    time.Until(x.deadline),
+		Remaining:    x.remaining(),
 		Endpoint:     entry.ID,
 		Organisation: x.organisation,
 		LastEventID:  x.stream.lastEventID,
@@ -336,6 +369,7 @@
 		Header:        x.endpointHeader(entry, helpers),
 		Body:          x.body,
 		NewConnection: !x.route.Repeatable(),
+		Check:         func() error { return x.checkPermission(entry) },
 		Matches: func(h http.Header) bool {
 			id := x.gateway.cfg.Dialect.DecodeResponse(0, h).ID
 			return id == "" || id == x.call.ID
@@ -343,6 +377,25 @@
 	}
 }
 
+// remaining returns the time until the deadline. It counts the time for which the VM
+// was suspended since the request arrived, which the deadline's clock does not.
+func (x *exchange) remaining() time.Duration {
+	return time.Until(x.deadline) - x.stopwatch.Suspended()
+}
+
+// checkPermission reports whether the request may still be sent to the endpoint,
+// immediately before its first byte: what was true at its placement may have changed
+// while it waited for memory or a connection, or while the VM was suspended.
+func (x *exchange) checkPermission(entry directory.Entry) error {
+	if _, availability := x.gateway.cfg.Directory.Lookup(entry.ID); availability != directory.Available {
+		return errors.WithStack(&UnavailableError{Endpoint: entry.ID, Availability: availability})
+	}
+	if x.remaining() <= 0 {
+		return errors.WithStack(context.DeadlineExceeded)
+	}
+	return nil
+}
+
 func (x *exchange) logEnd() {
 	e := event.RequestEnded{
 		Request: x.call.ID, Service: x.service, Organisation: x.organisation, Endpoint: x.endpoint,
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -33,6 +34,9 @@
 	hExpect = "X-Expect"
 	hOrg    = "X-Org"
 	hFault  = "X-Fault"
+	hLeave  = "X-Leaving"
+	// hPause is a time.Duration.
+	hPause = "X-Pause"
 )
 
 // dialect is a minimal provider.HeaderTranslator.
@@ -58,7 +62,11 @@
 }
 
 func (dialect) DecodeResponse(_ int, h http.Header) provider.ResponseHeader {
-	return provider.ResponseHeader{ID: h.Get(hID), Sealed: h.Get(hSeal) != "", NotRun: h.Get(hNotRun) != "", AtFault: h.Get(hFault)}
+	pause, _ := time.ParseDuration(h.Get(hPause)) // zero without the header
+	return provider.ResponseHeader{
+		ID: h.Get(hID), Sealed: h.Get(hSeal) != "", NotRun: h.Get(hNotRun) != "", AtFault: h.Get(hFault),
+		Leaving: h.Get(hLeave) != "", RetryAfter: pause,
+	}
 }
 
 func (dialect) EncodeResponse(h http.Header) http.Header {
@@ -155,9 +163,10 @@
 // harness is a gateway with scripted endpoints. It implements the gateway's
 // dependencies and records their calls.
 type harness struct {
-	table    *routing.Table
-	entries  map[string]directory.Entry
-	order    []string
+	table     *routing.Table
+	directory *directory.Directory
+	order     []string
+	// mu guards the fields below and the directory.
 	mu       sync.Mutex
 	jobs     []dispatch.Job
 	outcomes []dispatch.Outcome
@@ -176,10 +185,28 @@
 // Current implements Tables.
 func (w *harness) Current() *routing.Table { return w.table }
 
-// Entry implements Directory.
-func (w *harness) Entry(id string) (directory.Entry, bool) {
-	e, ok := w.entries[id]
-	return e, ok
+// Lookup implements Directory.
+func (w *harness) Lookup(id string) (directory.Entry, directory.Availability) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.directory.Lookup(time.Now(), id)
+}
+
+// Paused implements Directory.
+func (w *harness) Paused(service string) ([]string, time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.directory.Paused(time.Now(), service)
+}
+
+// Observed implements Directory.
+func (w *harness) Observed(id string, r provider.ResponseHeader) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.directory.Pause(time.Now(), id, r.RetryAfter)
+	if r.Leaving {
+		w.directory.MarkLeaving(directory.Incarnation{ID: id})
+	}
 }
 
 // Place implements Placer. It returns the first endpoint that the job need not
@@ -195,11 +222,7 @@
 		return Placed{Placement: dispatch.Placement{Job: job.ID, Endpoint: w.pinned}, Holder: "test"}, ctx.Err()
 	}
 	for _, id := range w.order {
-		avoided := false
-		for _, a := range job.Avoid {
-			avoided = avoided || a == id
-		}
-		if !avoided {
+		if !slices.Contains(job.Avoid, id) && !slices.Contains(job.Exclude, id) {
 			return Placed{Placement: dispatch.Placement{Job: job.ID, Endpoint: id}, Holder: "test"}, ctx.Err()
 		}
 	}
@@ -233,11 +256,11 @@
 // needs no key.
 func newHarness(t *testing.T, endpoints ...*endpoint) *harness {
 	t.Helper()
-	w := &harness{entries: make(map[string]directory.Entry), allowance: 10}
+	w := &harness{directory: directory.New(time.Second), allowance: 10}
 	for i, e := range endpoints {
 		id := "e" + string(rune('1'+i))
 		w.order = append(w.order, id)
-		w.entries[id] = directory.Entry{ID: id, Service: "s", Address: e.listener.Addr().String(), Slots: 4}
+		w.directory.Put(directory.Entry{ID: id, Service: "s", Address: e.listener.Addr().String(), Slots: 4})
 	}
 	shares := []routing.Share{{Service: "s", Weight: 1}}
 	w.table = routing.NewTable(routing.Deployment{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,9 +28,16 @@
 	Current() *routing.Table
 }
 
-// Directory looks up endpoints by ID.
+// Directory is this VM's view of the endpoints.
 type Directory interface {
-	Entry(id string) (directory.Entry, bool)
+	// Lookup returns the entry with the ID and whether it may be sent requests now.
+	Lookup(id string) (directory.Entry, directory.Availability)
+	// Paused returns the IDs of the service's endpoints that want no requests from this
+	// VM for now. If the service has no other endpoint, wait is the time until the
+	// first of them may be sent requests again; otherwise it is zero.
+	Paused(service string) (ids []string, wait time.Duration)
+	// Observed records what a response's header tells about the endpoint that sent it.
+	Observed(id string, r provider.ResponseHeader)
 }
 
 // Placed is a placement and its origin.
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
@@ -21,8 +22,14 @@
 	}
 	wants := make([]ticket.Request, 0, len(placed.Shares))
 	for i, tokens := range placed.Shares {
-		entry, _ := x.gateway.cfg.Directory.Entry(placed.Helpers[i])
-		wants = append(wants, ticket.Request{Endpoint: placed.Helpers[i], Address: entry.Address, Tokens: tokens})
+		id := placed.Helpers[i]
+		entry, availability := x.gateway.cfg.Directory.Lookup(id)
+		if availability != directory.Available {
+			return nil, errors.WithStack(&ticket.NotGrantedError{
+				Endpoint: id, Cause: &UnavailableError{Endpoint: id, Availability: availability},
+			})
+		}
+		wants = append(wants, ticket.Request{Endpoint: id, Address: entry.Address, Tokens: tokens})
 	}
 	// The name must not contain a slash, which separates it from an address.
 	return x.gateway.cfg.Tickets.Reserve(ctx, x.reservationName(job), wants)
@@ -63,21 +70,24 @@
 	return false
 }
 
-// helpers lists the endpoints that prefill parts of the prompt. Those that are
-// no longer listed are left out.
+// helpers lists the endpoints that prefill parts of the prompt. Those that may be
+// sent no requests are left out, unless they hold reserved memory: the endpoint then
+// rejects the request if it can't use them.
 func (x *exchange) helpers(placed Placed, grant *ticket.Grant) []provider.Helper {
 	helpers := make([]provider.Helper, 0, len(placed.Helpers))
 	x.helperAddresses = make(map[string]string, len(placed.Helpers))
 	for i, id := range placed.Helpers {
-		entry, ok := x.gateway.cfg.Directory.Entry(id)
-		if !ok {
-			continue
-		}
-		x.helperAddresses[id] = entry.Address
-		h := provider.Helper{Address: entry.Address}
+		var h provider.Helper
 		if i < len(placed.Shares) {
-			h.Reservation = grant.IDs[i]
+			h = provider.Helper{Address: grant.Address(i), Reservation: grant.IDs[i]}
+		} else {
+			entry, availability := x.gateway.cfg.Directory.Lookup(id)
+			if availability != directory.Available {
+				continue
+			}
+			h = provider.Helper{Address: entry.Address}
 		}
+		x.helperAddresses[id] = h.Address
 		helpers = append(helpers, h)
 	}
 	return helpers
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -19,6 +19,10 @@
 // delivered.
 const maxBufferedBytes = 64 << 20
 
+// maxRejectionBytes bounds how much of a rejection's body is read; its connection is
+// closed if it has more.
+const maxRejectionBytes = 16 << 10
+
 // attemptResult is the result of one attempt.
 type attemptResult struct {
 	// delivered is set when the whole response was written to the caller.
@@ -62,6 +66,18 @@
 	return "response lacks the endpoint's proof: status " + strconv.Itoa(e.Status)
 }
 
+// UnavailableError reports that a request was not sent because its endpoint may not
+// be sent requests.
+type UnavailableError struct {
+	Endpoint     string
+	Availability directory.Availability
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return "endpoint " + e.Endpoint + " may be sent no requests: " + e.Availability.String()
+}
+
 // NotResumedError reports that an endpoint did not resume a stream.
 type NotResumedError struct{ Status int }
 
@@ -86,10 +102,11 @@
 	}
 	defer resp.Close()
 	meta := x.gateway.cfg.Dialect.DecodeResponse(resp.Status, resp.Header)
+	x.gateway.cfg.Directory.Observed(entry.ID, meta)
 	switch {
 	case meta.NotRun:
 		// Drain the body so that the connection can be reused.
-		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes))
+		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRejectionBytes))
 		return attemptResult{notRun: true, outcome: dispatch.Rejected, blamed: x.blamed(meta.AtFault), status: resp.Status, err: err}
 	case x.route.Kind == routing.Streaming && resp.Status == http.StatusOK:
 		if !meta.Sealed {
@@ -106,7 +123,7 @@
 	if named == "" {
 		return ""
 	}
-	if _, ok := x.gateway.cfg.Directory.Entry(named); ok {
+	if _, availability := x.gateway.cfg.Directory.Lookup(named); availability != directory.Unlisted {
 		return named
 	}
 	for id, address := range x.helperAddresses {
@@ -125,6 +142,10 @@
 	if errors.As(err, &unsent) {
 		result.notRun = true
 	}
+	var unavailable *UnavailableError
+	if errors.As(err, &unavailable) {
+		result.outcome = unavailableOutcome(unavailable.Availability)
+	}
 	if ctx.Err() != nil && x.r.Context().Err() != nil {
 		result.outcome = dispatch.Abandoned
 	}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -39,7 +39,7 @@
 	log         *event.Logger
 	vm          string
 	incarnation int64
-	now         clock
+	now         instantClock
 
 	mu       sync.Mutex
 	drivers  map[string]*driver
@@ -56,7 +56,7 @@
 	return newManager(lease.DefaultConfig(), store, log, self.VM, self.Incarnation, systemClock)
 }
 
-func newManager(cfg lease.Config, store Store, log *event.Logger, vm string, incarnation int64, now clock) *Manager {
+func newManager(cfg lease.Config, store Store, log *event.Logger, vm string, incarnation int64, now instantClock) *Manager {
 	return &Manager{
 		cfg:         cfg,
 		store:       store,
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -201,6 +201,11 @@
 	Sealed bool
 	// NotRun is true if the response proves that the request was not run.
 	NotRun bool
+	// Leaving is true if the endpoint says that it leaves.
+	Leaving bool
+	// RetryAfter is how long an endpoint that has turned the request away wants no
+	// requests from this VM; zero if it does not say so.
+	RetryAfter time.Duration
 	// AtFault is the ID or address of the endpoint that caused the request not to be
 	// run; empty for the endpoint that responded.
 	AtFault string
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -77,12 +78,15 @@
 	transport *upstream.Transport
 	log       *event.Logger
 	hold      time.Duration
+	// observe receives the status and header of each response of an endpoint.
+	observe func(endpoint string, status int, header http.Header)
 }
 
 // NewReserver returns a Reserver whose reservations expire within maxIdle unless they
 // are renewed, and whose hold time is at most maxHold. A zero maxIdle selects the
-// default hold time; a zero maxHold means no upper limit.
-func NewReserver(encoder provider.MemoryEncoder, transport *upstream.Transport, log *event.Logger, maxIdle, maxHold time.Duration) *Reserver {
+// default hold time; a zero maxHold means no upper limit. observe receives the status
+// and header of each response of an endpoint.
+func NewReserver(encoder provider.MemoryEncoder, transport *upstream.Transport, log *event.Logger, maxIdle, maxHold time.Duration, observe func(endpoint string, status int, header http.Header)) *Reserver {
 	hold := defaultHold
 	if maxIdle > 0 {
 		hold = time.Duration(float64(maxIdle) * holdFraction)
@@ -90,7 +94,7 @@
 	if maxHold > 0 {
 		hold = min(hold, maxHold)
 	}
-	return &Reserver{encoder: encoder, transport: transport, log: log, hold: hold}
+	return &Reserver{encoder: encoder, transport: transport, log: log, hold: hold, observe: observe}
 }
 
 // Grant is a set of reservations that are renewed until Release is called.
@@ -155,6 +159,9 @@
 	wg.Wait()
 }
 
+// Address returns the address of the endpoint that holds the i-th reservation.
+func (g *Grant) Address(i int) string { return g.requests[i].Address }
+
 func (r *Reserver) reserve(ctx context.Context, id string, request Request) error {
 	req, err := r.encoder.Reserve(request.Endpoint, provider.Reservation{ID: id, Tokens: request.Tokens, Hold: r.hold})
 	if err != nil {
@@ -206,6 +213,7 @@
 		return errors.WithStack(&NotGrantedError{Endpoint: request.Endpoint, Cause: err})
 	}
 	defer resp.Close()
+	r.observe(request.Endpoint, resp.Status, resp.Header)
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
 		return errors.WithStack(&NotGrantedError{Endpoint: request.Endpoint, Cause: err})
 	}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -40,6 +40,9 @@
 	// NewConnection requires a new connection. A request on an idle one can be
 	// lost if the endpoint closes it at the same time.
 	NewConnection bool
+	// Check is called immediately before the first byte is sent, and prevents that by
+	// an error; nil always sends.
+	Check func() error
 	// Matches reports whether a response with the header belongs to this request;
 	// nil accepts any response.
 	Matches func(http.Header) bool
@@ -110,6 +113,10 @@
 	if err != nil {
 		return nil, &UnsentError{err}
 	}
+	if err := req.check(); err != nil {
+		_ = c.Close()
+		return nil, &UnsentError{err}
+	}
 	release := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written := make(chan error, 1)
 	if len(req.Body) <= maxInlineBody {
@@ -134,6 +141,13 @@
 	return resp, nil
 }
 
+func (r *Request) check() error {
+	if r.Check == nil {
+		return nil
+	}
+	return r.Check()
+}
+
 func (t *Transport) connection(ctx context.Context, req *Request) (*conn, error) {
 	if !req.NewConnection {
 		if c := t.pool.take(req.Address); c != nil {
