Bound what an endpoint can send, and identify each response

Cause: http.ReadResponse reads a status line and a header of any length into memory; a plain body was buffered up to 64 MB for each request; a stream that completed no event held its request until the timeout as long as bytes came now and then; a response without an ID was taken for the request's own also on a reused connection, where a late second copy of an earlier response may arrive; reservations took any response. Ruled out: trailers and chunk extensions, which net/http bounds; the size of one event, which was bounded. Change: 64 KiB for a head, 16 interim responses and 3 of other requests each with a limit of its own (interim ones counted as strays before), 1 MiB buffered, beyond which a body is delivered as it arrives up to 64 MiB, 16 KiB of a rejection's body. A stream whose endpoint completes no event within the caller's patience and half a second ends, and is resumed where that is allowed; time spent writing to the caller does not count. Responses are own, of another request, or unidentified: the latter are taken on a new connection only, which is not used again. A request that is sent to an endpoint twice, and each new reservation, goes on a new connection. Requests to endpoints refuse a response to a reservation request and the other way round. A body of over 1 MiB that breaks off can no longer be replaced by another endpoint's: the caller sees it truncated. Before: 6 of the 14 cases of TestBytesWithoutEnd, TestDrippingStreamEnds, TestLargeBodyThatBreaks, TestLateSecondCopyIsNotDelivered (without an ID) and TestUnidentifiedResponseIsNotFollowed fail; after: all pass. TestSlowStreamIsNotCut passes before and after.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -190,11 +190,23 @@
 }
 
 func (v *VM) newTickets(u *upstream.Transport, r *registry) *ticket.Reserver {
-	observe := func(endpoint string, status int, h http.Header) {
-		r.Observed(endpoint, v.platform.Dialect.DecodeResponse(status, h))
-	}
-	limits := v.settings.Reservations
-	return ticket.NewReserver(v.platform.Memory, u, v.log, limits.ReleaseWithin, limits.MaxHold, observe)
+	return ticket.NewReserver(ticket.Config{
+		Encoder:   v.platform.Memory,
+		Transport: u,
+		Log:       v.log,
+		MaxIdle:   v.settings.Reservations.ReleaseWithin,
+		MaxHold:   v.settings.Reservations.MaxHold,
+		Observe: func(endpoint string, status int, h http.Header) {
+			r.Observed(endpoint, v.platform.Dialect.DecodeResponse(status, h))
+		},
+		Match: func(h http.Header) upstream.Match {
+			if v.platform.Dialect.DecodeResponse(0, h).ID != "" {
+				// The response belongs to a caller's request.
+				return upstream.Other
+			}
+			return upstream.Own
+		},
+	})
 }
 
 func (v *VM) newGateway(c *coordination.Coordinator, r *registry, t *tables, u *upstream.Transport, reserver *ticket.Reserver, m *metrics.Metrics) *gateway.Gateway {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -368,15 +369,31 @@
 		Host:          x.r.Host,
 		Header:        x.endpointHeader(entry, helpers),
 		Body:          x.body,
-		NewConnection: !x.route.Repeatable(),
+		NewConnection: x.needsNewConnection(entry),
 		Check:         func() error { return x.checkPermission(entry) },
-		Matches: func(h http.Header) bool {
-			id := x.gateway.cfg.Dialect.DecodeResponse(0, h).ID
-			return id == "" || id == x.call.ID
-		},
+		Match:         x.match,
 	}
 }
 
+// needsNewConnection reports whether the request must not be sent on a used connection:
+// one that may run only once, as the connection may be closed while it is sent, and one
+// that was sent to the endpoint before, as a late second copy of that response has the
+// same ID.
+func (x *exchange) needsNewConnection(entry directory.Entry) bool {
+	return !x.route.Repeatable() || slices.Contains(x.avoid, entry.ID)
+}
+
+// match tells whether a response with the header belongs to this request.
+func (x *exchange) match(h http.Header) upstream.Match {
+	switch x.gateway.cfg.Dialect.DecodeResponse(0, h).ID {
+	case "":
+		return upstream.Unidentified
+	case x.call.ID:
+		return upstream.Own
+	}
+	return upstream.Other
+}
+
 // remaining returns the time until the deadline. It counts the time for which the VM
 // was suspended since the request arrived, which the deadline's clock does not.
 func (x *exchange) remaining() time.Duration {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -252,7 +252,7 @@
 
 // newHarness starts a gateway whose routes are served by the endpoints, in
 // their order. The route /once/ is non-idempotent, /safe/ idempotent, /stream/
-// a resumable stream, /fixed/ a stream that can't be resumed, and /public/
+// a resumable stream, /patient/ one with a long timeout, /fixed/ a stream that can't be resumed, and /public/
 // needs no key.
 func newHarness(t *testing.T, endpoints ...*endpoint) *harness {
 	t.Helper()
@@ -269,6 +269,7 @@
 			{Name: "once", Host: "h", Prefix: "/once/", Kind: routing.NonIdempotent, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
 			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Idempotent, Priority: 2, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
 			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.Streaming, Resumable: true, Patience: time.Second, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
+			{Name: "patient", Host: "h", Prefix: "/patient/", Kind: routing.Streaming, Resumable: true, Patience: 300 * time.Millisecond, Timeout: time.Minute, Shares: shares, MaxAttempts: 2},
 			{Name: "fixed", Host: "h", Prefix: "/fixed/", Kind: routing.Streaming, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
 			{Name: "public", Host: "h", Prefix: "/public/", Public: true, Kind: routing.Idempotent, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
 		},
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -15,13 +15,16 @@
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
 
-// maxBufferedBytes bounds a response body that is buffered before it is
-// delivered.
-const maxBufferedBytes = 64 << 20
-
-// maxRejectionBytes bounds how much of a rejection's body is read; its connection is
-// closed if it has more.
-const maxRejectionBytes = 16 << 10
+const (
+	// maxBufferedBytes bounds a response body that is buffered before it is
+	// delivered. The rest of a larger one is delivered as it arrives.
+	maxBufferedBytes = 1 << 20
+	// maxResponseBytes bounds a response body.
+	maxResponseBytes = 64 << 20
+	// maxRejectionBytes bounds how much of a rejection's body is read; its connection
+	// is closed if it has more.
+	maxRejectionBytes = 16 << 10
+)
 
 // attemptResult is the result of one attempt.
 type attemptResult struct {
@@ -86,7 +89,7 @@
 	return "stream not resumed: response status " + strconv.Itoa(e.Status)
 }
 
-// ResponseTooLargeError reports a response body that is too large to be buffered.
+// ResponseTooLargeError reports a response body that exceeds a size limit.
 type ResponseTooLargeError struct{ Bytes int }
 
 // Error implements error.
@@ -156,16 +159,14 @@
 	return attemptResult{outcome: dispatch.Failed, status: status, err: errors.WithStack(&UnprovenError{status})}
 }
 
-// relayBuffered reads the whole response before any of it is delivered, so that a
-// truncated one can still be replaced by another endpoint's.
+// relayBuffered reads up to maxBufferedBytes of the response before any of it is
+// delivered, so that a truncated one can still be replaced by another endpoint's.
 func (x *exchange) relayBuffered(ctx context.Context, resp *upstream.Response, sealed bool) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
-		err = errors.WithStack(&ResponseTooLargeError{maxBufferedBytes})
-	}
 	if err != nil {
 		return x.failedAttempt(ctx, err)
 	}
+	complete := len(body) <= maxBufferedBytes
 	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
 	result := attemptResult{outcome: dispatch.Served, status: resp.Status}
 	switch {
@@ -185,12 +186,63 @@
 		return result
 	case resp.Status >= http.StatusInternalServerError:
 		result.outcome = dispatch.Failed
-		result.failureResponse = buffered
+		if complete {
+			result.failureResponse = buffered
+		} else {
+			result.err = errors.WithStack(&ResponseTooLargeError{maxBufferedBytes})
+		}
 		return result
+	case !complete:
+		return x.deliverLarge(ctx, resp, body)
 	}
 	return x.deliver(buffered)
 }
 
+// deliverLarge delivers a response that is too large to be buffered: the begin of its
+// body that was read, and then the rest as it arrives. If that breaks, the caller gets
+// a truncated response.
+func (x *exchange) deliverLarge(ctx context.Context, resp *upstream.Response, begin []byte) attemptResult {
+	x.stream.headerSent = true
+	x.status = resp.Status
+	x.setResponseHeader(resp.Header)
+	if resp.Length >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	}
+	x.w.WriteHeader(resp.Status)
+	if _, err := x.w.Write(begin); err != nil {
+		return callerLeft(resp.Status, err)
+	}
+	rest := &readErrors{r: resp.Body, remaining: maxResponseBytes - len(begin)}
+	if _, err := io.Copy(x.w, rest); err != nil && rest.err == nil {
+		return callerLeft(resp.Status, err)
+	}
+	if rest.err != nil {
+		return x.failedAttempt(ctx, rest.err)
+	}
+	return attemptResult{delivered: true, outcome: dispatch.Served, status: resp.Status}
+}
+
+// readErrors bounds the bytes read from r and records the error that ended reading,
+// which tells it from an error of writing.
+type readErrors struct {
+	r         io.Reader
+	remaining int
+	err       error
+}
+
+// Read implements io.Reader.
+func (r *readErrors) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	r.remaining -= n
+	if r.remaining < 0 {
+		err = errors.WithStack(&ResponseTooLargeError{maxResponseBytes})
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
+	return n, err //nolint:wrapcheck // io.Copy expects io.EOF as it is
+}
+
 // impliesNotRun reports whether callers take the status as proof that the
 // request did not run.
 func impliesNotRun(status int) bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,6 +19,9 @@
 	initialEventBuffer = 2 << 10
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 1 << 20
+	// stallMargin is added to the caller's patience for the time within which an
+	// endpoint must complete the next event. Callers disconnect first.
+	stallMargin = 500 * time.Millisecond
 )
 
 var (
@@ -46,11 +50,62 @@
 // Error implements error.
 func (e *EventTooLongError) Error() string { return "event exceeds the size limit" }
 
+// StalledError reports a stream that has completed no event for longer than callers
+// wait, though bytes may have arrived.
+type StalledError struct{ Limit time.Duration }
+
+// Error implements error.
+func (e *StalledError) Error() string { return "no complete event within " + e.Limit.String() }
+
+// stallTimer closes a response whose endpoint completes no event within a limit.
+type stallTimer struct {
+	limit time.Duration
+	// timer is nil without a limit.
+	timer   *time.Timer
+	stalled atomic.Bool
+}
+
+// newStallTimer starts the timer of a response of the exchange.
+func (x *exchange) newStallTimer(resp *upstream.Response) *stallTimer {
+	s := &stallTimer{}
+	if x.route.Patience <= 0 {
+		return s
+	}
+	s.limit = x.route.Patience + stallMargin
+	s.timer = time.AfterFunc(s.limit, func() {
+		s.stalled.Store(true)
+		resp.Abort()
+	})
+	return s
+}
+
+func (s *stallTimer) stop() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
+
+func (s *stallTimer) restart() {
+	if s.timer != nil {
+		s.timer.Reset(s.limit)
+	}
+}
+
+// cause returns the reason why reading the response failed with err.
+func (s *stallTimer) cause(err error) error {
+	if s.stalled.Load() {
+		return errors.WithStack(&StalledError{s.limit})
+	}
+	return err
+}
+
 // relayStream delivers a stream's events as they arrive, never part of one. The
 // header is sent with the first event, so that a stream that breaks before it
 // can be replaced by another endpoint's.
 func (x *exchange) relayStream(ctx context.Context, job string, resp *upstream.Response) attemptResult {
 	began := false
+	stall := x.newStallTimer(resp)
+	defer stall.stop()
 	buffer := make([]byte, 0, initialEventBuffer)
 	for {
 		if len(buffer) == cap(buffer) {
@@ -67,16 +122,19 @@
 				began = true
 				x.recordFirstEvent(job)
 			}
+			// A caller that reads slowly is not the endpoint's fault.
+			stall.stop()
 			if err := x.deliverEvents(resp, buffer[:complete]); err != nil {
 				return callerLeft(resp.Status, err)
 			}
+			stall.restart()
 			buffer = append(buffer[:0], buffer[complete:]...)
 		}
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(resp, buffer)
 		}
 		if err != nil {
-			return x.failedAttempt(ctx, err)
+			return x.failedAttempt(ctx, stall.cause(err))
 		}
 	}
 }
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -71,30 +71,39 @@
 // Unwrap implements the interface used by errors.Is and errors.As.
 func (e *NotGrantedError) Unwrap() error { return e.Cause }
 
+// Config has the dependencies and limits of a Reserver.
+type Config struct {
+	Encoder   provider.MemoryEncoder
+	Transport *upstream.Transport
+	Log       *event.Logger
+	// MaxIdle is the time within which reservations expire unless they are renewed;
+	// zero selects the default hold time.
+	MaxIdle time.Duration
+	// MaxHold is the longest hold time that endpoints grant; zero for no limit.
+	MaxHold time.Duration
+	// Observe receives the status and header of each response of an endpoint.
+	Observe func(endpoint string, status int, header http.Header)
+	// Match tells whether a response belongs to a request of the Reserver.
+	Match func(http.Header) upstream.Match
+}
+
 // Reserver reserves, renews and releases endpoint memory. It is safe for concurrent
 // use.
 type Reserver struct {
-	encoder   provider.MemoryEncoder
-	transport *upstream.Transport
-	log       *event.Logger
-	hold      time.Duration
-	// observe receives the status and header of each response of an endpoint.
-	observe func(endpoint string, status int, header http.Header)
+	cfg  Config
+	hold time.Duration
 }
 
-// NewReserver returns a Reserver whose reservations expire within maxIdle unless they
-// are renewed, and whose hold time is at most maxHold. A zero maxIdle selects the
-// default hold time; a zero maxHold means no upper limit. observe receives the status
-// and header of each response of an endpoint.
-func NewReserver(encoder provider.MemoryEncoder, transport *upstream.Transport, log *event.Logger, maxIdle, maxHold time.Duration, observe func(endpoint string, status int, header http.Header)) *Reserver {
+// NewReserver returns a Reserver.
+func NewReserver(cfg Config) *Reserver {
 	hold := defaultHold
-	if maxIdle > 0 {
-		hold = time.Duration(float64(maxIdle) * holdFraction)
+	if cfg.MaxIdle > 0 {
+		hold = time.Duration(float64(cfg.MaxIdle) * holdFraction)
 	}
-	if maxHold > 0 {
-		hold = min(hold, maxHold)
+	if cfg.MaxHold > 0 {
+		hold = min(hold, cfg.MaxHold)
 	}
-	return &Reserver{encoder: encoder, transport: transport, log: log, hold: hold, observe: observe}
+	return &Reserver{cfg: cfg, hold: hold}
 }
 
 // Grant is a set of reservations that are renewed until Release is called.
@@ -119,7 +128,7 @@
 		g.IDs = append(g.IDs, name+"."+strconv.Itoa(i))
 	}
 	for i, request := range requests {
-		wg.Go(func() { errs[i] = r.reserve(ctx, g.IDs[i], request) })
+		wg.Go(func() { errs[i] = r.reserve(ctx, g.IDs[i], request, true) })
 	}
 	wg.Wait()
 	for _, err := range errs {
@@ -162,12 +171,14 @@
 // Address returns the address of the endpoint that holds the i-th reservation.
 func (g *Grant) Address(i int) string { return g.requests[i].Address }
 
-func (r *Reserver) reserve(ctx context.Context, id string, request Request) error {
-	req, err := r.encoder.Reserve(request.Endpoint, provider.Reservation{ID: id, Tokens: request.Tokens, Hold: r.hold})
+// reserve makes or renews a reservation. On a new connection the response can't be a
+// late second copy of an earlier one.
+func (r *Reserver) reserve(ctx context.Context, id string, request Request, newConnection bool) error {
+	req, err := r.cfg.Encoder.Reserve(request.Endpoint, provider.Reservation{ID: id, Tokens: request.Tokens, Hold: r.hold})
 	if err != nil {
 		return err
 	}
-	return r.send(ctx, req, request)
+	return r.send(ctx, req, request, newConnection)
 }
 
 // renew renews a reservation periodically until the context is cancelled.
@@ -180,16 +191,16 @@
 			return
 		case <-ticker.C:
 		}
-		if err := r.reserve(ctx, id, request); err != nil && ctx.Err() == nil {
-			r.log.Emit(event.ReservationNotRenewed{Reservation: id, Endpoint: request.Endpoint, Reason: err.Error()})
+		if err := r.reserve(ctx, id, request, false); err != nil && ctx.Err() == nil {
+			r.cfg.Log.Emit(event.ReservationNotRenewed{Reservation: id, Endpoint: request.Endpoint, Reason: err.Error()})
 		}
 	}
 }
 
 func (r *Reserver) release(id string, request Request) {
-	req, err := r.encoder.Release(request.Endpoint, id)
+	req, err := r.cfg.Encoder.Release(request.Endpoint, id)
 	for attempt := 0; err == nil && attempt < releaseAttempts; attempt++ {
-		sendErr := r.send(context.Background(), req, request)
+		sendErr := r.send(context.Background(), req, request, false)
 		var notGranted *NotGrantedError
 		rejected := errors.As(sendErr, &notGranted) && notGranted.Status != 0
 		if sendErr == nil || rejected {
@@ -197,27 +208,27 @@
 			return
 		}
 	}
-	r.log.Emit(event.ReservationNotReleased{Reservation: id, Endpoint: request.Endpoint})
+	r.cfg.Log.Emit(event.ReservationNotReleased{Reservation: id, Endpoint: request.Endpoint})
 }
 
 // send sends one request to an endpoint. It returns a NotGrantedError if the
 // endpoint does not respond in time or responds with an error status.
-func (r *Reserver) send(ctx context.Context, req provider.ControlRequest, request Request) error {
+func (r *Reserver) send(ctx context.Context, req provider.ControlRequest, request Request, newConnection bool) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	resp, err := r.transport.Send(ctx, &upstream.Request{
+	resp, err := r.cfg.Transport.Send(ctx, &upstream.Request{
 		Address: request.Address, Method: req.Method, URI: req.URI, Host: request.Address,
-		Header: req.Header, Body: req.Body,
+		Header: req.Header, Body: req.Body, NewConnection: newConnection, Match: r.cfg.Match,
 	})
 	if err != nil {
 		return errors.WithStack(&NotGrantedError{Endpoint: request.Endpoint, Cause: err})
 	}
 	defer resp.Close()
-	r.observe(request.Endpoint, resp.Status, resp.Header)
+	r.cfg.Observe(request.Endpoint, resp.Status, resp.Header)
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
 		return errors.WithStack(&NotGrantedError{Endpoint: request.Endpoint, Cause: err})
 	}
-	if !r.encoder.Succeeded(resp.Status) {
+	if !r.cfg.Encoder.Succeeded(resp.Status) {
 		return errors.WithStack(&NotGrantedError{Endpoint: request.Endpoint, Status: resp.Status})
 	}
 	return nil
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -125,7 +125,10 @@
 	require.NoError(t, err)
 	transport := upstream.New(func() {})
 	t.Cleanup(transport.Close)
-	return NewReserver(jsonEncoder{}, transport, log, maxIdle, 20*time.Second, func(string, int, http.Header) {})
+	return NewReserver(Config{
+		Encoder: jsonEncoder{}, Transport: transport, Log: log, MaxIdle: maxIdle, MaxHold: 20 * time.Second,
+		Observe: func(string, int, http.Header) {},
+	})
 }
 
 func newFakeEngine(t *testing.T, total int) (*fakeEngine, Request) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -38,10 +38,15 @@
 	defaultIdleTimeout = 2 * time.Second
 )
 
+// maxHeadBytes bounds the bytes of one response's status line and header.
+const maxHeadBytes = 64 << 10
+
 // conn is one connection to an endpoint.
 type conn struct {
 	net.Conn
+	// r reads from the connection through head.
 	r       *bufio.Reader
+	head    *headReader
 	address string
 	// used is set when a response was received on the connection.
 	used bool
@@ -60,7 +65,34 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer), address: address}, nil
+	head := &headReader{conn: c}
+	return &conn{Conn: c, r: bufio.NewReaderSize(head, readBuffer), head: head, address: address}, nil
+}
+
+// headReader reads from a connection and bounds the bytes that it reads while it is
+// limited.
+type headReader struct {
+	conn      net.Conn
+	limited   bool
+	remaining int
+}
+
+// limit bounds the bytes read until unlimit.
+func (h *headReader) limit(n int) { h.limited, h.remaining = true, n }
+
+func (h *headReader) unlimit() { h.limited = false }
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.limited {
+		return h.conn.Read(p) //nolint:wrapcheck // callers tell io.EOF from other errors
+	}
+	if h.remaining <= 0 {
+		return 0, errors.WithStack(&HeadTooLargeError{maxHeadBytes})
+	}
+	n, err := h.conn.Read(p[:min(len(p), h.remaining)])
+	h.remaining -= n
+	return n, err //nolint:wrapcheck // callers tell io.EOF from other errors
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT.
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -1,5 +1,10 @@
 package upstream
 
+import (
+	"fmt"
+	"strconv"
+)
+
 // UnsentError reports that no byte of the request was sent to the endpoint.
 type UnsentError struct{ Cause error }
 
@@ -24,11 +29,38 @@
 // Unwrap returns the cause.
 func (e *NoResponseError) Unwrap() error { return e.Cause }
 
-// StrayResponsesError reports that the response to a request was not among the
-// first responses on its connection.
-type StrayResponsesError struct{ Responses int }
+// HeadTooLargeError reports a response whose status line and header exceed a size
+// limit.
+type HeadTooLargeError struct{ Limit int }
+
+// Error implements error.
+func (e *HeadTooLargeError) Error() string {
+	return "response header exceeds " + strconv.Itoa(e.Limit) + " bytes"
+}
+
+// StrayBodyError reports a response to another request whose body exceeds a size
+// limit.
+type StrayBodyError struct{ Limit int }
+
+// Error implements error.
+func (e *StrayBodyError) Error() string {
+	return "body of a response to another request exceeds " + strconv.Itoa(e.Limit) + " bytes"
+}
+
+// UnidentifiedResponseError reports a response on a reused connection that does not
+// tell which request it belongs to.
+type UnidentifiedResponseError struct{ Status int }
+
+// Error implements error.
+func (e *UnidentifiedResponseError) Error() string {
+	return "response on a reused connection has no request ID: status " + strconv.Itoa(e.Status)
+}
+
+// StrayResponsesError reports that too many interim responses, or responses to other
+// requests, preceded the response to a request.
+type StrayResponsesError struct{ Interim, Stray int }
 
 // Error implements error.
 func (e *StrayResponsesError) Error() string {
-	return "too many responses that do not match the request"
+	return fmt.Sprintf("no response to the request after %d interim ones and %d to other requests", e.Interim, e.Stray)
 }
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -17,12 +17,12 @@
 	// response is read. A larger one is written concurrently, as the endpoint may
 	// respond before it has read the body.
 	maxInlineBody = 16 << 10
-	// maxSkipped bounds the responses that are skipped: interim ones (1xx) and
-	// those to other requests.
-	maxSkipped = 4
-	// maxSkippedBytes bounds the bytes of a skipped response's body that are
-	// read.
-	maxSkippedBytes = 1 << 20
+	// maxInterim bounds the interim responses (1xx) to one request, and maxStray the
+	// responses to other requests that are skipped.
+	maxInterim = 16
+	maxStray   = 3
+	// maxStrayBytes bounds the bytes of a skipped response's body that are read.
+	maxStrayBytes = 1 << 20
 	// sweepInterval is the time between checks for expired idle connections.
 	sweepInterval = 2 * time.Second
 )
@@ -43,11 +43,26 @@
 	// Check is called immediately before the first byte is sent, and prevents that by
 	// an error; nil always sends.
 	Check func() error
-	// Matches reports whether a response with the header belongs to this request;
-	// nil accepts any response.
-	Matches func(http.Header) bool
+	// Match tells whether a response with the header belongs to this request; nil takes
+	// every response as its own.
+	Match func(http.Header) Match
 }
 
+// Match tells whether a response belongs to a request.
+type Match uint8
+
+// Results of Request.Match.
+const (
+	// Own responses belong to the request.
+	Own Match = iota
+	// Other responses belong to another request. They are skipped.
+	Other
+	// Unidentified responses do not tell. On a new connection they belong to the
+	// request, and the connection is not used again; on a reused one they may be a
+	// late second copy of an earlier response, and are an error.
+	Unidentified
+)
+
 // Response is an endpoint's response. Close must be called; it reuses the
 // connection only if Body was read to its end.
 type Response struct {
@@ -65,6 +80,8 @@
 	// release stops the context from closing the connection. It returns false if
 	// the context has ended.
 	release func() bool
+	// identified is set if the response is known to belong to the request.
+	identified bool
 	// bodyEnded is set when the body was read to its end.
 	bodyEnded bool
 }
@@ -124,7 +141,7 @@
 	} else {
 		go func() { written <- writeRequest(c, req) }()
 	}
-	raw, err := readResponse(c, req) //nolint:bodyclose // Response.Close closes the body's connection or returns it to the pool
+	raw, match, err := readResponse(c, req) //nolint:bodyclose // Response.Close closes the body's connection or returns it to the pool
 	if err != nil {
 		release()
 		_ = c.Close()
@@ -135,7 +152,7 @@
 	}
 	resp := &Response{
 		Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength,
-		transport: t, conn: c, raw: raw, written: written, release: release,
+		transport: t, conn: c, raw: raw, written: written, release: release, identified: match == Own,
 	}
 	resp.Body = &eofReader{resp: resp}
 	return resp, nil
@@ -148,6 +165,13 @@
 	return r.Check()
 }
 
+func (r *Request) match(h http.Header) Match {
+	if r.Match == nil {
+		return Own
+	}
+	return r.Match(h)
+}
+
 func (t *Transport) connection(ctx context.Context, req *Request) (*conn, error) {
 	if !req.NewConnection {
 		if c := t.pool.take(req.Address); c != nil {
@@ -181,26 +205,47 @@
 	return errors.WithStack(err)
 }
 
-// readResponse returns the response to this request. It skips interim responses
-// and those to other requests.
-func readResponse(c *conn, req *Request) (*http.Response, error) {
+// readResponse returns the response to this request, Own or Unidentified. It skips
+// interim responses and those to other requests.
+func readResponse(c *conn, req *Request) (*http.Response, Match, error) {
 	sent := &http.Request{Method: req.Method}
-	for range maxSkipped {
+	interim, stray := 0, 0
+	for interim <= maxInterim && stray <= maxStray {
+		c.head.limit(maxHeadBytes)
 		raw, err := http.ReadResponse(c.r, sent)
+		c.head.unlimit()
 		if err != nil {
-			return nil, errors.WithStack(err)
+			return nil, Other, errors.WithStack(err)
 		}
 		if raw.StatusCode < http.StatusOK {
+			interim++
 			continue
 		}
-		if req.Matches == nil || req.Matches(raw.Header) {
-			return raw, nil
+		match := req.match(raw.Header)
+		switch {
+		case match == Unidentified && c.used:
+			return nil, Other, errors.WithStack(&UnidentifiedResponseError{raw.StatusCode})
+		case match != Other:
+			return raw, match, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(raw.Body, maxSkippedBytes)); err != nil {
-			return nil, errors.WithStack(err)
+		stray++
+		if err := skipBody(raw.Body); err != nil {
+			return nil, Other, err
 		}
 	}
-	return nil, errors.WithStack(&StrayResponsesError{maxSkipped})
+	return nil, Other, errors.WithStack(&StrayResponsesError{Interim: interim, Stray: stray})
+}
+
+// skipBody reads the body of a response to another request to its end.
+func skipBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStrayBytes+1))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if n > maxStrayBytes {
+		return errors.WithStack(&StrayBodyError{maxStrayBytes})
+	}
+	return nil
 }
 
 // eofReader records that the body was read to its end.
@@ -216,12 +261,12 @@
 }
 
 // Close ends the exchange. It returns the connection to the pool if request and
-// response were transferred completely and the endpoint keeps the connection
-// open; otherwise it closes the connection.
+// response were transferred completely, the response is known to be this request's,
+// and the endpoint keeps the connection open; otherwise it closes the connection.
 func (r *Response) Close() {
 	live := r.release()
 	keep := idleTimeout(r.raw)
-	if !live || !r.bodyEnded || keep == 0 || !r.requestWritten() || r.conn.r.Buffered() > 0 {
+	if !live || !r.identified || !r.bodyEnded || keep == 0 || !r.requestWritten() || r.conn.r.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
@@ -230,6 +275,10 @@
 	r.transport.pool.put(r.conn)
 }
 
+// Abort closes the connection, which ends a read of Body with an error. It may be
+// called concurrently with that read.
+func (r *Response) Abort() { _ = r.conn.Close() }
+
 // requestWritten reports whether the whole request has been written.
 func (r *Response) requestWritten() bool {
 	select {
