Drain without cutting requests that have begun

Cause: http.Server.Shutdown counts a connection as idle until the whole header of a request is read, and closes it even if its first bytes are. Change: the callers' listener keeps track of its connections. A server that drains ends the wait for a request on those that have been idle for a moment, never on one of which a byte was read, and stops accepting once no connection has come for a moment, so that the backlog is served, at the latest after half a second.

--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -457,7 +457,7 @@
 			d := fleet(0, 2)
 			prepare(d)
 			d.Submit(start, other)
-			owners := []string{}
+			owners := make([]string, 0, 2)
 			for _, decision := range d.Decide(start) {
 				require.NotNil(t, decision.Placement)
 				owners = append(owners, decision.Owner)
--- /dev/null
+++ b/internal/entry/drain.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// drainInterval is the time between two checks of the connections of a server that
+	// drains.
+	drainInterval = 20 * time.Millisecond
+	// acceptQuiet is how long no connection must have been accepted before a server
+	// that drains stops accepting, so that none is left in the listener's backlog. It
+	// stops after maxAccept in any case, so that what it accepts is answered in time.
+	acceptQuiet = 100 * time.Millisecond
+	maxAccept   = 500 * time.Millisecond
+	// idleQuiet is how long a connection must have been idle before a server that
+	// drains closes it, and newQuiet the same for one without any request yet.
+	idleQuiet = 100 * time.Millisecond
+	newQuiet  = time.Second
+)
+
+// drainListener keeps track of its connections, so that a server that drains can close
+// the idle ones. http.Server.Shutdown closes a connection on which the begin of a
+// request has just been read; this one never does.
+type drainListener struct {
+	net.Listener
+
+	mu         sync.Mutex
+	conns      map[*drainConn]struct{}
+	acceptedAt time.Time
+	closed     bool
+}
+
+func newDrainListener(l net.Listener) *drainListener {
+	return &drainListener{Listener: l, conns: make(map[*drainConn]struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *drainListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err //nolint:wrapcheck // http.Server checks the type
+	}
+	now := time.Now()
+	conn := &drainConn{Conn: c, listener: l, idleSince: now, isNew: true}
+	l.mu.Lock()
+	l.acceptedAt = now
+	l.conns[conn] = struct{}{}
+	l.mu.Unlock()
+	return conn, nil
+}
+
+// expireIdle ends the wait for a request on all idle connections, and closes the
+// listener once no connection is accepted any more. It reports whether the listener is
+// closed and has no open connection. since is when draining began.
+func (l *drainListener) expireIdle(since, now time.Time) bool {
+	l.mu.Lock()
+	if !l.closed && (now.Sub(l.acceptedAt) > acceptQuiet || now.Sub(since) > maxAccept) {
+		l.closed = true
+		_ = l.Close()
+	}
+	done := l.closed && len(l.conns) == 0
+	conns := make([]*drainConn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	l.mu.Unlock()
+	for _, c := range conns {
+		c.expireIdle(now)
+	}
+	return done
+}
+
+// drainConn is a connection of a drainListener.
+type drainConn struct {
+	net.Conn
+	listener *drainListener
+
+	mu sync.Mutex
+	// busy is set from the first byte of a request to the end of its response, and
+	// idleSince is the last such end. isNew is set before the first request.
+	busy      bool
+	idleSince time.Time
+	isNew     bool
+	// deadline is the read deadline that the server has set; expired is set while an
+	// earlier one is in force, which ends the wait for a request.
+	deadline time.Time
+	expired  bool
+}
+
+// Read implements net.Conn. Bytes that were read are a request's, whose reading must
+// not be ended by expireIdle.
+func (c *drainConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err //nolint:wrapcheck // http.Server checks the type
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy, c.isNew = true, false
+	if c.expired {
+		c.expired = false
+		// A connection that can't take a deadline fails at its next read.
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
+	return n, err //nolint:wrapcheck // http.Server checks the type
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *drainConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.expired {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t) //nolint:wrapcheck // a net.Conn returns the connection's errors
+}
+
+// SetDeadline implements net.Conn.
+func (c *drainConn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t) //nolint:wrapcheck // a net.Conn returns the connection's errors
+}
+
+// Close implements net.Conn.
+func (c *drainConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close() //nolint:wrapcheck // a net.Conn returns the connection's errors
+}
+
+// becomeIdle records that the response to a request was written.
+func (c *drainConn) becomeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy, c.idleSince = false, time.Now()
+}
+
+// expireIdle ends the wait for a request if the connection has been idle for long
+// enough. The server then closes it.
+func (c *drainConn) expireIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	quiet := idleQuiet
+	if c.isNew {
+		quiet = newQuiet
+	}
+	if c.busy || c.expired || now.Sub(c.idleSince) < quiet {
+		return
+	}
+	c.expired = true
+	// A connection that can't take a deadline is closed already.
+	_ = c.Conn.SetReadDeadline(now)
+}
+
+// trackState records the idle connections of a server. It is an http.Server.ConnState.
+func trackState(c net.Conn, state http.ConnState) {
+	if conn, ok := c.(*drainConn); ok && state == http.StateIdle {
+		conn.becomeIdle()
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"io"
 	"log"
 	"net"
@@ -37,7 +36,8 @@
 
 // server is an HTTP server with its own listener.
 type server struct {
-	http *http.Server
+	http     *http.Server
+	listener *drainListener
 }
 
 // serve starts an HTTP server on the address, with at most maxConnections open
@@ -50,8 +50,10 @@
 	if maxConnections > 0 {
 		l = netutil.LimitListener(l, maxConnections)
 	}
-	s := &server{&http.Server{
+	tracked := newDrainListener(l)
+	s := &server{listener: tracked, http: &http.Server{
 		Handler:           handler,
+		ConnState:         trackState,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -59,18 +61,23 @@
 		// request contents.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}}
-	go func() { _ = s.http.Serve(l) }()
+	go func() { _ = s.http.Serve(tracked) }()
 	return s, nil
 }
 
-// drain stops accepting connections and waits until no request is in flight, or
-// until the deadline.
+// drain waits until all connections have ended, or until the deadline. Requests that
+// arrive meanwhile are served. Idle connections are closed, and no more connections
+// are accepted once none has come for a while. Requests still in flight at the
+// deadline are cut off by close; the caller counts them.
 func (s *server) drain(deadline time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	// Requests still in flight at the deadline are cut off; the caller counts
-	// them.
-	_ = s.http.Shutdown(ctx)
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	since := time.Now()
+	for now := range ticker.C {
+		if s.listener.expireIdle(since, now) || now.After(deadline) {
+			return
+		}
+	}
 }
 
 // close closes the listener and all connections. A nil server is ignored.
--- /dev/null
+++ b/test/process/gateway_test.go
@@ -0,0 +1,215 @@
+package process_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/platform/platformtest"
+)
+
+const (
+	gatewayHost  = "gateway.test"
+	gatewayKey   = "key-of-the-tests"
+	gatewayGrace = 6 * time.Second
+)
+
+// gatewaySystem is a store and endpoints in this process, and gateways as processes of
+// their own.
+type gatewaySystem struct {
+	store     *platformtest.Store
+	storeAddr string
+	endpoints []*platformtest.Endpoint
+	bin       string
+
+	mu sync.Mutex
+	// runs counts the runs of each attempt at the endpoints.
+	runs map[string]int
+}
+
+// gatewayVM is a running gateway.
+type gatewayVM struct {
+	cmd     *exec.Cmd
+	callers string
+	ready   string
+	peers   string
+	exited  chan struct{}
+}
+
+func startGatewaySystem(t *testing.T, endpoints int, f platformtest.EndpointFault) *gatewaySystem {
+	t.Helper()
+	s := &gatewaySystem{
+		store: platformtest.NewStore(1), bin: build(t, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddle"), runs: make(map[string]int),
+	}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	s.storeAddr = strings.TrimPrefix(server.URL, "http://")
+	s.store.Put(platformtest.TableOperator, "config", platformtest.Configuration(1, gatewayHost, []platformtest.Route{
+		{Prefix: "/once/", Kind: "non_idempotent", Service: "s", Timeout: 5 * time.Second, MaxAttempts: 2},
+		{Prefix: "/safe/", Kind: "idempotent", Service: "s", Timeout: 5 * time.Second, MaxAttempts: 2},
+		{Prefix: "/stream/", Kind: "streaming", Service: "s", Timeout: 5 * time.Second, MaxAttempts: 2},
+	}, []string{gatewayKey}))
+	for i := range endpoints {
+		e := &platformtest.Endpoint{ID: fmt.Sprintf("i-%d", i), Service: "s", Record: s.record}
+		e.SetFault(f)
+		server := httptest.NewServer(e)
+		t.Cleanup(server.Close)
+		s.endpoints = append(s.endpoints, e)
+		s.store.Put(platformtest.TableEndpoints, e.ID, e.Entry(strings.TrimPrefix(server.URL, "http://"), "ready", 1))
+	}
+	return s
+}
+
+func (s *gatewaySystem) record(r platformtest.Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[r.Attempt]++
+}
+
+func (s *gatewaySystem) runsOf(attempt string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[attempt]
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// startGateway starts a gateway and waits until it is ready.
+func (s *gatewaySystem) startGateway(t *testing.T, name string, seeds ...string) *gatewayVM {
+	t.Helper()
+	v := &gatewayVM{callers: freePort(t), ready: freePort(t), peers: freePort(t), exited: make(chan struct{})}
+	file := filepath.Join(t.TempDir(), name+".json")
+	require.NoError(t, os.WriteFile(file, platformtest.Settings(name, v.callers, v.ready, v.peers, s.storeAddr, seeds, gatewayGrace), 0o600))
+	v.cmd = exec.Command(s.bin, "gateway", "-settings", file)
+	v.cmd.Stdout, v.cmd.Stderr = io.Discard, os.Stderr
+	require.NoError(t, v.cmd.Start())
+	go func() {
+		_ = v.cmd.Wait() // the tests check what callers saw, not the exit code
+		close(v.exited)
+	}()
+	t.Cleanup(func() {
+		_ = v.cmd.Process.Kill()
+		<-v.exited
+	})
+	require.Eventually(t, func() bool { return v.isReady() }, 20*time.Second, 20*time.Millisecond)
+	return v
+}
+
+func (v *gatewayVM) isReady() bool {
+	resp, err := http.Get("http://" + v.ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// gatewayCaller sends requests on one connection until the other side closes it.
+type gatewayCaller struct {
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func dialGateway(address string) (*gatewayCaller, error) {
+	c, err := net.DialTimeout("tcp4", address, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &gatewayCaller{c, bufio.NewReader(c)}, nil
+}
+
+// call sends a request and reads the whole response. closes is true if it is the last
+// one on the connection.
+func (c *gatewayCaller) call(path, attempt string) (status int, body string, closes bool, err error) {
+	if err := c.conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		return 0, "", true, err
+	}
+	request := "POST " + path + " HTTP/1.1\r\nHost: " + gatewayHost + "\r\n" + platformtest.HeaderAttempt + ": " + attempt + "\r\n" +
+		platformtest.HeaderKey + ": " + gatewayKey + "\r\nContent-Length: 4\r\n\r\nbody"
+	if _, err := io.WriteString(c.conn, request); err != nil {
+		return 0, "", true, err
+	}
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return 0, "", true, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), resp.Close, err
+}
+
+// TestPlannedStopCutsNothing stops one of two gateways under load. Callers keep using
+// their connections to it, and opening new ones, until it no longer accepts them. A
+// request that reached an endpoint is answered, and none is cut after it was read.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	s := startGatewaySystem(t, 4, platformtest.EndpointFault{Latency: 20 * time.Millisecond, Gap: 10 * time.Millisecond})
+	v := s.startGateway(t, "a")
+	s.startGateway(t, "b", v.peers)
+	var served, crossed, cut atomic.Int64
+	var wg sync.WaitGroup
+	for caller := range 16 {
+		wg.Go(func() {
+			paths := []string{"/once/x", "/safe/x", "/stream/x"}
+			for n, refusals := 0, 0; refusals < 3; {
+				c, err := dialGateway(v.callers)
+				if err != nil {
+					refusals++
+					continue
+				}
+				for {
+					n++
+					attempt := fmt.Sprintf("c%d-%d", caller, n)
+					path := paths[n%len(paths)]
+					status, body, closes, err := c.call(path, attempt)
+					want := platformtest.Answer(attempt)
+					if path == "/stream/x" {
+						want = platformtest.StreamAnswer(attempt, 3)
+					}
+					switch {
+					case err == nil && status == http.StatusOK && body == want:
+						served.Add(1)
+					case err != nil && s.runsOf(attempt) == 0:
+						crossed.Add(1)
+					default:
+						cut.Add(1)
+						t.Errorf("attempt %s on %s: status %d, %d bytes, runs %d: %v", attempt, path, status, len(body), s.runsOf(attempt), err)
+					}
+					if err != nil || closes {
+						_ = c.conn.Close()
+						break
+					}
+				}
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return served.Load() > 200 }, 20*time.Second, 10*time.Millisecond)
+	require.NoError(t, v.cmd.Process.Signal(syscall.SIGTERM))
+	select {
+	case <-v.exited:
+	case <-time.After(gatewayGrace + 10*time.Second):
+		t.Fatal("the gateway does not stop")
+	}
+	wg.Wait()
+	require.Zero(t, cut.Load())
+	t.Logf("served %d, closed before they were read %d", served.Load(), crossed.Load())
+}
