A VM that was paused or taken for dead does not act on old state

Cause: a process that goes on after a pause of seconds served what had reached it meanwhile by the configuration and the endpoints it knew before, as nothing told it that its copies were old; a read of the store that the pause itself had timed out even counted as an outage, in which the copies are the best there is. A holder that took a silent VM for dead dropped its jobs and did not hear of them again until they ended. Ruled out: deadlines, which count the pause (a stopped process's clocks run on, a suspended VM's boot clock does); restarting another VM's work, which nothing does in the gateway. Change: each copy of a topic knows when it was last confirmed, or, in an outage, last tried, by the boot clock and as of the start of that read. Requests of a VM whose copies are over 4 s old wait for the next read, half a second at most; requests that were on their way to an endpoint across a suspension do too. A VM that refutes its death sends its jobs to their holders again. The retry window counts from its first event by the monotonic clock: it counted by the wall clock, whose steps forgot or stretched its history. TestSilentVMsJobsAreCountedAgain, TestRefutationIsReported, TestRequestsWaitAfterSuspension are new.

--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -305,3 +305,15 @@
 	}
 	return suspicions, deaths
 }
+
+// A VM that refutes that it is dead reports that as a change of its own record.
+func TestRefutationIsReported(t *testing.T) {
+	n := New(DefaultConfig(), Record{ID: "a", Incarnation: 7}, rand.New(rand.NewPCG(1, 1)))
+	dead := Record{ID: "a", Incarnation: 7, Status: StatusDead, Refutations: 2}
+	n.Receive(time.Unix(0, 0), Message{From: Record{ID: "b", Incarnation: 1}, Updates: []Update{{Record: &dead}}})
+	changes, _ := n.Changes()
+	require.Len(t, changes, 2)
+	require.Equal(t, "a", changes[1].Current.ID)
+	require.Equal(t, uint32(3), changes[1].Current.Refutations)
+	require.Equal(t, StatusAlive, changes[1].Current.Status)
+}
--- a/core/membership/node.go
+++ b/core/membership/node.go
@@ -338,12 +338,15 @@
 }
 
 // refute reacts to a record that calls this VM suspected or dead in its current
-// incarnation: it raises this VM's refutation count above that of the record and
-// queues this VM's record.
+// incarnation: it raises this VM's refutation count above that of the record, queues
+// this VM's record and reports the change, as others may have given up what they hold
+// for this VM.
 func (n *Node) refute(r Record) {
 	if r.Incarnation != n.self.Incarnation || r.Status == StatusAlive || r.Refutations < n.self.Refutations {
 		return
 	}
+	previous := n.self
 	n.self.Refutations = r.Refutations + 1
+	n.changes = append(n.changes, Change{Previous: previous, Current: n.self})
 	n.queue.put(Update{Record: n.selfCopy()})
 }
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -14,7 +14,10 @@
 	ratio     float64
 	allowance float64
 	intervals [windowIntervals]tally
-	latest    int64
+	// start is the time of the first event. Intervals are counted from it, by the
+	// monotonic clock, so that steps of the wall clock don't end or stretch them.
+	start  time.Time
+	latest int64
 }
 
 // tally holds the counts of one interval.
@@ -50,7 +53,10 @@
 // tallyAt returns the tally of the interval that contains now and clears the
 // intervals that have left the window.
 func (w *Window) tallyAt(now time.Time) *tally {
-	interval := now.UnixNano() / int64(w.length/windowIntervals)
+	if w.start.IsZero() {
+		w.start = now
+	}
+	interval := int64(now.Sub(w.start) / (w.length / windowIntervals))
 	for i := max(w.latest, interval-windowIntervals) + 1; i <= interval; i++ {
 		w.intervals[i%windowIntervals] = tally{}
 	}
--- a/internal/coordination/coordinator_test.go
+++ b/internal/coordination/coordinator_test.go
@@ -372,3 +372,33 @@
 	_, placed := holder.counts()
 	require.Equal(t, 2, placed)
 }
+
+// TestSilentVMsJobsAreCountedAgain lets a holder take a VM for dead that was only
+// silent. When it is heard of again, its jobs in flight occupy their slots again.
+func TestSilentVMsJobsAreCountedAgain(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 3)
+	holder := holderOf(vms)
+	silent := otherVM(vms, holder)
+	silent.place(t, "1")
+	silent.place(t, "2")
+	silent.Began("1")
+	var others, all []Member
+	for name, v := range vms {
+		v.mu.Lock()
+		m, _ := v.holders.member(name)
+		v.mu.Unlock()
+		all = append(all, m)
+		if v != silent {
+			others = append(others, m)
+		}
+	}
+	holder.SetMembers(others)
+	_, placed := holder.counts()
+	require.Zero(t, placed)
+	holder.SetMembers(all)
+	silent.Resend()
+	require.Eventually(t, func() bool { _, placed := holder.counts(); return placed == 2 }, 5*time.Second, time.Millisecond)
+	silent.Finished("1", dispatch.Served, "")
+	silent.Finished("2", dispatch.Served, "")
+	require.Eventually(t, func() bool { _, placed := holder.counts(); return placed == 0 }, 5*time.Second, time.Millisecond)
+}
--- a/internal/coordination/holders.go
+++ b/internal/coordination/holders.go
@@ -170,6 +170,19 @@
 	c.senderLocked(to).reset(reset{service, c.term}, updates)
 }
 
+// Resend sends all placed jobs to their holders again. It is called when other VMs have
+// taken this VM for dead, and holders among them have dropped its jobs.
+func (c *Coordinator) Resend() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.term++
+	for service, holder := range c.holders.assigned {
+		if holder.VM != c.vm {
+			c.transferJobs(service, holder)
+		}
+	}
+}
+
 // markResponsive clears the back-off state of a VM that has responded.
 func (c *Coordinator) markResponsive(m Member) {
 	c.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -172,6 +172,7 @@
 		func(l *coordination.LocalDispatcher) *tables { return newTables(v.platform.Decoder, v.log, l) },
 		newTransport,
 		v.newTickets,
+		func() *freshness { return &freshness{log: v.log, copies: v.copies} },
 		v.newGateway,
 	}
 }
@@ -209,11 +210,12 @@
 	})
 }
 
-func (v *VM) newGateway(c *coordination.Coordinator, r *registry, t *tables, u *upstream.Transport, reserver *ticket.Reserver, m *metrics.Metrics) *gateway.Gateway {
+func (v *VM) newGateway(c *coordination.Coordinator, r *registry, t *tables, u *upstream.Transport, reserver *ticket.Reserver, f *freshness, m *metrics.Metrics) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		VM:             v.settings.VM,
 		Tables:         t,
 		Directory:      r,
+		Freshness:      f,
 		Placer:         c,
 		Dialect:        v.platform.Dialect,
 		Transport:      u,
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -110,6 +110,9 @@
 	mu sync.Mutex
 	// epoch is the latest epoch of the store in which the row was written again.
 	epoch int64
+	// refutations is the number of times that this VM has refuted that it is suspected
+	// or dead.
+	refutations uint32
 	// leaving is set when this VM stops, and no more registrations are started.
 	leaving bool
 	// registrations are the writes of the row in progress, which end early when the
@@ -162,6 +165,15 @@
 	}
 }
 
+// refuted records the number of refutations and reports whether it has grown.
+func (m *members) refuted(refutations uint32) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	grown := refutations > m.refutations
+	m.refutations = max(m.refutations, refutations)
+	return grown
+}
+
 // registerAfter starts a registration after the delay, unless this VM is leaving.
 func (m *members) registerAfter(delay time.Duration) {
 	m.mu.Lock()
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -139,10 +139,14 @@
 }
 
 // updateMembers passes the live VMs to the coordinator, which needs the leaving ones
-// as well, and those that are not leaving to the watchers.
+// as well, and those that are not leaving to the watchers. If this VM was taken for
+// dead, its jobs are sent to their holders again.
 func (v *VM) updateMembers() {
 	var live, staying []coordination.Member
 	for _, r := range v.members.service.Records() {
+		if r.ID == v.settings.VM && v.members.refuted(r.Refutations) {
+			defer v.components.Coordinator.Resend()
+		}
 		if r.Status == membership.StatusDead {
 			continue
 		}
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -13,7 +13,7 @@
 	RequestPlaced{}, RequestRefused{}, SendEnded{}, RequestEnded{}, HolderChanged{}, HolderLost{},
 	GatewayStarted{}, GatewayStopping{}, GatewayStopped{}, RegistrationFailed{}, LinesDropped{}, DigestUnreadable{},
 	ReservationFailed{}, ReservationNotRenewed{}, ReservationNotReleased{}, LineDropped{},
-	RequestMisplaced{}, StoreRestored{}, RowsReleased{}, EndpointLeaving{}, EndpointPaused{},
+	RequestMisplaced{}, StoreRestored{}, RowsReleased{}, EndpointLeaving{}, EndpointPaused{}, VMSuspended{},
 }
 
 // DeploymentApplied is emitted when a configuration version takes effect.
@@ -432,3 +432,14 @@
 func (EndpointPaused) Def() Def {
 	return Def{730, "endpoint_paused", log.InfoLevel, "An endpoint turned a request away and asked for no more for retry_after; this VM sends it none for pause."}
 }
+
+// VMSuspended is emitted when a VM finds that its copies of the configuration and the
+// endpoints were not confirmed for longer than it takes while it runs.
+type VMSuspended struct {
+	Unconfirmed time.Duration `log:"unconfirmed"`
+}
+
+// Def implements Event.
+func (VMSuspended) Def() Def {
+	return Def{731, "vm_suspended", log.WarnLevel, "The VM did not run for a while: its copies of the configuration and the endpoints were last confirmed the time unconfirmed ago. Requests wait for their confirmation, for a bounded time."}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -25,6 +25,9 @@
 	// maxStalePlacements bounds the placements of one request at endpoints that may
 	// be sent no requests.
 	maxStalePlacements = 3
+	// suspensionLimit is the time for which the VM may have been suspended since a
+	// request arrived without the directory having to be confirmed before it is sent.
+	suspensionLimit = time.Second
 )
 
 // exchange is the state of one caller's request, from its arrival to the end of
@@ -404,6 +407,9 @@
 // immediately before its first byte: what was true at its placement may have changed
 // while it waited for memory or a connection, or while the VM was suspended.
 func (x *exchange) checkPermission(entry directory.Entry) error {
+	if x.stopwatch.Suspended() > suspensionLimit {
+		x.gateway.cfg.Freshness.Await(x.r.Context())
+	}
 	if _, availability := x.gateway.cfg.Directory.Lookup(entry.ID); availability != directory.Available {
 		return errors.WithStack(&UnavailableError{Endpoint: entry.ID, Availability: availability})
 	}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -192,6 +192,9 @@
 	return w.directory.Lookup(time.Now(), id)
 }
 
+// Await implements Freshness.
+func (w *harness) Await(context.Context) {}
+
 // Paused implements Directory.
 func (w *harness) Paused(service string) ([]string, time.Duration) {
 	w.mu.Lock()
@@ -285,7 +288,7 @@
 	transport := upstream.New(func() {})
 	t.Cleanup(transport.Close)
 	w.gateway = New(Config{
-		VM: "vm", Tables: w, Directory: w, Placer: w, Dialect: dialect{}, Transport: transport,
+		VM: "vm", Tables: w, Directory: w, Freshness: w, Placer: w, Dialect: dialect{}, Transport: transport,
 		Log: log, Metrics: metrics.New(), Random: func() float64 { return 0 },
 		NewRetryBudget: func() *retry.Window { return retry.NewWindow(10*time.Second, 0, w.allowance) },
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,13 @@
 	Observed(id string, r provider.ResponseHeader)
 }
 
+// Freshness tells whether Tables and Directory are up to date.
+type Freshness interface {
+	// Await returns once they are, or after a bounded time. It returns immediately
+	// unless the VM was suspended.
+	Await(ctx context.Context)
+}
+
 // Placed is a placement and its origin.
 type Placed struct {
 	dispatch.Placement
@@ -75,6 +82,7 @@
 	VM        string
 	Tables    Tables
 	Directory Directory
+	Freshness Freshness
 	Placer    Placer
 	Dialect   provider.HeaderTranslator
 	Transport *upstream.Transport
@@ -142,6 +150,7 @@
 		arrived: time.Now(),
 	}
 	defer x.logEnd()
+	g.cfg.Freshness.Await(r.Context())
 	if !x.admit() {
 		return
 	}
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -6,11 +6,13 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 
+	"cornelsaddle.example/cornelsaddle/internal/clock"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
@@ -64,6 +66,11 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
+	// confirmedAt is the last reading of clock.Boot at which the copy was known to be
+	// up to date, and attemptedAt the one at the start of the last read that has ended.
+	confirmedAt atomic.Int64
+	attemptedAt atomic.Int64
+
 	mu sync.Mutex
 	// storeReachable is true if this VM follows the store and its last call to it
 	// succeeded.
@@ -105,10 +112,12 @@
 			sleep(ctx, idleInterval)
 			continue
 		}
+		started := clock.Boot()
 		err := f.readStore(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		f.attempted(started)
 		f.setStoreReachable(ctx, err == nil, err)
 		if err == nil {
 			retryDelay.Reset()
@@ -131,6 +140,7 @@
 // readStore lists the topic if the copy is empty, and otherwise makes one long poll.
 // If the changes have expired in the store, it lists the topic again.
 func (f *Follower) readStore(ctx context.Context) error {
+	started := clock.Boot()
 	after := f.Revision()
 	if after.Version == 0 {
 		return f.listStore(ctx)
@@ -149,12 +159,14 @@
 	if p.Epoch != after.Epoch {
 		return f.listStore(ctx)
 	}
-	f.setStoreReachable(ctx, true, nil)
 	f.applyChanges(p)
+	f.confirm(started)
+	f.setStoreReachable(ctx, true, nil)
 	return nil
 }
 
 func (f *Follower) listStore(ctx context.Context) error {
+	started := clock.Boot()
 	p, err := f.store.List(ctx, f.topic)
 	if err != nil {
 		return err
@@ -162,6 +174,7 @@
 	if !f.enter(p) {
 		return errors.WithStack(&StaleEpochError{Epoch: p.Epoch, Known: f.Revision().Epoch})
 	}
+	f.confirm(started)
 	f.setStoreReachable(ctx, true, nil)
 	return nil
 }
@@ -237,7 +250,9 @@
 			sleep(ctx, idleInterval)
 			continue
 		}
+		started := clock.Boot()
 		fresh := f.readPeers(ctx)
+		f.attempted(started)
 		f.setPeerFresh(fresh)
 		if !fresh {
 			sleep(ctx, minBackoff+rand.N(minBackoff))
@@ -280,14 +295,34 @@
 // readPeer makes one long poll of a VM and reports whether that VM reaches the
 // store.
 func (f *Follower) readPeer(ctx context.Context, address string) bool {
+	started := clock.Boot()
 	m, ok := f.callPeer(ctx, address, peerPollWait)
 	if !ok || m.Stale {
 		return false
 	}
+	f.confirm(started)
 	f.setStale(false, m.restored(time.Now()))
 	return true
 }
 
+// confirm records that the copy is as up to date as it was when a call was started that
+// has succeeded: its response may have been waiting while the VM was suspended.
+func (f *Follower) confirm(started time.Duration) { f.confirmedAt.Store(int64(started)) }
+
+func (f *Follower) attempted(started time.Duration) { f.attemptedAt.Store(int64(started)) }
+
+// Unconfirmed returns how long ago the copy was last known to be up to date, by a
+// clock that advances while the VM is suspended. While no source that reaches the
+// store responds, the copy is the best that there is: it then returns how long ago
+// that was last tried.
+func (f *Follower) Unconfirmed() time.Duration {
+	since := f.confirmedAt.Load()
+	if f.isStale() {
+		since = f.attemptedAt.Load()
+	}
+	return clock.Boot() - time.Duration(since)
+}
+
 // callPeer reads the topic from a VM, which may hold the call for the wait time, and
 // applies the rows. It returns false if the call failed or the VM has no copy.
 func (f *Follower) callPeer(ctx context.Context, address string, wait time.Duration) (pageMessage, bool) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -254,6 +254,12 @@
 	m.stale = stale
 }
 
+func (m *Mirror) isStale() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stale
+}
+
 // list returns all rows of the store's epoch, and false if the copy is empty.
 func (m *Mirror) list() (page, bool) {
 	m.mu.Lock()
--- a/test/process/gateway_test.go
+++ b/test/process/gateway_test.go
@@ -124,6 +124,26 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// pause stops the process and waits until all its threads have stopped, so that it reads
+// nothing that is sent from now on.
+func (v *gatewayVM) pause(t *testing.T) {
+	t.Helper()
+	require.NoError(t, v.cmd.Process.Signal(syscall.SIGSTOP))
+	require.Eventually(t, func() bool {
+		stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", v.cmd.Process.Pid))
+		if err != nil || len(stats) == 0 {
+			return false
+		}
+		for _, stat := range stats {
+			b, err := os.ReadFile(stat)
+			if err != nil || !strings.Contains(string(b), ") T ") {
+				return false
+			}
+		}
+		return true
+	}, 5*time.Second, time.Millisecond)
+}
+
 // gatewayCaller sends requests on one connection until the other side closes it.
 type gatewayCaller struct {
 	conn net.Conn
@@ -213,3 +233,53 @@
 	require.Zero(t, cut.Load())
 	t.Logf("served %d, closed before they were read %d", served.Load(), crossed.Load())
 }
+
+// TestPausedGatewayDoesNotActOnOldState pauses a gateway for some seconds while an
+// endpoint leaves and a route and a key are removed. Requests that reached it meanwhile
+// are decided by the new state when it goes on.
+func TestPausedGatewayDoesNotActOnOldState(t *testing.T) {
+	s := startGatewaySystem(t, 2, platformtest.EndpointFault{})
+	v := s.startGateway(t, "a")
+	s.startGateway(t, "b", v.peers)
+	callers := make([]*gatewayCaller, 24)
+	for i := range callers {
+		c, err := dialGateway(v.callers)
+		require.NoError(t, err)
+		defer func() { _ = c.conn.Close() }()
+		callers[i] = c
+		status, _, _, err := c.call("/safe/x", fmt.Sprintf("before-%d", i))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+	}
+	v.pause(t)
+	results := make(chan string, len(callers))
+	for i, c := range callers {
+		path := []string{"/safe/x", "/once/x", "/stream/x"}[i%3]
+		go func() {
+			attempt := fmt.Sprintf("paused-%d", i)
+			status, _, _, err := c.call(path, attempt)
+			results <- fmt.Sprintf("%s %d %v", path, status, err)
+		}()
+	}
+	left := s.endpoints[0]
+	s.store.Remove(platformtest.TableEndpoints, left.ID)
+	left.Record = func(r platformtest.Run) { t.Errorf("the endpoint that left runs %s", r.Attempt) }
+	s.store.Put(platformtest.TableOperator, "config", platformtest.Configuration(2, gatewayHost, []platformtest.Route{
+		{Prefix: "/safe/", Kind: "idempotent", Service: "s", Timeout: 5 * time.Second, MaxAttempts: 2},
+		{Prefix: "/stream/", Kind: "streaming", Service: "s", Timeout: 5 * time.Second, MaxAttempts: 2},
+	}, []string{gatewayKey}))
+	time.Sleep(pauseOfGateway)
+	require.NoError(t, v.cmd.Process.Signal(syscall.SIGCONT))
+	for range callers {
+		got := <-results
+		want := " 200 <nil>"
+		if strings.HasPrefix(got, "/once/") {
+			want = " 404 <nil>"
+		}
+		require.True(t, strings.HasSuffix(got, want), got)
+	}
+}
+
+// pauseOfGateway is longer than the time for which a gateway trusts its copy of the
+// store, and than the wait of its reads.
+const pauseOfGateway = 5 * time.Second
