Malformed messages fail a request, not the process; fuzz tests of the decoders

Cause: fasthttp does not recover from a panic of a handler, JSON-RPC handlers did not either, and net/http's recovery left no log line. Change: a panic fails its request, typed where there is a form for that, with event 551; passes of the model last 0.1 ms at least and durations are clamped; a service whose cost parameters are unusable is placed as a plain one, with event 732.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -8,7 +8,10 @@
 // earlier token, so the second term grows with the square of the prompt length.
 package engine
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// pairsUnit is the number of token pairs that CostModel.PairsPerMillionMs
@@ -17,6 +20,11 @@
 	// contextUnit is the number of tokens that CostModel.ContextPer1kMs
 	// refers to.
 	contextUnit = 1000
+	// minPassMs is the shortest pass of a model, so that time in the model advances
+	// whatever the cost parameters.
+	minPassMs = 0.1
+	// maxMs is the longest time, in milliseconds, that Duration returns.
+	maxMs = 1e12
 )
 
 // CostModel holds the cost parameters of one kind of engine. Times are in
@@ -44,6 +52,25 @@
 	PairsPerMillionMs float64
 }
 
+// Valid reports whether the parameters describe an engine: sizes and rates are
+// positive, times are not negative, and all are finite.
+func (c *CostModel) Valid() bool {
+	for _, n := range []int{c.Slots, c.MemoryTokens, c.Stride, c.ChunkTokens} {
+		if n <= 0 || n > maxCount {
+			return false
+		}
+	}
+	for _, ms := range []float64{c.StepMs, c.PerSequenceMs, c.ContextPer1kMs, c.PairsPerMillionMs} {
+		if !(ms >= 0 && ms <= maxMs) {
+			return false
+		}
+	}
+	return c.PrefillTokensPerMs > 0 && c.PrefillTokensPerMs <= maxCount && !math.IsInf(c.PrefillMs(maxCount, 1), 0)
+}
+
+// maxCount is the largest number of requests, steps or tokens of a valid CostModel.
+const maxCount = 1 << 31
+
 // PrefillMs returns the prefill time of a prompt, in milliseconds, on each of the
 // engines that share it in equal parts. It returns 0 if the prefill rate or the
 // number of engines is not positive.
@@ -76,5 +103,10 @@
 // Ms converts a duration to milliseconds.
 func Ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// Duration converts milliseconds to a duration.
-func Duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// Duration converts milliseconds to a duration, of some thirty years at most.
+func Duration(ms float64) time.Duration {
+	if !(ms < maxMs) {
+		ms = maxMs
+	}
+	return time.Duration(max(ms, -maxMs) * float64(time.Millisecond))
+}
--- a/core/engine/model.go
+++ b/core/engine/model.go
@@ -97,7 +97,7 @@
 		m.chunks = append(m.chunks, s)
 	}
 	m.passStart = at
-	m.passEnd = at.Add(Duration(ms))
+	m.passEnd = at.Add(Duration(max(ms, minPassMs)))
 }
 
 // Add enqueues a part for prefill.
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -53,7 +53,23 @@
 	r.GET(pathModels, a.authenticated(a.models))
 	r.POST("/v1/services/{service}/{operation}", a.authenticated(a.service))
 	r.GET("/v1/calls/{service}/{key:*}", a.authenticated(a.callState))
-	return r.Handler
+	return a.recovering(r.Handler)
+}
+
+// recovering wraps a handler so that a panic fails its request and not the process,
+// which fasthttp does not prevent.
+func (a *API) recovering(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		defer func() {
+			if recovered := recover(); recovered != nil {
+				id := string(ctx.Response.Header.Peek(wire.HeaderRequestID))
+				a.log.Emit(event.NewHandlerPanicked(string(ctx.Path()), id, recovered))
+				ctx.Response.Reset()
+				a.reject(ctx, errcode.New(errcode.Internal, "the request failed in the system"))
+			}
+		}()
+		next(ctx)
+	}
 }
 
 // StartDraining starts draining: new requests are refused with errcode.Draining. Further
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -54,7 +54,7 @@
 		return
 	}
 	table := routing.NewTable(deployment)
-	t.sink.SetServices(dispatchServices(table))
+	t.sink.SetServices(t.dispatchServices(table))
 	t.current.Store(table)
 	t.log.Emit(event.DeploymentApplied{Version: deployment.Version, Was: active, Routes: len(deployment.Routes)})
 }
@@ -93,10 +93,17 @@
 // Restored implements mirror.Observer.
 func (t *tables) Restored(time.Time) {}
 
-func dispatchServices(table *routing.Table) []dispatch.Service {
+// dispatchServices returns the services for the dispatcher. One with unusable cost
+// parameters counts as a plain service.
+func (t *tables) dispatchServices(table *routing.Table) []dispatch.Service {
 	services := make([]dispatch.Service, 0, len(table.Services()))
 	for _, s := range table.Services() {
-		services = append(services, dispatch.Service{Name: s.Name, Engine: s.Engine})
+		model := s.Engine
+		if model != nil && !model.Valid() {
+			t.log.Emit(event.CostModelInvalid{Service: s.Name, Version: table.Version()})
+			model = nil
+		}
+		services = append(services, dispatch.Service{Name: s.Name, Engine: model})
 	}
 	return services
 }
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -13,7 +13,7 @@
 	RequestPlaced{}, RequestRefused{}, SendEnded{}, RequestEnded{}, HolderChanged{}, HolderLost{},
 	GatewayStarted{}, GatewayStopping{}, GatewayStopped{}, RegistrationFailed{}, LinesDropped{}, DigestUnreadable{},
 	ReservationFailed{}, ReservationNotRenewed{}, ReservationNotReleased{}, LineDropped{},
-	RequestMisplaced{}, StoreRestored{}, RowsReleased{}, EndpointLeaving{}, EndpointPaused{}, VMSuspended{},
+	RequestMisplaced{}, StoreRestored{}, RowsReleased{}, EndpointLeaving{}, EndpointPaused{}, VMSuspended{}, CostModelInvalid{},
 }
 
 // DeploymentApplied is emitted when a configuration version takes effect.
@@ -443,3 +443,15 @@
 func (VMSuspended) Def() Def {
 	return Def{731, "vm_suspended", log.WarnLevel, "The VM did not run for a while: its copies of the configuration and the endpoints were last confirmed the time unconfirmed ago. Requests wait for their confirmation, for a bounded time."}
 }
+
+// CostModelInvalid is emitted when a configuration gives unusable cost parameters of an
+// engine.
+type CostModelInvalid struct {
+	Service string `log:"service"`
+	Version int64  `log:"version"`
+}
+
+// Def implements Event.
+func (CostModelInvalid) Def() Def {
+	return Def{732, "cost_model_invalid", log.WarnLevel, "The configuration version gives cost parameters of the service's engines that are missing, negative or not finite; its requests are placed as those of a plain service."}
+}
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -25,6 +25,8 @@
 	// failAbandoned means that the caller disconnected before its response was
 	// complete.
 	failAbandoned failureCode = "abandoned"
+	// failPanicked means that a defect of the gateway ended the request.
+	failPanicked failureCode = "panicked"
 )
 
 // status returns the HTTP status code of a failure.
@@ -42,7 +44,7 @@
 		return http.StatusRequestEntityTooLarge
 	case failTimeout:
 		return http.StatusGatewayTimeout
-	case failEndpoint, failBrokenOff, failAbandoned:
+	case failEndpoint, failBrokenOff, failAbandoned, failPanicked:
 	}
 	return http.StatusBadGateway
 }
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -173,6 +173,8 @@
 	blamed   []string
 	began    int
 	refuse   *dispatch.Refusal
+	// panics makes Place panic.
+	panics bool
 	// pinned is the endpoint that every job gets; empty for the first in order
 	// that the job need not avoid.
 	pinned string
@@ -218,6 +220,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.jobs = append(w.jobs, job)
+	if w.panics {
+		panic("unexpected job")
+	}
 	if w.refuse != nil {
 		return Placed{}, &RefusedError{Refusal: *w.refuse, Holder: "test"}
 	}
--- /dev/null
+++ b/internal/gateway/fuzz_test.go
@@ -0,0 +1,28 @@
+package gateway
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// FuzzEvents splits whatever an endpoint may send into complete events and the rest,
+// and tracks their IDs.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte(event1+event2), 3)
+	f.Add([]byte("id:\r\n\r\nid: \xff\n\ndata"), 7)
+	f.Fuzz(func(t *testing.T, b []byte, at int) {
+		end := completeEvents(b)
+		require.True(t, end == 0 || bytes.HasSuffix(b[:end], eventEnd) || bytes.HasSuffix(b[:end], eventEndCRLF))
+		x := &exchange{}
+		x.trackEvents(b[:end])
+		if at < 0 || at > len(b) {
+			return
+		}
+		// The events of a stream do not depend on how its bytes arrive.
+		first := completeEvents(b[:at])
+		rest := b[first:]
+		require.Equal(t, end, first+completeEvents(rest))
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,6 +150,7 @@
 		arrived: time.Now(),
 	}
 	defer x.logEnd()
+	defer x.recoverPanic()
 	g.cfg.Freshness.Await(r.Context())
 	if !x.admit() {
 		return
@@ -157,6 +158,20 @@
 	x.serve()
 }
 
+// recoverPanic logs a panic of the handler other than the one that aborts a response,
+// and aborts the response.
+func (x *exchange) recoverPanic() {
+	recovered := recover()
+	if recovered == nil {
+		return
+	}
+	if recovered != http.ErrAbortHandler { //nolint:errorlint // the value of a panic, as net/http compares it
+		x.code = failPanicked
+		x.gateway.cfg.Log.Emit(event.NewHandlerPanicked(x.r.URL.Path, x.call.ID, recovered))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // budget returns the service's retry budget and creates it if there is none. The
 // caller holds mu.
 func (g *Gateway) budget(service string) *retry.Window {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -352,6 +352,18 @@
 	require.LessOrEqual(t, len(w.jobs), 4)
 }
 
+// TestPanicEndsOneRequest checks that a defect ends its request without an answer, and
+// no other one.
+func TestPanicEndsOneRequest(t *testing.T) {
+	e := newEndpoint(t, respondWith("200 OK", ownHeader, "x"))
+	w := newHarness(t, e)
+	w.panics = true
+	require.True(t, w.call(t, "GET", "/safe/", "", nil).broken)
+	w.panics = false
+	require.Equal(t, 200, w.call(t, "GET", "/safe/", "", nil).status)
+	require.Zero(t, w.gateway.InFlight())
+}
+
 // TestStopClosesConnections checks that responses announce the end of the
 // connection after Stop.
 func TestStopClosesConnections(t *testing.T) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -47,9 +47,23 @@
 	Register(mux, "fail", func(context.Context, Identity, textMessage) (textMessage, error) {
 		return textMessage{}, errcode.New(errcode.LeaseLost, "gone")
 	})
+	Register(mux, "panic", func(context.Context, Identity, textMessage) (textMessage, error) {
+		panic("unexpected message")
+	})
 	return mux
 }
 
+// TestPanickingHandlerFailsItsRequest checks that a handler that panics fails its
+// request, and that the server goes on.
+func TestPanickingHandlerFailsItsRequest(t *testing.T) {
+	s, c := listen(t, oldKey), client(t, oldKey)
+	_, _, err := call(t, c, s.Addr(), "panic", "x")
+	require.Equal(t, errcode.Internal, errcode.From(err).Code)
+	out, _, err := call(t, c, s.Addr(), "echo", "x")
+	require.NoError(t, err)
+	require.Equal(t, "client:x", out.Text)
+}
+
 func listen(t *testing.T, keys ...string) *Server {
 	t.Helper()
 	cfg := Config{Self: Identity{"server", 7}, Keys: keys, MaxMessageBytes: 1 << 10}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"cornelsaddle.example/cornelsaddle/core/errcode"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 )
 
@@ -113,7 +114,7 @@
 	slots := make(chan struct{}, maxConcurrentRequests)
 	var inFlight inFlightRequests
 	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
-		return s.mux.serve(ctx, sess.peer, req)
+		return s.serveRequest(ctx, sess.peer, req)
 	})
 	out := &stream{conn: conn, r: r, session: sess, maxBytes: s.cfg.MaxMessageBytes, counters: s.counters, reject: func(reason Reason) { s.reject(address, reason) }}
 	c := jsonrpc2.NewConn(ctx, out, concurrentHandler{handler, slots, &inFlight}, jsonrpc2.SetLogger(discardLogger{}))
@@ -121,6 +122,18 @@
 	inFlight.drain()
 }
 
+// serveRequest handles one request. A handler that panics, on a message that it does
+// not expect, fails the request.
+func (s *Server) serveRequest(ctx context.Context, from Identity, req *jsonrpc2.Request) (result any, err error) {
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			s.log.Emit(event.NewHandlerPanicked(req.Method, "", recovered))
+			result, err = nil, encodeError(errcode.New(errcode.Internal, "the handler of %s failed", req.Method))
+		}
+	}()
+	return s.mux.serve(ctx, from, req)
+}
+
 // concurrentHandler handles the requests of one connection concurrently, at most
 // cap(slots) at a time.
 type concurrentHandler struct {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -65,8 +65,12 @@
 	if err != nil {
 		return nil, err
 	}
+	return newConn(c, address), nil
+}
+
+func newConn(c net.Conn, address string) *conn {
 	head := &headReader{conn: c}
-	return &conn{Conn: c, r: bufio.NewReaderSize(head, readBuffer), head: head, address: address}, nil
+	return &conn{Conn: c, r: bufio.NewReaderSize(head, readBuffer), head: head, address: address}
 }
 
 // headReader reads from a connection and bounds the bytes that it reads while it is
