--- a/internal/coordination/coordinator_test.go
+++ b/internal/coordination/coordinator_test.go
@@ -382,7 +382,7 @@
 	silent.place(t, "1")
 	silent.place(t, "2")
 	silent.Began("1")
-	var others, all []Member
+	others, all := make([]Member, 0, len(vms)), make([]Member, 0, len(vms))
 	for name, v := range vms {
 		v.mu.Lock()
 		m, _ := v.holders.member(name)
