Hold the short prompts of a full pool without a search for each

Change: after such a prompt was held, the short prompts of its service are held for 5 ms without a search, before candidates are listed.

--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -67,6 +67,9 @@
 	// RecheckInterval is the time between two placement attempts for a queued
 	// long prompt.
 	RecheckInterval time.Duration
+	// LightRecheckInterval is the time between two placement attempts of the light jobs
+	// of a service while they are held.
+	LightRecheckInterval time.Duration
 	// RateWindow is the time constant of the average arrival rate of light
 	// jobs.
 	RateWindow time.Duration
@@ -106,6 +109,7 @@
 		AgeingLevels:          4,
 		QueueMargin:           150 * time.Millisecond,
 		RecheckInterval:       10 * time.Millisecond,
+		LightRecheckInterval:  5 * time.Millisecond,
 		RateWindow:            time.Second,
 		LongRateWindow:        3 * time.Second,
 		OverdueSlack:          100 * time.Millisecond,
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -83,6 +83,9 @@
 }
 
 func (d *Dispatcher) decide(now time.Time, job *Job) (Decision, bool) {
+	if d.lightClosed(now, job) {
+		return d.hold(now, job)
+	}
 	pool := d.candidates(now, job)
 	if len(pool) == 0 {
 		return d.handleNoEndpoint(now, job)
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -60,6 +60,9 @@
 	lastExpiry time.Time
 	// demands holds the load of each service.
 	demands map[string]*demand
+	// searches counts the searches for the assignment of a prompt, which take most of
+	// the dispatcher's processor time.
+	searches int64
 }
 
 // New returns a Dispatcher without services and endpoints.
@@ -187,6 +190,9 @@
 // Placed returns the number of placed jobs.
 func (d *Dispatcher) Placed() int { return len(d.placed) }
 
+// Searches returns the number of searches for the assignment of a prompt so far.
+func (d *Dispatcher) Searches() int64 { return d.searches }
+
 // queueIndex returns the index of a job in the queue, or -1.
 func (d *Dispatcher) queueIndex(key JobKey) int {
 	return slices.IndexFunc(d.queue, func(q *queuedJob) bool { return q.Key() == key })
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -30,7 +30,7 @@
 func (d *Dispatcher) decidePrompt(now time.Time, job *Job, pool []*endpoint) (Decision, bool) {
 	late := d.rank(now, job) == rankLongLate
 	light := d.light(job)
-	if late && d.longHeld || light && d.fullService == job.Service {
+	if late && d.longHeld {
 		return d.hold(now, job)
 	}
 	best, found := d.bestAssignment(now, job, pool)
@@ -44,10 +44,24 @@
 	if d.acceptable(now, job, best, late) {
 		return d.placeAssignment(now, job, best), true
 	}
+	if light {
+		d.demandOf(job.Service).lightRetryAt = now.Add(d.cfg.LightRecheckInterval)
+	}
 	d.longHeld = d.longHeld || !late
 	return d.hold(now, job)
 }
 
+// lightClosed reports whether the job is a light one that is held without a search for an assignment,
+// because another light job of its service has just found none, or none that does not
+// harm other jobs more than it is worth. With a long queue the search for each of its
+// jobs, at each event, would take all of the VM's processor time.
+func (d *Dispatcher) lightClosed(now time.Time, job *Job) bool {
+	if !d.light(job) {
+		return false
+	}
+	return d.fullService == job.Service || now.Before(d.demandOf(job.Service).lightRetryAt)
+}
+
 // acceptable reports whether the job is placed with this assignment rather than
 // held for a better one.
 func (d *Dispatcher) acceptable(now time.Time, job *Job, c assignment, late bool) bool {
@@ -134,6 +148,7 @@
 // bestAssignment returns the cheapest assignment over the receivers and the
 // numbers of prefill engines.
 func (d *Dispatcher) bestAssignment(now time.Time, job *Job, pool []*endpoint) (assignment, bool) {
+	d.searches++
 	interactive := d.interactive(now, job.Service, len(d.pools[job.Service]))
 	if d.oversize(job, pool) {
 		return d.bestOversize(now, job, pool, interactive)
--- /dev/null
+++ b/core/dispatch/queue_test.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// busyPool is a pool of engines all slots of which are taken by short prompts, with
+// more of them queued.
+type busyPool struct {
+	d       *Dispatcher
+	now     time.Time
+	jobs    int
+	running []JobKey
+}
+
+func newBusyPool(engines, slots, queued int) *busyPool {
+	p := &busyPool{d: New(DefaultConfig()), now: start}
+	p.d.SetServices(start, []Service{{Name: "s", Engine: simCostModel()}})
+	list := make([]Endpoint, 0, engines)
+	for i := range engines {
+		list = append(list, Endpoint{ID: fmt.Sprintf("e%03d", i), Service: "s", Slots: slots})
+	}
+	p.d.SetEndpoints(start, list)
+	for range engines*slots + queued {
+		p.submit()
+	}
+	return p
+}
+
+func (p *busyPool) submit() {
+	p.jobs++
+	j := prompt(fmt.Sprint(p.jobs), 5000, p.now)
+	j.Deadline = p.now.Add(time.Hour)
+	p.d.Submit(p.now, j)
+	p.decide()
+}
+
+func (p *busyPool) decide() {
+	for _, decision := range p.d.Decide(p.now) {
+		p.running = append(p.running, decision.Key())
+	}
+}
+
+// step advances the time by a millisecond, in which a prompt arrives, another one has
+// its first event, and a third one ends.
+func (p *busyPool) step() {
+	p.now = p.now.Add(time.Millisecond)
+	p.submit()
+	p.d.FirstEvent(p.now, p.running[len(p.running)/2])
+	p.decide()
+	p.d.Finished(p.now, p.running[0], Served, "")
+	p.running = p.running[1:]
+	p.decide()
+}
+
+// TestBurstDoesNotMultiplySearches checks, for a burst of short prompts at a large pool
+// that is full, that a long queue takes no more searches for assignments than a short
+// one: a search for each queued prompt at each event takes a holder's whole processor,
+// so that the VMs turn to other holders, and these collide.
+func TestBurstDoesNotMultiplySearches(t *testing.T) {
+	const steps = 200
+	searches := func(queued int) int64 {
+		p := newBusyPool(150, 10, queued)
+		before := p.d.Searches()
+		for range steps {
+			p.step()
+		}
+		return p.d.Searches() - before
+	}
+	require.LessOrEqual(t, searches(10), int64(3*steps))
+	require.LessOrEqual(t, searches(400), int64(3*steps))
+}
+
+// BenchmarkBusyPool measures one step of a busy pool.
+func BenchmarkBusyPool(b *testing.B) {
+	for _, queued := range []int{0, 100, 500} {
+		b.Run(fmt.Sprintf("queue=%d", queued), func(b *testing.B) {
+			p := newBusyPool(150, 10, queued)
+			for b.Loop() {
+				p.step()
+			}
+		})
+	}
+}
--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -42,6 +42,9 @@
 	// second, and longValueRate their value per second.
 	longPrefillRate rate
 	longValueRate   rate
+	// lightRetryAt is the time until which light jobs are held, after one of them was
+	// held although an engine had a free slot.
+	lightRetryAt time.Time
 	// active is the number of placed light jobs, and backlogMs their prefill
 	// that is still to be done.
 	active    int
--- a/internal/coordination/local.go
+++ b/internal/coordination/local.go
@@ -118,6 +118,13 @@
 	return l.dispatcher.Placed()
 }
 
+// Searches returns the number of searches for the assignment of a prompt so far.
+func (l *LocalDispatcher) Searches() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dispatcher.Searches()
+}
+
 func (l *LocalDispatcher) poll() {
 	l.mu.Lock()
 	l.pollPending = false
