Dispatch: settle four faults that reading the code suggested

- A prompt is too large by the memory of all engines of its service, not of those out of back-off (4 engines, 3 in back-off, 600,000 tokens: it was refused, and now waits and is placed).
- A job adopted before the services are set counts as light once they are.
- An endpoint that is listed again under its ID has its jobs again; their slots and memory counted as free.
- A service without endpoints refuses at once once it has had none for a second, with a second as the time to come back; a job waited for a third of its time.
Within that second it waits, as another endpoint may be listed.

--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -79,6 +79,9 @@
 	// OverdueSlack is how late a first event may be before its endpoint counts
 	// as overdue.
 	OverdueSlack time.Duration
+	// JoinWait is how long jobs wait for an endpoint of a service that has none, and the
+	// time after which the callers of refused ones may come back.
+	JoinWait time.Duration
 	// RejectBackoff is the back-off of an endpoint that rejected a job, and
 	// FailureBackoff of one that failed. Both double with each consecutive
 	// failure or rejection, up to MaxBackoff.
@@ -113,6 +116,7 @@
 		RateWindow:            time.Second,
 		LongRateWindow:        3 * time.Second,
 		OverdueSlack:          100 * time.Millisecond,
+		JoinWait:              time.Second,
 		RejectBackoff:         150 * time.Millisecond,
 		FailureBackoff:        500 * time.Millisecond,
 		MaxBackoff:            8 * time.Second,
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -122,14 +122,22 @@
 	return avoided
 }
 
-// handleNoEndpoint holds a job whose pool is empty until its refusal time,
-// since an endpoint may still join, and refuses it then. A job from which all
-// endpoints of the pool are excluded is refused immediately.
+// handleNoEndpoint refuses a job whose pool is empty, or from which all endpoints of
+// the pool are excluded. The job is held until its refusal time while the pool has been
+// empty for less than JoinWait, as after a start or the loss of the last endpoint: then
+// another endpoint may well be listed in a moment.
 func (d *Dispatcher) handleNoEndpoint(now time.Time, job *Job) (Decision, bool) {
-	if len(d.pools[job.Service]) == 0 && now.Before(d.refusalTime(job)) {
+	if len(d.pools[job.Service]) > 0 {
+		return refuse(job, ReasonNoEndpoint, refusalRetryAfter), true
+	}
+	m := d.demandOf(job.Service)
+	if m.emptySince.IsZero() {
+		m.emptySince = now
+	}
+	if now.Before(d.refusalTime(job)) && now.Sub(m.emptySince) < d.cfg.JoinWait {
 		return Decision{}, false
 	}
-	return refuse(job, ReasonNoEndpoint, refusalRetryAfter), true
+	return refuse(job, ReasonNoEndpoint, d.cfg.JoinWait), true
 }
 
 // refusalTime returns when a job that can't be placed is refused: after a third
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -204,23 +204,27 @@
 	d.placed[job.Key()] = pl
 	d.demandOf(job.Service).add(pl, d.services[job.Service])
 	for i, id := range p.endpoints() {
-		e := d.endpoints[id]
-		if e == nil {
-			continue
+		if e := d.endpoints[id]; e != nil {
+			d.addPart(now, e, pl, i)
 		}
-		pt := &part{job: pl, receiver: i == 0, tokens: p.tokensAt(job, i)}
-		e.parts = append(e.parts, pt)
-		e.heldTokens += pt.tokens
-		if pt.receiver {
-			e.received++
-		} else {
-			e.helped++
-		}
-		d.addToModel(now, e, pt)
 	}
 	return pl
 }
 
+// addPart adds the i-th part of a placed job to its endpoint; the receiver's part is
+// number 0.
+func (d *Dispatcher) addPart(now time.Time, e *endpoint, pl *placedJob, i int) {
+	pt := &part{job: pl, receiver: i == 0, tokens: pl.tokensAt(&pl.Job, i)}
+	e.parts = append(e.parts, pt)
+	e.heldTokens += pt.tokens
+	if pt.receiver {
+		e.received++
+	} else {
+		e.helped++
+	}
+	d.addToModel(now, e, pt)
+}
+
 // markStarted records that a job's prompt has been prefilled.
 func (d *Dispatcher) markStarted(now time.Time, p *placedJob) {
 	d.demandOf(p.Service).markPrefilled(p)
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -94,6 +94,25 @@
 	for _, e := range d.endpoints {
 		d.setEngine(now, e)
 	}
+	for _, p := range d.placed {
+		d.reclassify(p)
+	}
+}
+
+// reclassify counts a placed job by the present cost model of its service. It may have
+// been adopted before that was known.
+func (d *Dispatcher) reclassify(p *placedJob) {
+	light := d.light(&p.Job)
+	if light == p.light {
+		return
+	}
+	m := d.demandOf(p.Service)
+	m.remove(p)
+	p.light = light
+	m.add(p, d.services[p.Service])
+	if p.started {
+		m.markPrefilled(p)
+	}
 }
 
 // setEngine applies the cost model of the endpoint's service. If it has
@@ -171,14 +190,17 @@
 }
 
 // SetEndpoints replaces the endpoints that may get work. Jobs at endpoints that
-// are no longer listed stay placed until they finish.
+// are no longer listed stay placed until they finish, and count again if their
+// endpoints are listed again.
 func (d *Dispatcher) SetEndpoints(now time.Time, list []Endpoint) {
 	kept := make(map[string]*endpoint, len(list))
+	added := make(map[string]*endpoint)
 	d.pools = make(map[string][]*endpoint)
 	for _, spec := range list {
 		e := d.endpoints[spec.ID]
 		if e == nil {
 			e = &endpoint{}
+			added[spec.ID] = e
 		}
 		e.Endpoint = spec
 		d.setEngine(now, e)
@@ -189,4 +211,27 @@
 		slices.SortFunc(pool, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	d.endpoints = kept
+	for service := range d.pools {
+		d.demandOf(service).emptySince = time.Time{}
+	}
+	for service, m := range d.demands {
+		if len(d.pools[service]) == 0 && m.emptySince.IsZero() {
+			m.emptySince = now
+		}
+	}
+	d.addPartsTo(now, added)
+}
+
+// addPartsTo adds the parts of placed jobs to endpoints that are new to the dispatcher.
+func (d *Dispatcher) addPartsTo(now time.Time, added map[string]*endpoint) {
+	if len(added) == 0 {
+		return
+	}
+	for _, p := range d.placed {
+		for i, id := range p.endpoints() {
+			if e := added[id]; e != nil {
+				d.addPart(now, e, p, i)
+			}
+		}
+	}
 }
--- a/core/dispatch/memory.go
+++ b/core/dispatch/memory.go
@@ -29,10 +29,11 @@
 	return true
 }
 
-// tooLarge reports whether the job exceeds the memory of all engines that may
-// share it.
-func (d *Dispatcher) tooLarge(job *Job, pool []*endpoint) bool {
+// tooLarge reports whether the job exceeds the memory of all engines of its service
+// that may share it, including those in back-off, which will be used again.
+func (d *Dispatcher) tooLarge(job *Job) bool {
 	total := 0
+	pool := d.pools[job.Service]
 	for _, e := range pool[:min(len(pool), d.cfg.MaxPrefillEngines)] {
 		total += int(float64(e.engine.MemoryTokens) * d.cfg.MemoryShare)
 	}
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -39,7 +39,7 @@
 			d.fullService = job.Service
 		}
 		d.longHeld = d.longHeld || !late && !light
-		return d.handleNoCapacity(now, job, pool)
+		return d.handleNoCapacity(now, job)
 	}
 	if d.acceptable(now, job, best, late) {
 		return d.placeAssignment(now, job, best), true
@@ -116,9 +116,9 @@
 }
 
 // handleNoCapacity holds a job for which there are no free slots or memory, and
-// refuses one that is too large for the pool.
-func (d *Dispatcher) handleNoCapacity(now time.Time, job *Job, pool []*endpoint) (Decision, bool) {
-	if d.tooLarge(job, pool) {
+// refuses one that is too large for its service.
+func (d *Dispatcher) handleNoCapacity(now time.Time, job *Job) (Decision, bool) {
+	if d.tooLarge(job) {
 		return refuse(job, ReasonTooLarge, 0), true
 	}
 	return d.hold(now, job)
--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -42,6 +42,9 @@
 	// second, and longValueRate their value per second.
 	longPrefillRate rate
 	longValueRate   rate
+	// emptySince is when the service lost its last endpoint, or a job first found it
+	// without any; zero while it has some.
+	emptySince time.Time
 	// lightRetryAt is the time until which light jobs are held, after one of them was
 	// held although an engine had a free slot.
 	lightRetryAt time.Time
