Settle faults of the callers' interface, the entry VM and the endpoint clients

- serve: an event without data no longer counts as one that can be delivered without waiting, which made a batch wait for the endpoint.
- serve: a failure after the first event of a stream is counted.
- serve: the scheme of the key header is matched in any case.
- serve: each call to a service has a connection of its own, so that a late second copy of an answer is nobody's; response headers of engines are bounded.
- The fields of type HeaderTranslator are called Headers.

--- a/cmd/cornelsaddle/gateway.go
+++ b/cmd/cornelsaddle/gateway.go
@@ -58,7 +58,7 @@
 	e, err := entry.Start(settings, entry.Platform{
 		Store:   platform.NewStore(settings.Store),
 		Decoder: platform.Documents{},
-		Dialect: platform.Headers{},
+		Headers: platform.Headers{},
 		Memory:  platform.Orders{},
 	}, log, out.Dropped)
 	if err != nil {
--- a/internal/api/auth.go
+++ b/internal/api/auth.go
@@ -83,10 +83,11 @@
 }
 
 // authenticate returns the organisation of the bearer key in the Authorization
-// header. A missing or unknown key is an errcode.Unauthorized.
+// header, whose scheme is matched in any case. A missing or unknown key is an errcode.Unauthorized.
 func authenticate(ctx *fasthttp.RequestCtx, ring *keyring) (string, error) {
-	key, ok := bytes.CutPrefix(ctx.Request.Header.Peek("Authorization"), []byte("Bearer "))
-	if !ok || len(key) == 0 {
+	scheme, key, _ := bytes.Cut(ctx.Request.Header.Peek("Authorization"), []byte(" "))
+	key = bytes.TrimSpace(key)
+	if !bytes.EqualFold(scheme, []byte("Bearer")) || len(key) == 0 {
 		return "", errcode.New(errcode.Unauthorized, "a bearer key is required")
 	}
 	organisation := ring.organisation(key)
--- a/internal/api/completions.go
+++ b/internal/api/completions.go
@@ -125,11 +125,12 @@
 	ctx.SetBodyStream(body, -1)
 }
 
-// failureEvent logs the failure of a stream that has started and returns the data
-// of its last event.
+// failureEvent logs and counts the failure of a stream that has started and returns the
+// data of its last event.
 func (a *API) failureEvent(info requestInfo, err error) []byte {
 	e := errcode.From(err)
 	a.log.Emit(event.RequestFailed{Request: info.id, Organisation: info.organisation, Code: string(e.Code)})
+	a.metrics.Failed(string(e.Code))
 	return encodeFailure(info.id, e)
 }
 
--- a/internal/call/once.go
+++ b/internal/call/once.go
@@ -199,7 +199,6 @@
 		return calls.Sent{Outcome: calls.SendNotRun}
 	}
 	call := d.request.endpointCall(d.addresses[s.Number], s.Within)
-	call.NewConnection = true
 	answer, err := d.runner.service.Do(call)
 	if err == nil {
 		if !answer.TooLarge {
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -22,8 +22,6 @@
 	Key     string
 	Body    []byte
 	Timeout time.Duration
-	// NewConnection makes the call use a new connection, which is not reused.
-	NewConnection bool
 }
 
 // Answer is the response of a plain service.
@@ -47,9 +45,10 @@
 // load reports, cache events, cancellations, reservations and orders.
 type Caller struct {
 	http *fasthttp.Client
-	// unpooled never reuses a connection. On an idle connection that the endpoint
-	// has just closed, a request fails after it was written, so that it remains
-	// unknown whether it ran.
+	// unpooled is for the calls to services, each on a connection of its own. On an idle
+	// connection that the endpoint has just closed, a request fails after it was
+	// written, so that it remains unknown whether it ran; and a late second copy of an
+	// earlier answer would be taken for that to the next call.
 	unpooled *fasthttp.Client
 }
 
@@ -78,11 +77,7 @@
 	res := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(res)
 	call.fillRequest(req)
-	client := c.http
-	if call.NewConnection {
-		client = c.unpooled
-	}
-	err := client.DoTimeout(req, res, call.Timeout)
+	err := c.unpooled.DoTimeout(req, res, call.Timeout)
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return Answer{Status: res.StatusCode(), TooLarge: true}, nil
@@ -104,9 +99,7 @@
 	if c.Key != "" {
 		req.Header.Set(wire.HeaderIdempotencyKey, c.Key)
 	}
-	if c.NewConnection {
-		req.SetConnectionClose()
-	}
+	req.SetConnectionClose()
 	req.SetRequestURI("http://" + c.Address + wire.PathOperations + c.Operation)
 	req.SetBody(c.Body)
 }
--- a/internal/endpoint/events.go
+++ b/internal/endpoint/events.go
@@ -47,9 +47,20 @@
 	return &eventReader{r: r, buf: make([]byte, initialBufferBytes)}
 }
 
-// buffered reports whether the buffer holds a complete event. An event without
-// data counts as well, although next skips it.
-func (e *eventReader) buffered() bool { return e.eventEnd() >= 0 }
+// buffered reports whether next returns an event without reading: whether the buffer
+// holds a complete event with data. It drops those without data before it.
+func (e *eventReader) buffered() bool {
+	for {
+		end := e.eventEnd()
+		if end < 0 {
+			return false
+		}
+		if parseEvent(e.buf[e.start:end]).Data != nil {
+			return true
+		}
+		e.start, e.scanned = end, end
+	}
+}
 
 // next returns the next event with data. It returns io.EOF at the end of the body
 // and discards an incomplete event before it.
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -24,6 +24,8 @@
 	dialTimeout         = 2 * time.Second
 	idleTimeout         = 30 * time.Second
 	maxIdleConnsPerHost = 64
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 64 << 10
 )
 
 // Attempt is one attempt to run a prompt at an endpoint.
@@ -83,6 +85,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}}
 }
 
@@ -172,8 +176,7 @@
 // Close closes the response body, which ends the stream.
 func (s *Stream) Close() { _ = s.body.Close() }
 
-// Buffered reports whether a complete event is buffered. An event without data counts
-// as well, although Next skips it.
+// Buffered reports whether Next returns an event without waiting for the endpoint.
 func (s *Stream) Buffered() bool { return s.events.buffered() }
 
 // Next returns the next event, or an IncompleteStreamError at the end of the body. The
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,7 +41,7 @@
 type Platform struct {
 	Store   provider.Store
 	Decoder provider.Decoder
-	Dialect provider.HeaderTranslator
+	Headers provider.HeaderTranslator
 	Memory  provider.MemoryEncoder
 }
 
@@ -109,11 +109,12 @@
 	if err := c.Invoke(func(p components) { e.components = p }); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	if err := e.listen(); err != nil {
-		return nil, err
+	err := e.listen()
+	if err == nil {
+		e.members, err = e.join()
 	}
-	var err error
-	if e.members, err = e.join(); err != nil {
+	if err != nil {
+		e.closeServers()
 		return nil, err
 	}
 	e.startFollowers()
@@ -198,10 +199,10 @@
 		MaxIdle:   v.settings.Reservations.ReleaseWithin,
 		MaxHold:   v.settings.Reservations.MaxHold,
 		Observe: func(endpoint string, status int, h http.Header) {
-			r.Observed(endpoint, v.platform.Dialect.DecodeResponse(status, h))
+			r.Observed(endpoint, v.platform.Headers.DecodeResponse(status, h))
 		},
 		Match: func(h http.Header) upstream.Match {
-			if v.platform.Dialect.DecodeResponse(0, h).ID != "" {
+			if v.platform.Headers.DecodeResponse(0, h).ID != "" {
 				// The response belongs to a caller's request.
 				return upstream.Other
 			}
@@ -217,7 +218,7 @@
 		Directory:      r,
 		Freshness:      f,
 		Placer:         c,
-		Dialect:        v.platform.Dialect,
+		Headers:        v.platform.Headers,
 		Transport:      u,
 		Tickets:        reserver,
 		Log:            v.log,
@@ -288,14 +289,18 @@
 	v.log.Emit(event.GatewayStopped{Cut: v.components.Gateway.InFlight()})
 }
 
+func (v *VM) closeServers() {
+	v.callerServer.close()
+	v.balancerServer.close()
+	v.metricsServer.close()
+}
+
 // Close stops all servers and background tasks without draining.
 func (v *VM) Close() {
 	close(v.closed)
 	v.configuration.Stop()
 	v.endpoints.Stop()
-	v.callerServer.close()
-	v.balancerServer.close()
-	v.metricsServer.close()
+	v.closeServers()
 	v.components.Registry.stop()
 	v.members.stop()
 	v.components.Transport.Close()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -32,6 +32,11 @@
 	deadRowInterval = 30 * time.Second
 	// registerRetryDelay is the delay between attempts to write this VM's row.
 	registerRetryDelay = time.Second
+	// removalAttempts is the number of attempts to remove this VM's row when it stops,
+	// and removalTimeout bounds each of them. They fit into a short grace period. A row
+	// that stays is removed by the other VMs.
+	removalAttempts = 3
+	removalTimeout  = time.Second
 	// reregisterSpread is the time over which the VMs write their rows again after the
 	// store was restored.
 	reregisterSpread = 2 * time.Second
@@ -251,11 +256,23 @@
 	m.service.Leave()
 	m.vm.updateMembers()
 	m.registrations.Wait()
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	for range removalAttempts {
+		if m.removeRow() {
+			return
+		}
+		time.Sleep(registerRetryDelay)
+	}
+}
+
+// removeRow removes this VM's row and reports whether the store confirmed it.
+func (m *members) removeRow() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), removalTimeout)
 	defer cancel()
-	if err := m.vm.platform.Store.Remove(ctx, provider.VMs, m.identity.VM); err != nil {
+	err := m.vm.platform.Store.Remove(ctx, provider.VMs, m.identity.VM)
+	if err != nil {
 		m.vm.log.Emit(event.RegistrationFailed{Reason: errors.Cause(err).Error()})
 	}
+	return err == nil
 }
 
 func (m *members) stop() {
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -284,7 +284,7 @@
 
 // Def implements Event.
 func (RegistrationFailed) Def() Def {
-	return Def{719, "registration_failed", log.WarnLevel, "The row of a VM in the store (this VM if member is empty) could not be written or removed; it is tried again, except by a VM that shuts down."}
+	return Def{719, "registration_failed", log.WarnLevel, "The row of a VM in the store (this VM if member is empty) could not be written or removed; it is tried again, by a VM that shuts down a few times only."}
 }
 
 // LinesDropped is emitted when log lines were dropped.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -360,7 +360,7 @@
 		LastEventID:  x.stream.lastEventID,
 		Helpers:      helpers,
 	}
-	return x.gateway.cfg.Dialect.EncodeRequest(x.r.Header, o)
+	return x.gateway.cfg.Headers.EncodeRequest(x.r.Header, o)
 }
 
 // endpointRequest returns the request to send to an endpoint.
@@ -388,7 +388,7 @@
 
 // match tells whether a response with the header belongs to this request.
 func (x *exchange) match(h http.Header) upstream.Match {
-	switch x.gateway.cfg.Dialect.DecodeResponse(0, h).ID {
+	switch x.gateway.cfg.Headers.DecodeResponse(0, h).ID {
 	case "":
 		return upstream.Unidentified
 	case x.call.ID:
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -55,7 +55,7 @@
 	x.code = code
 	x.status = code.status()
 	h := x.w.Header()
-	for name, values := range x.gateway.cfg.Dialect.EncodeError(x.call.ID, retryAfter) {
+	for name, values := range x.gateway.cfg.Headers.EncodeError(x.call.ID, retryAfter) {
 		h[name] = values
 	}
 	h.Set("Content-Length", "0")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,7 +84,7 @@
 	Directory Directory
 	Freshness Freshness
 	Placer    Placer
-	Dialect   provider.HeaderTranslator
+	Headers   provider.HeaderTranslator
 	Transport *upstream.Transport
 	Tickets   *ticket.Reserver
 	Log       *event.Logger
@@ -146,7 +146,7 @@
 		gateway: g,
 		w:       w,
 		r:       r,
-		call:    g.cfg.Dialect.DecodeCaller(r.Header),
+		call:    g.cfg.Headers.DecodeCaller(r.Header),
 		arrived: time.Now(),
 	}
 	defer x.logEnd()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -104,7 +104,7 @@
 		return x.failedAttempt(ctx, err)
 	}
 	defer resp.Close()
-	meta := x.gateway.cfg.Dialect.DecodeResponse(resp.Status, resp.Header)
+	meta := x.gateway.cfg.Headers.DecodeResponse(resp.Status, resp.Header)
 	x.gateway.cfg.Directory.Observed(entry.ID, meta)
 	switch {
 	case meta.NotRun:
@@ -275,7 +275,7 @@
 // gets.
 func (x *exchange) setResponseHeader(from http.Header) {
 	h := x.w.Header()
-	for name, values := range x.gateway.cfg.Dialect.EncodeResponse(from) {
+	for name, values := range x.gateway.cfg.Headers.EncodeResponse(from) {
 		h[name] = values
 	}
 	if _, ok := h["Content-Type"]; !ok {
