Mirror: the loss of the store alone is no outage of the topic

Cause: a watcher that lost the store counted its copy as stale, and reported an outage, before it had asked another VM. Change: the copy is stale once the other VMs were asked since and none of them reaches the store.

--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -76,8 +76,10 @@
 	// succeeded.
 	storeReachable bool
 	// peerFresh is true if the last poll of the other VMs reached one that itself
-	// reaches the store.
-	peerFresh bool
+	// reaches the store, and peersTried if they were polled since this VM last reached
+	// the store: before that it is not known whether the copy is stale.
+	peerFresh  bool
+	peersTried bool
 }
 
 // Start starts following the topic and returns its Follower, which runs until Stop.
@@ -227,7 +229,10 @@
 	f.mu.Lock()
 	previous := f.storeReachable
 	f.storeReachable = reachable
-	stale := !reachable && !f.peerFresh
+	if reachable {
+		f.peersTried = false
+	}
+	stale := !reachable && !f.peerFresh && f.peersTried
 	f.mu.Unlock()
 	switch {
 	case reachable && !previous:
@@ -239,7 +244,9 @@
 	if !reachable && previous && err != nil {
 		f.log.Emit(event.StoreLost{Topic: f.topic.String(), Epoch: f.Revision().Epoch, Version: f.Revision().Version, Reason: err.Error()})
 	}
-	f.setStale(stale, time.Now())
+	if reachable || stale {
+		f.setStale(stale, time.Now())
+	}
 }
 
 // followPeers follows another VM while this one is not a watcher or cannot reach
@@ -270,7 +277,7 @@
 func (f *Follower) setPeerFresh(fresh bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peerFresh = fresh
+	f.peerFresh, f.peersTried = fresh, true
 }
 
 // readPeers polls the other VMs one by one until one responds that reaches the
