Remove dead code, reach Tracker.Listed in its simulation, name unheard VMs

orders.Progress and the stand-in engine's own leaving state were read by nothing. TestMarkIsNeverUndone now drives Tracker.Listed with what the list shows, which it left out. A VM that is known from others only has heard_ms -1 in place of the time since year one.

--- a/core/endpointhealth/tracker_test.go
+++ b/core/endpointhealth/tracker_test.go
@@ -22,7 +22,7 @@
 type tracker interface {
 	reported(now time.Time, incarnation string, leaving bool)
 	marked(now time.Time, incarnation string)
-	listed(leaving bool)
+	listed(now time.Time, leaving bool)
 	getsWork(now time.Time) bool
 }
 
@@ -32,8 +32,12 @@
 	r.Reported(now, "e", incarnation, leaving)
 }
 func (r realTracker) marked(now time.Time, incarnation string) { r.Marked(now, Mark{"e", incarnation}) }
-func (r realTracker) listed(bool)                              {}
-func (r realTracker) getsWork(now time.Time) bool              { return r.Share(now, "e") > 0 }
+func (r realTracker) listed(now time.Time, leaving bool) {
+	if leaving {
+		r.Listed(now, "e")
+	}
+}
+func (r realTracker) getsWork(now time.Time) bool { return r.Share(now, "e") > 0 }
 
 // naiveTracker accepts every report and every response of the platform's list as
 // the current state.
@@ -41,7 +45,7 @@
 
 func (n *naiveTracker) reported(_ time.Time, _ string, leaving bool) { n.leaving = leaving }
 func (n *naiveTracker) marked(time.Time, string)                     { n.leaving = true }
-func (n *naiveTracker) listed(leaving bool)                          { n.leaving = leaving }
+func (n *naiveTracker) listed(_ time.Time, leaving bool)             { n.leaving = leaving }
 func (n *naiveTracker) getsWork(time.Time) bool                      { return !n.leaving }
 
 // simulate runs one endpoint through its incarnations, with reports delayed within
@@ -68,7 +72,7 @@
 			known[of] = true
 			tr.marked(now, strconv.Itoa(of))
 		case 3:
-			tr.listed(rapid.Bool().Draw(t, "list"))
+			tr.listed(now, rapid.Bool().Draw(t, "list"))
 		}
 		if known[incarnation] && tr.getsWork(now) {
 			return false
--- a/core/orders/reconciler.go
+++ b/core/orders/reconciler.go
@@ -313,24 +313,3 @@
 		r.loadTokens--
 	}
 }
-
-// Progress counts the endpoints in their target state, the others, and those that
-// may be out of service because of orders.
-type Progress struct {
-	InForce   int
-	Pending   int
-	Disrupted int
-}
-
-// Progress returns the progress of the service's endpoints.
-func (r *Reconciler) Progress() Progress {
-	p := Progress{Disrupted: r.disruptedCount()}
-	for _, e := range r.endpoints {
-		if e.machine.State() == "matched" {
-			p.InForce++
-		} else {
-			p.Pending++
-		}
-	}
-	return p
-}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -37,7 +37,8 @@
 	Status        string `json:"status"`
 	Leaving       bool   `json:"leaving,omitempty"`
 	Configuration int64  `json:"configuration"`
-	// HeardMs is the time since the last message from the VM, in milliseconds.
+	// HeardMs is the time since the last message from the VM, in milliseconds; -1 if
+	// none has come and the VM is known from others only.
 	HeardMs int64 `json:"heard_ms"`
 }
 
@@ -120,12 +121,20 @@
 			Status:        v.Status.String(),
 			Leaving:       v.Leaving,
 			Configuration: v.Configuration,
-			HeardMs:       time.Since(v.LastContact).Milliseconds(),
+			HeardMs:       heardMs(v.LastContact),
 		})
 	}
 	return list
 }
 
+// heardMs returns the time since a VM was heard of, in milliseconds; -1 for never.
+func heardMs(lastContact time.Time) int64 {
+	if lastContact.IsZero() {
+		return -1
+	}
+	return time.Since(lastContact).Milliseconds()
+}
+
 // drain begins a graceful shutdown and responds without waiting for its end.
 func (n *Node) drain(ctx *fasthttp.RequestCtx) {
 	n.BeginDrain()
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -60,7 +60,6 @@
 	started         []string
 	faults          wire.EngineFaults
 	reports         []wire.LoadReport
-	leaving         bool
 
 	reservations reservations
 	orders       orders
@@ -229,7 +228,7 @@
 	r := s.model.Load()
 	r.AtMs = time.Now().UnixMilli()
 	r.Incarnation = s.incarnation
-	r.Leaving = s.leaving || s.faults.Leaving
+	r.Leaving = s.faults.Leaving
 	if n := len(s.reports); n > 0 && s.reports[n-1].AtMs == r.AtMs {
 		s.reports[n-1] = r
 		return
