Recheck queued long prompts less often the more of them wait

Each queued long prompt was searched an assignment for every 10 ms, over up to 17 groups of engines; the burst doubles the long prompts as well, so that dozens wait. Change: above 8 queued long prompts the time between two attempts for each grows in proportion to their number, so that their searches take the same time however many wait. Before: 9,900 searches in a second with 100 queued (TestQueueOfLongPromptsBoundsSearches); after: at most 1,616.

--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -65,8 +65,11 @@
 	// a held job and its first-event cutoff.
 	QueueMargin time.Duration
 	// RecheckInterval is the time between two placement attempts for a queued
-	// long prompt.
-	RecheckInterval time.Duration
+	// long prompt, and RechecksPerInterval the number of queued long prompts above
+	// which it grows in proportion to their number, so that a long queue does not take
+	// all of the VM's processor time.
+	RecheckInterval     time.Duration
+	RechecksPerInterval int
 	// LightRecheckInterval is the time between two placement attempts of the light jobs
 	// of a service while they are held.
 	LightRecheckInterval time.Duration
@@ -112,6 +115,7 @@
 		AgeingLevels:          4,
 		QueueMargin:           150 * time.Millisecond,
 		RecheckInterval:       10 * time.Millisecond,
+		RechecksPerInterval:   8,
 		LightRecheckInterval:  5 * time.Millisecond,
 		RateWindow:            time.Second,
 		LongRateWindow:        3 * time.Second,
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -19,6 +19,7 @@
 		return nil
 	}
 	d.sortQueue(now)
+	recheck := d.recheckInterval()
 	d.longHeld = false
 	d.fullService = ""
 	var decisions []Decision
@@ -32,7 +33,7 @@
 		decision, decided := d.decide(now, &q.Job)
 		if !decided {
 			if q.rank > rankLightLate {
-				q.recheckAt = now.Add(d.cfg.RecheckInterval)
+				q.recheckAt = now.Add(recheck)
 			}
 			kept = append(kept, q)
 			continue
@@ -45,6 +46,19 @@
 	return decisions
 }
 
+// recheckInterval returns the time between two placement attempts for a queued long
+// prompt, for the present queue.
+func (d *Dispatcher) recheckInterval() time.Duration {
+	long := 0
+	for _, q := range d.queue {
+		if q.rank > rankLightLate {
+			long++
+		}
+	}
+	n := max(1, d.cfg.RechecksPerInterval)
+	return d.cfg.RecheckInterval * time.Duration(max(1, (long+n-1)/n))
+}
+
 // meanPrefillPasses is the mean number of passes until a prompt that arrives at
 // a random time has been prefilled: half of the pass under way, and the next
 // one.
--- a/core/dispatch/queue_test.go
+++ b/core/dispatch/queue_test.go
@@ -86,3 +86,33 @@
 		})
 	}
 }
+
+// TestQueueOfLongPromptsBoundsSearches checks, for long prompts that arrive faster than a
+// large pool prefills them, that the number of searches in a time does not grow with the
+// queue.
+func TestQueueOfLongPromptsBoundsSearches(t *testing.T) {
+	searches := func(queued int) int64 {
+		d := New(DefaultConfig())
+		d.SetServices(start, []Service{{Name: "s", Engine: simCostModel()}})
+		list := make([]Endpoint, 0, 150)
+		for i := range 150 {
+			list = append(list, Endpoint{ID: fmt.Sprintf("e%03d", i), Service: "s", Slots: 10})
+		}
+		d.SetEndpoints(start, list)
+		for i := range queued {
+			j := prompt(fmt.Sprint(i), 400000, start)
+			j.Due, j.Deadline = start.Add(time.Hour), start.Add(2*time.Hour)
+			d.Submit(start, j)
+		}
+		d.Decide(start)
+		before := d.Searches()
+		for ms := range 1000 {
+			d.Decide(at(float64(ms)))
+		}
+		return d.Searches() - before
+	}
+	cfg := DefaultConfig()
+	limit := int64(time.Second/cfg.RecheckInterval+1) * int64(cfg.RechecksPerInterval)
+	require.LessOrEqual(t, searches(100), 2*limit)
+	require.LessOrEqual(t, searches(400), 2*limit)
+}
