A fault soak of the gateway as real processes

Three gateways, a store and endpoints behind proxies, faults drawn from a seed that overlap, and checkers of seven promises that run on what callers and endpoints see.

--- /dev/null
+++ b/test/soak/main.go
@@ -0,0 +1,141 @@
+// Command soak runs gateways as processes of this machine under faults drawn from a seed,
+// and checks what callers and endpoints see while it runs. The store and the endpoints
+// are stand-ins in this process; links to them pass through proxies.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// recoveryTime is how long callers go on after the last fault, and recoveryDelay how
+// long the VMs may take to serve again.
+const (
+	recoveryTime  = 4 * time.Second
+	recoveryDelay = 4 * time.Second
+)
+
+// result is the outcome of one seed.
+type result struct {
+	seed       uint64
+	checked    map[promise]int
+	violations []string
+	// faults are the names of the faults, with their times.
+	faults []string
+}
+
+func main() {
+	seeds := flag.Int("seeds", 1, "number of seeds to run")
+	first := flag.Uint64("seed", 1, "the first seed")
+	length := flag.Duration("for", 15*time.Second, "time during which faults begin, for each seed")
+	flag.Parse()
+	if err := run(*first, *seeds, *length); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+// violatedError reports seeds for which a promise was broken.
+type violatedError struct{ Seeds []uint64 }
+
+// Error implements error.
+func (e *violatedError) Error() string { return fmt.Sprintf("promises broken with seeds %v", e.Seeds) }
+
+func run(first uint64, seeds int, length time.Duration) error {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	bin, err := program(dir)
+	if err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "seed\tfaults\tbroken\t%s\n", joinPromises())
+	var broken []uint64
+	for seed := first; seed < first+uint64(seeds); seed++ {
+		r, err := runSeed(bin, seed, length)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(table, "%d\t%d\t%d", seed, len(r.faults), len(r.violations))
+		for _, p := range promises {
+			fmt.Fprintf(table, "\t%d", r.checked[p])
+		}
+		fmt.Fprintln(table)
+		if len(r.violations) > 0 {
+			broken = append(broken, seed)
+			fmt.Fprintf(os.Stderr, "seed %d:\n  %s\nfaults:\n  %s\n", seed, strings.Join(r.violations, "\n  "), strings.Join(r.faults, "\n  "))
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return errors.WithStack(err)
+	}
+	if len(broken) > 0 {
+		return errors.WithStack(&violatedError{broken})
+	}
+	return errors.WithStack(os.RemoveAll(dir))
+}
+
+func joinPromises() string {
+	names := make([]string, 0, len(promises))
+	for _, p := range promises {
+		names = append(names, string(p))
+	}
+	return strings.Join(names, "\t")
+}
+
+// runSeed runs one world under the faults of a seed. The order of the faults is that of
+// the seed; what they meet depends on the machine as well.
+func runSeed(bin string, seed uint64, length time.Duration) (result, error) {
+	dir, err := os.MkdirTemp("", "soak-seed")
+	if err != nil {
+		return result{}, errors.WithStack(err)
+	}
+	checks := newCheckers()
+	w, err := newWorld(bin, dir, seed, checks)
+	if w != nil {
+		defer w.close()
+	}
+	if err != nil {
+		return result{}, err
+	}
+	r := result{seed: seed}
+	start := time.Now()
+	f := &faults{w: w, random: rand.New(rand.NewPCG(seed, seed)), busy: make(map[string]bool), log: func(name string) {
+		r.faults = append(r.faults, fmt.Sprintf("%.1f s %s", time.Since(start).Seconds(), name))
+	}}
+	callers, stopCallers := context.WithCancel(context.Background())
+	defer stopCallers()
+	var wg sync.WaitGroup
+	for i, v := range w.vms {
+		for n := range callersPerVM {
+			wg.Go(func() { w.runCaller(callers, v, fmt.Sprintf("c%d.%d", i, n)) })
+		}
+		wg.Go(func() { w.runProbe(callers, v, fmt.Sprintf("p%d", i)) })
+	}
+	faulty, cancel := context.WithTimeout(context.Background(), length)
+	defer cancel()
+	f.run(faulty)
+	time.Sleep(recoveryDelay)
+	checks.endFaults(time.Now())
+	time.Sleep(recoveryTime)
+	stopCallers()
+	wg.Wait()
+	r.violations = checks.finish()
+	r.checked = checks.checked
+	if len(r.violations) > 0 {
+		r.violations = append(r.violations, "logs in "+dir)
+		return r, nil
+	}
+	return r, errors.WithStack(os.RemoveAll(dir))
+}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/platform/platformtest"
+)
+
+// ciSeed and ciLength are those of the run in CI.
+const (
+	ciSeed   = 1
+	ciLength = 5 * time.Second
+)
+
+// TestSoak runs one seed for a short time. That all is served again within a time is
+// checked by longer runs only, as it depends on the machine's load.
+func TestSoak(t *testing.T) {
+	bin, err := program(t.TempDir())
+	require.NoError(t, err)
+	r, err := runSeed(bin, ciSeed, ciLength)
+	require.NoError(t, err)
+	broken := slices.DeleteFunc(r.violations, func(v string) bool { return strings.HasPrefix(v, string(recovery)) || strings.HasPrefix(v, "logs in") })
+	require.Empty(t, broken, r.faults)
+	require.Positive(t, r.checked[wholeAnswer])
+	require.Positive(t, r.checked[atMostOnce])
+	require.Positive(t, r.checked[neverBack])
+}
+
+// TestCheckersDetect shows each checker what a broken system would do.
+func TestCheckersDetect(t *testing.T) {
+	now := time.Now()
+	run := func(attempt, path string) platformtest.Run {
+		return platformtest.Run{Endpoint: "i-1", Attempt: attempt, Path: path, At: now}
+	}
+	answered := func(attempt, path string, status int, body string) outcome {
+		return outcome{vm: "vm-0", attempt: attempt, path: path, sent: now, ended: now.Add(time.Second), status: status, body: body, complete: true}
+	}
+	cut := answered("a", "/safe/x", 0, "")
+	cut.complete = false
+	for name, test := range map[string]struct {
+		promise promise
+		do      func(c *checkers)
+	}{
+		"another's answer": {wholeAnswer, func(c *checkers) { c.ended(answered("a", "/safe/x", http.StatusOK, platformtest.Answer("b"))) }},
+		"part of a stream": {wholeAnswer, func(c *checkers) {
+			c.ended(answered("a", "/stream/x", http.StatusOK, platformtest.StreamAnswer("a", streamEvents-1)))
+		}},
+		"two runs": {atMostOnce, func(c *checkers) {
+			c.ran(run("a", "/once/x"))
+			c.ran(run("a", "/once/x"))
+		}},
+		"refused after a run": {notRun, func(c *checkers) {
+			c.ran(run("a", "/once/x"))
+			c.ended(answered("a", "/once/x", http.StatusServiceUnavailable, ""))
+		}},
+		"run after a refusal": {notRun, func(c *checkers) {
+			c.ended(answered("a", "/once/x", http.StatusServiceUnavailable, ""))
+			c.ran(run("a", "/once/x"))
+		}},
+		"asked after leaving": {leavingAlone, func(c *checkers) {
+			c.leaves("i-1", now.Add(-time.Second))
+			c.ran(run("a", "/safe/x"))
+		}},
+		"cut by a stop": {plannedStop, func(c *checkers) {
+			c.addStop(span{"vm-0", now, now.Add(grace)})
+			c.ran(run("a", "/safe/x"))
+			c.ended(cut)
+		}},
+		"configuration back": {neverBack, func(c *checkers) {
+			c.probed("vm-0/1", 2, true)
+			c.probed("vm-0/1", 2, false)
+		}},
+		"not served again": {recovery, func(c *checkers) {
+			c.endFaults(now.Add(-time.Second))
+			c.ended(answered("a", "/safe/x", http.StatusServiceUnavailable, ""))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCheckers()
+			test.do(c)
+			violations := c.finish()
+			require.True(t, slices.ContainsFunc(violations, func(v string) bool { return strings.HasPrefix(v, string(test.promise)) }), violations)
+		})
+	}
+}
+
+// TestCheckersAllow shows the checkers what the system may do.
+func TestCheckersAllow(t *testing.T) {
+	now := time.Now()
+	c := newCheckers()
+	c.ran(platformtest.Run{Endpoint: "i-1", Attempt: "a", Path: "/safe/x", At: now})
+	c.ran(platformtest.Run{Endpoint: "i-2", Attempt: "a", Path: "/safe/x", At: now})
+	c.addStop(span{"vm-0", now, now.Add(grace)})
+	c.addDisturbance(span{"", now, now.Add(time.Second)})
+	c.ended(outcome{vm: "vm-0", attempt: "a", path: "/safe/x", sent: now, ended: now})
+	c.probed("vm-0/1", 1, true)
+	c.probed("vm-0/1", 2, false)
+	c.probed("vm-0/2", 1, false)
+	c.endFaults(now)
+	c.ended(outcome{vm: "vm-0", attempt: "b", path: "/safe/x", sent: now.Add(time.Second), status: http.StatusOK, body: platformtest.Answer("b"), complete: true})
+	require.Empty(t, c.finish())
+}
--- /dev/null
+++ b/test/soak/world.go
@@ -0,0 +1,329 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cornelsaddle.example/cornelsaddle/platform/platformtest"
+)
+
+const (
+	host          = "soak.test"
+	key           = "key-of-the-soak"
+	service       = "s"
+	streamEvents  = 4
+	vmCount       = 3
+	endpointCount = 5
+	grace         = 5 * time.Second
+	routeTimeout  = 4 * time.Second
+	readyTimeout  = 20 * time.Second
+)
+
+// endpoint is an endpoint in this process, behind a proxy.
+type endpoint struct {
+	*platformtest.Endpoint
+	server *http.Server
+	proxy  *proxy
+	// listed is false once it has left.
+	listed bool
+}
+
+// vm is a gateway, a process of its own, whose store is behind a proxy.
+type vm struct {
+	name    string
+	file    string
+	callers string
+	ready   string
+	store   *proxy
+	// starts counts the processes, which are the incarnations of the VM.
+	starts atomic.Int64
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// exited is closed when the process has ended.
+	exited chan struct{}
+}
+
+// world is a deployment on this machine: a store, endpoints and gateways.
+type world struct {
+	bin     string
+	dir     string
+	store   *platformtest.Store
+	server  *http.Server
+	storeAt string
+	checks  *checkers
+	vms     []*vm
+	// version is the latest configuration version.
+	version atomic.Int64
+
+	// mu guards the endpoints, started, which counts them, and what is written of them
+	// and of the configuration.
+	mu        sync.Mutex
+	endpoints []*endpoint
+	started   int
+}
+
+func listen() (net.Listener, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	return l, errors.WithStack(err)
+}
+
+// serve serves a handler on a loopback port until the server is closed.
+func serve(h http.Handler) (*http.Server, string, error) {
+	l, err := listen()
+	if err != nil {
+		return nil, "", err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	go func() { _ = s.Serve(l) }()
+	return s, l.Addr().String(), nil
+}
+
+func newWorld(bin, dir string, seed uint64, checks *checkers) (*world, error) {
+	w := &world{bin: bin, dir: dir, store: platformtest.NewStore(seed), checks: checks}
+	var err error
+	if w.server, w.storeAt, err = serve(w.store); err != nil {
+		return nil, err
+	}
+	w.configure()
+	for range endpointCount {
+		if err := w.addEndpoint(); err != nil {
+			return w, err
+		}
+	}
+	var seeds []string
+	for i := range vmCount {
+		peers, err := w.addVM(fmt.Sprintf("vm-%d", i), seeds)
+		if err != nil {
+			return w, err
+		}
+		seeds = append(seeds, peers)
+	}
+	for _, v := range w.vms {
+		if err := v.awaitReady(); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+// configure writes the next version of the configuration, which has a route of its own
+// beside those that all versions have.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writeConfiguration(int(w.version.Add(1)))
+}
+
+// writeConfiguration writes a version of the configuration; the lock is held.
+func (w *world) writeConfiguration(version int) {
+	routes := []platformtest.Route{
+		{Prefix: "/once/", Kind: "non_idempotent", Service: service, Timeout: routeTimeout, MaxAttempts: 2},
+		{Prefix: "/safe/", Kind: "idempotent", Service: service, Timeout: routeTimeout, MaxAttempts: 3},
+		{Prefix: "/stream/", Kind: "streaming", Resumable: true, Service: service, Timeout: routeTimeout, MaxAttempts: 3},
+	}
+	for v := 1; v <= version; v++ {
+		routes = append(routes, platformtest.Route{Prefix: versionPath(v), Kind: "idempotent", Service: service, Timeout: routeTimeout, MaxAttempts: 3})
+	}
+	w.store.Put(platformtest.TableOperator, "config", platformtest.Configuration(version, host, routes, []string{key}))
+}
+
+func versionPath(version int) string { return fmt.Sprintf("/v%d/", version) }
+
+func (w *world) addEndpoint() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.started++
+	e := &endpoint{Endpoint: &platformtest.Endpoint{ID: fmt.Sprintf("i-%d", w.started), Service: service, Record: w.checks.ran}, listed: true}
+	e.heal()
+	server, address, err := serve(e.Endpoint)
+	if err != nil {
+		return err
+	}
+	e.server = server
+	if e.proxy, err = newProxy(address); err != nil {
+		return err
+	}
+	w.endpoints = append(w.endpoints, e)
+	w.list(e, "ready")
+	return nil
+}
+
+// heal ends all faults of the endpoint itself.
+func (e *endpoint) heal() {
+	e.SetFault(platformtest.EndpointFault{Latency: 5 * time.Millisecond, Gap: 5 * time.Millisecond, Events: streamEvents})
+}
+
+// replace lists a new endpoint and lets one leave.
+func (w *world) replace(e *endpoint) error {
+	if err := w.addEndpoint(); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e.listed = false
+	e.Leave()
+	w.store.Remove(platformtest.TableEndpoints, e.ID)
+	return nil
+}
+
+// pick returns one of the endpoints that have not left.
+func (w *world) pick(random *rand.Rand) *endpoint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for {
+		if e := w.endpoints[random.IntN(len(w.endpoints))]; e.listed {
+			return e
+		}
+	}
+}
+
+// list writes the endpoint's row; the lock is held.
+func (w *world) list(e *endpoint, state string) {
+	w.store.Put(platformtest.TableEndpoints, e.ID, e.Entry(e.proxy.address(), state, 1))
+}
+
+// rewrite writes again what the operator and the endpoints have written, as they do
+// after the store was restored.
+func (w *world) rewrite() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writeConfiguration(int(w.version.Load()))
+	for _, e := range w.endpoints {
+		if e.listed {
+			w.list(e, "ready")
+		} else {
+			w.store.Remove(platformtest.TableEndpoints, e.ID)
+		}
+	}
+}
+
+func freeAddress() (string, error) {
+	l, err := listen()
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), errors.WithStack(l.Close())
+}
+
+// addVM starts a VM and returns the address at which the others reach it.
+func (w *world) addVM(name string, seeds []string) (string, error) {
+	v := &vm{name: name, file: filepath.Join(w.dir, name+".json")}
+	var peers string
+	for _, address := range []*string{&v.callers, &v.ready, &peers} {
+		free, err := freeAddress()
+		if err != nil {
+			return "", err
+		}
+		*address = free
+	}
+	var err error
+	if v.store, err = newProxy(w.storeAt); err != nil {
+		return "", err
+	}
+	settings := platformtest.Settings(name, v.callers, v.ready, peers, v.store.address(), seeds, grace)
+	if err := os.WriteFile(v.file, settings, 0o600); err != nil {
+		return "", errors.WithStack(err)
+	}
+	w.vms = append(w.vms, v)
+	return peers, v.start(w.bin, filepath.Join(w.dir, name+".log"))
+}
+
+// start starts the VM's process, which appends its log to a file.
+func (v *vm) start(bin, log string) error {
+	out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	cmd := exec.Command(bin, "gateway", "-settings", v.file)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return errors.WithStack(err)
+	}
+	exited := make(chan struct{})
+	v.cmd, v.exited = cmd, exited
+	v.starts.Add(1)
+	go func() {
+		_ = cmd.Wait() // callers see what matters of how the process ends
+		_ = out.Close()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the VM's process.
+func (v *vm) signal(s syscall.Signal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	// The process may have ended already.
+	_ = v.cmd.Process.Signal(s)
+}
+
+// incarnation identifies the VM's process.
+func (v *vm) incarnation() string { return fmt.Sprintf("%s/%d", v.name, v.starts.Load()) }
+
+func (v *vm) awaitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.ready+"/readyz", nil)
+		if err != nil {
+			cancel()
+			return errors.WithStack(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		cancel()
+		if err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return errors.WithStack(&notReadyError{v.name})
+}
+
+// notReadyError reports that a VM did not become ready.
+type notReadyError struct{ VM string }
+
+// Error implements error.
+func (e *notReadyError) Error() string { return e.VM + " did not become ready" }
+
+// close ends all processes and servers of the world.
+func (w *world) close() {
+	for _, v := range w.vms {
+		v.signal(syscall.SIGKILL)
+		<-v.exited
+		v.store.close()
+	}
+	for _, e := range w.endpoints {
+		_ = e.server.Close()
+		e.proxy.close()
+	}
+	_ = w.server.Close()
+}
+
+// program builds the gateway's program into the directory.
+func program(dir string) (string, error) {
+	bin := filepath.Join(dir, "cornelsaddle")
+	out, err := exec.Command("go", "build", "-o", bin, "cornelsaddle.example/cornelsaddle/cmd/cornelsaddle").CombinedOutput()
+	return bin, errors.Wrap(err, strings.TrimSpace(string(out)))
+}
