Split the files of an exchange, a follower and the gateway's events

Pure moves: availability.go and request.go out of exchange.go and send.go, serve.go out of follower.go, gateway_state.go out of gateway.go. The generated page of events is the same to the letter.

--- a/internal/event/document.go
+++ b/internal/event/document.go
@@ -25,7 +25,7 @@
 		{500, 549, "Membership", membershipEvents},
 		{550, 599, "Peers", peersEvents},
 		{600, 649, "Tools", toolsEvents},
-		{700, 749, "Gateway", gatewayEvents},
+		{700, 749, "Gateway", append(gatewayEvents, gatewayStateEvents...)},
 	}
 }
 
--- /dev/null
+++ b/internal/event/gateway_state.go
@@ -0,0 +1,97 @@
+package event
+
+import (
+	"time"
+
+	"github.com/apex/log"
+)
+
+// gatewayStateEvents lists the event types of this file, numbers 727 to 749: what a
+// gateway learns of the store, the endpoints and itself.
+var gatewayStateEvents = []Event{
+	StoreRestored{}, RowsReleased{}, EndpointLeaving{}, EndpointPaused{}, VMSuspended{}, CostModelInvalid{},
+}
+
+// StoreRestored is emitted when a VM finds that the store was restored from a backup.
+type StoreRestored struct {
+	Topic string `log:"topic"`
+	Epoch int64  `log:"epoch"`
+	// Version is the store's version in the epoch.
+	Version  int64 `log:"version"`
+	WasEpoch int64 `log:"was_epoch"`
+	Was      int64 `log:"was"`
+	// Kept is the number of rows that are kept from before, and Rows the
+	// comma-separated keys of the first of them.
+	Kept int    `log:"kept"`
+	Rows string `log:"rows"`
+}
+
+// Def implements Event.
+func (StoreRestored) Def() Def {
+	return Def{727, "store_restored", log.WarnLevel, "The store was restored from a backup and lost what was written after it. The topic was listed again; rows that the store lost or holds in an older version are kept until they are written again, of endpoints for a limited time."}
+}
+
+// RowsReleased is emitted when rows kept from before a restoration of the store are
+// given up.
+type RowsReleased struct {
+	Topic string `log:"topic"`
+	Epoch int64  `log:"epoch"`
+	Count int    `log:"count"`
+	Rows  string `log:"rows"`
+}
+
+// Def implements Event.
+func (RowsReleased) Def() Def {
+	return Def{728, "rows_released", log.InfoLevel, "Rows that were kept after a restoration of the store were not written again in time; the store's rows replace them."}
+}
+
+// EndpointLeaving is emitted when a VM learns from an endpoint's response, or from
+// another VM, that the endpoint leaves.
+type EndpointLeaving struct {
+	Endpoint string `log:"endpoint"`
+	Started  int64  `log:"started"`
+	// Source is response or peer.
+	Source string `log:"source"`
+}
+
+// Def implements Event.
+func (EndpointLeaving) Def() Def {
+	return Def{729, "endpoint_leaving", log.InfoLevel, "An endpoint said in a response, to this VM or another one as source tells, that it leaves; that incarnation, given by started, gets no more requests."}
+}
+
+// EndpointPaused is emitted when an endpoint turns a request away and asks for no
+// more for some time.
+type EndpointPaused struct {
+	Endpoint   string        `log:"endpoint"`
+	RetryAfter time.Duration `log:"retry_after"`
+	// Pause is the time from now to the end of the pause.
+	Pause time.Duration `log:"pause"`
+}
+
+// Def implements Event.
+func (EndpointPaused) Def() Def {
+	return Def{730, "endpoint_paused", log.InfoLevel, "An endpoint turned a request away and asked for no more for retry_after; this VM sends it none for pause."}
+}
+
+// VMSuspended is emitted when a VM finds that its copies of the configuration and the
+// endpoints were not confirmed for longer than it takes while it runs.
+type VMSuspended struct {
+	Unconfirmed time.Duration `log:"unconfirmed"`
+}
+
+// Def implements Event.
+func (VMSuspended) Def() Def {
+	return Def{731, "vm_suspended", log.WarnLevel, "The VM did not run for a while: its copies of the configuration and the endpoints were last confirmed the time unconfirmed ago. Requests wait for their confirmation, for a bounded time."}
+}
+
+// CostModelInvalid is emitted when a configuration gives unusable cost parameters of an
+// engine.
+type CostModelInvalid struct {
+	Service string `log:"service"`
+	Version int64  `log:"version"`
+}
+
+// Def implements Event.
+func (CostModelInvalid) Def() Def {
+	return Def{732, "cost_model_invalid", log.WarnLevel, "The configuration version gives cost parameters of the service's engines that are missing, negative or not finite; its requests are placed as those of a plain service."}
+}
--- /dev/null
+++ b/internal/gateway/availability.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cornelsaddle.example/cornelsaddle/core/directory"
+	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+)
+
+const (
+	// maxStalePlacements bounds the placements of one request at endpoints that may
+	// be sent no requests.
+	maxStalePlacements = 3
+	// suspensionLimit is the time for which the VM may have been suspended since a
+	// request arrived without the directory having to be confirmed before it is sent.
+	suspensionLimit = time.Second
+)
+
+// UnavailableError reports that a request was not sent because its endpoint may not
+// be sent requests.
+type UnavailableError struct {
+	Endpoint     string
+	Availability directory.Availability
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return "endpoint " + e.Endpoint + " may be sent no requests: " + e.Availability.String()
+}
+
+// refusePaused refuses a request to a service all endpoints of which want no requests
+// from this VM for the given time.
+func (x *exchange) refusePaused(ctx context.Context, wait time.Duration) {
+	x.gateway.cfg.Log.Emit(event.RequestRefused{
+		Request: x.call.ID, Reason: reasonPaused, Holder: x.gateway.cfg.VM,
+		Waited: time.Since(x.arrived), RetryAfter: wait,
+	})
+	x.giveUp(ctx, wait)
+}
+
+// reasonPaused is the reason of a refusal, in the log, because all endpoints of the
+// service have asked this VM for no requests.
+const reasonPaused = "endpoints_paused"
+
+// unavailableOutcome returns the outcome of a placement at an endpoint that may be
+// sent no requests. A paused one is not at fault, and may serve other VMs.
+func unavailableOutcome(a directory.Availability) dispatch.Outcome {
+	if a == directory.Paused {
+		return dispatch.Abandoned
+	}
+	return dispatch.Rejected
+}
+
+// handleStalePlacement handles a placement at an endpoint that may be sent no
+// requests. It reports whether the request is to be placed again, which is bounded
+// by maxStalePlacements: the VM that made the placement may not have received the
+// change yet.
+func (x *exchange) handleStalePlacement(ctx context.Context, placed Placed, availability directory.Availability) bool {
+	x.stalePlacements++
+	x.avoid = append(x.avoid, placed.Endpoint)
+	retry := x.stalePlacements < maxStalePlacements
+	x.gateway.cfg.Log.Emit(event.RequestMisplaced{
+		Request: x.call.ID, Endpoint: placed.Endpoint, Availability: availability.String(), Holder: placed.Holder, Again: retry,
+	})
+	if !retry {
+		x.giveUp(ctx, defaultRetryAfter)
+	}
+	return retry
+}
+
+// remaining returns the time until the deadline. It counts the time for which the VM
+// was suspended since the request arrived, which the deadline's clock does not.
+func (x *exchange) remaining() time.Duration {
+	return time.Until(x.deadline) - x.stopwatch.Suspended()
+}
+
+// checkPermission reports whether the request may still be sent to the endpoint,
+// immediately before its first byte: what was true at its placement may have changed
+// while it waited for memory or a connection, or while the VM was suspended.
+func (x *exchange) checkPermission(entry directory.Entry) error {
+	if x.stopwatch.Suspended() > suspensionLimit {
+		x.gateway.cfg.Freshness.Await(x.r.Context())
+	}
+	if _, availability := x.gateway.cfg.Directory.Lookup(entry.ID); availability != directory.Available {
+		return errors.WithStack(&UnavailableError{Endpoint: entry.ID, Availability: availability})
+	}
+	if x.remaining() <= 0 {
+		return errors.WithStack(context.DeadlineExceeded)
+	}
+	return nil
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -15,20 +14,11 @@
 	"cornelsaddle.example/cornelsaddle/internal/clock"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
-	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
 
-const (
-	// defaultRetryAfter is the Retry-After of a response when the VM has no
-	// configuration, or when no endpoint was usable and placement gave no delay.
-	defaultRetryAfter = 500 * time.Millisecond
-	// maxStalePlacements bounds the placements of one request at endpoints that may
-	// be sent no requests.
-	maxStalePlacements = 3
-	// suspensionLimit is the time for which the VM may have been suspended since a
-	// request arrived without the directory having to be confirmed before it is sent.
-	suspensionLimit = time.Second
-)
+// defaultRetryAfter is the Retry-After of a response when the VM has no
+// configuration, or when no endpoint was usable and placement gave no delay.
+const defaultRetryAfter = 500 * time.Millisecond
 
 // exchange is the state of one caller's request, from its arrival to the end of
 // its response.
@@ -188,46 +178,6 @@
 	return x.finishAttempt(ctx, entry, result)
 }
 
-// refusePaused refuses a request to a service all endpoints of which want no requests
-// from this VM for the given time.
-func (x *exchange) refusePaused(ctx context.Context, wait time.Duration) {
-	x.gateway.cfg.Log.Emit(event.RequestRefused{
-		Request: x.call.ID, Reason: reasonPaused, Holder: x.gateway.cfg.VM,
-		Waited: time.Since(x.arrived), RetryAfter: wait,
-	})
-	x.giveUp(ctx, wait)
-}
-
-// reasonPaused is the reason of a refusal, in the log, because all endpoints of the
-// service have asked this VM for no requests.
-const reasonPaused = "endpoints_paused"
-
-// unavailableOutcome returns the outcome of a placement at an endpoint that may be
-// sent no requests. A paused one is not at fault, and may serve other VMs.
-func unavailableOutcome(a directory.Availability) dispatch.Outcome {
-	if a == directory.Paused {
-		return dispatch.Abandoned
-	}
-	return dispatch.Rejected
-}
-
-// handleStalePlacement handles a placement at an endpoint that may be sent no
-// requests. It reports whether the request is to be placed again, which is bounded
-// by maxStalePlacements: the VM that made the placement may not have received the
-// change yet.
-func (x *exchange) handleStalePlacement(ctx context.Context, placed Placed, availability directory.Availability) bool {
-	x.stalePlacements++
-	x.avoid = append(x.avoid, placed.Endpoint)
-	retry := x.stalePlacements < maxStalePlacements
-	x.gateway.cfg.Log.Emit(event.RequestMisplaced{
-		Request: x.call.ID, Endpoint: placed.Endpoint, Availability: availability.String(), Holder: placed.Holder, Again: retry,
-	})
-	if !retry {
-		x.giveUp(ctx, defaultRetryAfter)
-	}
-	return retry
-}
-
 // job returns the description of the request that placement needs.
 func (x *exchange) job() dispatch.Job {
 	job := dispatch.Job{
@@ -351,74 +301,6 @@
 	return true, ""
 }
 
-// endpointHeader returns the request header for an endpoint.
-func (x *exchange) endpointHeader(entry directory.Entry, helpers []provider.Helper) http.Header {
-	o := provider.EndpointHeader{
-		Remaining:    x.remaining(),
-		Endpoint:     entry.ID,
-		Organisation: x.organisation,
-		LastEventID:  x.stream.lastEventID,
-		Helpers:      helpers,
-	}
-	return x.gateway.cfg.Headers.EncodeRequest(x.r.Header, o)
-}
-
-// endpointRequest returns the request to send to an endpoint.
-func (x *exchange) endpointRequest(entry directory.Entry, helpers []provider.Helper) *upstream.Request {
-	return &upstream.Request{
-		Address:       entry.Address,
-		Method:        x.r.Method,
-		URI:           x.r.RequestURI,
-		Host:          x.r.Host,
-		Header:        x.endpointHeader(entry, helpers),
-		Body:          x.body,
-		NewConnection: x.needsNewConnection(entry),
-		Check:         func() error { return x.checkPermission(entry) },
-		Match:         x.match,
-	}
-}
-
-// needsNewConnection reports whether the request must not be sent on a used connection:
-// one that may run only once, as the connection may be closed while it is sent, and one
-// that was sent to the endpoint before, as a late second copy of that response has the
-// same ID.
-func (x *exchange) needsNewConnection(entry directory.Entry) bool {
-	return !x.route.Repeatable() || slices.Contains(x.avoid, entry.ID)
-}
-
-// match tells whether a response with the header belongs to this request.
-func (x *exchange) match(h http.Header) upstream.Match {
-	switch x.gateway.cfg.Headers.DecodeResponse(0, h).ID {
-	case "":
-		return upstream.Unidentified
-	case x.call.ID:
-		return upstream.Own
-	}
-	return upstream.Other
-}
-
-// remaining returns the time until the deadline. It counts the time for which the VM
-// was suspended since the request arrived, which the deadline's clock does not.
-func (x *exchange) remaining() time.Duration {
-	return time.Until(x.deadline) - x.stopwatch.Suspended()
-}
-
-// checkPermission reports whether the request may still be sent to the endpoint,
-// immediately before its first byte: what was true at its placement may have changed
-// while it waited for memory or a connection, or while the VM was suspended.
-func (x *exchange) checkPermission(entry directory.Entry) error {
-	if x.stopwatch.Suspended() > suspensionLimit {
-		x.gateway.cfg.Freshness.Await(x.r.Context())
-	}
-	if _, availability := x.gateway.cfg.Directory.Lookup(entry.ID); availability != directory.Available {
-		return errors.WithStack(&UnavailableError{Endpoint: entry.ID, Availability: availability})
-	}
-	if x.remaining() <= 0 {
-		return errors.WithStack(context.DeadlineExceeded)
-	}
-	return nil
-}
-
 func (x *exchange) logEnd() {
 	e := event.RequestEnded{
 		Request: x.call.ID, Service: x.service, Organisation: x.organisation, Endpoint: x.endpoint,
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+
+	"cornelsaddle.example/cornelsaddle/core/directory"
+	"cornelsaddle.example/cornelsaddle/internal/provider"
+	"cornelsaddle.example/cornelsaddle/internal/upstream"
+)
+
+// endpointHeader returns the request header for an endpoint.
+func (x *exchange) endpointHeader(entry directory.Entry, helpers []provider.Helper) http.Header {
+	o := provider.EndpointHeader{
+		Remaining:    x.remaining(),
+		Endpoint:     entry.ID,
+		Organisation: x.organisation,
+		LastEventID:  x.stream.lastEventID,
+		Helpers:      helpers,
+	}
+	return x.gateway.cfg.Headers.EncodeRequest(x.r.Header, o)
+}
+
+// endpointRequest returns the request to send to an endpoint.
+func (x *exchange) endpointRequest(entry directory.Entry, helpers []provider.Helper) *upstream.Request {
+	return &upstream.Request{
+		Address:       entry.Address,
+		Method:        x.r.Method,
+		URI:           x.r.RequestURI,
+		Host:          x.r.Host,
+		Header:        x.endpointHeader(entry, helpers),
+		Body:          x.body,
+		NewConnection: x.needsNewConnection(entry),
+		Check:         func() error { return x.checkPermission(entry) },
+		Match:         x.match,
+	}
+}
+
+// needsNewConnection reports whether the request must not be sent on a used connection:
+// one that may run only once, as the connection may be closed while it is sent, and one
+// that was sent to the endpoint before, as a late second copy of that response has the
+// same ID.
+func (x *exchange) needsNewConnection(entry directory.Entry) bool {
+	return !x.route.Repeatable() || slices.Contains(x.avoid, entry.ID)
+}
+
+// match tells whether a response with the header belongs to this request.
+func (x *exchange) match(h http.Header) upstream.Match {
+	switch x.gateway.cfg.Headers.DecodeResponse(0, h).ID {
+	case "":
+		return upstream.Unidentified
+	case x.call.ID:
+		return upstream.Own
+	}
+	return upstream.Other
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -69,18 +69,6 @@
 	return "response lacks the endpoint's proof: status " + strconv.Itoa(e.Status)
 }
 
-// UnavailableError reports that a request was not sent because its endpoint may not
-// be sent requests.
-type UnavailableError struct {
-	Endpoint     string
-	Availability directory.Availability
-}
-
-// Error implements error.
-func (e *UnavailableError) Error() string {
-	return "endpoint " + e.Endpoint + " may be sent no requests: " + e.Availability.String()
-}
-
 // NotResumedError reports that an endpoint did not resume a stream.
 type NotResumedError struct{ Status int }
 
--- /dev/null
+++ b/internal/mirror/serve.go
@@ -0,0 +1,62 @@
+package mirror
+
+import (
+	"context"
+	"time"
+
+	"cornelsaddle.example/cornelsaddle/internal/peer"
+	"cornelsaddle.example/cornelsaddle/internal/provider"
+)
+
+// serve returns the response to another VM's read. It is marked stale unless this
+// VM itself reaches the store, so that two VMs cut off from the store do not take
+// each other for a fresh source.
+func (f *Follower) serve(ctx context.Context, request readMessage) pageMessage {
+	m := f.readCopy(ctx, request)
+	if len(m.Kept) == request.Kept {
+		m.Kept, m.KeptMs = nil, 0
+	}
+	m.Stale = !f.isStoreReachable()
+	return m
+}
+
+// readCopy returns the changes that were requested, or the whole topic if they are
+// not available. It does not wait for changes while the store is unreachable.
+func (f *Follower) readCopy(ctx context.Context, request readMessage) pageMessage {
+	wait := min(time.Duration(request.WaitMs)*time.Millisecond, peerPollWait)
+	if !f.isStoreReachable() {
+		wait = 0
+	}
+	if request.After > 0 {
+		p, err := f.waitForChanges(ctx, f.requested(request), wait)
+		if err == nil {
+			return encodePage(p, false)
+		}
+	}
+	p, ok := f.list()
+	if !ok {
+		return pageMessage{NoCopy: true}
+	}
+	return encodePage(p, true)
+}
+
+// requested returns the revision after which changes are requested. A VM that doesn't
+// know epochs compares versions only.
+func (f *Follower) requested(request readMessage) provider.Revision {
+	if request.AfterEpoch == nil {
+		return provider.Revision{Epoch: f.Revision().Epoch, Version: request.After}
+	}
+	return provider.Revision{Epoch: *request.AfterEpoch, Version: request.After}
+}
+
+// RegisterHandler registers the handler for reads of the followers' topics by other VMs.
+func RegisterHandler(mux *peer.Mux, followers ...*Follower) {
+	peer.Register(mux, methodRead, func(ctx context.Context, _ peer.Identity, request readMessage) (pageMessage, error) {
+		for _, f := range followers {
+			if f.topic == request.Topic {
+				return f.serve(ctx, request), nil
+			}
+		}
+		return pageMessage{NoCopy: true}, nil
+	})
+}
