--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -9,9 +9,10 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"strings"
 	"sync"
-	"text/tabwriter"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,7 +39,9 @@
 	first := flag.Uint64("seed", 1, "the first seed")
 	length := flag.Duration("for", 15*time.Second, "time during which faults begin, for each seed")
 	flag.Parse()
-	if err := run(*first, *seeds, *length); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, *first, *seeds, *length); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
 	}
@@ -50,7 +53,7 @@
 // Error implements error.
 func (e *violatedError) Error() string { return fmt.Sprintf("promises broken with seeds %v", e.Seeds) }
 
-func run(first uint64, seeds int, length time.Duration) error {
+func run(ctx context.Context, first uint64, seeds int, length time.Duration) error {
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return errors.WithStack(err)
@@ -59,27 +62,23 @@
 	if err != nil {
 		return err
 	}
-	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(table, "seed\tfaults\tbroken\t%s\n", joinPromises())
+	fmt.Printf("checks of: %s\n%6s %6s %6s  checks\n", joinPromises(), "seed", "faults", "broken")
 	var broken []uint64
 	for seed := first; seed < first+uint64(seeds); seed++ {
-		r, err := runSeed(bin, seed, length)
+		r, err := runSeed(ctx, bin, seed, length)
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(table, "%d\t%d\t%d", seed, len(r.faults), len(r.violations))
+		fmt.Printf("%6d %6d %6d ", seed, len(r.faults), len(r.violations))
 		for _, p := range promises {
-			fmt.Fprintf(table, "\t%d", r.checked[p])
+			fmt.Printf(" %6d", r.checked[p])
 		}
-		fmt.Fprintln(table)
+		fmt.Println()
 		if len(r.violations) > 0 {
 			broken = append(broken, seed)
 			fmt.Fprintf(os.Stderr, "seed %d:\n  %s\nfaults:\n  %s\n", seed, strings.Join(r.violations, "\n  "), strings.Join(r.faults, "\n  "))
 		}
 	}
-	if err := table.Flush(); err != nil {
-		return errors.WithStack(err)
-	}
 	if len(broken) > 0 {
 		return errors.WithStack(&violatedError{broken})
 	}
@@ -91,12 +90,13 @@
 	for _, p := range promises {
 		names = append(names, string(p))
 	}
-	return strings.Join(names, "\t")
+	return strings.Join(names, "; ")
 }
 
 // runSeed runs one world under the faults of a seed. The order of the faults is that of
-// the seed; what they meet depends on the machine as well.
-func runSeed(bin string, seed uint64, length time.Duration) (result, error) {
+// the seed; what they meet depends on the machine as well. If the context ends, it ends
+// the processes and returns the context's error.
+func runSeed(ctx context.Context, bin string, seed uint64, length time.Duration) (result, error) {
 	dir, err := os.MkdirTemp("", "soak-seed")
 	if err != nil {
 		return result{}, errors.WithStack(err)
@@ -114,7 +114,7 @@
 	f := &faults{w: w, random: rand.New(rand.NewPCG(seed, seed)), busy: make(map[string]bool), log: func(name string) {
 		r.faults = append(r.faults, fmt.Sprintf("%.1f s %s", time.Since(start).Seconds(), name))
 	}}
-	callers, stopCallers := context.WithCancel(context.Background())
+	callers, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
 	var wg sync.WaitGroup
 	for i, v := range w.vms {
@@ -123,14 +123,17 @@
 		}
 		wg.Go(func() { w.runProbe(callers, v, fmt.Sprintf("p%d", i)) })
 	}
-	faulty, cancel := context.WithTimeout(context.Background(), length)
+	faulty, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
 	f.run(faulty)
-	time.Sleep(recoveryDelay)
+	sleep(ctx, recoveryDelay)
 	checks.endFaults(time.Now())
-	time.Sleep(recoveryTime)
+	sleep(ctx, recoveryTime)
 	stopCallers()
 	wg.Wait()
+	if ctx.Err() != nil {
+		return result{}, errors.WithStack(ctx.Err())
+	}
 	r.violations = checks.finish()
 	r.checked = checks.checked
 	if len(r.violations) > 0 {
@@ -139,3 +142,10 @@
 	}
 	return r, errors.WithStack(os.RemoveAll(dir))
 }
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -23,7 +23,7 @@
 func TestSoak(t *testing.T) {
 	bin, err := program(t.TempDir())
 	require.NoError(t, err)
-	r, err := runSeed(bin, ciSeed, ciLength)
+	r, err := runSeed(t.Context(), bin, ciSeed, ciLength)
 	require.NoError(t, err)
 	broken := slices.DeleteFunc(r.violations, func(v string) bool { return strings.HasPrefix(v, string(recovery)) || strings.HasPrefix(v, "logs in") })
 	require.Empty(t, broken, r.faults)
