--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -34,7 +34,10 @@
 	faults []string
 }
 
-func main() {
+func main() { os.Exit(soak()) }
+
+// soak runs the seeds that the flags name and returns the exit code.
+func soak() int {
 	seeds := flag.Int("seeds", 1, "number of seeds to run")
 	first := flag.Uint64("seed", 1, "the first seed")
 	length := flag.Duration("for", 15*time.Second, "time during which faults begin, for each seed")
@@ -43,8 +46,9 @@
 	defer stop()
 	if err := run(ctx, *first, *seeds, *length); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
 
 // violatedError reports seeds for which a promise was broken.
