A short prompt that may go to few engines does not hold the others

A short prompt that has failed somewhere, or is excluded from endpoints, finds few engines and is held there; the bound of searches then held all short prompts for 5 ms, again and again. Change: only prompts that may go to any engine count, and 4 of them must be held in 5 ms before the others are. Before: TestRestrictedPromptDoesNotHoldOthers fails; after: it passes, and the bounds of TestBurstDoesNotMultiplySearches follow from the configuration.

--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -70,8 +70,9 @@
 	// all of the VM's processor time.
 	RecheckInterval     time.Duration
 	RechecksPerInterval int
-	// LightRecheckInterval is the time between two placement attempts of the light jobs
-	// of a service while they are held.
+	// HeldLightSearches is the number of light jobs of a service that may be searched an
+	// assignment for in vain in a LightRecheckInterval; then all are held until its end.
+	HeldLightSearches    int
 	LightRecheckInterval time.Duration
 	// RateWindow is the time constant of the average arrival rate of light
 	// jobs.
@@ -116,6 +117,7 @@
 		QueueMargin:           150 * time.Millisecond,
 		RecheckInterval:       10 * time.Millisecond,
 		RechecksPerInterval:   8,
+		HeldLightSearches:     4,
 		LightRecheckInterval:  5 * time.Millisecond,
 		RateWindow:            time.Second,
 		LongRateWindow:        3 * time.Second,
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -51,6 +51,10 @@
 // Key returns the job's key.
 func (j *Job) Key() JobKey { return JobKey{Owner: j.Owner, ID: j.ID} }
 
+// unrestricted reports whether the job may be placed at any endpoint of its service, so
+// that what is found for it is true of others as well.
+func (j *Job) unrestricted() bool { return len(j.Avoid) == 0 && len(j.Exclude) == 0 }
+
 // Placement assigns a job to endpoints.
 type Placement struct {
 	// Job is the job's ID.
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -35,7 +35,7 @@
 	}
 	best, found := d.bestAssignment(now, job, pool)
 	if !found {
-		if light && len(job.Avoid) == 0 {
+		if light && job.unrestricted() {
 			d.fullService = job.Service
 		}
 		d.longHeld = d.longHeld || !late && !light
@@ -44,22 +44,23 @@
 	if d.acceptable(now, job, best, late) {
 		return d.placeAssignment(now, job, best), true
 	}
-	if light {
-		d.demandOf(job.Service).lightRetryAt = now.Add(d.cfg.LightRecheckInterval)
+	if light && job.unrestricted() {
+		d.demandOf(job.Service).countHeldLight(now, d.cfg.LightRecheckInterval)
 	}
 	d.longHeld = d.longHeld || !late
 	return d.hold(now, job)
 }
 
 // lightClosed reports whether the job is a light one that is held without a search for an assignment,
-// because another light job of its service has just found none, or none that does not
-// harm other jobs more than it is worth. With a long queue the search for each of its
-// jobs, at each event, would take all of the VM's processor time.
+// because others of its service have just found none, or none that does not harm other
+// jobs more than it is worth. With a long queue the search for each of its jobs, at each
+// event, would take all of the VM's processor time.
 func (d *Dispatcher) lightClosed(now time.Time, job *Job) bool {
 	if !d.light(job) {
 		return false
 	}
-	return d.fullService == job.Service || now.Before(d.demandOf(job.Service).lightRetryAt)
+	m := d.demandOf(job.Service)
+	return d.fullService == job.Service || m.heldLight >= d.cfg.HeldLightSearches && now.Before(m.heldUntil)
 }
 
 // acceptable reports whether the job is placed with this assignment rather than
--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -45,9 +45,10 @@
 	// emptySince is when the service lost its last endpoint, or a job first found it
 	// without any; zero while it has some.
 	emptySince time.Time
-	// lightRetryAt is the time until which light jobs are held, after one of them was
-	// held although an engine had a free slot.
-	lightRetryAt time.Time
+	// heldLight counts the light jobs that were held until heldUntil although an engine
+	// had a free slot.
+	heldLight int
+	heldUntil time.Time
 	// active is the number of placed light jobs, and backlogMs their prefill
 	// that is still to be done.
 	active    int
@@ -70,6 +71,14 @@
 	p.prefillMs = 0
 }
 
+// countHeldLight counts a light job that is held, in intervals of the given length.
+func (m *demand) countHeldLight(now time.Time, interval time.Duration) {
+	if !now.Before(m.heldUntil) {
+		m.heldLight, m.heldUntil = 0, now.Add(interval)
+	}
+	m.heldLight++
+}
+
 // remove takes a job that is no longer placed out of the counts.
 func (m *demand) remove(p *placedJob) {
 	if p.light {
