Tests listen below the ports that the system gives to connections

The tests took a port from the system, released it and handed it to a VM; in between another process's connection took it. Change: platformtest.FreeAddress chooses ports below that range, by process.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -22,6 +22,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/gateway/config"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
 	"cornelsaddle.example/cornelsaddle/platform"
+	"cornelsaddle.example/cornelsaddle/platform/platformtest"
 )
 
 var (
@@ -168,10 +169,9 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := platformtest.FreeAddress()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // startVM starts an entry VM that uses the store.
--- a/test/process/gateway_test.go
+++ b/test/process/gateway_test.go
@@ -88,10 +88,9 @@
 
 func freePort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := platformtest.FreeAddress()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // startGateway starts a gateway and waits until it is ready.
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -212,20 +212,12 @@
 	}
 }
 
-func freeAddress() (string, error) {
-	l, err := listen()
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), errors.WithStack(l.Close())
-}
-
 // addVM starts a VM and returns the address at which the others reach it.
 func (w *world) addVM(name string, seeds []string) (string, error) {
 	v := &vm{name: name, file: filepath.Join(w.dir, name+".json")}
 	var peers string
 	for _, address := range []*string{&v.callers, &v.ready, &peers} {
-		free, err := freeAddress()
+		free, err := platformtest.FreeAddress()
 		if err != nil {
 			return "", err
 		}
