--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -51,10 +51,10 @@
 	return d.hold(now, job)
 }
 
-// lightClosed reports whether the job is a light one that is held without a search for an assignment,
-// because others of its service have just found none, or none that does not harm other
-// jobs more than it is worth. With a long queue the search for each of its jobs, at each
-// event, would take all of the VM's processor time.
+// lightClosed reports whether the job is a light one that is held without a search for
+// an assignment, because others of its service have just found none, or none that does
+// not harm other jobs more than it is worth. With a long queue the search for each of its
+// jobs, at each event, would take all of the VM's processor time.
 func (d *Dispatcher) lightClosed(now time.Time, job *Job) bool {
 	if !d.light(job) {
 		return false
--- a/internal/api/auth.go
+++ b/internal/api/auth.go
@@ -83,7 +83,8 @@
 }
 
 // authenticate returns the organisation of the bearer key in the Authorization
-// header, whose scheme is matched in any case. A missing or unknown key is an errcode.Unauthorized.
+// header, whose scheme is matched in any case. A missing or unknown key is an
+// errcode.Unauthorized.
 func authenticate(ctx *fasthttp.RequestCtx, ring *keyring) (string, error) {
 	scheme, key, _ := bytes.Cut(ctx.Request.Header.Peek("Authorization"), []byte(" "))
 	key = bytes.TrimSpace(key)
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/core/membership"
 	"cornelsaddle.example/cornelsaddle/internal/coordination"
@@ -89,12 +91,12 @@
 // EndpointMarked implements member.Observer. It stops the use of an endpoint that has
 // told another VM that it leaves.
 func (o *observer) EndpointMarked(m membership.Mark) {
-	started, err := strconv.ParseInt(m.Incarnation, 10, 64)
+	i, err := markedIncarnation(m)
 	if err != nil {
 		o.vm.log.Emit(event.EntryUnreadable{Endpoint: m.Endpoint, Reason: err.Error()})
 		return
 	}
-	o.vm.components.Registry.markLeaving(directory.Incarnation{ID: m.Endpoint, Started: started}, sourcePeer)
+	o.vm.components.Registry.markLeaving(i, sourcePeer)
 }
 
 // announceLeaving tells the other VMs that an endpoint leaves.
@@ -109,11 +111,17 @@
 	return membership.Mark{Endpoint: i.ID, Incarnation: strconv.FormatInt(i.Started, 10)}
 }
 
+// markedIncarnation is the inverse of mark.
+func markedIncarnation(m membership.Mark) (directory.Incarnation, error) {
+	started, err := strconv.ParseInt(m.Incarnation, 10, 64)
+	return directory.Incarnation{ID: m.Endpoint, Started: started}, errors.WithStack(err)
+}
+
 // dropMarks drops the marks of endpoints that are no longer listed.
 func (v *VM) dropMarks() {
 	v.members.service.RetainMarks(func(m membership.Mark) bool {
-		started, err := strconv.ParseInt(m.Incarnation, 10, 64)
-		return err == nil && v.components.Registry.lists(directory.Incarnation{ID: m.Endpoint, Started: started})
+		i, err := markedIncarnation(m)
+		return err == nil && v.components.Registry.lists(i)
 	})
 }
 
