Log how a response is framed and what an ended stream left unfinished

The log could not tell why broken streams were taken for complete: nothing said how the end of the endpoint's response was marked. Events 712 and 713 have framing (length, chunks, close) and unfinished; a counter has the responses that end with their connection.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -185,13 +185,17 @@
 	Outcome  string `log:"outcome"`
 	Blamed   string `log:"blamed"`
 	Reason   string `log:"reason"`
-	Again    bool   `log:"again"`
-	Why      string `log:"why"`
+	// Framing tells how the end of the response's body is marked.
+	Framing string `log:"framing"`
+	// Unfinished is the number of bytes of an unfinished event at the end of a stream.
+	Unfinished int    `log:"unfinished"`
+	Again      bool   `log:"again"`
+	Why        string `log:"why"`
 }
 
 // Def implements Event.
 func (SendEnded) Def() Def {
-	return Def{712, "send_ended", log.WarnLevel, "An attempt did not serve the request; again reports whether it is retried, and why gives the reason if it is not."}
+	return Def{712, "send_ended", log.WarnLevel, "An attempt did not serve the request; again reports whether it is retried, and why gives the reason if it is not. framing (length, chunks or close) tells how the end of the response is marked, unfinished is the number of bytes of an unfinished event at the end of a stream."}
 }
 
 // RequestEnded is emitted at the end of every request.
@@ -209,11 +213,14 @@
 	Pause        time.Duration `log:"pause"`
 	Took         time.Duration `log:"took"`
 	Events       int           `log:"events"`
+	// Framing and Unfinished are those of the last response, as in SendEnded.
+	Framing    string `log:"framing"`
+	Unfinished int    `log:"unfinished"`
 }
 
 // Def implements Event.
 func (RequestEnded) Def() Def {
-	return Def{713, "request_ended", log.InfoLevel, "A request ended; code is empty if an endpoint's answer was delivered. first is the time to the first event of a stream, and pause the longest time between two of its events."}
+	return Def{713, "request_ended", log.InfoLevel, "A request ended; code is empty if an endpoint's answer was delivered. first is the time to the first event of a stream, and pause the longest time between two of its events. framing and unfinished are those of the last response, as in event 712."}
 }
 
 // HolderChanged is emitted when the VM that places this VM's requests for a
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/clock"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
+	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
 
 // defaultRetryAfter is the Retry-After of a response when the VM has no
@@ -67,6 +68,10 @@
 	code        failureCode
 	endpoint    string
 	timeToFirst time.Duration
+	// framing is that of the latest response, and unfinished the number of bytes of an
+	// unfinished event at its end; both for the log.
+	framing    upstream.Framing
+	unfinished int
 }
 
 // admit resolves the request's route, organisation and service, and reads its
@@ -274,7 +279,8 @@
 	retry, why := x.mayRetry(ctx, result)
 	x.gateway.cfg.Log.Emit(event.SendEnded{
 		Request: x.call.ID, Attempt: x.attempts, Endpoint: entry.ID, Status: result.status,
-		Outcome: result.outcome.String(), Blamed: result.blamed, Reason: result.reason(), Again: retry, Why: why,
+		Outcome: result.outcome.String(), Blamed: result.blamed, Reason: result.reason(),
+		Framing: string(x.framing), Unfinished: x.unfinished, Again: retry, Why: why,
 	})
 	if retry {
 		return true
@@ -305,7 +311,7 @@
 	e := event.RequestEnded{
 		Request: x.call.ID, Service: x.service, Organisation: x.organisation, Endpoint: x.endpoint,
 		Attempts: x.attempts, Status: x.status, Code: string(x.code), First: x.timeToFirst, Pause: x.stream.longestGap,
-		Took: time.Since(x.arrived), Events: x.stream.events,
+		Took: time.Since(x.arrived), Events: x.stream.events, Framing: string(x.framing), Unfinished: x.unfinished,
 	}
 	if x.route != nil {
 		e.Route = x.route.Name
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,8 @@
 
 	requests gometrics.Counter
 	resends  gometrics.Counter
+	// closeFramed counts the responses that end with their connection.
+	closeFramed gometrics.Counter
 }
 
 // New returns a Gateway.
@@ -119,6 +121,7 @@
 		retryBudgets: make(map[string]*retry.Window),
 		requests:     cfg.Metrics.Counter("gateway.requests"),
 		resends:      cfg.Metrics.Counter("gateway.resends"),
+		closeFramed:  cfg.Metrics.Counter("gateway.responses_framed_by_close"),
 	}
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -87,11 +87,16 @@
 
 // send sends the request to one endpoint and delivers its response.
 func (x *exchange) send(ctx context.Context, job string, entry directory.Entry, helpers []provider.Helper) attemptResult {
+	x.framing, x.unfinished = "", 0
 	resp, err := x.gateway.cfg.Transport.Send(ctx, x.endpointRequest(entry, helpers))
 	if err != nil {
 		return x.failedAttempt(ctx, err)
 	}
 	defer resp.Close()
+	x.framing = resp.Framing
+	if resp.Framing == upstream.ByClose {
+		x.gateway.closeFramed.Inc(1)
+	}
 	meta := x.gateway.cfg.Headers.DecodeResponse(resp.Status, resp.Header)
 	x.gateway.cfg.Directory.Observed(entry.ID, meta)
 	switch {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -130,6 +130,7 @@
 			stall.restart()
 			buffer = append(buffer[:0], buffer[complete:]...)
 		}
+		x.unfinished = len(buffer)
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(resp, buffer)
 		}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -71,6 +71,8 @@
 	Body   io.Reader
 	// Length is the length of the body in bytes, or -1 if it is unknown.
 	Length int64
+	// Framing tells how the end of the body is marked.
+	Framing Framing
 
 	transport *Transport
 	conn      *conn
@@ -151,7 +153,7 @@
 		return nil, &NoResponseError{Cause: errors.WithStack(err), Reused: c.used}
 	}
 	resp := &Response{
-		Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength,
+		Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Framing: framingOf(raw),
 		transport: t, conn: c, raw: raw, written: written, release: release, identified: match == Own,
 	}
 	resp.Body = &eofReader{resp: resp}
