--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -149,3 +149,86 @@
 	require.Equal(t, event1, a.body)
 	require.True(t, a.broken)
 }
+
+// streamUntilClose returns a script that sends a stream with neither a length nor
+// chunks, which ends when the script closes the connection.
+func streamUntilClose(events string) func(int, *http.Request, []byte, net.Conn) {
+	return func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+ownHeader+"Content-Type: text/event-stream\r\n\r\n"+events)
+		_ = c.Close()
+	}
+}
+
+// TestStreamThatEndsInsideAnEventIsNotComplete guards against a broken stream that
+// reaches its caller framed as complete, because its connection ended regularly.
+func TestStreamThatEndsInsideAnEventIsNotComplete(t *testing.T) {
+	chunked := func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+		streamHead(c)
+		chunk(c, event1+event2+"id: 3\nda")
+		lastChunk(c)
+	}
+	for name, script := range map[string]func(int, *http.Request, []byte, net.Conn){
+		"in a field name":    streamUntilClose(event1 + event2 + "id: 3\nda"),
+		"in a value":         streamUntilClose(event1 + event2 + "id: 3\ndata: c"),
+		"before the line":    streamUntilClose(event1 + event2 + "id: 3\ndata: c\n"),
+		"after a comment":    streamUntilClose(event1 + event2 + ": note\nid: 3\n"),
+		"in the last chunk":  chunked,
+		"with CRLF lines":    streamUntilClose(event1 + event2 + "id: 3\r\ndata: c\r\n"),
+		"with CR lines only": streamUntilClose(event1 + event2 + "id: 3\rdata: c\r"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			cut := newEndpoint(t, script)
+			spare := newEndpoint(t, streamUntilClose(event3))
+			w := newHarness(t, cut, spare)
+			got := w.call(t, "POST", "/fixed/", "b", patient)
+			require.True(t, got.broken, "the response must not look complete")
+			require.Equal(t, event1+event2, got.body)
+			require.Empty(t, spare.requests())
+			require.Equal(t, []dispatch.Outcome{dispatch.Failed}, w.recordedOutcomes())
+
+			got = w.call(t, "POST", "/calm/stream/", "b", patient)
+			require.False(t, got.broken)
+			require.Equal(t, event1+event2+event3, got.body)
+			require.Equal(t, "2", spare.requests()[0].Header.Get(hLast))
+		})
+	}
+}
+
+// TestStreamThatEndsInsideItsFirstEventIsReplaced guards against a first event that is
+// delivered in part, where another endpoint could have served the request.
+func TestStreamThatEndsInsideItsFirstEventIsReplaced(t *testing.T) {
+	cut := newEndpoint(t, streamUntilClose("id: 1\ndata: "))
+	spare := newEndpoint(t, streamUntilClose(event1+event2))
+	w := newHarness(t, cut, spare)
+	got := w.call(t, "POST", "/calm/stream/", "b", patient)
+	require.False(t, got.broken)
+	require.Equal(t, event1+event2, got.body)
+	require.Empty(t, spare.requests()[0].Header.Get(hLast))
+}
+
+// TestStreamThatEndsWithItsConnection checks that streams that end between two events
+// are complete, also with a comment or a blank line at the end, and that their
+// connections are not used again.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	for name, events := range map[string]string{
+		"no event":           "",
+		"whole events":       event1 + event2,
+		"a comment":          event1 + ": done",
+		"a comment line":     event1 + ": done\n",
+		"blank lines":        event1 + "\n\r\n",
+		"CRLF lines":         "id: 1\r\ndata: a\r\n\r\n",
+		"CR lines":           "id: 1\rdata: a\r\r",
+		"lines of two kinds": "id: 1\r\ndata: a\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, streamUntilClose(events))
+			w := newHarness(t, e)
+			for range 2 {
+				got := w.call(t, "POST", "/calm/stream/", "b", patient)
+				require.False(t, got.broken)
+				require.Equal(t, events, got.body)
+			}
+			require.Equal(t, []dispatch.Outcome{dispatch.Served, dispatch.Served}, w.recordedOutcomes())
+		})
+	}
+}
