A stream that ends inside an event was broken off

Cause: the gateway took the end of the response's body for the end of the stream. Where the body has neither a length nor chunks, the end of the connection is the end of the body, also that of a crashed engine; the bytes after the last whole event were delivered, and the caller's chunks closed. Ruled out by the log: an abort that was lost on the way to the caller (no 712, no code), a reset hidden by the transport (resets of plain answers are seen).

Now an event that has begun and not ended fails the attempt, whatever the framing: nothing of it is delivered, the stream is resumed elsewhere where its route allows that, and aborted otherwise. core/stream.Scanner finds the ends of events for any of the three line ends and looks at each byte once (a long event was searched from its begin at every read). Bodies whose header states another type than events are delivered as whole bodies.

TestStreamWithCarriageReturnsIsResumed failed before (the ID to resume from had further lines in it). TestPlacementReceivesFirstEventDeadline gets an event as the answer on its streaming route in place of 'x', which is now rightly a broken stream; its assertions are as before.

--- a/core/stream/doc.go
+++ b/core/stream/doc.go
@@ -10,4 +10,6 @@
 //
 // Text collects the text of an answer's chunks without decoding them, so that the
 // answer can be resumed at another endpoint.
+//
+// Scanner finds the ends of events in a stream whose bytes are passed on unchanged.
 package stream
--- /dev/null
+++ b/internal/gateway/events.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+
+	eventstream "cornelsaddle.example/cornelsaddle/core/stream"
+)
+
+const (
+	// initialEventBuffer is the initial size of the event buffer, in bytes.
+	initialEventBuffer = 2 << 10
+	// maxEventBytes bounds the size of one event.
+	maxEventBytes = 1 << 20
+)
+
+// EventTooLongError reports an event that exceeds maxEventBytes.
+type EventTooLongError struct{ Bytes int }
+
+// Error implements error.
+func (e *EventTooLongError) Error() string { return "event exceeds the size limit" }
+
+// UnfinishedEventError reports a stream that ended inside an event: it was broken off,
+// also if the end of its body was marked.
+type UnfinishedEventError struct{ Bytes int }
+
+// Error implements error.
+func (e *UnfinishedEventError) Error() string { return "stream ended inside an event" }
+
+// eventBuffer splits the body of a stream into complete events and the bytes that
+// follow them.
+type eventBuffer struct {
+	body    io.Reader
+	scanner eventstream.Scanner
+	// buffered holds the bytes that were read; the first complete of them are events
+	// that next has returned.
+	buffered []byte
+	complete int
+}
+
+func newEventBuffer(body io.Reader) *eventBuffer {
+	return &eventBuffer{body: body, buffered: make([]byte, 0, initialEventBuffer)}
+}
+
+// next reads once and returns the events that are complete by then, if any. They are
+// valid until the next call. The error is io.EOF at the end of a complete stream, an
+// UnfinishedEventError, an EventTooLongError or that of the body.
+func (b *eventBuffer) next() ([]byte, error) {
+	b.buffered = append(b.buffered[:0], b.buffered[b.complete:]...)
+	b.complete = 0
+	if err := b.makeRoom(); err != nil {
+		return nil, err
+	}
+	scanned := len(b.buffered)
+	n, err := b.body.Read(b.buffered[scanned:cap(b.buffered)])
+	b.buffered = b.buffered[:scanned+n]
+	if end := b.scanner.Scan(b.buffered[scanned:]); end > 0 {
+		b.complete = scanned + end
+	}
+	if errors.Is(err, io.EOF) && b.scanner.InEvent() {
+		err = errors.WithStack(&UnfinishedEventError{b.unfinished()})
+	}
+	return b.buffered[:b.complete], err
+}
+
+// makeRoom doubles the buffer if an event fills it.
+func (b *eventBuffer) makeRoom() error {
+	if len(b.buffered) < cap(b.buffered) {
+		return nil
+	}
+	if len(b.buffered) >= maxEventBytes {
+		return errors.WithStack(&EventTooLongError{len(b.buffered)})
+	}
+	b.buffered = append(make([]byte, 0, 2*cap(b.buffered)), b.buffered...)
+	return nil
+}
+
+// rest returns the bytes that follow the complete events.
+func (b *eventBuffer) rest() []byte { return b.buffered[b.complete:] }
+
+// unfinished returns the number of bytes of an event that is not complete.
+func (b *eventBuffer) unfinished() int {
+	if !b.scanner.InEvent() {
+		return 0
+	}
+	return len(b.rest())
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -125,7 +125,7 @@
 // TestPlacementReceivesFirstEventDeadline checks that the job's FirstBy follows
 // from the route's Patience, and is zero for a route without one.
 func TestPlacementReceivesFirstEventDeadline(t *testing.T) {
-	e := newEndpoint(t, respondWith("200 OK", ownHeader, "x"))
+	e := newEndpoint(t, respondWith("200 OK", ownHeader, event1))
 	w := newHarness(t, e)
 	w.call(t, "GET", "/stream/", "", nil)
 	w.call(t, "GET", "/safe/", "", nil)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -104,7 +104,7 @@
 		// Drain the body so that the connection can be reused.
 		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRejectionBytes))
 		return attemptResult{notRun: true, outcome: dispatch.Rejected, blamed: x.blamed(meta.AtFault), status: resp.Status, err: err}
-	case x.route.Kind == routing.Streaming && resp.Status == http.StatusOK:
+	case x.route.Kind == routing.Streaming && resp.Status == http.StatusOK && isEventStream(resp):
 		if !meta.Sealed {
 			return unproven(resp.Status)
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -11,24 +12,18 @@
 	"github.com/pkg/errors"
 
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	eventstream "cornelsaddle.example/cornelsaddle/core/stream"
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
 
-const (
-	// initialEventBuffer is the initial size of the event buffer, in bytes.
-	initialEventBuffer = 2 << 10
-	// maxEventBytes bounds the size of one event.
-	maxEventBytes = 1 << 20
-	// stallMargin is added to the caller's patience for the time within which an
-	// endpoint must complete the next event. Callers disconnect first.
-	stallMargin = 500 * time.Millisecond
-)
+// stallMargin is added to the caller's patience for the time within which an endpoint
+// must complete the next event. Callers disconnect first.
+const stallMargin = 500 * time.Millisecond
 
-var (
-	eventEnd     = []byte("\n\n")
-	eventEndCRLF = []byte("\r\n\r\n")
-	eventID      = []byte("id:")
-)
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+var eventID = []byte("id:")
 
 // stream is the state of a stream's delivery to the caller.
 type stream struct {
@@ -44,12 +39,6 @@
 	events int
 }
 
-// EventTooLongError reports an event that exceeds maxEventBytes.
-type EventTooLongError struct{ Bytes int }
-
-// Error implements error.
-func (e *EventTooLongError) Error() string { return "event exceeds the size limit" }
-
 // StalledError reports a stream that has completed no event for longer than callers
 // wait, though bytes may have arrived.
 type StalledError struct{ Limit time.Duration }
@@ -106,42 +95,43 @@
 	began := false
 	stall := x.newStallTimer(resp)
 	defer stall.stop()
-	buffer := make([]byte, 0, initialEventBuffer)
+	buffer := newEventBuffer(resp.Body)
 	for {
-		if len(buffer) == cap(buffer) {
-			if len(buffer) >= maxEventBytes {
-				return attemptResult{outcome: dispatch.Failed, status: resp.Status, err: errors.WithStack(&EventTooLongError{len(buffer)})}
-			}
-			buffer = append(make([]byte, 0, 2*cap(buffer)), buffer...)
-		}
-		n, err := resp.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		complete := completeEvents(buffer)
-		if complete > 0 {
+		events, err := buffer.next()
+		x.unfinished = buffer.unfinished()
+		if len(events) > 0 {
 			if !began {
 				began = true
 				x.recordFirstEvent(job)
 			}
 			// A caller that reads slowly is not the endpoint's fault.
 			stall.stop()
-			if err := x.deliverEvents(resp, buffer[:complete]); err != nil {
+			if err := x.deliverEvents(resp, events); err != nil {
 				return callerLeft(resp.Status, err)
 			}
 			stall.restart()
-			buffer = append(buffer[:0], buffer[complete:]...)
 		}
-		x.unfinished = len(buffer)
 		if errors.Is(err, io.EOF) {
-			return x.finishStream(resp, buffer)
+			return x.finishStream(resp, buffer.rest())
 		}
 		if err != nil {
-			return x.failedAttempt(ctx, stall.cause(err))
+			result := x.failedAttempt(ctx, stall.cause(err))
+			result.status = resp.Status
+			return result
 		}
 	}
 }
 
-// finishStream delivers the bytes that follow the last event of a complete
-// stream, and the header if it was not sent yet.
+// isEventStream reports whether the body of a response consists of events, which it does
+// unless its header states another media type.
+func isEventStream(resp *upstream.Response) bool {
+	stated := resp.Header.Get("Content-Type")
+	media, _, err := mime.ParseMediaType(stated)
+	return stated == "" || err != nil || media == eventStreamType
+}
+
+// finishStream delivers the bytes that follow the last event of a complete stream,
+// blank lines or a comment, and the header if it was not sent yet.
 func (x *exchange) finishStream(resp *upstream.Response, rest []byte) attemptResult {
 	if len(rest) > 0 || !x.stream.headerSent {
 		if err := x.deliverEvents(resp, rest); err != nil {
@@ -151,19 +141,6 @@
 	return attemptResult{delivered: true, outcome: dispatch.Served, status: resp.Status}
 }
 
-// completeEvents returns the number of bytes up to the end of the last complete
-// event in the buffer.
-func completeEvents(b []byte) int {
-	end := 0
-	if i := bytes.LastIndex(b, eventEnd); i >= 0 {
-		end = i + len(eventEnd)
-	}
-	if i := bytes.LastIndex(b, eventEndCRLF); i >= 0 {
-		end = max(end, i+len(eventEndCRLF))
-	}
-	return end
-}
-
 // recordFirstEvent reports an attempt's first event to placement and, for the
 // first one of the request, records the time to first token.
 func (x *exchange) recordFirstEvent(job string) {
@@ -206,7 +183,7 @@
 // trackEvents stores the ID of the last event and counts the events that have
 // one.
 func (x *exchange) trackEvents(events []byte) {
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
+	for line := range eventstream.Lines(events) {
 		id, found := bytes.CutPrefix(line, eventID)
 		if !found {
 			continue
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -232,3 +232,26 @@
 		})
 	}
 }
+
+// TestWholeBodyOnAStreamingRoute guards against a body of another type than events,
+// which has no blank line at its end, being taken for a broken stream.
+func TestWholeBodyOnAStreamingRoute(t *testing.T) {
+	header := ownHeader + "Content-Type: application/json; charset=utf-8\r\n"
+	e := newEndpoint(t, respondWith("200 OK", header, `{"choices":[]}`))
+	w := newHarness(t, e)
+	got := w.call(t, "POST", "/calm/stream/", "b", patient)
+	require.False(t, got.broken)
+	require.Equal(t, `{"choices":[]}`, got.body)
+}
+
+// TestStreamWithCarriageReturnsIsResumed guards against a line end that is not
+// recognised, so that the ID to resume from includes the lines that follow it.
+func TestStreamWithCarriageReturnsIsResumed(t *testing.T) {
+	cut := newEndpoint(t, streamUntilClose("id: 1\rdata: a\r\rid: 2\rdata: b\r\rid: 3\r"))
+	spare := newEndpoint(t, streamUntilClose(event3))
+	w := newHarness(t, cut, spare)
+	got := w.call(t, "POST", "/calm/stream/", "b", patient)
+	require.False(t, got.broken)
+	require.Equal(t, "id: 1\rdata: a\r\rid: 2\rdata: b\r\r"+event3, got.body)
+	require.Equal(t, "2", spare.requests()[0].Header.Get(hLast))
+}
