A broken response is reset for callers of HTTP/1.0

Found while looking for the cause of the broken streams elsewhere: a caller of HTTP/1.0 gets no chunks, so a response without a length ends with its connection, and the gateway closed that connection regularly also when it aborted the response. The caller took the part for the whole, as the gateway did with the engine's stream.

While such a response is under way, closing the caller's connection resets it (SO_LINGER of zero), whatever closes it: an abort, the end of the grace period, the end of the process. A whole response sets it back. The limit on connections moves from the library's listener, which hides the connection's methods, into the listener that already tracks them.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -27,6 +27,11 @@
 // request has just been read; this one never does.
 type drainListener struct {
 	net.Listener
+	// slots has one value for each open connection, if their number is limited.
+	slots chan struct{}
+	// stopped is closed with the listener.
+	stopped  chan struct{}
+	stopOnce sync.Once
 
 	mu         sync.Mutex
 	conns      map[*drainConn]struct{}
@@ -34,14 +39,25 @@
 	closed     bool
 }
 
-func newDrainListener(l net.Listener) *drainListener {
-	return &drainListener{Listener: l, conns: make(map[*drainConn]struct{})}
+// newDrainListener returns a drainListener with at most maxConnections open connections;
+// zero means no limit.
+func newDrainListener(l net.Listener, maxConnections int) *drainListener {
+	d := &drainListener{Listener: l, conns: make(map[*drainConn]struct{}), stopped: make(chan struct{})}
+	if maxConnections > 0 {
+		d.slots = make(chan struct{}, maxConnections)
+	}
+	return d
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. While the number of connections is at its limit,
+// further ones wait in the listener's backlog.
 func (l *drainListener) Accept() (net.Conn, error) {
+	if err := l.takeSlot(); err != nil {
+		return nil, err
+	}
 	c, err := l.Listener.Accept()
 	if err != nil {
+		l.freeSlot()
 		return nil, err //nolint:wrapcheck // http.Server checks the type
 	}
 	now := time.Now()
@@ -53,6 +69,32 @@
 	return conn, nil
 }
 
+// takeSlot waits until the number of connections is below its limit. The error is
+// net.ErrClosed.
+func (l *drainListener) takeSlot() error {
+	if l.slots == nil {
+		return nil
+	}
+	select {
+	case l.slots <- struct{}{}:
+		return nil
+	case <-l.stopped:
+		return net.ErrClosed
+	}
+}
+
+func (l *drainListener) freeSlot() {
+	if l.slots != nil {
+		<-l.slots
+	}
+}
+
+// Close implements net.Listener.
+func (l *drainListener) Close() error {
+	l.stopOnce.Do(func() { close(l.stopped) })
+	return l.Listener.Close() //nolint:wrapcheck // a net.Listener returns the connection's errors
+}
+
 // expireIdle ends the wait for a request on all idle connections, and closes the
 // listener once no connection is accepted any more. It reports whether the listener is
 // closed and has no open connection. since is when draining began.
@@ -131,11 +173,25 @@
 // Close implements net.Conn.
 func (c *drainConn) Close() error {
 	c.listener.mu.Lock()
+	_, open := c.listener.conns[c]
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
+	if open {
+		c.listener.freeSlot()
+	}
 	return c.Conn.Close() //nolint:wrapcheck // a net.Conn returns the connection's errors
 }
 
+// SetLinger sets what Close does with bytes that are not sent yet, as net.TCPConn does.
+// It has no effect on other connections.
+func (c *drainConn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	return tcp.SetLinger(seconds) //nolint:wrapcheck // a net.Conn returns the connection's errors
+}
+
 // becomeIdle records that the response to a request was written.
 func (c *drainConn) becomeIdle() {
 	c.mu.Lock()
--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -79,7 +79,7 @@
 // in which one arrives: what was read is served.
 func TestIdleConnectionThatIsUsedAgainIsServed(t *testing.T) {
 	here, there := net.Pipe()
-	l := newDrainListener(nil)
+	l := newDrainListener(nil, 0)
 	c := &drainConn{Conn: here, listener: l}
 	go func() { _, _ = io.WriteString(there, testRequest) }()
 	b := make([]byte, 4)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -8,7 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/net/netutil"
+
+	"cornelsaddle.example/cornelsaddle/internal/gateway"
 )
 
 const (
@@ -47,13 +48,11 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	if maxConnections > 0 {
-		l = netutil.LimitListener(l, maxConnections)
-	}
-	tracked := newDrainListener(l)
+	tracked := newDrainListener(l, maxConnections)
 	s := &server{listener: tracked, http: &http.Server{
 		Handler:           handler,
 		ConnState:         trackState,
+		ConnContext:       gateway.ConnContext,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/event/gateway_state.go
+++ b/internal/event/gateway_state.go
@@ -10,6 +10,7 @@
 // gateway learns of the store, the endpoints and itself.
 var gatewayStateEvents = []Event{
 	StoreRestored{}, RowsReleased{}, EndpointLeaving{}, EndpointPaused{}, VMSuspended{}, CostModelInvalid{},
+	LingerNotSet{},
 }
 
 // StoreRestored is emitted when a VM finds that the store was restored from a backup.
@@ -95,3 +96,14 @@
 func (CostModelInvalid) Def() Def {
 	return Def{732, "cost_model_invalid", log.WarnLevel, "The configuration version gives cost parameters of the service's engines that are missing, negative or not finite; its requests are placed as those of a plain service."}
 }
+
+// LingerNotSet is emitted when the way in which a caller's connection ends can't be set.
+type LingerNotSet struct {
+	Request string `log:"request"`
+	Reason  string `log:"reason"`
+}
+
+// Def implements Event.
+func (LingerNotSet) Def() Def {
+	return Def{733, "linger_not_set", log.WarnLevel, "The way in which the connection of an HTTP/1.0 caller ends could not be set; if the connection is still open, a response that breaks off may look complete to that caller."}
+}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -337,7 +337,7 @@
 	})
 	w.server, err = net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := &http.Server{Handler: w.gateway, ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: w.gateway, ReadHeaderTimeout: time.Second, ConnContext: ConnContext}
 	go func() { _ = server.Serve(w.server) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return w
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -200,6 +200,8 @@
 	x.setResponseHeader(resp.Header)
 	if resp.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	} else {
+		x.beginUnframed()
 	}
 	x.w.WriteHeader(resp.Status)
 	if _, err := x.w.Write(begin); err != nil {
@@ -212,6 +214,7 @@
 	if rest.err != nil {
 		return x.failedAttempt(ctx, rest.err)
 	}
+	x.endUnframed()
 	return attemptResult{delivered: true, outcome: dispatch.Served, status: resp.Status}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -138,6 +138,7 @@
 			return callerLeft(resp.Status, err)
 		}
 	}
+	x.endUnframed()
 	return attemptResult{delivered: true, outcome: dispatch.Served, status: resp.Status}
 }
 
@@ -159,6 +160,7 @@
 		x.stream.headerSent = true
 		x.status = resp.Status
 		x.setResponseHeader(resp.Header)
+		x.beginUnframed()
 		x.w.WriteHeader(resp.Status)
 	}
 	x.recordGap()
