Log the parts of prompts and when an attempt began

Event 710 has the IDs of the parts of the prompt, 712 the time since the first event of the attempt.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -150,7 +150,9 @@
 	// the prompt.
 	Helpers string `log:"helpers"`
 	// Prompt is the length of the prompt in tokens; 0 for a plain service.
-	Prompt int           `log:"prompt_tokens"`
+	Prompt int `log:"prompt_tokens"`
+	// Parts are the comma-separated IDs of the parts of the prompt.
+	Parts  string        `log:"parts"`
 	Holder string        `log:"holder"`
 	Waited time.Duration `log:"waited"`
 	// Predicted is the predicted time from the placement to the first event.
@@ -184,7 +186,9 @@
 	Status   int    `log:"status"`
 	Outcome  string `log:"outcome"`
 	Blamed   string `log:"blamed"`
-	Reason   string `log:"reason"`
+	// Began is the time since the attempt's first event; zero if there was none.
+	Began  time.Duration `log:"began"`
+	Reason string        `log:"reason"`
 	// Framing tells how the end of the response's body is marked.
 	Framing string `log:"framing"`
 	// Unfinished is the number of bytes of an unfinished event at the end of a stream.
@@ -195,7 +199,7 @@
 
 // Def implements Event.
 func (SendEnded) Def() Def {
-	return Def{712, "send_ended", log.WarnLevel, "An attempt did not serve the request; again reports whether it is retried, and why gives the reason if it is not. framing (length, chunks or close) tells how the end of the response is marked, unfinished is the number of bytes of an unfinished event at the end of a stream."}
+	return Def{712, "send_ended", log.WarnLevel, "An attempt did not serve the request; began is the time since the first event of the attempt, if there was one; again reports whether it is retried, and why gives the reason if it is not. framing (length, chunks or close) tells how the end of the response is marked, unfinished is the number of bytes of an unfinished event at the end of a stream."}
 }
 
 // RequestEnded is emitted at the end of every request.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -72,6 +72,9 @@
 	// unfinished event at its end; both for the log.
 	framing    upstream.Framing
 	unfinished int
+	// began is the time of the first event of the current attempt; zero if there was
+	// none.
+	began time.Time
 }
 
 // admit resolves the request's route, organisation and service, and reads its
@@ -176,7 +179,7 @@
 	}
 	x.gateway.cfg.Log.Emit(event.RequestPlaced{
 		Request: x.call.ID, Attempt: x.attempts, Endpoint: entry.ID, Helpers: strings.Join(placed.Helpers, ","),
-		Prompt: job.PromptTokens, Holder: placed.Holder, Waited: time.Since(x.arrived), Predicted: placed.Predicted,
+		Prompt: job.PromptTokens, Parts: strings.Join(x.call.PromptParts, ","), Holder: placed.Holder, Waited: time.Since(x.arrived), Predicted: placed.Predicted,
 	})
 	result := x.send(ctx, job.ID, entry, x.helpers(placed, grant))
 	x.gateway.cfg.Placer.Finished(job.ID, result.outcome, result.blamed)
@@ -279,7 +282,7 @@
 	retry, why := x.mayRetry(ctx, result)
 	x.gateway.cfg.Log.Emit(event.SendEnded{
 		Request: x.call.ID, Attempt: x.attempts, Endpoint: entry.ID, Status: result.status,
-		Outcome: result.outcome.String(), Blamed: result.blamed, Reason: result.reason(),
+		Outcome: result.outcome.String(), Blamed: result.blamed, Began: x.sinceBegan(), Reason: result.reason(),
 		Framing: string(x.framing), Unfinished: x.unfinished, Again: retry, Why: why,
 	})
 	if retry {
@@ -307,6 +310,15 @@
 	return true, ""
 }
 
+// sinceBegan returns the time since the first event of the current attempt, or zero if
+// there was none.
+func (x *exchange) sinceBegan() time.Duration {
+	if x.began.IsZero() {
+		return 0
+	}
+	return time.Since(x.began)
+}
+
 func (x *exchange) logEnd() {
 	e := event.RequestEnded{
 		Request: x.call.ID, Service: x.service, Organisation: x.organisation, Endpoint: x.endpoint,
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -87,7 +88,7 @@
 
 // send sends the request to one endpoint and delivers its response.
 func (x *exchange) send(ctx context.Context, job string, entry directory.Entry, helpers []provider.Helper) attemptResult {
-	x.framing, x.unfinished = "", 0
+	x.framing, x.unfinished, x.began = "", 0, time.Time{}
 	resp, err := x.gateway.cfg.Transport.Send(ctx, x.endpointRequest(entry, helpers))
 	if err != nil {
 		return x.failedAttempt(ctx, err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -92,7 +92,6 @@
 // header is sent with the first event, so that a stream that breaks before it
 // can be replaced by another endpoint's.
 func (x *exchange) relayStream(ctx context.Context, job string, resp *upstream.Response) attemptResult {
-	began := false
 	stall := x.newStallTimer(resp)
 	defer stall.stop()
 	buffer := newEventBuffer(resp.Body)
@@ -100,8 +99,8 @@
 		events, err := buffer.next()
 		x.unfinished = buffer.unfinished()
 		if len(events) > 0 {
-			if !began {
-				began = true
+			if x.began.IsZero() {
+				x.began = time.Now()
 				x.recordFirstEvent(job)
 			}
 			// A caller that reads slowly is not the endpoint's fault.
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -137,6 +137,9 @@
 	// maximum number of output tokens.
 	PromptTokens    int
 	MaxOutputTokens int
+	// PromptParts are the IDs of the parts of the prompt, in their order; empty if
+	// the header names none. Prompts share parts, but for the last one.
+	PromptParts []string
 }
 
 // EndpointHeader holds the fields added to the header of a request to an endpoint.
