--- /dev/null
+++ b/internal/entry/crashing_test.go
@@ -0,0 +1,183 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/internal/provider"
+)
+
+const (
+	crashingPart = "c0ffee01"
+	sharedPart   = "5eed0001"
+	// crashDown is the time for which a crashed engine serves nobody.
+	crashDown = 100 * time.Millisecond
+)
+
+// crashingEngine is an engine that crashes when it begins to answer a prompt with
+// crashingPart: all its connections end, and it serves nobody for a while.
+type crashingEngine struct {
+	listener net.Listener
+	// arrived counts the prompts with the part at all engines of a test.
+	arrived *atomic.Int64
+
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+	downTo time.Time
+}
+
+func startCrashingEngine(t *testing.T, arrived *atomic.Int64) *crashingEngine {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	e := &crashingEngine{listener: l, arrived: arrived, conns: make(map[net.Conn]bool)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return e
+}
+
+func (e *crashingEngine) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	e.mu.Lock()
+	e.conns[c] = true
+	down := time.Now().Before(e.downTo)
+	e.mu.Unlock()
+	if down {
+		return
+	}
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		parts := req.Header.Get("X-Cornelsaddle-Prompt-Prefix")
+		crashes := strings.Contains(parts, crashingPart)
+		if crashes {
+			e.arrived.Add(1)
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Cornelsaddle-Attempt-Id: "+req.Header.Get("X-Cornelsaddle-Attempt-Id")+
+			"\r\nX-Cornelsaddle-Runner-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n")
+		time.Sleep(10 * time.Millisecond)
+		if crashes {
+			e.crash()
+			return
+		}
+		_, _ = io.WriteString(c, "id: 1\ndata: a\n\n")
+		time.Sleep(10 * time.Millisecond)
+		_, _ = io.WriteString(c, "id: 2\ndata: b\n\n")
+		return
+	}
+}
+
+func (e *crashingEngine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.downTo = time.Now().Add(crashDown)
+	for c := range e.conns {
+		_ = c.Close()
+	}
+	clear(e.conns)
+}
+
+// sendPrompt sends a prompt with the parts and returns the status, or zero where the
+// answer breaks off.
+func sendPrompt(t *testing.T, address, id string, parts ...string) int {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/a/x", strings.NewReader("prompt"))
+	require.NoError(t, err)
+	req.Host = "h"
+	req.Header.Set("X-Cornelsaddle-Attempt-Id", id)
+	entries := make([]string, 0, len(parts))
+	for _, p := range parts {
+		entries = append(entries, p+":40")
+	}
+	req.Header.Set("X-Cornelsaddle-Prompt-Prefix", strings.Join(entries, ","))
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// TestPartThatCrashesEnginesIsWithheld guards against prompts with one part in common
+// that crash engine after engine, at whichever VM they arrive: after the fifth crash and
+// the time for all VMs to learn of it, at most three more reach an engine, while sound
+// prompts with the same first part are served.
+func TestPartThatCrashesEnginesIsWithheld(t *testing.T) {
+	const (
+		engines  = 6
+		learning = 3 * time.Second
+		late     = 10
+		maxLate  = 3
+	)
+	store := newMemoryStore()
+	var arrived atomic.Int64
+	text := `{"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/a/","kind":"streaming","resumable":true,"timeout_ms":10000,"service":"s","max_attempts":2}],
+		"services":[{"name":"s"}],"limits":{"max_body_bytes":1000000}}`
+	require.NoError(t, store.Put(context.Background(), provider.Configuration, "config", []byte(text)))
+	for i := range engines {
+		e := startCrashingEngine(t, &arrived)
+		store.putEndpoint(t, fmt.Sprintf("i-%d", i), e.listener.Addr().String(), "ready")
+	}
+	vms := []*VM{startVM(t, "a", store), startVM(t, "b", store)}
+	for _, v := range vms {
+		awaitStatus(t, v.settings.Balancer, "/readyz", http.StatusOK)
+		require.Eventually(t, func() bool { return len(v.members.service.Live()) == 2 }, 20*time.Second, 10*time.Millisecond)
+	}
+	sent := 0
+	sound := func() int {
+		sent++
+		return sendPrompt(t, vms[sent%2].settings.Callers, fmt.Sprint(sent), sharedPart, fmt.Sprintf("own%d", sent))
+	}
+	crashing := func() {
+		sent++
+		sendPrompt(t, vms[sent%2].settings.Callers, fmt.Sprint(sent), sharedPart, crashingPart, fmt.Sprintf("own%d", sent))
+	}
+	for range 3 {
+		require.Equal(t, http.StatusOK, sound())
+	}
+	for i := 0; arrived.Load() < 5 && i < late; i++ {
+		crashing()
+		sound()
+		sent++ // the next one goes to the other VM
+		time.Sleep(crashDown)
+	}
+	time.Sleep(learning)
+	before, served := arrived.Load(), 0
+	for range late {
+		crashing()
+		if sound() == http.StatusOK {
+			served++
+		}
+		sent++
+		time.Sleep(crashDown)
+	}
+	require.LessOrEqual(t, arrived.Load()-before, int64(maxLate), "prompts with the part that reach engines")
+	require.Equal(t, late, served, "sound prompts that are served")
+}
