A stream that ends with its connection before its first event was broken off

Cause: as for streams that end inside an event, the end of the connection was taken for the end of the stream; there is no unfinished event to tell them apart. A stream without a marked end and without any event proves nothing, so it fails the attempt, and another endpoint may serve the request. Comments and blank lines are no event. An empty stream in chunks, or with a length of zero, is whole as before.

--- a/core/stream/scanner.go
+++ b/core/stream/scanner.go
@@ -15,6 +15,8 @@
 	inLine bool
 	// inEvent is set when the current event has a field, or a part of one.
 	inEvent bool
+	// ended is set once an event has ended.
+	ended bool
 	// afterCR is set when the last byte was a CR. An LF that follows belongs to the
 	// same line end.
 	afterCR bool
@@ -66,6 +68,7 @@
 	blank := !s.inLine
 	s.inLine = false
 	if blank {
+		s.ended = s.ended || s.inEvent
 		s.inEvent = false
 	}
 	return blank
@@ -75,6 +78,9 @@
 // begin none.
 func (s *Scanner) InEvent() bool { return s.inEvent }
 
+// Ended reports whether an event has ended.
+func (s *Scanner) Ended() bool { return s.ended }
+
 // Lines returns the lines of events that are not blank, without their ends.
 func Lines(events []byte) iter.Seq[[]byte] {
 	return bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\r' || r == '\n' })
--- a/core/stream/scanner_test.go
+++ b/core/stream/scanner_test.go
@@ -48,6 +48,21 @@
 	}
 }
 
+func TestScannerTellsWhetherAnEventHasEnded(t *testing.T) {
+	for piece, want := range map[string]bool{
+		"":                   false,
+		"\n\n":               false,
+		": note\n\n":         false,
+		"data: a\n":          false,
+		"data: a\n\n":        true,
+		"data: a\n\ndata: b": true,
+	} {
+		s := new(Scanner)
+		s.Scan([]byte(piece))
+		require.Equal(t, want, s.Ended(), "%q", piece)
+	}
+}
+
 // TestScannerDeliversALateLineFeed checks that the LF of a line end that was split
 // between two pieces completes the event by itself.
 func TestScannerDeliversALateLineFeed(t *testing.T) {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	eventstream "cornelsaddle.example/cornelsaddle/core/stream"
+	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
 
 const (
@@ -28,24 +29,34 @@
 // Error implements error.
 func (e *UnfinishedEventError) Error() string { return "stream ended inside an event" }
 
+// NoEventError reports a stream that ended with its connection before its first event,
+// as where its endpoint crashed after it had sent the header.
+type NoEventError struct{}
+
+// Error implements error.
+func (*NoEventError) Error() string { return "stream ended with its connection before its first event" }
+
 // eventBuffer splits the body of a stream into complete events and the bytes that
 // follow them.
 type eventBuffer struct {
-	body    io.Reader
-	scanner eventstream.Scanner
+	body io.Reader
+	// endMarked is set if the end of the body is marked by other means than the end of
+	// the connection.
+	endMarked bool
+	scanner   eventstream.Scanner
 	// buffered holds the bytes that were read; the first complete of them are events
 	// that next has returned.
 	buffered []byte
 	complete int
 }
 
-func newEventBuffer(body io.Reader) *eventBuffer {
-	return &eventBuffer{body: body, buffered: make([]byte, 0, initialEventBuffer)}
+func newEventBuffer(resp *upstream.Response) *eventBuffer {
+	return &eventBuffer{body: resp.Body, endMarked: resp.Framing != upstream.ByClose, buffered: make([]byte, 0, initialEventBuffer)}
 }
 
 // next reads once and returns the events that are complete by then, if any. They are
 // valid until the next call. The error is io.EOF at the end of a complete stream, an
-// UnfinishedEventError, an EventTooLongError or that of the body.
+// UnfinishedEventError, a NoEventError, an EventTooLongError or that of the body.
 func (b *eventBuffer) next() ([]byte, error) {
 	b.buffered = append(b.buffered[:0], b.buffered[b.complete:]...)
 	b.complete = 0
@@ -58,12 +69,24 @@
 	if end := b.scanner.Scan(b.buffered[scanned:]); end > 0 {
 		b.complete = scanned + end
 	}
-	if errors.Is(err, io.EOF) && b.scanner.InEvent() {
-		err = errors.WithStack(&UnfinishedEventError{b.unfinished()})
+	if errors.Is(err, io.EOF) {
+		err = b.end()
 	}
 	return b.buffered[:b.complete], err
 }
 
+// end returns io.EOF if the stream is complete where its body has ended, and otherwise
+// why it is not.
+func (b *eventBuffer) end() error {
+	switch {
+	case b.scanner.InEvent():
+		return errors.WithStack(&UnfinishedEventError{b.unfinished()})
+	case !b.endMarked && !b.scanner.Ended():
+		return errors.WithStack(&NoEventError{})
+	}
+	return io.EOF
+}
+
 // makeRoom doubles the buffer if an event fills it.
 func (b *eventBuffer) makeRoom() error {
 	if len(b.buffered) < cap(b.buffered) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -94,7 +94,7 @@
 func (x *exchange) relayStream(ctx context.Context, job string, resp *upstream.Response) attemptResult {
 	stall := x.newStallTimer(resp)
 	defer stall.stop()
-	buffer := newEventBuffer(resp.Body)
+	buffer := newEventBuffer(resp)
 	for {
 		events, err := buffer.next()
 		x.unfinished = buffer.unfinished()
