--- a/internal/entry/crashing_test.go
+++ b/internal/entry/crashing_test.go
@@ -64,30 +64,25 @@
 	if down {
 		return
 	}
-	r := bufio.NewReader(c)
-	for {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, req.Body)
-		parts := req.Header.Get("X-Cornelsaddle-Prompt-Prefix")
-		crashes := strings.Contains(parts, crashingPart)
-		if crashes {
-			e.arrived.Add(1)
-		}
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Cornelsaddle-Attempt-Id: "+req.Header.Get("X-Cornelsaddle-Attempt-Id")+
-			"\r\nX-Cornelsaddle-Runner-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n")
-		time.Sleep(10 * time.Millisecond)
-		if crashes {
-			e.crash()
-			return
-		}
-		_, _ = io.WriteString(c, "id: 1\ndata: a\n\n")
-		time.Sleep(10 * time.Millisecond)
-		_, _ = io.WriteString(c, "id: 2\ndata: b\n\n")
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	crashes := strings.Contains(req.Header.Get("X-Cornelsaddle-Prompt-Prefix"), crashingPart)
+	if crashes {
+		e.arrived.Add(1)
+	}
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Cornelsaddle-Attempt-Id: "+req.Header.Get("X-Cornelsaddle-Attempt-Id")+
+		"\r\nX-Cornelsaddle-Runner-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n")
+	time.Sleep(10 * time.Millisecond)
+	if crashes {
+		e.crash()
 		return
 	}
+	_, _ = io.WriteString(c, "id: 1\ndata: a\n\n")
+	time.Sleep(10 * time.Millisecond)
+	_, _ = io.WriteString(c, "id: 2\ndata: b\n\n")
 }
 
 func (e *crashingEngine) crash() {
