--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -97,6 +97,30 @@
 	return pl.Placement, true
 }
 
+// PlacedJob returns a placed job; ok is false for a queued or unknown one.
+func (d *Dispatcher) PlacedJob(key JobKey) (job Job, ok bool) {
+	pl := d.placed[key]
+	if pl == nil {
+		return Job{}, false
+	}
+	return pl.Job, true
+}
+
+// Refuse refuses the queued jobs that match, and returns the decisions.
+func (d *Dispatcher) Refuse(match func(*Job) bool, reason Reason, retryAfter time.Duration) []Decision {
+	var decisions []Decision
+	d.queue = slices.DeleteFunc(d.queue, func(q *queuedJob) bool {
+		if !match(&q.Job) {
+			return false
+		}
+		decision := refuse(&q.Job, reason, retryAfter)
+		decision.Owner = q.Owner
+		decisions = append(decisions, decision)
+		return true
+	})
+	return decisions
+}
+
 // Adopt records a job that another dispatcher placed, and removes it from the
 // queue. started is set if its first event has been reported.
 func (d *Dispatcher) Adopt(now time.Time, job Job, p Placement, started bool) {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -41,6 +41,9 @@
 	// PromptTokens and Answer are lengths in tokens; zero for a plain service.
 	PromptTokens int
 	AnswerTokens int
+	// Parts are the IDs of the parts of the prompt, the last of which belongs to the
+	// request; empty if they are not known.
+	Parts []string
 	// Avoid lists the IDs of endpoints at which the job has failed. They are used if
 	// there is no other.
 	Avoid []string
@@ -87,6 +90,8 @@
 	ReasonTooLarge Reason = "prompt_too_large"
 	// ReasonTooLate means that the job can't be answered in time.
 	ReasonTooLate Reason = "deadline_unreachable"
+	// ReasonWithheld means that a part of the prompt crashes endpoints.
+	ReasonWithheld Reason = "part_withheld"
 )
 
 // Refusal is the decision not to place a job. The job has not run.
@@ -122,6 +127,17 @@
 	Failed
 )
 
+// End is how a placed job ended at its endpoint.
+type End struct {
+	Outcome Outcome
+	// Blamed is the ID of the endpoint at fault; empty for the one that received the
+	// job.
+	Blamed string
+	// BrokenOff is set if the endpoint ended the connection before the answer was
+	// complete, as when it crashes.
+	BrokenOff bool
+}
+
 // String returns the outcome's name in logs.
 func (o Outcome) String() string {
 	switch o {
--- a/core/membership/cluster_test.go
+++ b/core/membership/cluster_test.go
@@ -196,12 +196,12 @@
 		return
 	}
 	other := c.vms[to].node
-	records, marks := other.Records(), other.Marks()
+	records, marks, notes := other.Records(), other.Marks(), other.Notes()
 	if !c.send(to, from, records) {
 		v.node.SyncFailed()
 		return
 	}
-	c.after(2*oneWayDelay, func() { v.node.Synced(c.now, records, marks) })
+	c.after(2*oneWayDelay, func() { v.node.Synced(c.now, records, marks, notes) })
 }
 
 // all reports whether the condition holds for every VM that is neither down nor
--- a/core/membership/node.go
+++ b/core/membership/node.go
@@ -42,9 +42,11 @@
 	// the map makes a run reproducible from its seed.
 	ids      []string
 	marks    map[Mark]bool
+	notes    map[string]Note
 	queue    *queue
 	changes  []Change
 	newMarks []Mark
+	newNotes []Note
 
 	configuration int64
 	digest        []byte
@@ -76,6 +78,7 @@
 		self:    self,
 		members: make(map[string]*member),
 		marks:   make(map[Mark]bool),
+		notes:   make(map[string]Note),
 		queue:   newQueue(),
 		probes:  make(map[uint64]*outstandingProbe),
 	}
@@ -120,6 +123,38 @@
 	return true
 }
 
+// SetNote adds a note and queues it for dissemination, unless the one with its key holds
+// in its place. It reports whether the note is new.
+func (n *Node) SetNote(note Note) bool {
+	known, ok := n.notes[note.Key]
+	if ok && !note.supersedes(known) {
+		return false
+	}
+	n.notes[note.Key] = note
+	n.newNotes = append(n.newNotes, note)
+	n.queue.put(Update{Note: &note})
+	return true
+}
+
+// NewNotes returns the new notes since the last call.
+func (n *Node) NewNotes() []Note {
+	notes := n.newNotes
+	n.newNotes = nil
+	return notes
+}
+
+// Notes returns all notes, sorted by key.
+func (n *Node) Notes() []Note {
+	list := slices.Collect(maps.Values(n.notes))
+	slices.SortFunc(list, func(a, b Note) int { return cmp.Compare(a.Key, b.Key) })
+	return list
+}
+
+// RetainNotes drops the notes for which keep returns false.
+func (n *Node) RetainNotes(keep func(Note) bool) {
+	maps.DeleteFunc(n.notes, func(_ string, note Note) bool { return !keep(note) })
+}
+
 // Changes returns the record changes and the new marks since the last call.
 func (n *Node) Changes() ([]Change, []Mark) {
 	changes, marks := n.changes, n.newMarks
@@ -269,7 +304,7 @@
 	}
 }
 
-// mergeUpdate merges a record or a mark and ignores an invalid update.
+// mergeUpdate merges a record, a mark or a note and ignores an invalid update.
 func (n *Node) mergeUpdate(now time.Time, u Update) {
 	if !u.valid() {
 		return
@@ -278,6 +313,10 @@
 		n.MarkEndpoint(*u.Mark)
 		return
 	}
+	if u.Note != nil {
+		n.SetNote(*u.Note)
+		return
+	}
 	n.mergeAndQueue(now, *u.Record)
 }
 
--- a/core/membership/probe.go
+++ b/core/membership/probe.go
@@ -75,9 +75,9 @@
 // exchange that is already scheduled keeps its time.
 func (n *Node) SyncFailed() { n.syncInterval = 0 }
 
-// Synced merges another VM's records and marks. The records are not queued for
+// Synced merges another VM's records, marks and notes. The records are not queued for
 // dissemination, as the VMs that have them already disseminate them.
-func (n *Node) Synced(now time.Time, records []Record, marks []Mark) {
+func (n *Node) Synced(now time.Time, records []Record, marks []Mark, notes []Note) {
 	for _, r := range records {
 		if (Update{Record: &r}).valid() {
 			n.mergeRecord(now, r)
@@ -86,6 +86,9 @@
 	for _, m := range marks {
 		n.mergeUpdate(now, Update{Mark: &m})
 	}
+	for _, note := range notes {
+		n.mergeUpdate(now, Update{Note: &note})
+	}
 }
 
 // probeNext returns a probe of the next VM in the round, or nil if there is none.
--- a/core/membership/queue.go
+++ b/core/membership/queue.go
@@ -2,9 +2,9 @@
 
 import "sort"
 
-// queue holds the updates that are still to be disseminated. The updates sent
-// the fewest times go first, and among them the newest; an update is dropped
-// when it has reached its send limit.
+// queue holds the updates that are still to be disseminated. Notes, which are rare, go
+// first, then the updates sent the fewest times, and among them the newest; an update is
+// dropped when it has reached its send limit.
 type queue struct {
 	updates map[string]*queuedUpdate
 	next    int64
@@ -32,6 +32,9 @@
 		list = append(list, item)
 	}
 	sort.Slice(list, func(i, j int) bool {
+		if a, b := list[i].update.Note != nil, list[j].update.Note != nil; a != b {
+			return a
+		}
 		if list[i].sent != list[j].sent {
 			return list[i].sent < list[j].sent
 		}
--- a/core/membership/record.go
+++ b/core/membership/record.go
@@ -1,5 +1,14 @@
 package membership
 
+import (
+	"bytes"
+	"encoding/json"
+)
+
+// maxNoteBytes bounds the key and the value of a note together, so that it fits into a
+// message.
+const maxNoteBytes = 220
+
 // Status is the state of a VM as seen by other VMs.
 type Status uint8
 
@@ -89,17 +98,46 @@
 	Incarnation string `json:"i,omitempty"`
 }
 
-// Update is one piece of gossip: either a record or a mark.
+// Note is a value that all VMs share under a key. Of two notes with a key, the one with
+// the higher version holds.
+type Note struct {
+	Key     string `json:"k"`
+	Version int64  `json:"v"`
+	// Value is opaque to this package.
+	Value json.RawMessage `json:"d"`
+}
+
+// Valid reports whether VMs accept the note.
+func (n Note) Valid() bool {
+	return n.Key != "" && len(n.Key)+len(n.Value) <= maxNoteBytes && json.Valid(n.Value)
+}
+
+// supersedes reports whether the note holds in place of another one with its key. Notes
+// of one version differ only if two VMs wrote them; which of them holds is arbitrary,
+// but the same for all VMs.
+func (n Note) supersedes(other Note) bool {
+	if n.Version != other.Version {
+		return n.Version > other.Version
+	}
+	return bytes.Compare(n.Value, other.Value) > 0
+}
+
+// Update is one piece of gossip: a record, a mark or a note. VMs of earlier builds ignore
+// notes.
 type Update struct {
 	Record *Record `json:"r,omitempty"`
 	Mark   *Mark   `json:"m,omitempty"`
+	Note   *Note   `json:"n,omitempty"`
 }
 
-// key identifies the VM or the endpoint incarnation that the update is about. In
-// the queue, an update replaces an earlier one with the same key.
+// key identifies the VM, the endpoint incarnation or the note that the update is about.
+// In the queue, an update replaces an earlier one with the same key.
 func (u Update) key() string {
-	if u.Record != nil {
+	switch {
+	case u.Record != nil:
 		return "vm/" + u.Record.ID
+	case u.Note != nil:
+		return "note/" + u.Note.Key
 	}
 	return "endpoint/" + u.Mark.Endpoint + "/" + u.Mark.Incarnation
 }
@@ -110,14 +148,20 @@
 	if u.Record != nil {
 		return framing + len(u.Record.ID) + len(u.Record.Address) + len(u.Record.FailureDomain) + len(u.Record.Region)
 	}
+	if u.Note != nil {
+		return framing + len(u.Note.Key) + len(u.Note.Value)
+	}
 	return framing/2 + len(u.Mark.Endpoint) + len(u.Mark.Incarnation)
 }
 
-// valid reports whether the update holds exactly one record or mark, with its
+// valid reports whether the update holds exactly one record, mark or note, with its
 // identifier set and a known status.
 func (u Update) valid() bool {
-	if u.Record != nil {
-		return u.Mark == nil && u.Record.ID != "" && u.Record.Status <= StatusDead
+	switch {
+	case u.Record != nil:
+		return u.Mark == nil && u.Note == nil && u.Record.ID != "" && u.Record.Status <= StatusDead
+	case u.Note != nil:
+		return u.Mark == nil && u.Note.Valid()
 	}
 	return u.Mark != nil && u.Mark.Endpoint != ""
 }
--- /dev/null
+++ b/core/quarantine/config.go
@@ -0,0 +1,54 @@
+package quarantine
+
+import "time"
+
+// Config holds the limits of a Tracker and a List.
+type Config struct {
+	// Crashes is the number of crashes at separate moments, and Requests the number of
+	// different requests among their suspects, from which a part is found to be the
+	// cause.
+	Crashes  int
+	Requests int
+	// Moment is the time within which crashes count as one: several endpoints may have
+	// crashed for a common reason.
+	Moment time.Duration
+	// ConfirmAfter is the time from the first job that breaks off at an endpoint until
+	// it is decided whether the endpoint crashed.
+	ConfirmAfter time.Duration
+	// BeginGrace is the time from a job's first event within which the job may still be
+	// the cause of a crash.
+	BeginGrace time.Duration
+	// Window is the time for which a crash counts.
+	Window time.Duration
+	// MaxAnswered bounds the parts that are remembered as parts of answered prompts.
+	MaxAnswered int
+	// MaxCrashes bounds the crashes of a service that are remembered.
+	MaxCrashes int
+	// Period is the time for which a part is withheld at first. It doubles with each
+	// further verdict on the part, up to MaxPeriod.
+	Period    time.Duration
+	MaxPeriod time.Duration
+	// Memory is the time after the end of a verdict during which one crash is enough
+	// for the next one.
+	Memory time.Duration
+	// MaxVerdicts bounds the verdicts that are remembered.
+	MaxVerdicts int
+}
+
+// DefaultConfig returns the Config for production use.
+func DefaultConfig() Config {
+	return Config{
+		Crashes:      3,
+		Requests:     2,
+		Moment:       200 * time.Millisecond,
+		ConfirmAfter: 100 * time.Millisecond,
+		BeginGrace:   250 * time.Millisecond,
+		Window:       10 * time.Minute,
+		MaxAnswered:  16384,
+		MaxCrashes:   64,
+		Period:       10 * time.Minute,
+		MaxPeriod:    6 * time.Hour,
+		Memory:       time.Hour,
+		MaxVerdicts:  1024,
+	}
+}
--- /dev/null
+++ b/core/quarantine/evidence.go
@@ -0,0 +1,254 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Suspect is a prompt that may have crashed its endpoint.
+type Suspect struct {
+	// Request is the ID of the prompt's last part, which identifies the request.
+	Request string
+	// Parts are the IDs of the other parts that were not cleared.
+	Parts []string
+}
+
+// Crash is the crash of an endpoint with the prompts that may be the cause.
+type Crash struct {
+	Endpoint string
+	At       time.Time
+	Suspects []Suspect
+}
+
+// Finding states that a part of prompts crashes the endpoints of a service.
+type Finding struct {
+	Service string
+	Part    string
+	// Sound is set if it states the contrary.
+	Sound bool
+}
+
+// evidence holds the crashes of the endpoints of one service, in the order of their
+// times.
+type evidence struct {
+	crashes []Crash
+	// suspected counts the occurrences of each part in the crashes.
+	suspected map[string]int
+}
+
+// Crashes returns the crashes of a service's endpoints that are not explained.
+func (t *Tracker) Crashes(service string) []Crash {
+	if e := t.evidence[service]; e != nil {
+		return slices.Clone(e.crashes)
+	}
+	return nil
+}
+
+// AddCrash adds a crash to the evidence on a service. It returns false for one that is
+// known already from the report of another VM, or has its cause among the parts that are
+// withheld.
+func (t *Tracker) AddCrash(now time.Time, service string, c Crash) bool {
+	e := t.evidence[service]
+	if e == nil {
+		e = &evidence{suspected: make(map[string]int)}
+		t.evidence[service] = e
+	}
+	e.forget(now.Add(-t.cfg.Window), t.cfg.MaxCrashes-1)
+	if t.explained(now, service, &c) || e.knows(c) {
+		return false
+	}
+	i, _ := slices.BinarySearchFunc(e.crashes, c, func(a, b Crash) int { return a.At.Compare(b.At) })
+	e.crashes = slices.Insert(e.crashes, i, c)
+	e.recount()
+	return true
+}
+
+// explained reports whether a suspect of the crash has a part that is withheld.
+func (t *Tracker) explained(now time.Time, service string, c *Crash) bool {
+	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool {
+		part, _ := t.list.Withheld(now, service, s.Parts)
+		return part != ""
+	})
+}
+
+// sameCrash is the time within which crashes of one endpoint, from reports of several
+// VMs, are the same one. An endpoint takes longer to be back.
+const sameCrash = time.Second
+
+// knows reports whether the crash is known already. If it is, its suspects are added.
+func (e *evidence) knows(c Crash) bool {
+	for i := range e.crashes {
+		known := &e.crashes[i]
+		if known.Endpoint == c.Endpoint && known.At.Sub(c.At).Abs() < sameCrash {
+			known.Suspects = append(known.Suspects, c.Suspects...)
+			e.recount()
+			return true
+		}
+	}
+	return false
+}
+
+// forget removes the crashes before the time, and the oldest ones above the limit.
+func (e *evidence) forget(before time.Time, limit int) {
+	n := len(e.crashes)
+	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return c.At.Before(before) })
+	if len(e.crashes) > limit {
+		e.crashes = slices.Delete(e.crashes, 0, len(e.crashes)-limit)
+	}
+	if len(e.crashes) != n {
+		e.recount()
+	}
+}
+
+func (e *evidence) recount() {
+	clear(e.suspected)
+	for _, c := range e.crashes {
+		for _, s := range c.Suspects {
+			for _, part := range s.Parts {
+				e.suspected[part]++
+			}
+		}
+	}
+}
+
+// clear removes parts from all suspects.
+func (e *evidence) clear(parts []string) {
+	known := func(part string) bool { return e.suspected[part] > 0 }
+	if !slices.ContainsFunc(parts, known) {
+		return
+	}
+	for i := range e.crashes {
+		for k := range e.crashes[i].Suspects {
+			s := &e.crashes[i].Suspects[k]
+			s.Parts = slices.DeleteFunc(slices.Clone(s.Parts), func(part string) bool { return slices.Contains(parts, part) })
+		}
+	}
+	e.recount()
+}
+
+// explain removes the crashes that a part is the cause of: they tell nothing about the
+// other parts.
+func (e *evidence) explain(part string) {
+	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return c.suspects(part) })
+	e.recount()
+}
+
+func (c *Crash) suspects(part string) bool {
+	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return slices.Contains(s.Parts, part) })
+}
+
+// charge is the evidence against one part.
+type charge struct {
+	part string
+	// moments is the number of separate moments of its crashes, and requests the number
+	// of different requests.
+	moments  int
+	requests int
+	// position is the index of the part in the prompt of the latest suspect. Fewer
+	// prompts share a part the later it comes.
+	position int
+}
+
+// compare orders charges by their weight.
+func (c charge) compare(other charge) int {
+	return cmp.Or(cmp.Compare(c.moments, other.moments), cmp.Compare(c.requests, other.requests))
+}
+
+// knowledge is what is known of a part apart from the evidence.
+type knowledge struct {
+	// repeated reports whether the part was withheld until a short while ago.
+	repeated func(part string) bool
+	// answered reports whether a prompt with the part was answered before.
+	answered func(part string) bool
+}
+
+// find returns the part that is the cause of crashes: the one with the heaviest charge,
+// if that is enough. Of parts that stay equal until twice as many moments, it is the one
+// that comes last in its prompts. For a repeated part, one crash is enough.
+func (e *evidence) find(cfg Config, known knowledge) (string, bool) {
+	var heaviest charge
+	tied := false
+	for _, part := range slices.Sorted(maps.Keys(e.suspected)) {
+		if known.repeated(part) {
+			return part, true
+		}
+		c := e.charge(part, cfg.Moment)
+		order := c.compare(heaviest)
+		if order == 0 {
+			tied = true
+			order = cmp.Compare(c.position, heaviest.position)
+		} else if order > 0 {
+			tied = false
+		}
+		if order > 0 {
+			heaviest = c
+		}
+	}
+	if heaviest.part == "" || tied && heaviest.moments < 2*cfg.Crashes {
+		return "", false
+	}
+	return heaviest.part, heaviest.enough(cfg, known.answered(heaviest.part))
+}
+
+// enough reports whether the charge is enough for a finding, if it is the heaviest. A
+// part of prompts that were answered before needs one crash and one request more.
+func (c charge) enough(cfg Config, answered bool) bool {
+	crashes, requests := cfg.Crashes, cfg.Requests
+	if answered {
+		crashes, requests = crashes+1, requests+1
+	}
+	return c.moments >= crashes && c.requests >= requests
+}
+
+// charge returns the evidence against a part. A moment counts if the part is suspected
+// in at least half of its crashes: endpoints that crash together have a common cause,
+// which is not in one prompt.
+func (e *evidence) charge(part string, moment time.Duration) charge {
+	c := charge{part: part}
+	requests := make(map[string]bool)
+	for _, crashes := range e.moments(moment) {
+		suspected := 0
+		for i := range crashes {
+			if crashes[i].charge(&c, requests) {
+				suspected++
+			}
+		}
+		if suspected > 0 && 2*suspected >= len(crashes) {
+			c.moments++
+		}
+	}
+	c.requests = len(requests)
+	return c
+}
+
+// charge adds the requests of the suspects with the part to requests, and reports
+// whether there are any.
+func (c *Crash) charge(to *charge, requests map[string]bool) bool {
+	suspected := false
+	for _, s := range c.Suspects {
+		if position := slices.Index(s.Parts, to.part); position >= 0 {
+			suspected = true
+			requests[s.Request] = true
+			to.position = position
+		}
+	}
+	return suspected
+}
+
+// moments returns the crashes by the moments at which they happened, each of which
+// lasts for the given time.
+func (e *evidence) moments(length time.Duration) [][]Crash {
+	var list [][]Crash
+	for i := 0; i < len(e.crashes); {
+		end := e.crashes[i].At.Add(length)
+		n := i + 1
+		for n < len(e.crashes) && e.crashes[n].At.Before(end) {
+			n++
+		}
+		list = append(list, e.crashes[i:n])
+		i = n
+	}
+	return list
+}
--- /dev/null
+++ b/core/quarantine/tracker.go
@@ -0,0 +1,305 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"cornelsaddle.example/cornelsaddle/core/dispatch"
+)
+
+// expireAfter is the time after its deadline at which a job whose end was not reported
+// is removed.
+const expireAfter = 2 * time.Second
+
+// Job is a prompt that was placed at an endpoint.
+type Job struct {
+	Key     dispatch.JobKey
+	Service string
+	// Endpoint is the one that answers.
+	Endpoint string
+	// Parts are the IDs of the parts of the prompt. The last one belongs to the request
+	// and identifies it.
+	Parts []string
+	// Deadline is when the request times out.
+	Deadline time.Time
+}
+
+// End is how a job ended at its endpoint.
+type End uint8
+
+// Ends of a job.
+const (
+	// Other ends tell nothing about the prompt.
+	Other End = iota
+	// Answered means that the answer was complete. It tells of the prompt only if the
+	// answer began, and was not a failure.
+	Answered
+	// BrokenOff means that the endpoint ended the connection before the answer was
+	// complete.
+	BrokenOff
+)
+
+// trackedJob is a job in flight.
+type trackedJob struct {
+	Job
+	placedAt time.Time
+	// beganAt is the time of the first event; zero if there was none.
+	beganAt time.Time
+}
+
+// shared returns the parts of the prompt but for the last one, and that one.
+func (j *Job) shared() ([]string, string) {
+	n := len(j.Parts) - 1
+	if n < 1 {
+		return nil, ""
+	}
+	return j.Parts[:n], j.Parts[n]
+}
+
+// breakage is a number of jobs that broke off at one endpoint at about the same time.
+type breakage struct {
+	service string
+	since   time.Time
+	// broken and answered count the jobs placed before since that ended since then.
+	broken   int
+	answered int
+	suspects []Suspect
+}
+
+// Tracker collects evidence on the parts of prompts. It is not safe for concurrent use.
+type Tracker struct {
+	cfg  Config
+	list *List
+	jobs map[dispatch.JobKey]*trackedJob
+	// atEndpoint has the jobs in flight by the endpoint that answers them.
+	atEndpoint map[string]map[dispatch.JobKey]*trackedJob
+	// breakages are those that are not decided yet, by endpoint.
+	breakages map[string]*breakage
+	// crashedAt has the time of the latest crash of an endpoint.
+	crashedAt map[string]time.Time
+	evidence  map[string]*evidence
+	// answered has the parts of prompts that were answered.
+	answered *lru.Cache[partKey, struct{}]
+	// expiredAt is when expired jobs were last removed.
+	expiredAt time.Time
+}
+
+// NewTracker returns a Tracker without jobs. The list has the verdicts on earlier
+// findings.
+func NewTracker(cfg Config, list *List) *Tracker {
+	answered, err := lru.New[partKey, struct{}](cfg.MaxAnswered)
+	if err != nil {
+		panic(err) // the limit is not positive
+	}
+	return &Tracker{
+		cfg:        cfg,
+		list:       list,
+		jobs:       make(map[dispatch.JobKey]*trackedJob),
+		atEndpoint: make(map[string]map[dispatch.JobKey]*trackedJob),
+		breakages:  make(map[string]*breakage),
+		crashedAt:  make(map[string]time.Time),
+		evidence:   make(map[string]*evidence),
+		answered:   answered,
+	}
+}
+
+// Placed records a job that is sent to its endpoint. A job that is known already, or has
+// no parts, is ignored.
+func (t *Tracker) Placed(now time.Time, job Job) {
+	if len(job.Parts) == 0 || t.jobs[job.Key] != nil {
+		return
+	}
+	j := &trackedJob{Job: job, placedAt: now}
+	t.jobs[job.Key] = j
+	at := t.atEndpoint[job.Endpoint]
+	if at == nil {
+		at = make(map[dispatch.JobKey]*trackedJob)
+		t.atEndpoint[job.Endpoint] = at
+	}
+	at[job.Key] = j
+}
+
+// Began records the first event of a job's answer.
+func (t *Tracker) Began(now time.Time, key dispatch.JobKey) {
+	if j := t.jobs[key]; j != nil && j.beganAt.IsZero() {
+		j.beganAt = now
+	}
+}
+
+// Ended records the end of a job. It returns a finding if the prompt was answered
+// although it has a part that is withheld.
+func (t *Tracker) Ended(now time.Time, key dispatch.JobKey, end End) []Finding {
+	j := t.jobs[key]
+	if j == nil {
+		return nil
+	}
+	t.remove(j)
+	if end == BrokenOff {
+		t.recordBroken(now, j)
+	} else if b := t.breakages[j.Endpoint]; b != nil && end == Answered && !j.placedAt.After(b.since) {
+		b.answered++
+	}
+	answered := end == Answered && !j.beganAt.IsZero()
+	if !answered && !t.survived(now, j) {
+		return nil
+	}
+	parts, _ := j.shared()
+	t.clear(j.Service, parts)
+	if part, _ := t.list.Withheld(now, j.Service, parts); part != "" {
+		return []Finding{{Service: j.Service, Part: part, Sound: true}}
+	}
+	return nil
+}
+
+// survived reports whether the job's endpoint has gone on for long enough after the
+// first event for the job not to be the cause of a later crash.
+func (t *Tracker) survived(now time.Time, j *trackedJob) bool {
+	return !j.beganAt.IsZero() && now.Sub(j.beganAt) >= t.cfg.BeginGrace
+}
+
+// clear records that a prompt with the parts was answered, and removes them from the
+// evidence.
+func (t *Tracker) clear(service string, parts []string) {
+	for _, part := range parts {
+		t.answered.Add(partKey{service, part}, struct{}{})
+	}
+	if e := t.evidence[service]; e != nil {
+		e.clear(parts)
+	}
+}
+
+// recordBroken adds a job that broke off to the breakage of its endpoint.
+func (t *Tracker) recordBroken(now time.Time, j *trackedJob) {
+	if crashed, ok := t.crashedAt[j.Endpoint]; ok && !j.placedAt.After(crashed) {
+		// A late report of a crash that is decided already.
+		return
+	}
+	b := t.breakages[j.Endpoint]
+	if b == nil {
+		b = &breakage{service: j.Service, since: now}
+		t.breakages[j.Endpoint] = b
+	}
+	b.broken++
+	if parts, request := j.shared(); len(parts) > 0 && !t.survived(now, j) {
+		b.suspects = append(b.suspects, Suspect{Request: request, Parts: parts})
+	}
+}
+
+// DropOwner removes the jobs of an entry VM.
+func (t *Tracker) DropOwner(owner string) {
+	for _, j := range t.jobs {
+		if j.Key.Owner == owner {
+			t.remove(j)
+		}
+	}
+}
+
+func (t *Tracker) remove(j *trackedJob) {
+	delete(t.jobs, j.Key)
+	at := t.atEndpoint[j.Endpoint]
+	delete(at, j.Key)
+	if len(at) == 0 {
+		delete(t.atEndpoint, j.Endpoint)
+	}
+}
+
+// Undecided reports whether Tick has something to decide later.
+func (t *Tracker) Undecided() bool { return len(t.breakages) > 0 }
+
+// Tick decides which endpoints have crashed, and returns the findings that follow.
+func (t *Tracker) Tick(now time.Time) []Finding {
+	var findings []Finding
+	for _, endpoint := range t.due(now) {
+		b := t.breakages[endpoint]
+		delete(t.breakages, endpoint)
+		if !t.crashed(endpoint, b) {
+			continue
+		}
+		t.crashedAt[endpoint] = now
+		if t.AddCrash(now, b.service, Crash{Endpoint: endpoint, At: b.since, Suspects: b.suspects}) {
+			findings = t.find(now, b.service, findings)
+		}
+	}
+	t.expire(now)
+	return findings
+}
+
+// due returns the endpoints whose breakages are to be decided, in the order of their
+// IDs.
+func (t *Tracker) due(now time.Time) []string {
+	var endpoints []string
+	for endpoint, b := range t.breakages {
+		if now.Sub(b.since) >= t.cfg.ConfirmAfter {
+			endpoints = append(endpoints, endpoint)
+		}
+	}
+	slices.Sort(endpoints)
+	return endpoints
+}
+
+// crashed reports whether most of the jobs that were in flight at the endpoint broke
+// off. If an endpoint breaks off single answers, the others go on.
+func (t *Tracker) crashed(endpoint string, b *breakage) bool {
+	alive := b.answered
+	for _, j := range t.atEndpoint[endpoint] {
+		if !j.placedAt.After(b.since) {
+			alive++
+		}
+	}
+	return b.broken > alive
+}
+
+// find appends the finding that the evidence on a service gives, if any.
+func (t *Tracker) find(now time.Time, service string, findings []Finding) []Finding {
+	t.clearAnswering(now, service)
+	part, found := t.evidence[service].find(t.cfg, knowledge{
+		repeated: func(part string) bool { return t.list.repeated(now, service, part) },
+		answered: func(part string) bool { return t.answered.Contains(partKey{service, part}) },
+	})
+	if !found {
+		return findings
+	}
+	f := Finding{Service: service, Part: part}
+	if slices.Contains(findings, f) {
+		return findings
+	}
+	return append(findings, f)
+}
+
+// Explain removes the crashes that a part is the cause of from the evidence.
+func (t *Tracker) Explain(service, part string) {
+	if e := t.evidence[service]; e != nil {
+		e.explain(part)
+	}
+}
+
+// clearAnswering clears the parts of the prompts that are being answered at present.
+func (t *Tracker) clearAnswering(now time.Time, service string) {
+	for _, j := range t.jobs {
+		if j.Service == service && t.survived(now, j) {
+			parts, _ := j.shared()
+			t.clear(service, parts)
+		}
+	}
+}
+
+// expire removes the jobs whose end was not reported, and the crashes of endpoints at
+// which no job from before can be in flight any more.
+func (t *Tracker) expire(now time.Time) {
+	if now.Sub(t.expiredAt) < expireAfter {
+		return
+	}
+	t.expiredAt = now
+	for _, j := range t.jobs {
+		if now.Sub(j.Deadline) > expireAfter {
+			t.remove(j)
+		}
+	}
+	for endpoint, at := range t.crashedAt {
+		if now.Sub(at) > t.cfg.Window {
+			delete(t.crashedAt, endpoint)
+		}
+	}
+}
--- a/internal/confsync/follower_test.go
+++ b/internal/confsync/follower_test.go
@@ -60,6 +60,7 @@
 func (o observer) PeerVersion(address string, v int64) { o.follower.HandlePeerVersion(address, v) }
 func (o observer) PeerDigest(string, []byte)           {}
 func (o observer) EndpointMarked(membership.Mark)      {}
+func (o observer) NoteChanged(membership.Note)         {}
 func (o observer) ListedLeaving(string)                {}
 func (o observer) MembersChanged()                     {}
 
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/core/quarantine"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/gateway"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
@@ -79,10 +80,13 @@
 	senders map[string]*sender
 	// term is incremented with each change of a holder.
 	term int64
+	// announce tells the other VMs of a verdict of this VM.
+	announce func(quarantine.Verdict)
 }
 
-// New returns the Coordinator of the VM, and registers its methods with the mux.
-func New(vm string, local *LocalDispatcher, peers Peers, mux *peer.Mux, log *event.Logger) *Coordinator {
+// New returns the Coordinator of the VM, and registers its methods with the mux. It calls
+// announce with each verdict on a part of prompts that the other VMs are to apply.
+func New(vm string, local *LocalDispatcher, peers Peers, mux *peer.Mux, log *event.Logger, announce func(quarantine.Verdict)) *Coordinator {
 	c := &Coordinator{
 		vm:      vm,
 		local:   local,
@@ -91,8 +95,11 @@
 		holders: newHolders(vm),
 		jobs:    make(map[string]*job),
 		senders: make(map[string]*sender),
+
+		announce: announce,
 	}
 	local.onDecisions = c.handleDecisions
+	local.onFindings = c.handleFindings
 	peer.Register(mux, methodPlace, c.onPlace)
 	peer.Register(mux, methodGrant, c.onGrant)
 	peer.Register(mux, methodNote, c.onNote)
@@ -108,7 +115,7 @@
 	for {
 		d, retry, err := c.requestDecision(ctx, j)
 		if err != nil {
-			c.Finished(dj.ID, dispatch.Abandoned, "")
+			c.Finished(dj.ID, dispatch.End{Outcome: dispatch.Abandoned})
 			c.withdrawUnused(j, "")
 			return gateway.Placed{}, err
 		}
@@ -244,12 +251,12 @@
 }
 
 // Finished implements gateway.Placer.
-func (c *Coordinator) Finished(id string, outcome dispatch.Outcome, blamed string) {
+func (c *Coordinator) Finished(id string, end dispatch.End) {
 	c.mu.Lock()
 	j := c.jobs[id]
 	delete(c.jobs, id)
 	c.mu.Unlock()
-	c.notify(j, jobUpdate{Job: id, Finished: true, Outcome: outcome, Blamed: blamed})
+	c.notify(j, jobUpdate{Job: id, Finished: true, Outcome: end.Outcome, Blamed: end.Blamed, BrokenOff: end.BrokenOff})
 }
 
 // notify applies a job update to the local dispatcher and sends it to the holder.
@@ -323,6 +330,7 @@
 func (c *Coordinator) onNote(_ context.Context, from peer.Identity, m updateMessage) (struct{}, error) {
 	if m.Reset != nil {
 		c.local.dropTerms(from.VM, *m.Reset)
+		c.local.addCrashes(m.Reset.Service, m.Crashes)
 	}
 	for _, u := range m.Updates {
 		c.local.applyUpdate(from.VM, u)
--- a/internal/coordination/coordinator_test.go
+++ b/internal/coordination/coordinator_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/core/quarantine"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/gateway"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
@@ -42,8 +43,8 @@
 		registry := metrics.NewRegistry()
 		v.client, err = peer.NewClient(cfg, mux, log, registry)
 		require.NoError(t, err)
-		local := NewLocalDispatcher(dispatch.DefaultConfig())
-		v.Coordinator = New(name, local, v.client, mux, log)
+		local := NewLocalDispatcher(dispatch.DefaultConfig(), quarantine.DefaultConfig())
+		v.Coordinator = New(name, local, v.client, mux, log, func(quarantine.Verdict) {})
 		v.server, err = peer.Listen("127.0.0.1:0", cfg, mux, log, registry)
 		require.NoError(t, err)
 		local.SetServices([]dispatch.Service{{Name: "s"}})
@@ -146,7 +147,7 @@
 	holder.place(t, "2")
 	done := requester.placeAsync("3")
 	require.Eventually(t, func() bool { waiting, _ := holder.counts(); return waiting == 1 }, 5*time.Second, time.Millisecond)
-	holder.Finished("1", dispatch.Served, "")
+	holder.Finished("1", dispatch.End{Outcome: dispatch.Served})
 	p := <-done
 	require.Equal(t, holder.name, p.Holder)
 }
@@ -204,7 +205,7 @@
 	next := vms[p.Holder]
 	require.Eventually(t, func() bool { _, placed := next.counts(); return placed == 4 }, 5*time.Second, time.Millisecond)
 	for i, id := range []string{"1", "2", "3", "4"} {
-		[]*testVM{one, two}[i%2].Finished(id, dispatch.Served, "")
+		[]*testVM{one, two}[i%2].Finished(id, dispatch.End{Outcome: dispatch.Served})
 	}
 	require.Eventually(t, func() bool { _, placed := next.counts(); return placed == 0 }, 5*time.Second, time.Millisecond)
 }
@@ -235,7 +236,7 @@
 func TestSingleVM(t *testing.T) {
 	vms := startVMs(t, []string{"a"}, 1)
 	require.Equal(t, "a", vms["a"].place(t, "1").Holder)
-	vms["a"].Finished("1", dispatch.Served, "")
+	vms["a"].Finished("1", dispatch.End{Outcome: dispatch.Served})
 	_, placed := vms["a"].counts()
 	require.Zero(t, placed)
 }
@@ -294,7 +295,7 @@
 	require.Equal(t, holder.name, leaving.place(t, "2").Holder)
 	_, placed := holder.counts()
 	require.Equal(t, 2, placed)
-	leaving.Finished("1", dispatch.Served, "")
+	leaving.Finished("1", dispatch.End{Outcome: dispatch.Served})
 	require.Eventually(t, func() bool { _, placed := holder.counts(); return placed == 1 }, 5*time.Second, time.Millisecond)
 }
 
@@ -325,7 +326,7 @@
 	setMembers(vms, leaving)
 	waiting, _ := holder.counts()
 	require.Equal(t, 1, waiting)
-	holder.Finished("1", dispatch.Served, "")
+	holder.Finished("1", dispatch.End{Outcome: dispatch.Served})
 	require.Equal(t, "e0", (<-done).Endpoint)
 }
 
@@ -398,7 +399,7 @@
 	holder.SetMembers(all)
 	silent.Resend()
 	require.Eventually(t, func() bool { _, placed := holder.counts(); return placed == 2 }, 5*time.Second, time.Millisecond)
-	silent.Finished("1", dispatch.Served, "")
-	silent.Finished("2", dispatch.Served, "")
+	silent.Finished("1", dispatch.End{Outcome: dispatch.Served})
+	silent.Finished("2", dispatch.End{Outcome: dispatch.Served})
 	require.Eventually(t, func() bool { _, placed := holder.counts(); return placed == 0 }, 5*time.Second, time.Millisecond)
 }
--- a/internal/coordination/holders.go
+++ b/internal/coordination/holders.go
@@ -157,8 +157,8 @@
 	return m
 }
 
-// transferJobs sends all placed jobs of the service to its new holder. The caller
-// must hold the lock.
+// transferJobs sends all placed jobs of the service to its new holder, and the crashes of
+// its endpoints. The caller must hold the lock.
 func (c *Coordinator) transferJobs(service string, to Member) {
 	var updates []jobUpdate
 	for _, j := range c.jobs {
@@ -167,7 +167,7 @@
 			updates = append(updates, jobUpdate{Job: j.ID, Adopted: c.encodeAdopted(j)})
 		}
 	}
-	c.senderLocked(to).reset(reset{service, c.term}, updates)
+	c.senderLocked(to).reset(reset{service, c.term}, updates, encodeCrashes(time.Now(), c.local.crashes(service)))
 }
 
 // Resend sends all placed jobs to their holders again. It is called when other VMs have
--- a/internal/coordination/local.go
+++ b/internal/coordination/local.go
@@ -1,32 +1,45 @@
 package coordination
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/core/quarantine"
 )
 
-// pollInterval is the interval at which a non-empty queue is processed in the
-// absence of events.
+// pollInterval is the interval at which a non-empty queue, or an undecided crash of an
+// endpoint, is processed in the absence of events.
 const pollInterval = 20 * time.Millisecond
 
 // LocalDispatcher runs this VM's dispatcher. It places the jobs of the services that this VM
-// holds, and keeps a local view of the other services. It is safe for concurrent
-// use.
+// holds, and keeps a local view of the other services. It refuses the jobs whose prompts
+// have a part that crashes endpoints. It is safe for concurrent use.
 type LocalDispatcher struct {
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
+	tracker    *quarantine.Tracker
+	verdicts   *quarantine.List
 	pollTimer  *time.Timer
 	// pollPending is true while pollTimer is running.
 	pollPending bool
-	// onDecisions receives the decisions; it is called without the lock.
+	// onDecisions receives the decisions, and onFindings the parts of prompts that this
+	// VM's view shows to crash endpoints, or not to. Both are called without the lock.
 	onDecisions func([]dispatch.Decision)
+	onFindings  func([]quarantine.Finding)
+	// findings are those of the current event.
+	findings []quarantine.Finding
 }
 
 // NewLocalDispatcher returns a LocalDispatcher without services and endpoints.
-func NewLocalDispatcher(cfg dispatch.Config) *LocalDispatcher {
-	l := &LocalDispatcher{dispatcher: dispatch.New(cfg)}
+func NewLocalDispatcher(cfg dispatch.Config, limits quarantine.Config) *LocalDispatcher {
+	verdicts := quarantine.NewList(limits)
+	l := &LocalDispatcher{
+		dispatcher: dispatch.New(cfg),
+		tracker:    quarantine.NewTracker(limits, verdicts),
+		verdicts:   verdicts,
+	}
 	l.pollTimer = time.AfterFunc(time.Hour, l.poll)
 	l.pollTimer.Stop()
 	return l
@@ -42,15 +55,110 @@
 	l.handle(func(now time.Time, d *dispatch.Dispatcher) { d.SetEndpoints(now, list) })
 }
 
-// submit queues a job.
+// submit queues a job, unless its prompt is withheld.
 func (l *LocalDispatcher) submit(job dispatch.Job) {
+	if refusal, withheld := l.refuse(job); withheld {
+		l.onDecisions([]dispatch.Decision{refusal})
+		return
+	}
 	l.handle(func(now time.Time, d *dispatch.Dispatcher) { d.Submit(now, job) })
 }
 
-// submitRemote queues a job of another VM. It returns the decision if it is
-// immediate, or the placement if the job was placed before and the response was
-// lost; otherwise the message has no decision.
+// refuse returns the refusal of a job whose prompt is withheld, and false for others.
+func (l *LocalDispatcher) refuse(job dispatch.Job) (dispatch.Decision, bool) {
+	part, wait := l.Withheld(job.Service, job.Parts)
+	if part == "" {
+		return dispatch.Decision{}, false
+	}
+	return dispatch.Decision{
+		Owner:   job.Owner,
+		Refusal: &dispatch.Refusal{Job: job.ID, Reason: dispatch.ReasonWithheld, RetryAfter: wait},
+	}, true
+}
+
+// Withheld returns the part for which prompts with these parts are refused, and for how
+// long they are; the part is empty if they are not.
+func (l *LocalDispatcher) Withheld(service string, parts []string) (string, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	part, until := l.verdicts.Withheld(now, service, parts)
+	return part, until.Sub(now)
+}
+
+// decide adds the verdict that follows from a finding. It returns false if there is
+// nothing to add.
+func (l *LocalDispatcher) decide(f quarantine.Finding) (quarantine.Verdict, bool) {
+	l.mu.Lock()
+	v, added := l.verdicts.Decide(time.Now(), f)
+	l.mu.Unlock()
+	if added {
+		l.enforce(v)
+	}
+	return v, added
+}
+
+// applyVerdict adds the verdict of another VM and reports whether it is news.
+func (l *LocalDispatcher) applyVerdict(v quarantine.Verdict) bool {
+	l.mu.Lock()
+	news := l.verdicts.Apply(time.Now(), v)
+	l.mu.Unlock()
+	if news {
+		l.enforce(v)
+	}
+	return news
+}
+
+// enforce refuses the queued jobs that a verdict withholds.
+func (l *LocalDispatcher) enforce(v quarantine.Verdict) {
+	if !v.Withheld {
+		return
+	}
+	l.mu.Lock()
+	l.tracker.Explain(v.Service, v.Part)
+	refused := l.dispatcher.Refuse(func(j *dispatch.Job) bool {
+		return j.Service == v.Service && slices.Contains(j.Parts, v.Part)
+	}, dispatch.ReasonWithheld, time.Until(v.Until))
+	l.mu.Unlock()
+	if len(refused) > 0 {
+		l.onDecisions(refused)
+	}
+}
+
+// crashes returns the crashes of the service's endpoints that this VM has seen.
+func (l *LocalDispatcher) crashes(service string) []quarantine.Crash {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tracker.Crashes(service)
+}
+
+// addCrashes adds the crashes that another VM has seen.
+func (l *LocalDispatcher) addCrashes(service string, crashes []crashMessage) {
+	if len(crashes) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for _, m := range crashes {
+		l.tracker.AddCrash(now, service, m.crash(now))
+	}
+}
+
+// WithheldParts returns the number of parts that are withheld.
+func (l *LocalDispatcher) WithheldParts() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.verdicts.Active(time.Now())
+}
+
+// submitRemote queues a job of another VM, unless its prompt is withheld. It returns the
+// decision if it is immediate, or the placement if the job was placed before and the
+// response was lost; otherwise the message has no decision.
 func (l *LocalDispatcher) submitRemote(m jobMessage, owner string) decisionMessage {
+	if refusal, withheld := l.refuse(m.job(time.Now(), owner)); withheld {
+		return encodeDecision(refusal)
+	}
 	var placed dispatch.Placement
 	var known bool
 	key := dispatch.JobKey{Owner: owner, ID: m.ID}
@@ -82,21 +190,56 @@
 	l.handle(func(now time.Time, d *dispatch.Dispatcher) {
 		switch {
 		case u.Adopted != nil:
-			placement := u.Adopted.Placement.decision().Placement
-			if placement != nil {
-				d.Adopt(now, u.Adopted.Job.job(now, owner), *placement, u.Adopted.Began)
-			}
+			l.adopt(now, owner, u.Adopted)
 		case u.Began:
 			d.FirstEvent(now, key)
+			l.tracker.Began(now, key)
 		case u.Finished:
 			d.Finished(now, key, u.Outcome, u.Blamed)
+			l.findings = append(l.findings, l.tracker.Ended(now, key, trackedEnd(u.end()))...)
 		}
 	})
 }
 
+// adopt records a job that another dispatcher placed; the lock is held.
+func (l *LocalDispatcher) adopt(now time.Time, owner string, a *adoptedJob) {
+	placement := a.Placement.decision().Placement
+	if placement == nil {
+		return
+	}
+	job := a.Job.job(now, owner)
+	l.dispatcher.Adopt(now, job, *placement, a.Began)
+	l.track(now, job, *placement)
+	if a.Began {
+		l.tracker.Began(now, job.Key())
+	}
+}
+
+// track records a placed job for the evidence on the parts of its prompt; the lock is
+// held.
+func (l *LocalDispatcher) track(now time.Time, job dispatch.Job, p dispatch.Placement) {
+	l.tracker.Placed(now, quarantine.Job{
+		Key: job.Key(), Service: job.Service, Endpoint: p.Endpoint, Parts: job.Parts, Deadline: job.Deadline,
+	})
+}
+
+// trackedEnd returns what the end of a job tells about the parts of its prompt.
+func trackedEnd(e dispatch.End) quarantine.End {
+	switch {
+	case e.BrokenOff:
+		return quarantine.BrokenOff
+	case e.Outcome == dispatch.Served:
+		return quarantine.Answered
+	}
+	return quarantine.Other
+}
+
 // dropJobs removes all jobs of a VM that is no longer live or has restarted.
 func (l *LocalDispatcher) dropJobs(vm string) {
-	l.handle(func(now time.Time, d *dispatch.Dispatcher) { d.DropOwner(now, vm) })
+	l.handle(func(now time.Time, d *dispatch.Dispatcher) {
+		d.DropOwner(now, vm)
+		l.tracker.DropOwner(vm)
+	})
 }
 
 // dropTerms removes a VM's jobs of the service that are of earlier terms.
@@ -139,16 +282,33 @@
 	}
 }
 
-// step runs the event on the dispatcher and returns the resulting decisions.
+// step runs the event on the dispatcher and returns the resulting decisions. It passes
+// on the resulting findings.
 func (l *LocalDispatcher) step(event func(now time.Time, d *dispatch.Dispatcher)) []dispatch.Decision {
+	decisions, findings := l.stepLocked(event)
+	if len(findings) > 0 {
+		l.onFindings(findings)
+	}
+	return decisions
+}
+
+func (l *LocalDispatcher) stepLocked(event func(now time.Time, d *dispatch.Dispatcher)) ([]dispatch.Decision, []quarantine.Finding) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	event(now, l.dispatcher)
 	decisions := l.dispatcher.Decide(now)
-	if l.dispatcher.Queued() > 0 && !l.pollPending {
+	for _, d := range decisions {
+		if job, placed := l.dispatcher.PlacedJob(d.Key()); placed && d.Placement != nil {
+			l.track(now, job, *d.Placement)
+		}
+	}
+	l.findings = append(l.findings, l.tracker.Tick(now)...)
+	findings := l.findings
+	l.findings = nil
+	if (l.dispatcher.Queued() > 0 || l.tracker.Undecided()) && !l.pollPending {
 		l.pollPending = true
 		l.pollTimer.Reset(pollInterval)
 	}
-	return decisions
+	return decisions, findings
 }
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/core/quarantine"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 )
 
@@ -33,6 +34,8 @@
 	// Exclude is unknown to earlier builds, which may place the job at an excluded
 	// endpoint; its owner checks each placement.
 	Exclude []string `json:"x,omitempty"`
+	// Parts is unknown to earlier builds, which don't withhold prompts.
+	Parts []string `json:"c,omitempty"`
 }
 
 func encodeJob(now time.Time, j dispatch.Job) jobMessage {
@@ -40,7 +43,7 @@
 		ID: j.ID, Term: j.Term, Service: j.Service, Organisation: j.Organisation,
 		Age: now.Sub(j.Arrived).Microseconds(), Due: encodeTime(now, j.Due),
 		Deadline: j.Deadline.Sub(now).Microseconds(), FirstBy: encodeTime(now, j.FirstEventBy),
-		Gap: j.MaxGap.Microseconds(), Priority: j.Priority, Prompt: j.PromptTokens, Answer: j.AnswerTokens, Avoid: j.Avoid, Exclude: j.Exclude,
+		Gap: j.MaxGap.Microseconds(), Priority: j.Priority, Prompt: j.PromptTokens, Answer: j.AnswerTokens, Avoid: j.Avoid, Exclude: j.Exclude, Parts: j.Parts,
 	}
 }
 
@@ -49,7 +52,7 @@
 		ID: m.ID, Owner: owner, Term: m.Term, Service: m.Service, Organisation: m.Organisation,
 		Arrived: now.Add(-microseconds(m.Age)), Due: decodeTime(now, m.Due),
 		Deadline: now.Add(microseconds(m.Deadline)), FirstEventBy: decodeTime(now, m.FirstBy),
-		MaxGap: microseconds(m.Gap), Priority: m.Priority, PromptTokens: m.Prompt, AnswerTokens: m.Answer, Avoid: m.Avoid, Exclude: m.Exclude,
+		MaxGap: microseconds(m.Gap), Priority: m.Priority, PromptTokens: m.Prompt, AnswerTokens: m.Answer, Avoid: m.Avoid, Exclude: m.Exclude, Parts: m.Parts,
 	}
 }
 
@@ -117,6 +120,43 @@
 	// Reset selects the jobs of the VM that are removed first; nil for none.
 	Reset   *reset      `json:"r,omitempty"`
 	Updates []jobUpdate `json:"n"`
+	// Crashes are those that the sender has seen, of the endpoints of the service that
+	// Reset names.
+	Crashes []crashMessage `json:"c,omitempty"`
+}
+
+// crashMessage is a crash of an endpoint as sent between VMs.
+type crashMessage struct {
+	Endpoint string `json:"e"`
+	// Age is the time since the crash, in microseconds.
+	Age      int64            `json:"a"`
+	Suspects []suspectMessage `json:"s"`
+}
+
+// suspectMessage is a prompt that may have caused a crash.
+type suspectMessage struct {
+	Request string   `json:"r"`
+	Parts   []string `json:"p"`
+}
+
+func encodeCrashes(now time.Time, crashes []quarantine.Crash) []crashMessage {
+	list := make([]crashMessage, 0, len(crashes))
+	for _, c := range crashes {
+		m := crashMessage{Endpoint: c.Endpoint, Age: now.Sub(c.At).Microseconds()}
+		for _, s := range c.Suspects {
+			m.Suspects = append(m.Suspects, suspectMessage(s))
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+func (m crashMessage) crash(now time.Time) quarantine.Crash {
+	c := quarantine.Crash{Endpoint: m.Endpoint, At: now.Add(-microseconds(m.Age))}
+	for _, s := range m.Suspects {
+		c.Suspects = append(c.Suspects, quarantine.Suspect(s))
+	}
+	return c
 }
 
 // reset selects the jobs of a service that are of terms before Term. The updates of
@@ -139,6 +179,13 @@
 	// Blamed is the ID of the endpoint at fault; empty for the one that received the
 	// job.
 	Blamed string `json:"l,omitempty"`
+	// BrokenOff is false for jobs of VMs of earlier builds.
+	BrokenOff bool `json:"x,omitempty"`
+}
+
+// end returns how the job ended.
+func (u jobUpdate) end() dispatch.End {
+	return dispatch.End{Outcome: u.Outcome, Blamed: u.Blamed, BrokenOff: u.BrokenOff}
 }
 
 // adoptedJob is a placed job with its placement.
--- /dev/null
+++ b/internal/coordination/quarantine_test.go
@@ -0,0 +1,172 @@
+package coordination
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/core/quarantine"
+	"cornelsaddle.example/cornelsaddle/internal/gateway"
+)
+
+const crashingPart = "p"
+
+// collectVerdicts makes the VMs pass their verdicts to each other, and returns those of
+// each VM.
+func collectVerdicts(vms map[string]*testVM) map[string]chan quarantine.Verdict {
+	out := make(map[string]chan quarantine.Verdict)
+	for name, v := range vms {
+		verdicts := make(chan quarantine.Verdict, 16)
+		out[name] = verdicts
+		v.announce = func(verdict quarantine.Verdict) {
+			verdicts <- verdict
+			for _, other := range vms {
+				other.ApplyVerdict(verdict)
+			}
+		}
+	}
+	return out
+}
+
+// crashes places a prompt with the crashing part at the VM, and ends it as its endpoint
+// does when it crashes.
+func (v *testVM) crashes(t *testing.T, id string) {
+	t.Helper()
+	v.ended(t, id, dispatch.End{Outcome: dispatch.Failed, BrokenOff: true}, crashingPart, "own"+id)
+}
+
+func (v *testVM) ended(t *testing.T, id string, end dispatch.End, parts ...string) {
+	t.Helper()
+	j := newJob(id, v)
+	j.Parts = parts
+	_, err := v.Place(context.Background(), j)
+	require.NoError(t, err)
+	v.Finished(id, end)
+	time.Sleep(quarantine.DefaultConfig().Moment)
+}
+
+// crashUntilFound lets prompts of the VMs with the crashing part crash their endpoints
+// until there is a verdict on it. On a busy machine reports of two crashes may come
+// together and count as one, so that more crashes are needed.
+func crashUntilFound(t *testing.T, verdicts <-chan quarantine.Verdict, vms ...*testVM) quarantine.Verdict {
+	t.Helper()
+	const maxCrashes = 50
+	for i := range maxCrashes {
+		vms[i%len(vms)].crashes(t, strconv.Itoa(i))
+		select {
+		case v := <-verdicts:
+			return v
+		default:
+		}
+	}
+	t.Fatal("the part is not found")
+	return quarantine.Verdict{}
+}
+
+// requireWithheld checks that all VMs refuse prompts with the crashing part, and no
+// others, also those that don't ask before they submit them.
+func requireWithheld(t *testing.T, vms map[string]*testVM) {
+	t.Helper()
+	for _, v := range vms {
+		part, wait := v.Withheld("s", []string{"shared", crashingPart, "own"})
+		require.Equal(t, crashingPart, part)
+		require.Positive(t, wait)
+		part, _ = v.Withheld("s", []string{"shared", "own"})
+		require.Empty(t, part)
+		j := newJob("late", v)
+		j.Parts = []string{crashingPart, "own"}
+		_, err := v.Place(context.Background(), j)
+		var refused *gateway.RefusedError
+		require.ErrorAs(t, err, &refused)
+		require.Equal(t, dispatch.ReasonWithheld, refused.Reason)
+		require.Positive(t, refused.RetryAfter)
+	}
+}
+
+// TestHolderFindsThePartOfAllVMs lets prompts of three VMs with one part crash their
+// endpoints: only the holder of the service decides, and all VMs refuse the part.
+func TestHolderFindsThePartOfAllVMs(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 6)
+	verdicts := collectVerdicts(vms)
+	holder := holderOf(vms)
+	v := crashUntilFound(t, verdicts[holder.name], vms["a"], vms["b"], vms["c"])
+	require.Equal(t, crashingPart, v.Part)
+	require.True(t, v.Withheld)
+	for name, v := range vms {
+		require.Empty(t, verdicts[name], v.name)
+	}
+	requireWithheld(t, vms)
+}
+
+// TestOtherVMsDoNotDecide lets a VM that is not the holder see all the crashes, but not
+// the answers to other VMs' prompts with the part.
+func TestOtherVMsDoNotDecide(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 6)
+	verdicts := collectVerdicts(vms)
+	holder := holderOf(vms)
+	other := otherVM(vms, holder)
+	for i := range 6 {
+		other.crashes(t, strconv.Itoa(i))
+		j := newJob("sound"+strconv.Itoa(i), holder)
+		j.Parts = []string{crashingPart, "own"}
+		_, err := holder.Place(context.Background(), j)
+		require.NoError(t, err)
+		holder.Began(j.ID)
+		holder.Finished(j.ID, dispatch.End{Outcome: dispatch.Served})
+	}
+	for name, v := range vms {
+		require.Empty(t, verdicts[name])
+		part, _ := v.Withheld("s", []string{crashingPart, "own"})
+		require.Empty(t, part)
+	}
+}
+
+// TestNewHolderKnowsTheCrashes changes the holder after two crashes, which the new one
+// gets from the VMs that saw them.
+func TestNewHolderKnowsTheCrashes(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b", "c"}, 6)
+	verdicts := collectVerdicts(vms)
+	dead := holderOf(vms)
+	one := otherVM(vms, dead)
+	two := otherVM(vms, dead, one)
+	one.crashes(t, "1")
+	two.crashes(t, "2")
+	dead.client.Close()
+	dead.server.Close()
+	delete(vms, dead.name)
+	one.place(t, "sound1")
+	two.place(t, "sound2")
+	holder := vms[one.holder("s").VM]
+	require.Eventually(t, func() bool { return len(holder.local.crashes("s")) == 2 }, 5*time.Second, time.Millisecond)
+	require.Equal(t, crashingPart, crashUntilFound(t, verdicts[holder.name], one).Part)
+	requireWithheld(t, vms)
+}
+
+// TestVerdictRefusesQueuedJobs decides on a part while prompts with it, of two VMs, wait
+// for an endpoint.
+func TestVerdictRefusesQueuedJobs(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b"}, 1)
+	holder := holderOf(vms)
+	holder.place(t, "1")
+	holder.place(t, "2")
+	results := make(chan error, 2)
+	for _, v := range vms {
+		j := newJob("queued", v)
+		j.Parts = []string{crashingPart, "own"}
+		go func() {
+			_, err := v.Place(context.Background(), j)
+			results <- err
+		}()
+	}
+	require.Eventually(t, func() bool { waiting, _ := holder.counts(); return waiting == 2 }, 5*time.Second, time.Millisecond)
+	holder.handleFindings([]quarantine.Finding{{Service: "s", Part: crashingPart}})
+	for range 2 {
+		var refused *gateway.RefusedError
+		require.ErrorAs(t, <-results, &refused)
+		require.Equal(t, dispatch.ReasonWithheld, refused.Reason)
+	}
+}
--- a/internal/coordination/sender.go
+++ b/internal/coordination/sender.go
@@ -61,11 +61,12 @@
 	s.start()
 }
 
-// reset queues a full set of updates that replaces the jobs of a service at the VM.
-func (s *sender) reset(r reset, updates []jobUpdate) {
+// reset queues a full set of updates that replaces the jobs of a service at the VM, and
+// the crashes of its endpoints.
+func (s *sender) reset(r reset, updates []jobUpdate, crashes []crashMessage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pending = append(s.pending, updateMessage{Reset: &r, Updates: updates})
+	s.pending = append(s.pending, updateMessage{Reset: &r, Updates: updates, Crashes: crashes})
 	s.start()
 }
 
--- a/internal/entry/crashing_test.go
+++ b/internal/entry/crashing_test.go
@@ -123,7 +123,7 @@
 // TestPartThatCrashesEnginesIsWithheld guards against prompts with one part in common
 // that crash engine after engine, at whichever VM they arrive: after the fifth crash and
 // the time for all VMs to learn of it, at most three more reach an engine, while sound
-// prompts with the same first part are served.
+// prompts with the same first part are served. A VM that starts later knows the part.
 func TestPartThatCrashesEnginesIsWithheld(t *testing.T) {
 	const (
 		engines  = 6
@@ -175,4 +175,6 @@
 	}
 	require.LessOrEqual(t, arrived.Load()-before, int64(maxLate), "prompts with the part that reach engines")
 	require.Equal(t, late, served, "sound prompts that are served")
+	started := startVM(t, "c", store, vms[0].settings.Peers)
+	require.Eventually(t, func() bool { return started.components.Local.WithheldParts() == 1 }, 20*time.Second, 10*time.Millisecond)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"go.uber.org/dig"
 
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/core/quarantine"
 	"cornelsaddle.example/cornelsaddle/core/retry"
 	"cornelsaddle.example/cornelsaddle/internal/coordination"
 	"cornelsaddle.example/cornelsaddle/internal/event"
@@ -123,6 +124,7 @@
 	e.registerGauges()
 	go e.runPeriodically(droppedLinesInterval, e.newDroppedLinesReporter(dropped))
 	go e.runPeriodically(markSweepInterval, e.dropMarks)
+	go e.runPeriodically(markSweepInterval, e.dropVerdicts)
 	go e.runPeriodically(retryShareInterval, func() { e.components.Gateway.SetRetryBounds(e.retryShare()) })
 	log.Emit(event.GatewayStarted{Callers: settings.Callers, Peers: settings.Peers, Metrics: settings.Metrics})
 	return e, nil
@@ -165,7 +167,9 @@
 		func() peer.Identity { return peer.Identity{VM: v.settings.VM, Incarnation: time.Now().UnixNano()} },
 		peer.NewMux,
 		v.newPeers,
-		func() *coordination.LocalDispatcher { return coordination.NewLocalDispatcher(dispatch.DefaultConfig()) },
+		func() *coordination.LocalDispatcher {
+			return coordination.NewLocalDispatcher(dispatch.DefaultConfig(), quarantine.DefaultConfig())
+		},
 		v.newCoordinator,
 		func(l *coordination.LocalDispatcher) *registry {
 			return newRegistry(v.platform.Decoder, v.log, l, v.settings.Heartbeat, v.announceLeaving)
@@ -183,7 +187,7 @@
 }
 
 func (v *VM) newCoordinator(self peer.Identity, l *coordination.LocalDispatcher, peers *peer.Client, mux *peer.Mux) *coordination.Coordinator {
-	return coordination.New(self.VM, l, peers, mux, v.log)
+	return coordination.New(self.VM, l, peers, mux, v.log, v.announceVerdict)
 }
 
 func newTransport(m *metrics.Metrics) *upstream.Transport {
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -5,12 +5,14 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/core/membership"
+	"cornelsaddle.example/cornelsaddle/core/quarantine"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
 	"cornelsaddle.example/cornelsaddle/platform"
@@ -59,3 +61,23 @@
 		o.EndpointMarked(membership.Mark{Endpoint: endpoint, Incarnation: incarnation})
 	})
 }
+
+// FuzzVerdictNote decodes and applies the verdict of another VM.
+func FuzzVerdictNote(f *testing.F) {
+	f.Add([]byte(`{"s":"s","p":"p","w":true,"k":1,"u":1800000000000}`), int64(1))
+	f.Add([]byte(`{"s":"s","p":"p","w":true,"k":-1,"u":9223372036854775807}`), int64(-1))
+	f.Add([]byte(`[]`), int64(0))
+	f.Fuzz(func(t *testing.T, value []byte, version int64) {
+		v, err := notedVerdict(membership.Note{Key: "k", Version: version, Value: value})
+		if err != nil {
+			return
+		}
+		now := time.Unix(1_800_000_000, 0)
+		cfg := quarantine.DefaultConfig()
+		l := quarantine.NewList(cfg)
+		l.Apply(now, v)
+		part, _ := l.Withheld(now.Add(cfg.MaxPeriod), v.Service, []string{v.Part})
+		require.Empty(t, part, "each verdict ends")
+		l.Decide(now, quarantine.Finding{Service: v.Service, Part: v.Part})
+	})
+}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -26,6 +26,7 @@
 	gauge("dispatch.waiting", func() int64 { return int64(v.components.Local.Waiting()) })
 	gauge("dispatch.placed", func() int64 { return int64(v.components.Local.Placed()) })
 	gauge("dispatch.searches", func() int64 { return v.components.Local.Searches() })
+	gauge("quarantine.parts", func() int64 { return int64(v.components.Local.WithheldParts()) })
 	gauge("ready", func() int64 {
 		if v.ready() {
 			return 1
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -125,6 +125,16 @@
 	})
 }
 
+// NoteChanged implements member.Observer. It applies a verdict on a part of prompts.
+func (o *observer) NoteChanged(n membership.Note) {
+	v, err := notedVerdict(n)
+	if err != nil {
+		o.vm.log.Emit(event.VerdictUnreadable{Note: n.Key, Reason: err.Error()})
+		return
+	}
+	o.vm.components.Coordinator.ApplyVerdict(v)
+}
+
 // ListedLeaving implements member.Observer. It does nothing, because the store's
 // list marks no VM as leaving.
 func (o *observer) ListedLeaving(string) {}
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -166,8 +166,10 @@
 
 // RequestRefused is emitted when a request is assigned no endpoint.
 type RequestRefused struct {
-	Request    string        `log:"request"`
-	Reason     string        `log:"reason"`
+	Request string `log:"request"`
+	Reason  string `log:"reason"`
+	// Part is the part of the prompt for which the request is withheld.
+	Part       string        `log:"part"`
 	Holder     string        `log:"holder"`
 	Waited     time.Duration `log:"waited"`
 	RetryAfter time.Duration `log:"retry_after"`
@@ -175,7 +177,7 @@
 
 // Def implements Event.
 func (RequestRefused) Def() Def {
-	return Def{711, "request_refused", log.InfoLevel, "The placement of a request was refused by holder."}
+	return Def{711, "request_refused", log.InfoLevel, "The placement of a request was refused by holder; part is the part of its prompt that crashes endpoints, if that is the reason."}
 }
 
 // SendEnded is emitted when an attempt at an endpoint did not serve the request.
--- a/internal/event/gateway_state.go
+++ b/internal/event/gateway_state.go
@@ -10,7 +10,7 @@
 // gateway learns of the store, the endpoints and itself.
 var gatewayStateEvents = []Event{
 	StoreRestored{}, RowsReleased{}, EndpointLeaving{}, EndpointPaused{}, VMSuspended{}, CostModelInvalid{},
-	LingerNotSet{},
+	LingerNotSet{}, PartWithheld{}, PartReleased{}, VerdictNotShared{}, VerdictUnreadable{},
 }
 
 // StoreRestored is emitted when a VM finds that the store was restored from a backup.
@@ -107,3 +107,58 @@
 func (LingerNotSet) Def() Def {
 	return Def{733, "linger_not_set", log.WarnLevel, "The way in which the connection of an HTTP/1.0 caller ends could not be set; if the connection is still open, a response that breaks off may look complete to that caller."}
 }
+
+// PartWithheld is emitted when prompts with a part that crashes endpoints are withheld
+// from them.
+type PartWithheld struct {
+	Service string `log:"service"`
+	Part    string `log:"part"`
+	// Holder is the VM that decided, if this one did; Verdict counts the decisions on the
+	// part.
+	Holder  string        `log:"holder"`
+	Verdict int           `log:"verdict"`
+	For     time.Duration `log:"for"`
+}
+
+// Def implements Event.
+func (PartWithheld) Def() Def {
+	return Def{734, "part_withheld", log.WarnLevel, "A part of prompts crashes the endpoints of the service that begin to answer on it; prompts with the part are refused for the time that for states. holder is this VM if it decided, and empty if it learned of the decision; verdict counts the decisions on the part."}
+}
+
+// PartReleased is emitted when prompts with a part are no longer withheld.
+type PartReleased struct {
+	Service string `log:"service"`
+	Part    string `log:"part"`
+	Holder  string `log:"holder"`
+	Verdict int    `log:"verdict"`
+}
+
+// Def implements Event.
+func (PartReleased) Def() Def {
+	return Def{735, "part_released", log.InfoLevel, "A prompt with a withheld part was answered; prompts with the part are no longer refused. holder and verdict are as in event 734."}
+}
+
+// VerdictNotShared is emitted when a decision on a part of prompts can't be told to the
+// other VMs.
+type VerdictNotShared struct {
+	Service string `log:"service"`
+	Part    string `log:"part"`
+	Verdict int    `log:"verdict"`
+}
+
+// Def implements Event.
+func (VerdictNotShared) Def() Def {
+	return Def{736, "verdict_not_shared", log.WarnLevel, "A decision on a part of prompts was not told to the other VMs, because the names of the service and the part are too long; it holds at this VM, which places the requests of all."}
+}
+
+// VerdictUnreadable is emitted when the decision of another VM on a part of prompts can't
+// be decoded.
+type VerdictUnreadable struct {
+	Note   string `log:"note"`
+	Reason string `log:"reason"`
+}
+
+// Def implements Event.
+func (VerdictUnreadable) Def() Def {
+	return Def{737, "verdict_unreadable", log.WarnLevel, "The decision of another VM on a part of prompts could not be decoded and is not applied at this VM."}
+}
--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -46,6 +46,31 @@
 // service have asked this VM for no requests.
 const reasonPaused = "endpoints_paused"
 
+// WithheldError reports that a request was not sent because a part of its prompt crashes
+// endpoints.
+type WithheldError struct{ Part string }
+
+// Error implements error.
+func (e *WithheldError) Error() string { return "prompts with the part " + e.Part + " are withheld" }
+
+// withheld returns the part for which the request is refused, and for how long it is; the
+// part is empty if the request is not refused.
+func (x *exchange) withheld() (string, time.Duration) {
+	if len(x.call.PromptParts) == 0 {
+		return "", 0
+	}
+	return x.gateway.cfg.Placer.Withheld(x.service, x.call.PromptParts)
+}
+
+// refuseWithheld refuses a request whose prompt has a part that crashes endpoints.
+func (x *exchange) refuseWithheld(ctx context.Context, part string, wait time.Duration) {
+	x.gateway.cfg.Log.Emit(event.RequestRefused{
+		Request: x.call.ID, Reason: string(dispatch.ReasonWithheld), Part: part, Holder: x.gateway.cfg.VM,
+		Waited: time.Since(x.arrived), RetryAfter: wait,
+	})
+	x.giveUp(ctx, wait)
+}
+
 // unavailableOutcome returns the outcome of a placement at an endpoint that may be
 // sent no requests. A paused one is not at fault, and may serve other VMs.
 func unavailableOutcome(a directory.Availability) dispatch.Outcome {
@@ -88,6 +113,9 @@
 	if _, availability := x.gateway.cfg.Directory.Lookup(entry.ID); availability != directory.Available {
 		return errors.WithStack(&UnavailableError{Endpoint: entry.ID, Availability: availability})
 	}
+	if part, _ := x.withheld(); part != "" {
+		return errors.WithStack(&WithheldError{part})
+	}
 	if x.remaining() <= 0 {
 		return errors.WithStack(context.DeadlineExceeded)
 	}
--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -102,3 +102,87 @@
 	require.ErrorAs(t, x.checkPermission(entry), &unavailable)
 	require.Equal(t, directory.Leaving, unavailable.Availability)
 }
+
+// TestWithheldPromptIsRefused checks that a prompt with a part that crashes endpoints is
+// refused at once, with the time until it may come again, as a request that did not run.
+func TestWithheldPromptIsRefused(t *testing.T) {
+	e := newEndpoint(t, respondWith("200 OK", ownHeader, "x"))
+	w := newHarness(t, e)
+	w.withhold("bad", time.Hour)
+	got := w.call(t, "POST", "/once/", "b", http.Header{hParts: {"shared,bad,own"}})
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, time.Hour.String(), got.header.Get("Retry-After"))
+	require.Zero(t, w.placements())
+	require.Empty(t, e.requests())
+	require.Equal(t, http.StatusOK, w.call(t, "POST", "/once/", "b", http.Header{hParts: {"shared,own"}}).status)
+}
+
+// TestWithheldAfterAFailedAttempt checks that a prompt is not sent again once its part is
+// found, and that the answer does not claim that it did not run.
+func TestWithheldAfterAFailedAttempt(t *testing.T) {
+	var w *harness
+	crash := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+		w.withhold("bad", time.Hour)
+		reset(c)
+	})
+	spare := newEndpoint(t, respondWith("200 OK", ownHeader, event1))
+	w = newHarness(t, crash, spare)
+	got := w.call(t, "POST", "/calm/stream/", "b", http.Header{hParts: {"bad,own"}})
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.Empty(t, spare.requests())
+}
+
+// TestWithheldIsCheckedBeforeTheFirstByte finds the part between the placement of a
+// request and its first byte.
+func TestWithheldIsCheckedBeforeTheFirstByte(t *testing.T) {
+	w := newHarness(t, newEndpoint(t, respondWith("200 OK", ownHeader, "x")))
+	x := &exchange{gateway: w.gateway, deadline: time.Now().Add(time.Minute), call: provider.CallerHeader{PromptParts: []string{"bad", "own"}}}
+	entry, _ := w.Lookup("e1")
+	require.NoError(t, x.checkPermission(entry))
+	w.withhold("bad", time.Hour)
+	var withheld *WithheldError
+	require.ErrorAs(t, x.checkPermission(entry), &withheld)
+}
+
+// TestPlacementLearnsOfBrokenAnswers checks which ends of an attempt count as broken off
+// by the endpoint, as when it crashes.
+func TestPlacementLearnsOfBrokenAnswers(t *testing.T) {
+	closed := func(begin string) func(int, *http.Request, []byte, net.Conn) {
+		return func(_ int, _ *http.Request, _ []byte, c net.Conn) {
+			_, _ = io.WriteString(c, begin)
+			_ = c.Close()
+		}
+	}
+	const ok = "HTTP/1.1 200 OK\r\n" + ownHeader
+	for name, test := range map[string]struct {
+		path   string
+		script func(int, *http.Request, []byte, net.Conn)
+		broken bool
+	}{
+		"no answer":           {"/fixed/", closed(""), true},
+		"reset":               {"/fixed/", func(_ int, _ *http.Request, _ []byte, c net.Conn) { reset(c) }, true},
+		"head only":           {"/fixed/", closed(ok + "\r\n"), true},
+		"inside an event":     {"/fixed/", closed(ok + "\r\n" + event1 + "id: 2"), true},
+		"inside a chunk":      {"/fixed/", closed(ok + "Transfer-Encoding: chunked\r\n\r\n40\r\nid: 1"), true},
+		"inside a body":       {"/once/", closed(ok + "Content-Length: 9\r\n\r\nabc"), true},
+		"whole":               {"/fixed/", closed(ok + "\r\n" + event1), false},
+		"server error":        {"/once/", respondWith("500 Oops", ownHeader, ""), false},
+		"rejection":           {"/once/", respondWith("503 Full", ownHeader+hNotRun+": 1\r\n", ""), false},
+		"silence":             {"/stream/", func(int, *http.Request, []byte, net.Conn) {}, false},
+		"success unproven":    {"/once/", respondWith("200 OK", hID+": r1\r\n", "x"), false},
+		"not listening":       {"/once/", nil, false},
+		"bytes not an answer": {"/once/", closed("garbage\r\n\r\n"), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, test.script)
+			if test.script == nil {
+				require.NoError(t, e.listener.Close())
+			}
+			w := newHarness(t, e)
+			w.call(t, "POST", test.path, "b", nil)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			require.Equal(t, test.broken, w.brokenOff[0])
+		})
+	}
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -29,6 +29,9 @@
 // Error implements error.
 func (e *UnfinishedEventError) Error() string { return "stream ended inside an event" }
 
+// Unwrap returns the end of the connection, as which the error counts.
+func (e *UnfinishedEventError) Unwrap() error { return io.ErrUnexpectedEOF }
+
 // NoEventError reports a stream that ended with its connection before its first event,
 // as where its endpoint crashed after it had sent the header.
 type NoEventError struct{}
@@ -36,6 +39,9 @@
 // Error implements error.
 func (*NoEventError) Error() string { return "stream ended with its connection before its first event" }
 
+// Unwrap returns the end of the connection, as which the error counts.
+func (*NoEventError) Unwrap() error { return io.ErrUnexpectedEOF }
+
 // eventBuffer splits the body of a stream into complete events and the bytes that
 // follow them.
 type eventBuffer struct {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -150,6 +150,10 @@
 // attempt places the request and sends it to one endpoint. It reports whether the
 // request is to be placed again.
 func (x *exchange) attempt(ctx context.Context) bool {
+	if part, wait := x.withheld(); part != "" {
+		x.refuseWithheld(ctx, part, wait)
+		return false
+	}
 	paused, wait := x.gateway.cfg.Directory.Paused(x.service)
 	if wait > 0 {
 		x.refusePaused(ctx, wait)
@@ -164,7 +168,7 @@
 	}
 	entry, availability := x.gateway.cfg.Directory.Lookup(placed.Endpoint)
 	if availability != directory.Available {
-		x.gateway.cfg.Placer.Finished(job.ID, unavailableOutcome(availability), "")
+		x.gateway.cfg.Placer.Finished(job.ID, dispatch.End{Outcome: unavailableOutcome(availability)})
 		return x.handleStalePlacement(ctx, placed, availability)
 	}
 	grant, err := x.reserve(ctx, job.ID, placed)
@@ -182,7 +186,9 @@
 		Prompt: job.PromptTokens, Parts: strings.Join(x.call.PromptParts, ","), Holder: placed.Holder, Waited: time.Since(x.arrived), Predicted: placed.Predicted,
 	})
 	result := x.send(ctx, job.ID, entry, x.helpers(placed, grant))
-	x.gateway.cfg.Placer.Finished(job.ID, result.outcome, result.blamed)
+	x.gateway.cfg.Placer.Finished(job.ID, dispatch.End{
+		Outcome: result.outcome, Blamed: result.blamed, BrokenOff: upstream.BrokenOff(result.err),
+	})
 	return x.finishAttempt(ctx, entry, result)
 }
 
@@ -198,6 +204,7 @@
 		MaxGap:       x.route.Gap,
 		Priority:     x.priority,
 		Avoid:        x.avoid,
+		Parts:        x.call.PromptParts,
 	}
 	if x.route.Goal > 0 {
 		job.Due = x.arrived.Add(x.route.Goal)
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -39,6 +39,8 @@
 	hTimeout = "X-Timeout"
 	// hPause is a time.Duration.
 	hPause = "X-Pause"
+	// hParts lists the parts of the prompt, separated by commas.
+	hParts = "X-Parts"
 )
 
 // dialect is a minimal provider.HeaderTranslator.
@@ -49,7 +51,11 @@
 	if err != nil {
 		timeout = 3 * time.Second
 	}
-	return provider.CallerHeader{ID: h.Get(hID), Key: h.Get(hKey), Timeout: timeout, LastEventID: h.Get(hLast)}
+	caller := provider.CallerHeader{ID: h.Get(hID), Key: h.Get(hKey), Timeout: timeout, LastEventID: h.Get(hLast)}
+	if parts := h.Get(hParts); parts != "" {
+		caller.PromptParts = strings.Split(parts, ",")
+	}
+	return caller
 }
 
 func (dialect) EncodeRequest(h http.Header, o provider.EndpointHeader) http.Header {
@@ -177,8 +183,13 @@
 	jobs     []dispatch.Job
 	outcomes []dispatch.Outcome
 	blamed   []string
-	began    int
-	refuse   *dispatch.Refusal
+	// brokenOff is that of each end.
+	brokenOff []bool
+	// withheld is the part for which prompts are refused, and withheldFor for how long.
+	withheld    string
+	withheldFor time.Duration
+	began       int
+	refuse      *dispatch.Refusal
 	// panics makes Place panic.
 	panics bool
 	// pinned is the endpoint that every job gets; empty for the first in order
@@ -251,11 +262,29 @@
 }
 
 // Finished implements Placer.
-func (w *harness) Finished(_ string, outcome dispatch.Outcome, blamed string) {
+func (w *harness) Finished(_ string, end dispatch.End) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.outcomes = append(w.outcomes, end.Outcome)
+	w.blamed = append(w.blamed, end.Blamed)
+	w.brokenOff = append(w.brokenOff, end.BrokenOff)
+}
+
+// Withheld implements Placer.
+func (w *harness) Withheld(_ string, parts []string) (string, time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if slices.Contains(parts, w.withheld) {
+		return w.withheld, w.withheldFor
+	}
+	return "", 0
+}
+
+// withhold makes prompts with the part be refused.
+func (w *harness) withhold(part string, wait time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.outcomes = append(w.outcomes, outcome)
-	w.blamed = append(w.blamed, blamed)
+	w.withheld, w.withheldFor = part, wait
 }
 
 // setPanics makes Place panic or not.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,9 +71,11 @@
 	Place(ctx context.Context, job dispatch.Job) (Placed, error)
 	// Began records the first event of a placed job.
 	Began(job string)
-	// Finished records the end of a placed job. blamed is the ID of the
-	// endpoint at fault; empty for the one that received the job.
-	Finished(job string, outcome dispatch.Outcome, blamed string)
+	// Finished records the end of a placed job.
+	Finished(job string, end dispatch.End)
+	// Withheld returns the part for which prompts of the service with these parts are
+	// refused, and for how long they are; the part is empty if they are not.
+	Withheld(service string, parts []string) (part string, wait time.Duration)
 }
 
 // Config has the dependencies of a Gateway.
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -55,7 +55,7 @@
 	if errors.As(err, &refused) {
 		blamed = refused.Endpoint
 	}
-	x.gateway.cfg.Placer.Finished(job, dispatch.Rejected, blamed)
+	x.gateway.cfg.Placer.Finished(job, dispatch.End{Outcome: dispatch.Rejected, Blamed: blamed})
 	x.failedReservations++
 	retry := x.failedReservations < maxReservationAttempts && ctx.Err() == nil
 	x.gateway.cfg.Log.Emit(event.ReservationFailed{Request: x.call.ID, Reason: err.Error(), Again: retry})
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -111,7 +111,7 @@
 		}
 		return x.relayStream(ctx, job, resp)
 	}
-	return x.relayBuffered(ctx, resp, meta.Sealed)
+	return x.relayBuffered(ctx, job, resp, meta.Sealed)
 }
 
 // blamed returns the ID of the endpoint that a response names as at fault, by
@@ -143,6 +143,10 @@
 	if errors.As(err, &unavailable) {
 		result.outcome = unavailableOutcome(unavailable.Availability)
 	}
+	var withheld *WithheldError
+	if errors.As(err, &withheld) {
+		result.outcome = dispatch.Abandoned
+	}
 	if ctx.Err() != nil && x.r.Context().Err() != nil {
 		result.outcome = dispatch.Abandoned
 	}
@@ -155,7 +159,7 @@
 
 // relayBuffered reads up to maxBufferedBytes of the response before any of it is
 // delivered, so that a truncated one can still be replaced by another endpoint's.
-func (x *exchange) relayBuffered(ctx context.Context, resp *upstream.Response, sealed bool) attemptResult {
+func (x *exchange) relayBuffered(ctx context.Context, job string, resp *upstream.Response, sealed bool) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
 		return x.failedAttempt(ctx, err)
@@ -186,7 +190,11 @@
 			result.err = errors.WithStack(&ResponseTooLargeError{maxBufferedBytes})
 		}
 		return result
-	case !complete:
+	}
+	if len(x.call.PromptParts) > 0 && resp.Status < http.StatusMultipleChoices {
+		x.gateway.cfg.Placer.Began(job)
+	}
+	if !complete {
 		return x.deliverLarge(ctx, resp, body)
 	}
 	return x.deliver(buffered)
--- a/internal/member/messages.go
+++ b/internal/member/messages.go
@@ -23,8 +23,9 @@
 	Record membership.Record `json:"r"`
 }
 
-// syncReply is the result of methodSync: all records and marks of a VM.
+// syncReply is the result of methodSync: all records, marks and notes of a VM.
 type syncReply struct {
 	Records []membership.Record `json:"records"`
 	Marks   []membership.Mark   `json:"marks,omitempty"`
+	Notes   []membership.Note   `json:"notes,omitempty"`
 }
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -21,7 +21,7 @@
 	// of the protocol's timers.
 	tickInterval = 100 * time.Millisecond
 	// urgentFanOut is the number of VMs that are probed immediately, in addition to the
-	// regular probes, when an endpoint or a VM is leaving.
+	// regular probes, when an endpoint or a VM is leaving, or a note has changed.
 	urgentFanOut = 4
 	// syncTimeout bounds an exchange of the full state.
 	syncTimeout = 5 * time.Second
@@ -47,6 +47,9 @@
 	PeerDigest(vm string, digest []byte)
 	// EndpointMarked receives each new mark, set by this VM or another.
 	EndpointMarked(mark membership.Mark)
+	// NoteChanged receives each note that holds in place of an earlier one with its
+	// key, written by this VM or another.
+	NoteChanged(note membership.Note)
 	// ListedLeaving receives a VM that the platform's list shows as leaving.
 	ListedLeaving(vm string)
 	// MembersChanged is called after the record of another VM was added or changed,
@@ -143,12 +146,16 @@
 	s.node.SetDigest(digest)
 	actions := update(time.Now())
 	changes, marks := s.node.Changes()
-	if urgent(changes, marks) {
+	notes := s.node.NewNotes()
+	if urgent(changes, marks, notes) {
 		actions = append(actions, s.node.Gossip(urgentFanOut)...)
 	}
 	s.startActions(actions)
 	s.mu.Unlock()
 	s.reportChanges(changes, marks)
+	for _, note := range notes {
+		s.observer.NoteChanged(note)
+	}
 }
 
 // startActions starts the actions unless the service has stopped. The lock must be
@@ -162,15 +169,15 @@
 	}
 }
 
-// urgent reports whether a VM or an endpoint has begun to leave. Each VM that
-// learns of this gossips it immediately, outside the regular probes.
-func urgent(changes []membership.Change, marks []membership.Mark) bool {
+// urgent reports whether a VM or an endpoint has begun to leave, or a note has changed.
+// Each VM that learns of this gossips it immediately, outside the regular probes.
+func urgent(changes []membership.Change, marks []membership.Mark, notes []membership.Note) bool {
 	for _, c := range changes {
 		if c.Current.Leaving && !c.Previous.Leaving && !c.New {
 			return true
 		}
 	}
-	return len(marks) > 0
+	return len(marks) > 0 || len(notes) > 0
 }
 
 // localState returns what this VM reports about itself. It must be called without
@@ -258,7 +265,7 @@
 			s.node.SyncFailed()
 			return nil
 		}
-		s.node.Synced(now, reply.Records, reply.Marks)
+		s.node.Synced(now, reply.Records, reply.Marks, reply.Notes)
 		return nil
 	})
 }
@@ -307,5 +314,5 @@
 func (s *Service) handleSync(context.Context, peer.Identity, struct{}) (syncReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return syncReply{s.node.Records(), s.node.Marks()}, nil
+	return syncReply{s.node.Records(), s.node.Marks(), s.node.Notes()}, nil
 }
--- a/internal/member/service_test.go
+++ b/internal/member/service_test.go
@@ -29,6 +29,7 @@
 func (r recorder) PeerVersion(string, int64)           {}
 func (r recorder) PeerDigest(string, []byte)           {}
 func (r recorder) EndpointMarked(mark membership.Mark) { r.marks <- mark }
+func (r recorder) NoteChanged(membership.Note)         {}
 func (r recorder) ListedLeaving(string)                {}
 func (r recorder) MembersChanged()                     {}
 
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -84,6 +84,26 @@
 	})
 }
 
+// SetNote sets a note and notifies the other VMs. It returns false for one that VMs do
+// not accept.
+func (s *Service) SetNote(note membership.Note) bool {
+	if !note.Valid() {
+		return false
+	}
+	s.updateNode(func(time.Time) []membership.Action {
+		s.node.SetNote(note)
+		return nil
+	})
+	return true
+}
+
+// RetainNotes drops the notes for which keep returns false.
+func (s *Service) RetainNotes(keep func(membership.Note) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.node.RetainNotes(keep)
+}
+
 // RetainMarks drops the marks for which keep returns false.
 func (s *Service) RetainMarks(keep func(membership.Mark) bool) {
 	s.mu.Lock()
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -37,6 +37,10 @@
 // EndpointMarked implements member.Observer.
 func (o *observer) EndpointMarked(mark membership.Mark) { o.health.Marked(mark) }
 
+// NoteChanged implements member.Observer. It does nothing, because this program writes no
+// notes.
+func (o *observer) NoteChanged(membership.Note) {}
+
 // MembersChanged implements member.Observer.
 func (o *observer) MembersChanged() {
 	live := o.view.Live()
