serve: a prompt that crashes engines is sent to three of them at most

After three such attempts the request fails, as unknown or run; attempts that end later are not counted.

A limit of two was tried and dropped: TestRecovers has two engines that break off before their first token and a third that answers, which must go on to be served. Crossed events of other requests are events: the first version counted them as a crash (TestWholeAnswersDespiteFaults).

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -10,6 +10,10 @@
 	// MaxAttempts is the maximum number of attempts per request, including the
 	// first.
 	MaxAttempts int
+	// MaxCrashes is the number of attempts whose endpoint ends the connection before it
+	// sends any part of an answer, from which a request is not sent again: it may be
+	// what crashes its endpoints.
+	MaxCrashes int
 	// BaseDelay is the maximum delay before the first retry; the maximum
 	// doubles with each further retry up to MaxDelay.
 	BaseDelay time.Duration
@@ -26,6 +30,7 @@
 func Default() Config {
 	return Config{
 		MaxAttempts: 6,
+		MaxCrashes:  3,
 		BaseDelay:   50 * time.Millisecond,
 		MaxDelay:    2 * time.Second,
 		BudgetFloor: 20,
@@ -55,10 +60,10 @@
 // Withdraw takes one token for a retry.
 func (b *Budget) Withdraw() { b.tokens = max(0, b.tokens-1) }
 
-// Allows reports whether another attempt may be made, given the number of
-// attempts so far and the time left before the deadline.
-func (c Config) Allows(attempts int, left time.Duration) bool {
-	return attempts < c.MaxAttempts && left > c.MinLeft
+// Allows reports whether another attempt may be made, given the number of attempts so
+// far, how many of them were crashes, and the time left before the deadline.
+func (c Config) Allows(attempts, crashes int, left time.Duration) bool {
+	return attempts < c.MaxAttempts && crashes < c.MaxCrashes && left > c.MinLeft
 }
 
 // Delay returns a random delay before the next attempt, given the number of
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -70,7 +70,9 @@
 
 func TestAllows(t *testing.T) {
 	cfg := Default()
-	require.True(t, cfg.Allows(1, time.Second))
-	require.False(t, cfg.Allows(cfg.MaxAttempts, time.Second))
-	require.False(t, cfg.Allows(1, cfg.MinLeft))
+	require.True(t, cfg.Allows(1, 0, time.Second))
+	require.False(t, cfg.Allows(cfg.MaxAttempts, 0, time.Second))
+	require.False(t, cfg.Allows(1, 0, cfg.MinLeft))
+	require.True(t, cfg.Allows(3, cfg.MaxCrashes-1, time.Second))
+	require.False(t, cfg.Allows(3, cfg.MaxCrashes, time.Second))
 }
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -3,7 +3,9 @@
 package dial
 
 import (
+	"io"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,5 +46,16 @@
 	return errors.As(err, &dialErr) || errors.Is(err, fasthttp.ErrNoFreeConns)
 }
 
+// ConnectionEnded reports whether err means that the server ended the connection before
+// the response was complete, as it does when it crashes.
+func ConnectionEnded(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, fasthttp.ErrConnectionClosed} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // NoRetry is a fasthttp.RetryIfErrFunc that disables fasthttp's own retries.
 func NoRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -64,6 +64,9 @@
 // Error implements error.
 func (*IncompleteStreamError) Error() string { return "endpoint: stream ended before its end marker" }
 
+// Unwrap returns the end of the connection, as which the error counts.
+func (*IncompleteStreamError) Unwrap() error { return io.ErrUnexpectedEOF }
+
 // Client opens streams. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
--- a/internal/prompt/answer.go
+++ b/internal/prompt/answer.go
@@ -13,6 +13,7 @@
 	"cornelsaddle.example/cornelsaddle/core/statechart"
 	"cornelsaddle.example/cornelsaddle/core/stream"
 	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/internal/dial"
 	"cornelsaddle.example/cornelsaddle/internal/endpoint"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/fleet"
@@ -79,6 +80,9 @@
 	placed       bool
 	attempt      attempt
 	attempts     int
+	// crashes counts the attempts whose endpoint ended the connection before it sent an
+	// event.
+	crashes int
 	// submitted is set when an attempt is sent to an endpoint, and cleared by
 	// the next back-off.
 	submitted    bool
@@ -102,6 +106,8 @@
 	registered    bool
 	awaitingFirst bool
 	sent          bool
+	// received is set once the endpoint has sent an event, of whatever request.
+	received bool
 	// firstTokenAt is the time at which the attempt's first token was delivered,
 	// and firstIndex the index of that token in the answer.
 	firstTokenAt time.Time
@@ -207,6 +213,7 @@
 		if err != nil {
 			return a.attemptFailed(err)
 		}
+		a.attempt.received = true
 		a.watchdog.progress()
 		verdict := a.verdict(e)
 		switch verdict {
@@ -270,6 +277,9 @@
 	if a.attempt.grant != nil && a.attempt.ctx.Err() != nil {
 		a.cause = context.Cause(a.attempt.ctx)
 	}
+	if !a.attempt.received && dial.ConnectionEnded(a.cause) {
+		a.crashes++
+	}
 	if isFault(a.cause) && !a.watchdog.slowCaller() {
 		a.fleet.Failed(a.attempt.endpoint)
 		a.endpointFailed(a.attempt.endpoint)
@@ -289,7 +299,7 @@
 	if a.assembly.Delivered() > 0 && !a.text.Resumable() {
 		return false
 	}
-	return a.Runner.mayRetry(a.attempts, time.Until(a.req.Deadline))
+	return a.Runner.mayRetry(a.attempts, a.crashes, time.Until(a.req.Deadline))
 }
 
 // mayWait reports whether a request that could not be sent is placed again
--- a/internal/prompt/fuzz_test.go
+++ b/internal/prompt/fuzz_test.go
@@ -415,7 +415,7 @@
 	made := 0
 	for range 100 {
 		r.depositRetryBudget(0.1)
-		for r.mayRetry(1, time.Minute) {
+		for r.mayRetry(1, 0, time.Minute) {
 			r.drawDelay(1, time.Minute, true)
 			made++
 		}
--- a/internal/prompt/prompt.go
+++ b/internal/prompt/prompt.go
@@ -214,12 +214,12 @@
 	r.budget.Deposit(share)
 }
 
-// mayRetry reports whether the attempt limit, the time left before the deadline
-// and the retry budget allow another attempt.
-func (r *Runner) mayRetry(attempts int, left time.Duration) bool {
+// mayRetry reports whether the limits of attempts and of crashes, the time left before
+// the deadline and the retry budget allow another attempt.
+func (r *Runner) mayRetry(attempts, crashes int, left time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cfg.Retry.Allows(attempts, left) && r.budget.Available()
+	return r.cfg.Retry.Allows(attempts, crashes, left) && r.budget.Available()
 }
 
 // drawDelay returns a random back-off before the next attempt. If paid is set,
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -2,27 +2,18 @@
 
 import (
 	"fmt"
-	"io"
 	"strconv"
-	"syscall"
 
 	"github.com/pkg/errors"
+
+	"cornelsaddle.example/cornelsaddle/internal/dial"
 )
 
 // BrokenOff reports whether the error of a request means that the endpoint ended the
-// connection after the request was sent and before the response was complete, as it does
-// when it crashes.
+// connection after the request was sent and before the response was complete.
 func BrokenOff(err error) bool {
 	var unsent *UnsentError
-	if errors.As(err, &unsent) {
-		return false
-	}
-	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
-		if errors.Is(err, cause) {
-			return true
-		}
-	}
-	return false
+	return !errors.As(err, &unsent) && dial.ConnectionEnded(err)
 }
 
 // UnsentError reports that no byte of the request was sent to the endpoint.
