A full plain service refuses at once what can't be served in time

Callers waited a third of their time for a slot of a full plain service, also where the queue before them was longer than the time they had, and were then told to come back after 0.5 s, whatever the queue. Now the dispatcher keeps the mean time for which calls hold their slots. A call is refused at once if the queue before it and its own time exceed its deadline, with the time after which a slot is expected; it is held otherwise, until a third of its time as before, also while no call has ended yet.

TestFullPlainServiceRefusesAtOnceWhatCanNotBeServed and TestRefusalOfALongQueueTellsItsLength failed before (no call is refused before a third of its time; 0.5 s instead of 2.0 s).

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -22,6 +22,7 @@
 	recheck := d.recheckInterval()
 	d.longHeld = false
 	d.fullService = ""
+	clear(d.heldPlain)
 	var decisions []Decision
 	kept := d.queue[:0]
 	for _, q := range d.queue {
@@ -160,28 +161,6 @@
 	return job.Arrived.Add(job.Deadline.Sub(job.Arrived) / 3)
 }
 
-// decidePlain places the job at the endpoint with the lowest occupancy. While
-// all are full the job is held, until its refusal time.
-func (d *Dispatcher) decidePlain(now time.Time, job *Job, pool []*endpoint) (Decision, bool) {
-	var best *endpoint
-	for _, e := range pool {
-		if best == nil || e.occupancy() < best.occupancy() {
-			best = e
-		}
-	}
-	if best.occupancy() >= 1 {
-		if now.Before(d.refusalTime(job)) {
-			return Decision{}, false
-		}
-		return refuse(job, ReasonTooLate, refusalRetryAfter), true
-	}
-	return d.place(now, job, Placement{Job: job.ID, Endpoint: best.ID}), true
-}
-
-func (e *endpoint) occupancy() float64 {
-	return float64(e.received) / float64(max(1, e.Slots))
-}
-
 func (d *Dispatcher) place(now time.Time, job *Job, p Placement) Decision {
 	d.delayPredictions(d.addPlaced(now, job, p))
 	return Decision{Placement: &p}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -38,6 +38,7 @@
 	started bool
 	// predicted is when the first event is expected.
 	predicted time.Time
+	placedAt  time.Time
 }
 
 // Dispatcher places the jobs of a group of endpoints and tracks them until they
@@ -55,7 +56,9 @@
 	// fullService is a service that had no capacity for a light job in this
 	// call of Decide.
 	fullService string
-	placed      map[JobKey]*placedJob
+	// heldPlain counts the jobs of plain services that were held in this call of Decide.
+	heldPlain map[string]int
+	placed    map[JobKey]*placedJob
 	// lastExpiry is when placed was last scanned for expired jobs.
 	lastExpiry time.Time
 	// demands holds the load of each service.
@@ -74,6 +77,7 @@
 		pools:     make(map[string][]*endpoint),
 		placed:    make(map[JobKey]*placedJob),
 		demands:   make(map[string]*demand),
+		heldPlain: make(map[string]int),
 	}
 }
 
@@ -156,6 +160,9 @@
 		return
 	}
 	d.removePlaced(now, p)
+	if outcome == Served && d.services[p.Service] == nil {
+		d.demandOf(p.Service).holding.add(now.Sub(p.placedAt))
+	}
 	if blamed == "" {
 		blamed = p.Endpoint
 	}
@@ -224,7 +231,7 @@
 
 // addPlaced records a placed job and adds its parts to its endpoints.
 func (d *Dispatcher) addPlaced(now time.Time, job *Job, p Placement) *placedJob {
-	pl := &placedJob{Job: *job, Placement: p, light: d.light(job), predicted: now.Add(p.Predicted)}
+	pl := &placedJob{Job: *job, Placement: p, light: d.light(job), predicted: now.Add(p.Predicted), placedAt: now}
 	d.placed[job.Key()] = pl
 	d.demandOf(job.Service).add(pl, d.services[job.Service])
 	for i, id := range p.endpoints() {
--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -45,6 +45,8 @@
 	// emptySince is when the service lost its last endpoint, or a job first found it
 	// without any; zero while it has some.
 	emptySince time.Time
+	// holding is that of a plain service.
+	holding holding
 	// heldLight counts the light jobs that were held until heldUntil although an engine
 	// had a free slot.
 	heldLight int
