Membership: only the final probe of a suspected VM declares it dead

A probe that was sent before the final one and failed late ended the final phase: the VM was declared dead while its last chance was under way. The final probe is now known by its number.

TestEarlierProbeDoesNotEndTheFinalOne failed before.

--- a/core/membership/node.go
+++ b/core/membership/node.go
@@ -19,9 +19,9 @@
 	// deadline is when a suspected VM's time to refute ends and the final probe is
 	// sent.
 	deadline time.Time
-	// finalProbe is set when a suspected VM's deadline has passed and it is being
-	// probed for the last time.
-	finalProbe bool
+	// finalProbe is the number of the last probe of a suspected VM whose deadline has
+	// passed; zero before.
+	finalProbe uint64
 	// deadSince is when the VM was declared dead.
 	deadSince time.Time
 	// lastContact is when the last message of the VM arrived.
@@ -366,7 +366,7 @@
 // record; previous is the member before it.
 func (n *Node) updateTimers(now time.Time, m *member, previous member) {
 	if m.Status != previous.Status {
-		m.finalProbe = false
+		m.finalProbe = 0
 	}
 	if m.Status == StatusSuspect && previous.Status != StatusSuspect {
 		m.deadline = now.Add(n.cfg.suspicionTimeout(n.liveCount()))
--- a/core/membership/probe.go
+++ b/core/membership/probe.go
@@ -33,7 +33,7 @@
 	if !n.lastTick.IsZero() && gap > n.cfg.PauseThreshold {
 		clear(n.probes)
 		for _, m := range n.members {
-			m.finalProbe = false
+			m.finalProbe = 0
 			m.deadline = m.deadline.Add(gap)
 		}
 	}
@@ -47,9 +47,9 @@
 	for _, id := range slices.Clone(n.ids) {
 		m := n.members[id]
 		switch {
-		case m.Status == StatusSuspect && !m.finalProbe && !now.Before(m.deadline):
-			m.finalProbe = true
+		case m.Status == StatusSuspect && m.finalProbe == 0 && !now.Before(m.deadline):
 			actions = append(actions, n.newProbe(m.Record))
+			m.finalProbe = n.seq
 		case m.Status == StatusDead && now.Sub(m.deadSince) > n.cfg.DeadRetention:
 			n.remove(id)
 		}
@@ -207,7 +207,7 @@
 		}
 	}
 	delete(n.probes, seq)
-	n.probeFailed(now, m)
+	n.probeFailed(now, m, seq)
 	return nil
 }
 
@@ -230,7 +230,7 @@
 // that was alive becomes suspected; a suspected one whose final probe failed
 // becomes dead. A candidate is removed; the next read of the platform's list adds
 // it again if it is still listed.
-func (n *Node) probeFailed(now time.Time, m *member) {
+func (n *Node) probeFailed(now time.Time, m *member, seq uint64) {
 	if m.candidate {
 		n.remove(m.ID)
 		return
@@ -239,7 +239,7 @@
 	switch {
 	case m.Status == StatusAlive:
 		r.Status = StatusSuspect
-	case m.finalProbe:
+	case m.finalProbe == seq:
 		r.Status = StatusDead
 	}
 	n.mergeAndQueue(now, r)
