Reservations: expiry names the share that was not renewed, renewals don't go back

The expiry of a group's grant was always attributed to its first share; it is now to the first one whose renewal was not confirmed. Renewals of a grant may overlap, and one that began earlier and ended last set the time of the last renewal back, so that a grant could expire although it was renewed.

TestSlowRenewalDoesNotSetTheTimeBack failed before. TestExpiryNamesTheShareThatIsNotRenewed has the choice of the share alone: an engine that is closed refuses, which was named rightly before, and a silent one takes the whole timeout of each call.

--- a/internal/reserve/renew.go
+++ b/internal/reserve/renew.go
@@ -40,24 +40,41 @@
 // holds its share, or when the shares have not all been renewed within the TTL.
 func (h *Holder) renew(g *Grant) {
 	start := time.Now()
-	allGranted := true
-	for _, s := range g.claim.Shares {
+	var unconfirmed *reservation.Share
+	for i, s := range g.claim.Shares {
 		result := h.takeShare(context.Background(), g, s, true)
 		if result.Outcome == reservation.Refused {
 			h.reportLost(g, s)
 			return
 		}
-		allGranted = allGranted && result.Outcome == reservation.Granted
+		if result.Outcome != reservation.Granted && unconfirmed == nil {
+			unconfirmed = &g.claim.Shares[i]
+		}
+	}
+	if h.expired(g, start, unconfirmed == nil) {
+		h.reportLost(g, lostShare(g, unconfirmed))
 	}
+}
+
+// expired records a renewal that began at start, and reports whether the shares have not
+// all been renewed within the TTL. Renewals of a grant may overlap, and an earlier one
+// end last.
+func (h *Holder) expired(g *Grant, start time.Time, allGranted bool) bool {
 	h.mu.Lock()
-	if allGranted {
+	defer h.mu.Unlock()
+	if allGranted && start.After(g.renewed) {
 		g.renewed = start
 	}
-	expired := time.Since(g.renewed) > h.cfg.TTL
-	h.mu.Unlock()
-	if expired {
-		h.reportLost(g, g.claim.Shares[0])
+	return time.Since(g.renewed) > h.cfg.TTL
+}
+
+// lostShare returns the share to which the expiry of a grant is attributed: the first one
+// that was not confirmed, or the first one if all were confirmed too late.
+func lostShare(g *Grant, unconfirmed *reservation.Share) reservation.Share {
+	if unconfirmed != nil {
+		return *unconfirmed
 	}
+	return g.claim.Shares[0]
 }
 
 // reportLost calls Claim.Lost unless it was called before or the grant was released.
--- a/internal/reserve/reserve_test.go
+++ b/internal/reserve/reserve_test.go
@@ -295,6 +295,26 @@
 	require.Empty(t, lost)
 }
 
+// TestSlowRenewalDoesNotSetTheTimeBack ends an earlier renewal of a grant after a later
+// one.
+func TestSlowRenewalDoesNotSetTheTimeBack(t *testing.T) {
+	h := &Holder{cfg: DefaultConfig()}
+	g := &Grant{}
+	later := time.Now()
+	earlier := later.Add(-2 * h.cfg.TTL)
+	require.False(t, h.expired(g, later, true))
+	require.False(t, h.expired(g, earlier, true))
+	require.Equal(t, later, g.renewed)
+}
+
+// TestExpiryNamesTheShareThatIsNotRenewed checks to which share the expiry of a grant is
+// attributed.
+func TestExpiryNamesTheShareThatIsNotRenewed(t *testing.T) {
+	g := &Grant{claim: Claim{Shares: []reservation.Share{{Endpoint: "e0"}, {Endpoint: "e1"}}}}
+	require.Equal(t, "e1", lostShare(g, &g.claim.Shares[1]).Endpoint)
+	require.Equal(t, "e0", lostShare(g, nil).Endpoint, "all were renewed too late")
+}
+
 // TestTTLFreesUnrenewedReservations checks that the TTL alone frees a reservation whose
 // owner has crashed, without a sweep.
 func TestTTLFreesUnrenewedReservations(t *testing.T) {
