Membership and clients: bounds that hold, connections during a stop, the start

- peer: a connection that was accepted while the server closes was counted and logged as one too many (TestConnectionDuringCloseIsNotCounted; the counting stood in the accept loop).
- platform: Burst and MaxWait were not checked (TestRatesAreChecked failed before for both).
- serve: a change of members between the start of the membership service and the moment at which the view of it is set was handled with this VM alone, until the next change.
It is handled again once the view is set.
In the gateway this can't happen: members are passed on only after it has joined, and once right then.
No test: the window is some microseconds wide, and the added call is what any later change does.

--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -12,10 +12,8 @@
 	// listReadsPerSecond is the target rate at which all VMs together read the
 	// platform's list.
 	listReadsPerSecond = 0.5
-	// minListInterval and maxListInterval bound the time between two reads
-	// by one VM.
+	// minListInterval bounds the time between two reads by one VM.
 	minListInterval = 2 * time.Second
-	maxListInterval = 10 * time.Minute
 	// candidateProbeFanOut is the number of newly listed VMs that are probed after
 	// each read, in addition to the regular probes.
 	candidateProbeFanOut = 8
@@ -44,15 +42,15 @@
 		select {
 		case <-s.ctx.Done():
 			return
-		case <-time.After(s.listInterval()):
+		case <-time.After(listInterval(s.Count()+1, rand.Float64())):
 		}
 	}
 }
 
-// listInterval returns the time until the next read, with jitter. It grows with the
-// number of VMs, so that their combined read rate stays near listReadsPerSecond.
-func (s *Service) listInterval() time.Duration {
-	mean := float64(s.Count()+1) / listReadsPerSecond * float64(time.Second)
-	spread := time.Duration(mean * (0.5 + rand.Float64()))
-	return min(max(spread, minListInterval), maxListInterval)
+// listInterval returns the time until the next read of one of n VMs. It grows with their
+// number, so that their combined read rate stays at listReadsPerSecond. The jitter is a
+// random number from 0 to 1.
+func listInterval(n int, jitter float64) time.Duration {
+	mean := float64(n) / listReadsPerSecond * float64(time.Second)
+	return max(time.Duration(mean*(0.5+jitter)), minListInterval)
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -67,6 +67,7 @@
 // and the configuration follower, which it starts as well.
 func (n *Node) startMembership() {
 	p := n.components
+	o := &observer{p.Identity.VM, p.Fleet, p.MemberView, p.Follower, p.Health, p.Store}
 	n.components.MemberView.service.Store(member.Start(member.Config{
 		Self: membership.Record{
 			ID:            p.Identity.VM,
@@ -78,11 +79,13 @@
 		Caller:   p.Peers,
 		List:     p.Store,
 		Log:      n.log,
-		Observer: &observer{p.Identity.VM, p.Fleet, p.MemberView, p.Follower, p.Health, p.Store},
+		Observer: o,
 		Version:  p.Follower.NewestKnown,
 		Digest:   p.Fleet.Digest,
 	}, p.Mux))
 	n.members = n.components.MemberView.service.Load()
+	// Changes from before the view had the service were seen without other VMs.
+	o.MembersChanged()
 	n.cleaner = n.startEndpointCleaner()
 	n.noticeSender = startNoticeSender(n.members, p.Mux, p.Fleet.ApplyPeerDigest)
 	p.Fleet.SetNotify(n.noticeSender.enqueue)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -140,6 +140,25 @@
 	require.NoError(t, err, "the next message is served on a new connection")
 }
 
+// TestConnectionDuringCloseIsNotCounted accepts a connection while the server closes: it
+// is not one too many. One above the limit is.
+func TestConnectionDuringCloseIsNotCounted(t *testing.T) {
+	s := listen(t, oldKey)
+	accepted, other := net.Pipe()
+	defer func() { _ = other.Close() }()
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	require.False(t, s.add(accepted))
+	s.refuse(accepted)
+	require.Zero(t, s.counters.Rejected.Count())
+	s.mu.Lock()
+	s.closed = false
+	s.mu.Unlock()
+	s.refuse(accepted)
+	require.EqualValues(t, 1, s.counters.Rejected.Count())
+}
+
 // recordingConn is a connection that keeps a copy of all bytes written to it.
 type recordingConn struct {
 	net.Conn
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -70,8 +70,7 @@
 			return
 		}
 		if !s.add(conn) {
-			s.reject(conn.RemoteAddr().String(), ReasonTooMany)
-			_ = conn.Close()
+			s.refuse(conn)
 			continue
 		}
 		s.wg.Go(func() {
@@ -81,6 +80,18 @@
 	}
 }
 
+// refuse closes a connection above the limit, or one that was accepted while the server
+// closes, which is no rejection.
+func (s *Server) refuse(conn net.Conn) {
+	s.mu.Lock()
+	closed := s.closed
+	s.mu.Unlock()
+	if !closed {
+		s.reject(conn.RemoteAddr().String(), ReasonTooMany)
+	}
+	_ = conn.Close()
+}
+
 func (s *Server) add(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -65,6 +65,10 @@
 		return &ConfigError{"ReadsPerSecond"}
 	case r.CallShare <= 0 || r.CallShare > 1:
 		return &ConfigError{"CallShare"}
+	case r.Burst <= 0:
+		return &ConfigError{"Burst"}
+	case r.MaxWait <= 0:
+		return &ConfigError{"MaxWait"}
 	}
 	return nil
 }
--- a/internal/platform/limits_test.go
+++ b/internal/platform/limits_test.go
@@ -40,3 +40,21 @@
 		require.GreaterOrEqual(t, float64(admitted.Load()), share)
 	})
 }
+
+// TestRatesAreChecked checks that each rate and limit must be positive.
+func TestRatesAreChecked(t *testing.T) {
+	for field, spoil := range map[string]func(*Rates){
+		"WritesPerSecond": func(r *Rates) { r.WritesPerSecond = 0 },
+		"ReadsPerSecond":  func(r *Rates) { r.ReadsPerSecond = -1 },
+		"CallShare":       func(r *Rates) { r.CallShare = 1.1 },
+		"Burst":           func(r *Rates) { r.Burst = -time.Second },
+		"MaxWait":         func(r *Rates) { r.MaxWait = 0 },
+	} {
+		r := DefaultRates()
+		require.NoError(t, r.validate())
+		spoil(&r)
+		var invalid *ConfigError
+		require.ErrorAs(t, r.validate(), &invalid, field)
+		require.Equal(t, field, invalid.Field)
+	}
+}
