Telemetry and names that reading found: cut, attempt, slowdown, encoders

Event 300 loses the field attempt, which nothing ever set. Names: platform.MemoryEncoder and entry.Platform.MemoryEncoder after the interface they implement, loadgen.Counts.Complete (its JSON name stays).

--- a/cmd/cornelsaddle/gateway.go
+++ b/cmd/cornelsaddle/gateway.go
@@ -56,10 +56,10 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	e, err := entry.Start(settings, entry.Platform{
-		Store:   platform.NewStore(settings.Store),
-		Decoder: platform.Documents{},
-		Headers: platform.Headers{},
-		Memory:  platform.Orders{},
+		Store:         platform.NewStore(settings.Store),
+		Decoder:       platform.Documents{},
+		Headers:       platform.Headers{},
+		MemoryEncoder: platform.MemoryEncoder{},
 	}, log, out.Dropped)
 	if err != nil {
 		return err
--- a/cmd/cornelsaddlectl/load.go
+++ b/cmd/cornelsaddlectl/load.go
@@ -146,7 +146,7 @@
 	fmt.Fprintln(w, "class\trequests\twhole\tfailed\tbroken\twrong\tnot sent\tfirst token p50\tp95\tp99, ms\t")
 	for _, g := range r.Classes {
 		c := g.Counts
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n", g.Class, c.Requests, c.Whole, c.Failed,
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n", g.Class, c.Requests, c.Complete, c.Failed,
 			c.Broken, c.Wrong, c.Skipped, g.FirstToken.P50Ms, g.FirstToken.P95Ms, g.FirstToken.P99Ms)
 	}
 	_ = w.Flush()
--- a/internal/demo/table.go
+++ b/internal/demo/table.go
@@ -23,7 +23,7 @@
 	}
 	writeRow(w, "all", func(class string) string { return formatQuantiles(allClasses.Class(class)) })
 	writeRow(w, "requests", func(class string) string { return fmt.Sprint(allClasses.Class(class).Counts.Requests) })
-	writeRow(w, "complete answers", func(class string) string { return fmt.Sprint(allClasses.Class(class).Counts.Whole) })
+	writeRow(w, "complete answers", func(class string) string { return fmt.Sprint(allClasses.Class(class).Counts.Complete) })
 	_ = w.Flush()
 	printSlowdown(out, m)
 	printTotals(out, allClasses)
@@ -63,9 +63,9 @@
 	printTimes(w, "alone, ms", shortOnly)
 	printTimes(w, "with medium ones, ms", shortAndMedium)
 	printTimes(w, "with medium and long ones, ms", allClasses)
-	printRatios(w, "alone ÷ with medium ones", shortOnly, shortAndMedium)
-	printRatios(w, "alone ÷ with medium and long ones", shortOnly, allClasses)
-	printRatios(w, "with medium ÷ with medium and long ones", shortAndMedium, allClasses)
+	printRatios(w, "with medium ones ÷ alone", shortAndMedium, shortOnly)
+	printRatios(w, "with medium and long ones ÷ alone", allClasses, shortOnly)
+	printRatios(w, "with medium and long ones ÷ with medium ones", allClasses, shortAndMedium)
 	_ = w.Flush()
 }
 
@@ -87,7 +87,7 @@
 func printTotals(out io.Writer, r *loadgen.Result) {
 	t := r.Totals
 	fmt.Fprintf(out, "\n%d requests in %.1f s: %d complete and correct, %d refused or failed, %d broken, %d wrong, %d not sent\n",
-		t.Requests, float64(r.ElapsedMs)/1000, t.Whole, t.Failed, t.Broken, t.Wrong, t.Skipped)
+		t.Requests, float64(r.ElapsedMs)/1000, t.Complete, t.Failed, t.Broken, t.Wrong, t.Skipped)
 	for _, g := range r.Classes {
 		for _, c := range g.Codes {
 			fmt.Fprintf(out, "  %s: %d × %s\n", g.Class, c.Count, c.Code)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,7 +43,8 @@
 	Store   provider.Store
 	Decoder provider.Decoder
 	Headers provider.HeaderTranslator
-	Memory  provider.MemoryEncoder
+	// MemoryEncoder encodes the requests for endpoints' memory.
+	MemoryEncoder provider.MemoryEncoder
 }
 
 // VM is the running gateway of one entry VM.
@@ -197,7 +198,7 @@
 
 func (v *VM) newTickets(u *upstream.Transport, r *registry) *ticket.Reserver {
 	return ticket.NewReserver(ticket.Config{
-		Encoder:   v.platform.Memory,
+		Encoder:   v.platform.MemoryEncoder,
 		Transport: u,
 		Log:       v.log,
 		MaxIdle:   v.settings.Reservations.ReleaseWithin,
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -183,7 +183,7 @@
 		VM: name, FailureDomain: "z", Callers: freeAddress(t), Balancer: freeAddress(t), Peers: freeAddress(t),
 		Metrics: freeAddress(t), Seeds: seeds, Grace: 5 * time.Second,
 		Retries: config.Retries{Window: 10 * time.Second, Bounds: retry.Bounds{Ratio: 0.2, Allowance: 100}},
-	}, Platform{store, platform.Documents{}, platform.Headers{}, platform.Orders{}}, log, func() int64 { return 0 })
+	}, Platform{store, platform.Documents{}, platform.Headers{}, platform.MemoryEncoder{}}, log, func() int64 { return 0 })
 	require.NoError(t, err)
 	t.Cleanup(e.Close)
 	return e
--- a/internal/event/prompts.go
+++ b/internal/event/prompts.go
@@ -10,7 +10,6 @@
 	Request      string `log:"request"`
 	Organisation string `log:"organisation"`
 	Code         string `log:"code"`
-	Attempt      int    `log:"attempt"`
 }
 
 // Def implements Event.
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -27,8 +27,8 @@
 // Counts counts requests by outcome; each request has exactly one.
 type Counts struct {
 	Requests int `json:"requests"`
-	// Whole counts answers that were complete and, if checked, correct.
-	Whole int `json:"whole"`
+	// Complete counts answers that were complete and, if checked, correct.
+	Complete int `json:"whole"`
 	// Failed counts requests that were answered with a failure.
 	Failed int `json:"failed"`
 	// Broken counts answers that were truncated, could not be read or never came.
@@ -130,7 +130,7 @@
 	c.Requests++
 	switch o.status {
 	case statusComplete:
-		c.Whole++
+		c.Complete++
 	case statusFailed:
 		c.Failed++
 	case statusWrong:
--- a/internal/loadgen/run_test.go
+++ b/internal/loadgen/run_test.go
@@ -111,7 +111,7 @@
 
 func TestStreamedAnswersAreClassified(t *testing.T) {
 	for f, count := range map[fault]func(Counts) int{
-		faultNone:      func(c Counts) int { return c.Whole },
+		faultNone:      func(c Counts) int { return c.Complete },
 		faultTruncated: func(c Counts) int { return c.Broken },
 		faultWrong:     func(c Counts) int { return c.Wrong },
 		faultRefused:   func(c Counts) int { return c.Failed },
@@ -129,7 +129,7 @@
 
 func TestUnstreamedAnswersAreClassified(t *testing.T) {
 	r := runOnce(t, faultNone, smallMix(true))
-	require.Equal(t, r.Totals.Requests, r.Totals.Whole)
+	require.Equal(t, r.Totals.Requests, r.Totals.Complete)
 	r = runOnce(t, faultWrong, smallMix(true))
 	require.Equal(t, r.Totals.Requests, r.Totals.Wrong)
 }
@@ -140,7 +140,7 @@
 	m.MaxRequests = 40
 	m.Calls[0].Repeat = 1
 	r := runOnce(t, faultNone, m)
-	require.Equal(t, r.Totals.Requests, r.Totals.Whole)
+	require.Equal(t, r.Totals.Requests, r.Totals.Complete)
 	r = runOnce(t, faultWrong, m)
 	require.Equal(t, r.Totals.Requests, r.Totals.Wrong)
 }
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -84,6 +84,13 @@
 	return l.machine.State()
 }
 
+// cut returns the number of requests that were in flight when the VM was killed.
+func (l *lifecycle) cut() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unfinishedCount
+}
+
 func (l *lifecycle) fire(ev statechart.Event) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -164,9 +171,7 @@
 // requests, which will not complete.
 func (n *Node) Kill() int {
 	n.lifecycle.fire(evKill)
-	n.lifecycle.mu.Lock()
-	defer n.lifecycle.mu.Unlock()
-	return n.lifecycle.unfinishedCount
+	return n.lifecycle.cut()
 }
 
 // AddHandOver registers a hand-over to run when the VM shuts down.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -285,5 +285,5 @@
 	n.components.StreamClient.Close()
 	n.components.EndpointCaller.Close()
 	n.components.Store.Close()
-	n.log.Emit(event.Stopped{})
+	n.log.Emit(event.Stopped{Cut: n.lifecycle.cut()})
 }
--- a/test/process/load_test.go
+++ b/test/process/load_test.go
@@ -40,7 +40,7 @@
 	r, err := loadgen.ReadResult(result)
 	require.NoError(t, err)
 	require.Positive(t, r.Totals.Requests)
-	require.Equal(t, r.Totals.Requests, r.Totals.Whole, "%+v", r.Totals)
+	require.Equal(t, r.Totals.Requests, r.Totals.Complete, "%+v", r.Totals)
 
 	page := filepath.Join(dir, "page.html")
 	s.runCtl(t, "report", "-out", page, result)
