Evacuated failure domains get no requests

The row lies in the table of the configuration, which the VMs follow anyway, so it costs no call. The directory has a new availability, evacuated: such endpoints get no placements, and requests that were placed are not sent; they are not at fault. A VM applies evacuations before the configuration that makes it ready. After a restoration of the store, an evacuation and its end hold until the operator has written them again.

--- a/core/directory/availability.go
+++ b/core/directory/availability.go
@@ -25,6 +25,9 @@
 	Leaving
 	// Paused endpoints have asked this VM for no requests for a while.
 	Paused
+	// Evacuated endpoints are in a failure domain that is to get no requests. They
+	// finish their in-flight ones.
+	Evacuated
 )
 
 // String returns the availability's name in logs.
@@ -37,8 +40,10 @@
 	case Leaving:
 		return "leaving"
 	case Paused:
+		return "paused"
+	case Evacuated:
 	}
-	return "paused"
+	return "evacuated"
 }
 
 // MarkLeaving records that an incarnation leaves, which is never undone. It reports
@@ -59,6 +64,20 @@
 	return true
 }
 
+// SetEvacuated records whether a failure domain is evacuated, which holds for endpoints
+// that are listed later as well. It reports whether that is news.
+func (d *Directory) SetEvacuated(domain string, evacuated bool) bool {
+	if d.evacuated[domain] == evacuated {
+		return false
+	}
+	if evacuated {
+		d.evacuated[domain] = true
+	} else {
+		delete(d.evacuated, domain)
+	}
+	return true
+}
+
 // Pause records that an endpoint has asked for no requests for the given time, of
 // which at most MaxPause counts. A time that is not positive is ignored, and an
 // earlier pause is never shortened. It returns the end of the pause.
@@ -82,6 +101,8 @@
 		return Entry{}, Unlisted
 	case r.State != Ready:
 		return r.Entry, Leaving
+	case d.evacuated[r.Domain]:
+		return r.Entry, Evacuated
 	case now.Before(d.pausedUntil[id]):
 		return r.Entry, Paused
 	}
@@ -98,7 +119,7 @@
 	}
 	ready := 0
 	for id, r := range d.records {
-		if r.Service != service || r.State != Ready {
+		if r.Service != service || r.State != Ready || d.evacuated[r.Domain] {
 			continue
 		}
 		ready++
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -65,6 +65,8 @@
 	// pausedUntil maps the IDs of endpoints that have asked for no requests to the end
 	// of that time.
 	pausedUntil map[string]time.Time
+	// evacuated are the failure domains that are to get no requests.
+	evacuated map[string]bool
 }
 
 // New returns an empty Directory. Ready entries that are removed during a
@@ -76,6 +78,7 @@
 		records:     make(map[string]*record),
 		leaving:     make(map[Incarnation]bool),
 		pausedUntil: make(map[string]time.Time),
+		evacuated:   make(map[string]bool),
 	}
 }
 
@@ -140,11 +143,11 @@
 	return d.outage || !d.restoredAt.IsZero() && now.Sub(d.restoredAt) < d.gracePeriod
 }
 
-// Usable returns the ready entries, in no particular order.
+// Usable returns the ready entries that are not evacuated, in no particular order.
 func (d *Directory) Usable() []Entry {
 	var list []Entry
 	for _, r := range d.records {
-		if r.State == Ready {
+		if r.State == Ready && !d.evacuated[r.Domain] {
 			list = append(list, r.Entry)
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -175,7 +175,9 @@
 		func(l *coordination.LocalDispatcher) *registry {
 			return newRegistry(v.platform.Decoder, v.log, l, v.settings.Heartbeat, v.announceLeaving)
 		},
-		func(l *coordination.LocalDispatcher) *tables { return newTables(v.platform.Decoder, v.log, l) },
+		func(l *coordination.LocalDispatcher, r *registry) *tables {
+			return newTables(v.platform.Decoder, v.log, l, r.setEvacuated)
+		},
 		newTransport,
 		v.newTickets,
 		func() *freshness { return &freshness{log: v.log, copies: v.copies} },
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -33,7 +33,7 @@
 		require.NoError(t, err)
 		r := newRegistry(platform.Documents{}, log, discardSink{}, 0, func(directory.Incarnation) {})
 		defer r.stop()
-		tb := newTables(platform.Documents{}, log, discardSink{})
+		tb := newTables(platform.Documents{}, log, discardSink{}, r.setEvacuated)
 		rows := []provider.Row{{Key: key, Value: first, Version: 1}, {Key: key, Value: second, Version: 2, Removed: removed}}
 		r.Changed(rows)
 		tb.Changed(rows)
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -92,6 +92,21 @@
 	sourcePeer     = "peer"
 )
 
+// setEvacuated stops the use of a failure domain's endpoints, or takes that back.
+func (r *registry) setEvacuated(domain string, evacuated bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.directory.SetEvacuated(domain, evacuated) {
+		return
+	}
+	if evacuated {
+		r.log.Emit(event.DomainEvacuated{Domain: domain})
+	} else {
+		r.log.Emit(event.EvacuationEnded{Domain: domain})
+	}
+	r.publish()
+}
+
 // markLeaving stops the use of an incarnation and reports whether its leaving is news.
 func (r *registry) markLeaving(i directory.Incarnation, source string) bool {
 	r.mu.Lock()
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -21,18 +21,26 @@
 	decoder provider.Decoder
 	log     *event.Logger
 	sink    serviceSink
-	current atomic.Pointer[routing.Table]
+	// evacuate records whether a failure domain is evacuated.
+	evacuate func(domain string, evacuated bool)
+	current  atomic.Pointer[routing.Table]
 }
 
-func newTables(decoder provider.Decoder, log *event.Logger, sink serviceSink) *tables {
-	return &tables{decoder: decoder, log: log, sink: sink}
+func newTables(decoder provider.Decoder, log *event.Logger, sink serviceSink, evacuate func(domain string, evacuated bool)) *tables {
+	return &tables{decoder: decoder, log: log, sink: sink, evacuate: evacuate}
 }
 
 // Current implements gateway.Tables.
 func (t *tables) Current() *routing.Table { return t.current.Load() }
 
-// Changed implements mirror.Observer.
+// Changed implements mirror.Observer. Evacuations go first: a VM that starts may take
+// requests once it has a configuration.
 func (t *tables) Changed(rows []provider.Row) {
+	for _, row := range rows {
+		if domain, found := t.decoder.Evacuation(row); found {
+			t.evacuate(domain, !row.Removed)
+		}
+	}
 	for _, row := range rows {
 		t.apply(row)
 	}
@@ -61,8 +69,12 @@
 
 // Supersedes implements mirror.Observer. Configurations have a version of their own,
 // which tells whether one that a restored store holds, or that was written to it, is
-// older than the known one.
-func (t *tables) Supersedes(known, row provider.Row, _ bool) bool {
+// older than the known one. An evacuation, and its end, hold until the operator has
+// written them again.
+func (t *tables) Supersedes(known, row provider.Row, rewritten bool) bool {
+	if _, found := t.decoder.Evacuation(row); found {
+		return rewritten
+	}
 	return t.versionOf(row) >= t.versionOf(known)
 }
 
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -382,5 +382,5 @@
 
 // Def implements Event.
 func (RequestMisplaced) Def() Def {
-	return Def{726, "request_misplaced", log.InfoLevel, "The holder assigned a request to an endpoint that, by this VM's directory, may be sent no requests: availability is unlisted, leaving or paused; again reports whether the request is placed again."}
+	return Def{726, "request_misplaced", log.InfoLevel, "The holder assigned a request to an endpoint that, by this VM's directory, may be sent no requests: availability is unlisted, leaving, paused or evacuated; again reports whether the request is placed again."}
 }
--- a/internal/event/gateway_state.go
+++ b/internal/event/gateway_state.go
@@ -11,6 +11,7 @@
 var gatewayStateEvents = []Event{
 	StoreRestored{}, RowsReleased{}, EndpointLeaving{}, EndpointPaused{}, VMSuspended{}, CostModelInvalid{},
 	LingerNotSet{}, PartWithheld{}, PartReleased{}, VerdictNotShared{}, VerdictUnreadable{},
+	DomainEvacuated{}, EvacuationEnded{},
 }
 
 // StoreRestored is emitted when a VM finds that the store was restored from a backup.
@@ -162,3 +163,23 @@
 func (VerdictUnreadable) Def() Def {
 	return Def{737, "verdict_unreadable", log.WarnLevel, "The decision of another VM on a part of prompts could not be decoded and is not applied at this VM."}
 }
+
+// DomainEvacuated is emitted when the operator has evacuated a failure domain.
+type DomainEvacuated struct {
+	Domain string `log:"failure_domain"`
+}
+
+// Def implements Event.
+func (DomainEvacuated) Def() Def {
+	return Def{738, "domain_evacuated", log.InfoLevel, "A failure domain is evacuated: this VM sends its endpoints no more requests, until that is taken back."}
+}
+
+// EvacuationEnded is emitted when the operator has taken an evacuation back.
+type EvacuationEnded struct {
+	Domain string `log:"failure_domain"`
+}
+
+// Def implements Event.
+func (EvacuationEnded) Def() Def {
+	return Def{739, "evacuation_ended", log.InfoLevel, "The evacuation of a failure domain was taken back: this VM may send its endpoints requests again."}
+}
--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -72,9 +72,9 @@
 }
 
 // unavailableOutcome returns the outcome of a placement at an endpoint that may be
-// sent no requests. A paused one is not at fault, and may serve other VMs.
+// sent no requests. A paused or evacuated one is not at fault.
 func unavailableOutcome(a directory.Availability) dispatch.Outcome {
-	if a == directory.Paused {
+	if a == directory.Paused || a == directory.Evacuated {
 		return dispatch.Abandoned
 	}
 	return dispatch.Rejected
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -119,6 +119,9 @@
 	// Deployment decodes the configuration. found is false for a row that does not
 	// hold a deployment.
 	Deployment(row Row) (d routing.Deployment, found bool, err error)
+	// Evacuation returns the failure domain whose endpoints are to get no requests while
+	// the row, of the topic Configuration, exists. found is false for other rows.
+	Evacuation(row Row) (domain string, found bool)
 	// Entry decodes an endpoint's row in the registry.
 	Entry(row Row) (directory.Entry, error)
 }
