Cold endpoints get no more requests than they bear

TestColdEndpointIsSpared, TestStatedAndReturningEndpointsAreCold and TestCallsWaitForColdEndpoints hold the platform's bound against 300 calls a second; the code before does not read the rate (they did not compile).

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -26,6 +26,8 @@
 	Domain string
 	Slots  int
 	State  State
+	// ColdFor is how much longer the endpoint was cold when it wrote the entry.
+	ColdFor time.Duration
 	// Started distinguishes successive incarnations of the endpoint with the
 	// same ID; zero if the registry does not state it.
 	Started int64
--- /dev/null
+++ b/core/dispatch/cold_test.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// coldService is a plain service whose endpoints are cold for 3 s and then bear 15
+// requests a second.
+var coldService = Service{Name: "p", Cold: Cold{For: 3 * time.Second, PerSecond: 15}}
+
+// The bound of the platform on the requests that a cold endpoint may get in any second.
+const (
+	coldOvershoot = 1.5
+	coldSlack     = 5
+)
+
+func plainEndpoints(ids ...string) []Endpoint {
+	list := make([]Endpoint, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, Endpoint{ID: id, Service: "p", Slots: 6})
+	}
+	return list
+}
+
+// serveFor submits 300 calls of 10 ms a second for some time, and returns the times of the
+// placements at each endpoint.
+func serveFor(d *Dispatcher, now time.Time, length time.Duration) map[string][]time.Time {
+	placed := make(map[string][]time.Time)
+	ends := make(map[string]time.Time)
+	const step = time.Second / 300
+	for i, end := 0, now.Add(length); now.Before(end); i, now = i+1, now.Add(step) {
+		for id, at := range ends {
+			if !now.Before(at) {
+				d.Finished(now, JobKey{ID: id}, Served, "")
+				delete(ends, id)
+			}
+		}
+		d.Submit(now, Job{ID: fmt.Sprint(now.UnixNano()), Service: "p", Arrived: now, Deadline: now.Add(time.Second)})
+		for _, decision := range d.Decide(now) {
+			if p := decision.Placement; p != nil {
+				placed[p.Endpoint] = append(placed[p.Endpoint], now)
+				ends[p.Job] = now.Add(10 * time.Millisecond)
+			}
+		}
+	}
+	return placed
+}
+
+// most returns the largest number of times within any second.
+func most(times []time.Time) int {
+	n := 0
+	for i := range times {
+		in := 0
+		for _, t := range times[i:] {
+			if t.Sub(times[i]) < time.Second {
+				in++
+			}
+		}
+		n = max(n, in)
+	}
+	return n
+}
+
+// TestColdEndpointIsSpared lets an endpoint start beside two others under a load of which
+// its share is 100 requests a second. It gets what a cold one bears until it is warm.
+func TestColdEndpointIsSpared(t *testing.T) {
+	d := New(DefaultConfig())
+	d.SetServices(start, []Service{coldService})
+	d.SetEndpoints(start, plainEndpoints("a", "b"))
+	warm := serveFor(d, start, time.Second)
+	require.Greater(t, len(warm["a"]), 100, "endpoints that are listed first are not cold")
+	now := start.Add(time.Second)
+	d.SetEndpoints(now, plainEndpoints("a", "b", "c"))
+	cold := serveFor(d, now, coldService.Cold.For)
+	require.LessOrEqual(t, most(cold["c"]), int(coldService.Cold.PerSecond*coldOvershoot+coldSlack))
+	require.Greater(t, len(cold["c"]), 30, "it gets what it bears")
+	now = now.Add(coldService.Cold.For)
+	require.Greater(t, len(serveFor(d, now, time.Second)["c"]), 50, "it is warm")
+}
+
+// TestStatedAndReturningEndpointsAreCold checks the endpoints that state in the registry
+// to be cold, and those that come back after an evacuation.
+func TestStatedAndReturningEndpointsAreCold(t *testing.T) {
+	d := New(DefaultConfig())
+	d.SetServices(start, []Service{coldService})
+	list := plainEndpoints("a", "b", "c")
+	list[1].ColdUntil = start.Add(2 * time.Second)
+	d.SetEndpoints(start, list)
+	limit := int(coldService.Cold.PerSecond*coldOvershoot + coldSlack)
+	placed := serveFor(d, start, 2*time.Second)
+	require.LessOrEqual(t, most(placed["b"]), limit)
+	require.Greater(t, most(placed["c"]), limit)
+	now := start.Add(2 * time.Second)
+	d.SetEndpoints(now, plainEndpoints("a", "b"))
+	d.SetEndpoints(now.Add(time.Millisecond), plainEndpoints("a", "b", "c"))
+	placed = serveFor(d, now.Add(time.Millisecond), 2*time.Second)
+	require.LessOrEqual(t, most(placed["c"]), limit)
+	require.Greater(t, most(placed["b"]), limit, "it is warm by now")
+}
+
+// TestCallsWaitForColdEndpoints lets all endpoints of a service be cold: calls are held
+// until one may get them, or refused when a third of their time has passed.
+func TestCallsWaitForColdEndpoints(t *testing.T) {
+	d := New(DefaultConfig())
+	d.SetServices(start, []Service{coldService})
+	list := plainEndpoints("a")
+	list[0].ColdUntil = start.Add(3 * time.Second)
+	d.SetEndpoints(start, list)
+	const burst = 20
+	for i := range burst {
+		d.Submit(start, Job{ID: fmt.Sprint(i), Service: "p", Arrived: start, Deadline: start.Add(3 * time.Second)})
+	}
+	placed, refused := 0, 0
+	for now := start; now.Before(start.Add(1100 * time.Millisecond)); now = now.Add(20 * time.Millisecond) {
+		for _, decision := range d.Decide(now) {
+			if decision.Refusal != nil {
+				refused++
+				continue
+			}
+			placed++
+			d.Finished(now, decision.Key(), Served, "")
+		}
+	}
+	require.Equal(t, burst, placed+refused)
+	require.InDelta(t, 15, placed, 5)
+	require.Zero(t, d.Queued())
+}
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -101,8 +101,11 @@
 	if d.lightClosed(now, job) {
 		return d.hold(now, job)
 	}
-	pool := d.candidates(now, job)
-	if len(pool) == 0 {
+	pool, limited := d.candidates(now, job)
+	switch {
+	case len(pool) == 0 && limited:
+		return d.holdForWarmth(now, job)
+	case len(pool) == 0:
 		return d.handleNoEndpoint(now, job)
 	}
 	if d.services[job.Service] == nil {
@@ -113,13 +116,16 @@
 
 // candidates returns the endpoints that may get the job: those not in back-off
 // at which it has not failed, or else those in back-off at which it has not
-// failed, or else those at which it has failed. Excluded endpoints are none of them.
-func (d *Dispatcher) candidates(now time.Time, job *Job) []*endpoint {
+// failed, or else those at which it has failed. Excluded endpoints are none of them, nor
+// are cold ones that have had their requests; limited is set if there are such.
+func (d *Dispatcher) candidates(now time.Time, job *Job) (pool []*endpoint, limited bool) {
 	var healthy, backedOff []*endpoint
 	var avoided []*endpoint
 	for _, e := range d.pools[job.Service] {
 		switch {
 		case slices.Contains(job.Exclude, e.ID):
+		case !e.warmth.admits(now, d.cold[job.Service]):
+			limited = true
 		case slices.Contains(job.Avoid, e.ID):
 			avoided = append(avoided, e)
 		case e.usable(now):
@@ -130,11 +136,11 @@
 	}
 	switch {
 	case len(healthy) > 0:
-		return healthy
+		return healthy, limited
 	case len(backedOff) > 0:
-		return backedOff
+		return backedOff, limited
 	}
-	return avoided
+	return avoided, limited
 }
 
 // handleNoEndpoint refuses a job whose pool is empty, or from which all endpoints of
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -46,6 +46,7 @@
 type Dispatcher struct {
 	cfg       Config
 	services  map[string]*engine.CostModel
+	cold      map[string]Cold
 	endpoints map[string]*endpoint
 	// pools lists the endpoints of each service in the order of their IDs.
 	pools map[string][]*endpoint
@@ -73,6 +74,7 @@
 	return &Dispatcher{
 		cfg:       cfg,
 		services:  make(map[string]*engine.CostModel),
+		cold:      make(map[string]Cold),
 		endpoints: make(map[string]*endpoint),
 		pools:     make(map[string][]*endpoint),
 		placed:    make(map[JobKey]*placedJob),
@@ -239,6 +241,9 @@
 			d.addPart(now, e, pl, i)
 		}
 	}
+	if e := d.endpoints[p.Endpoint]; e != nil {
+		e.warmth.count(now, d.cold[job.Service])
+	}
 	return pl
 }
 
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -15,6 +15,9 @@
 	Service string
 	// Slots is the number of requests that it processes concurrently.
 	Slots int
+	// ColdUntil is when it will be warm, as far as it has stated that; zero if it has
+	// not.
+	ColdUntil time.Time
 }
 
 // Service describes a pool of endpoints as it is configured.
@@ -23,6 +26,8 @@
 	// Engine is the cost model of model engines; nil for a plain
 	// service.
 	Engine *engine.CostModel
+	// Cold is how the service's endpoints are after their start.
+	Cold Cold
 }
 
 // part is the work of one job at one endpoint.
@@ -55,6 +60,7 @@
 	// backoffUntil is when the back-off after consecutive failures ends.
 	backoffUntil time.Time
 	failures     int
+	warmth       warmth
 }
 
 func (e *endpoint) usable(now time.Time) bool { return !now.Before(e.backoffUntil) }
@@ -88,8 +94,10 @@
 // SetServices replaces the configured services.
 func (d *Dispatcher) SetServices(now time.Time, services []Service) {
 	clear(d.services)
+	clear(d.cold)
 	for _, s := range services {
 		d.services[s.Name] = s.Engine
+		d.cold[s.Name] = s.Cold
 	}
 	for _, e := range d.endpoints {
 		d.setEngine(now, e)
@@ -191,18 +199,24 @@
 
 // SetEndpoints replaces the endpoints that may get work. Jobs at endpoints that
 // are no longer listed stay placed until they finish, and count again if their
-// endpoints are listed again.
+// endpoints are listed again. Endpoints that join others of their service, or come back,
+// count as cold.
 func (d *Dispatcher) SetEndpoints(now time.Time, list []Endpoint) {
 	kept := make(map[string]*endpoint, len(list))
 	added := make(map[string]*endpoint)
+	previous := d.pools
 	d.pools = make(map[string][]*endpoint)
 	for _, spec := range list {
 		e := d.endpoints[spec.ID]
 		if e == nil {
 			e = &endpoint{}
 			added[spec.ID] = e
+			if len(previous[spec.Service]) > 0 {
+				e.warmth.cool(now.Add(d.cold[spec.Service].For))
+			}
 		}
 		e.Endpoint = spec
+		e.warmth.cool(spec.ColdUntil)
 		d.setEngine(now, e)
 		kept[spec.ID] = e
 		d.pools[spec.Service] = append(d.pools[spec.Service], e)
--- a/core/routing/deployment.go
+++ b/core/routing/deployment.go
@@ -84,6 +84,10 @@
 	// Engine holds the cost parameters of model engines; nil for services that
 	// do not run one.
 	Engine *engine.CostModel
+	// ColdFor is how long an endpoint is cold after its start, and ColdPerSecond the
+	// number of requests that it bears in a second while it is; zero for no limit.
+	ColdFor       time.Duration
+	ColdPerSecond float64
 }
 
 // Organisation is a customer whose members authenticate with its API keys.
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -41,6 +41,8 @@
 
 	mu        sync.Mutex
 	directory *directory.Directory
+	// coldUntil has when the endpoints that stated to be cold will be warm, by ID.
+	coldUntil map[string]time.Time
 	listed    bool
 	expiry    *time.Timer
 }
@@ -50,8 +52,9 @@
 func newRegistry(decoder provider.Decoder, log *event.Logger, sink endpointSink, heartbeat time.Duration, announce func(directory.Incarnation)) *registry {
 	return &registry{
 		decoder: decoder, log: log, sink: sink, directory: directory.New(relistTimeout),
-		announce: announce,
-		keepFor:  max(minKeepFor, keepHeartbeats*heartbeat),
+		announce:  announce,
+		coldUntil: make(map[string]time.Time),
+		keepFor:   max(minKeepFor, keepHeartbeats*heartbeat),
 	}
 }
 
@@ -154,6 +157,7 @@
 	if row.Removed {
 		r.log.Emit(event.EndpointUnlisted{Endpoint: row.Key, Row: row.Version})
 		r.directory.Remove(time.Now(), row.Key)
+		delete(r.coldUntil, row.Key)
 		return true
 	}
 	e, ok := r.decode(row)
@@ -163,6 +167,10 @@
 	}
 	known, _ := r.directory.Entry(e.ID)
 	r.directory.Put(e)
+	delete(r.coldUntil, e.ID)
+	if e.ColdFor > 0 {
+		r.coldUntil[e.ID] = time.Now().Add(e.ColdFor)
+	}
 	return known != e
 }
 
@@ -234,7 +242,7 @@
 	usable := r.directory.Usable()
 	list := make([]dispatch.Endpoint, 0, len(usable))
 	for _, e := range usable {
-		list = append(list, dispatch.Endpoint{ID: e.ID, Service: e.Service, Slots: e.Slots})
+		list = append(list, dispatch.Endpoint{ID: e.ID, Service: e.Service, Slots: e.Slots, ColdUntil: r.coldUntil[e.ID]})
 	}
 	r.sink.SetEndpoints(list)
 }
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -115,7 +115,9 @@
 			t.log.Emit(event.CostModelInvalid{Service: s.Name, Version: table.Version()})
 			model = nil
 		}
-		services = append(services, dispatch.Service{Name: s.Name, Engine: model})
+		services = append(services, dispatch.Service{
+			Name: s.Name, Engine: model, Cold: dispatch.Cold{For: s.ColdFor, PerSecond: s.ColdPerSecond},
+		})
 	}
 	return services
 }
