Traffic, store calls and processor time are counted by cause

Change: messages and bytes between VMs by method, direction and failure domain of the other end, with frames; the same for requests and reservations at endpoints; calls to the store by call and topic, with failures and bytes of rows; processor time, heap and goroutines as gauges; event 740 has the growth of all counters once a minute; profiles with the cause as a label, by -profiles, off by default.

--- a/cmd/cornelsaddle/gateway.go
+++ b/cmd/cornelsaddle/gateway.go
@@ -26,6 +26,7 @@
 	flags := flag.NewFlagSet("gateway", flag.ContinueOnError)
 	path := flags.String("settings", platform.SettingsPath(), "settings file written by the platform")
 	metricsAddress := flags.String("metrics", "", "address (IP:PORT) on which metrics are served; empty to serve none")
+	profiles := flags.Bool("profiles", false, "also serve profiles of the process on the metrics address, under /debug/pprof/")
 	level := flags.String("log", "info", "minimum log level: debug, info, warn or error")
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -33,22 +34,33 @@
 		}
 		return exitUsage
 	}
-	if err := serveGateway(*path, *level, *metricsAddress); err != nil {
+	startup := gatewayStartup{settings: *path, level: *level, metrics: *metricsAddress, profiles: *profiles}
+	if err := serveGateway(startup); err != nil {
 		fmt.Fprintln(os.Stderr, "cornelsaddle gateway:", err)
 		return exitFailed
 	}
 	return exitDone
 }
 
-func serveGateway(path, level, metricsAddress string) error {
+// gatewayStartup has what the flags set, which holds until the process ends.
+type gatewayStartup struct {
+	// settings is the path of the settings file, and level the minimum log level.
+	settings, level string
+	// metrics and profiles are those of config.Settings.
+	metrics  string
+	profiles bool
+}
+
+func serveGateway(startup gatewayStartup) error {
+	path := startup.settings
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
-	settings.Metrics = metricsAddress
+	settings.Metrics, settings.Profiles = startup.metrics, startup.profiles
 	out := event.NewBuffer(os.Stdout)
 	defer out.Close()
-	log, err := event.New(out, "json", level, settings.VM)
+	log, err := event.New(out, "json", startup.level, settings.VM)
 	if err != nil {
 		return err
 	}
--- a/core/membership/node.go
+++ b/core/membership/node.go
@@ -175,6 +175,18 @@
 	return list
 }
 
+// Record returns the record of a VM, and whether there is one.
+func (n *Node) Record(id string) (Record, bool) {
+	if id == n.self.ID {
+		return n.self, true
+	}
+	m := n.members[id]
+	if m == nil || m.candidate {
+		return Record{}, false
+	}
+	return m.Record, true
+}
+
 // Marks returns all marks, sorted by endpoint and incarnation.
 func (n *Node) Marks() []Mark {
 	list := slices.Collect(maps.Keys(n.marks))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -111,6 +111,7 @@
 	if err := c.Invoke(func(p components) { e.components = p }); err != nil {
 		return nil, errors.WithStack(err)
 	}
+	e.platform.Store = &countedStore{platform.Store, e.components.Metrics.Registry}
 	err := e.listen()
 	if err == nil {
 		e.members, err = e.join()
@@ -123,6 +124,7 @@
 	close(e.joined)
 	e.updateMembers()
 	e.registerGauges()
+	go e.runPeriodically(countersInterval, e.newCountersReporter())
 	go e.runPeriodically(droppedLinesInterval, e.newDroppedLinesReporter(dropped))
 	go e.runPeriodically(markSweepInterval, e.dropMarks)
 	go e.runPeriodically(markSweepInterval, e.dropVerdicts)
@@ -178,7 +180,8 @@
 		func(l *coordination.LocalDispatcher, r *registry) *tables {
 			return newTables(v.platform.Decoder, v.log, l, r.setEvacuated)
 		},
-		newTransport,
+		func(m *metrics.Metrics) *metrics.Traffic { return metrics.NewTraffic(m.Registry) },
+		v.newTransport,
 		v.newTickets,
 		func() *freshness { return &freshness{log: v.log, copies: v.copies} },
 		v.newGateway,
@@ -186,16 +189,29 @@
 }
 
 func (v *VM) newPeers(self peer.Identity, mux *peer.Mux, m *metrics.Metrics) (*peer.Client, error) {
-	return peer.NewClient(peer.Config{Self: self, Keys: []string{peerKey}}, mux, v.log, m.Registry)
+	return peer.NewClient(v.peerConfig(self), mux, v.log, m.Registry)
+}
+
+func (v *VM) peerConfig(self peer.Identity) peer.Config {
+	return peer.Config{Self: self, Keys: []string{peerKey}, FailureDomain: v.settings.FailureDomain, DomainOf: v.domainOf}
+}
+
+// domainOf returns the failure domain of another VM; empty while it is not known.
+func (v *VM) domainOf(vm string) string {
+	if !v.hasJoined() {
+		return ""
+	}
+	return v.members.service.FailureDomain(vm)
 }
 
 func (v *VM) newCoordinator(self peer.Identity, l *coordination.LocalDispatcher, peers *peer.Client, mux *peer.Mux) *coordination.Coordinator {
 	return coordination.New(self.VM, l, peers, mux, v.log, v.announceVerdict)
 }
 
-func newTransport(m *metrics.Metrics) *upstream.Transport {
-	opened := m.Counter("upstream.connections")
-	return upstream.New(func() { opened.Inc(1) })
+func (v *VM) newTransport(m *metrics.Metrics, traffic *metrics.Traffic) *upstream.Transport {
+	return upstream.New(upstream.Config{
+		FailureDomain: v.settings.FailureDomain, Opened: m.Counter("upstream.connections"), Traffic: traffic,
+	})
 }
 
 func (v *VM) newTickets(u *upstream.Transport, r *registry) *ticket.Reserver {
@@ -265,8 +281,10 @@
 
 func (v *VM) startFollowers() {
 	p := v.components
-	v.configuration = mirror.Start(provider.Configuration, p.Tables, v.platform.Store, p.Peers, v.watchers, v.log, v.members.registerAgain)
-	v.endpoints = mirror.Start(provider.Endpoints, p.Registry, v.platform.Store, p.Peers, v.watchers, v.log, v.members.registerAgain)
+	withCause(causeMirror, func() {
+		v.configuration = mirror.Start(provider.Configuration, p.Tables, v.platform.Store, p.Peers, v.watchers, v.log, v.members.registerAgain)
+		v.endpoints = mirror.Start(provider.Endpoints, p.Registry, v.platform.Store, p.Peers, v.watchers, v.log, v.members.registerAgain)
+	})
 	mirror.RegisterHandler(p.Mux, v.configuration, v.endpoints)
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -129,7 +129,7 @@
 // membership service, which probes the other VMs.
 func (v *VM) join() (*members, error) {
 	p := v.components
-	server, err := peer.Listen(v.settings.Peers, peer.Config{Self: p.Identity, Keys: []string{peerKey}}, p.Mux, v.log, p.Metrics.Registry)
+	server, err := peer.Listen(v.settings.Peers, v.peerConfig(p.Identity), p.Mux, v.log, p.Metrics.Registry)
 	if err != nil {
 		return nil, err
 	}
@@ -139,7 +139,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &members{vm: v, ctx: ctx, server: server, identity: p.Identity, cancel: cancel}
 	m.registerAfter(0)
-	m.service = member.Start(member.Config{
+	cfg := member.Config{
 		Self: membership.Record{
 			ID:            p.Identity.VM,
 			Address:       v.settings.Peers,
@@ -153,7 +153,8 @@
 		Observer: &observer{vm: v},
 		Version:  p.Tables.version,
 		Digest:   v.digest,
-	}, p.Mux)
+	}
+	withCause(causeMembership, func() { m.service = member.Start(cfg, p.Mux) })
 	go m.removeDeadRowsPeriodically(ctx)
 	return m, nil
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -10,6 +10,9 @@
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
 )
 
+// countersInterval is the time between two reports of the counters in the log.
+const countersInterval = time.Minute
+
 // droppedLinesInterval is the time between two reports of dropped log lines.
 const droppedLinesInterval = 5 * time.Second
 
@@ -27,6 +30,8 @@
 	gauge("dispatch.placed", func() int64 { return int64(v.components.Local.Placed()) })
 	gauge("dispatch.searches", func() int64 { return v.components.Local.Searches() })
 	gauge("quarantine.parts", func() int64 { return int64(v.components.Local.WithheldParts()) })
+	// The names are fixed, and each is registered once.
+	_ = v.components.Metrics.RegisterProcess()
 	gauge("ready", func() int64 {
 		if v.ready() {
 			return 1
@@ -45,6 +50,18 @@
 	_ = v.components.Metrics.WritePrometheus(w, grouping)
 }
 
+// newCountersReporter returns a function that logs how much the counters have grown since
+// its previous call.
+func (v *VM) newCountersReporter() func() {
+	changes := metrics.NewChanges(v.components.Metrics.Registry)
+	previous := metrics.ProcessorTime()
+	return func() {
+		processor := metrics.ProcessorTime()
+		v.log.Emit(event.CountersReported{Interval: countersInterval, Processor: processor - previous, Counters: changes.Read()})
+		previous = processor
+	}
+}
+
 // newDroppedLinesReporter returns a function that counts and logs the log lines
 // dropped since its previous call.
 func (v *VM) newDroppedLinesReporter(dropped func() int64) func() {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -88,14 +88,14 @@
 
 func (v *VM) listen() error {
 	var err error
-	if v.callerServer, err = serve(v.settings.Callers, v.components.Gateway, maxCallerConnections(v.settings.Limits.MaxDescriptors)); err != nil {
+	if v.callerServer, err = serve(v.settings.Callers, labelRequests(v.components.Gateway), maxCallerConnections(v.settings.Limits.MaxDescriptors)); err != nil {
 		return err
 	}
 	if v.balancerServer, err = serve(v.settings.Balancer, http.HandlerFunc(v.handleReadiness), 0); err != nil {
 		return err
 	}
 	if v.settings.Metrics != "" {
-		v.metricsServer, err = serve(v.settings.Metrics, http.HandlerFunc(v.handleMetrics), 0)
+		v.metricsServer, err = serve(v.settings.Metrics, v.metricsHandler(), 0)
 	}
 	return err
 }
--- a/internal/event/gateway_state.go
+++ b/internal/event/gateway_state.go
@@ -11,7 +11,7 @@
 var gatewayStateEvents = []Event{
 	StoreRestored{}, RowsReleased{}, EndpointLeaving{}, EndpointPaused{}, VMSuspended{}, CostModelInvalid{},
 	LingerNotSet{}, PartWithheld{}, PartReleased{}, VerdictNotShared{}, VerdictUnreadable{},
-	DomainEvacuated{}, EvacuationEnded{},
+	DomainEvacuated{}, EvacuationEnded{}, CountersReported{},
 }
 
 // StoreRestored is emitted when a VM finds that the store was restored from a backup.
@@ -183,3 +183,18 @@
 func (EvacuationEnded) Def() Def {
 	return Def{739, "evacuation_ended", log.InfoLevel, "The evacuation of a failure domain was taken back: this VM may send its endpoints requests again."}
 }
+
+// CountersReported is emitted once a minute.
+type CountersReported struct {
+	Interval time.Duration `log:"interval"`
+	// Processor is the processor time that the process has used in the interval.
+	Processor time.Duration `log:"processor"`
+	// Counters has how much each counter of the metrics has grown in the interval, by its
+	// name with its labels.
+	Counters map[string]int64 `log:"counters"`
+}
+
+// Def implements Event.
+func (CountersReported) Def() Def {
+	return Def{740, "counters_reported", log.InfoLevel, "How much the counters have grown in the interval, and the processor time that the process has used in it."}
+}
--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -24,6 +24,8 @@
 	Peers    string
 	// Metrics is the listen address of the metrics; empty to serve none.
 	Metrics string
+	// Profiles reports whether the metrics address also serves profiles of the process.
+	Profiles bool
 	// Seeds are peer addresses of some VMs; they may be stale.
 	Seeds []string
 	// Store is the address of the platform's store.
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -357,7 +357,7 @@
 	})
 	log, err := event.New(io.Discard, "json", "info", "vm")
 	require.NoError(t, err)
-	transport := upstream.New(func() {})
+	transport := upstream.New(upstream.Config{})
 	t.Cleanup(transport.Close)
 	w.gateway = New(Config{
 		VM: "vm", Tables: w, Directory: w, Freshness: w, Placer: w, Headers: dialect{}, Transport: transport,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"cornelsaddle.example/cornelsaddle/core/directory"
+	"cornelsaddle.example/cornelsaddle/internal/metrics"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
@@ -25,6 +26,8 @@
 func (x *exchange) endpointRequest(entry directory.Entry, helpers []provider.Helper) *upstream.Request {
 	return &upstream.Request{
 		Address:       entry.Address,
+		FailureDomain: entry.Domain,
+		Cause:         metrics.CauseRequest,
 		Method:        x.r.Method,
 		URI:           x.r.RequestURI,
 		Host:          x.r.Host,
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -37,6 +37,14 @@
 	return s.node.Records()
 }
 
+// FailureDomain returns the failure domain of a VM; empty if it is not known.
+func (s *Service) FailureDomain(vm string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, _ := s.node.Record(vm) // the zero record if there is none
+	return r.FailureDomain
+}
+
 // Views returns the records of the other VMs with their last reports.
 func (s *Service) Views() []membership.View {
 	s.mu.Lock()
--- a/internal/metrics/prometheus.go
+++ b/internal/metrics/prometheus.go
@@ -116,6 +116,7 @@
 	}
 	sort.Strings(names)
 	fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s counter\n", failuresMetric, helpFailures, failuresMetric)
+	previous := ""
 	for _, name := range names {
 		if code, ok := strings.CutPrefix(name, failuresPrefix); ok {
 			if c, ok := all[name].(gometrics.Counter); ok {
@@ -123,23 +124,35 @@
 			}
 			continue
 		}
-		writeMetric(w, namespace+metricName(name), all[name])
+		base, labels, labelled := strings.Cut(name, "{")
+		if labelled {
+			labels = "{" + labels
+		}
+		// Names with the same base follow each other.
+		writeMetric(w, namespace+metricName(base), labels, base != previous, all[name])
+		previous = base
 	}
 }
 
-// writeMetric writes a metric of another package. It skips *Histogram values,
-// which writeHistograms writes.
-func writeMetric(w io.Writer, name string, metric any) {
+// writeMetric writes a metric of another package, with its type if it is the first of
+// its name. It skips *Histogram values, which writeHistograms writes.
+func writeMetric(w io.Writer, name, labels string, first bool, metric any) {
+	sample := func(kind string, value any) {
+		if first {
+			fmt.Fprintf(w, "# TYPE %s %s\n", name, kind)
+		}
+		fmt.Fprintf(w, "%s%s %v\n", name, labels, value)
+	}
 	switch x := metric.(type) {
 	case *Histogram:
 	case gometrics.Counter:
-		fmt.Fprintf(w, "# TYPE %s counter\n%s %d\n", name, name, x.Count())
+		sample("counter", x.Count())
 	case gometrics.Meter:
-		fmt.Fprintf(w, "# TYPE %s counter\n%s %d\n", name, name, x.Count())
+		sample("counter", x.Count())
 	case gometrics.Gauge:
-		fmt.Fprintf(w, "# TYPE %s gauge\n%s %d\n", name, name, x.Value())
+		sample("gauge", x.Value())
 	case gometrics.GaugeFloat64:
-		fmt.Fprintf(w, "# TYPE %s gauge\n%s %g\n", name, name, x.Value())
+		sample("gauge", x.Value())
 	case gometrics.Histogram:
 		writeSummary(w, name, x.Snapshot())
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -192,9 +192,9 @@
 		}
 		return err
 	}
-	out := &stream{conn: conn, r: r, session: sess, maxBytes: c.cfg.MaxMessageBytes, counters: c.counters, reject: func(reason Reason) { c.reject(address, reason) }}
+	out := &stream{conn: conn, r: r, session: sess, maxBytes: c.cfg.MaxMessageBytes, counters: c.counters, meter: c.newMeter(sess.peer.VM), reject: func(reason Reason) { c.reject(address, reason) }}
 	l.peer = sess.peer
-	l.conn = jsonrpc2.NewConn(context.Background(), out, jsonrpc2.HandlerWithError(rejectRequest), jsonrpc2.SetLogger(discardLogger{}))
+	l.conn = jsonrpc2.NewConn(context.Background(), out, jsonrpc2.HandlerWithError(rejectRequest), out.meter.options()...)
 	return nil
 }
 
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -3,10 +3,11 @@
 import (
 	"time"
 
-	"github.com/rcrowley/go-metrics"
+	gometrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/metrics"
 )
 
 // Config configures the servers and clients of one VM. Zero values of the limits
@@ -17,6 +18,11 @@
 	// Keys are the shared keys that are accepted from peers; the client
 	// authenticates with the first one. During a key rotation there are two.
 	Keys []string
+	// FailureDomain is the one of this VM, and DomainOf returns that of another VM; empty
+	// while it is not known. They serve the count of the traffic only. DomainOf may be
+	// nil.
+	FailureDomain string
+	DomainOf      func(vm string) string
 	// MaxMessageBytes bounds the size of a message, including its authentication
 	// code.
 	MaxMessageBytes int
@@ -34,6 +40,13 @@
 	defaultHandshakeTimeout = 2 * time.Second
 )
 
+func (c Config) domainOf(vm string) string {
+	if c.DomainOf == nil {
+		return ""
+	}
+	return c.DomainOf(vm)
+}
+
 // withDefaults returns the configuration with defaults in place of zero limits.
 func (c Config) withDefaults() Config {
 	if c.MaxMessageBytes == 0 {
@@ -60,15 +73,17 @@
 	mux        *Mux
 	log        *event.Logger
 	counters   *Counters
+	traffic    *metrics.Traffic
 	logLimiter *rate.Limiter
 }
 
-func newShared(cfg Config, mux *Mux, log *event.Logger, registry metrics.Registry) *shared {
+func newShared(cfg Config, mux *Mux, log *event.Logger, registry gometrics.Registry) *shared {
 	return &shared{
 		cfg:        cfg.withDefaults(),
 		mux:        mux,
 		log:        log,
 		counters:   NewCounters(registry),
+		traffic:    metrics.NewTraffic(registry),
 		logLimiter: rate.NewLimiter(rate.Every(time.Second), 10),
 	}
 }
--- a/internal/peer/mux.go
+++ b/internal/peer/mux.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"runtime/pprof"
 	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"cornelsaddle.example/cornelsaddle/core/errcode"
+	"cornelsaddle.example/cornelsaddle/internal/metrics"
 )
 
 // Method is the name of a JSON-RPC method.
@@ -27,17 +29,23 @@
 // Mux routes requests to handlers by method. It is safe for concurrent use.
 type Mux struct {
 	mu       sync.RWMutex
-	handlers map[Method]Handler
+	handlers map[Method]labelledHandler
+}
+
+// labelledHandler is a handler with the labels of its goroutines in profiles.
+type labelledHandler struct {
+	handle Handler
+	labels context.Context //nolint:containedctx // carries labels only
 }
 
 // NewMux returns a Mux without handlers.
-func NewMux() *Mux { return &Mux{handlers: make(map[Method]Handler)} }
+func NewMux() *Mux { return &Mux{handlers: make(map[Method]labelledHandler)} }
 
 // Handle registers the handler of a method, replacing any earlier one.
 func (m *Mux) Handle(method Method, h Handler) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.handlers[method] = h
+	m.handlers[method] = labelledHandler{h, pprof.WithLabels(context.Background(), pprof.Labels(metrics.ProfileLabel, string(method)))}
 }
 
 // Register registers a handler with typed parameters and result. Parameters that
@@ -52,7 +60,7 @@
 	})
 }
 
-func (m *Mux) lookup(method Method) (Handler, bool) {
+func (m *Mux) lookup(method Method) (labelledHandler, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	h, ok := m.handlers[method]
@@ -66,11 +74,12 @@
 	if !ok {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
 	}
+	pprof.SetGoroutineLabels(h.labels)
 	params := json.RawMessage("{}")
 	if req.Params != nil {
 		params = *req.Params
 	}
-	result, err := h(ctx, from, params)
+	result, err := h.handle(ctx, from, params)
 	if err != nil {
 		return nil, encodeError(err)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -189,7 +189,7 @@
 	r := bufio.NewReader(conn)
 	sess, err := h.connect(conn, r)
 	require.NoError(t, err)
-	out := &stream{conn: conn, r: r, session: sess, maxBytes: 1 << 10, counters: NewCounters(metrics.NewRegistry()), reject: func(Reason) {}}
+	out := &stream{conn: conn, r: r, session: sess, maxBytes: 1 << 10, counters: NewCounters(metrics.NewRegistry()), meter: s.newMeter(sess.peer.VM), reject: func(Reason) {}}
 	handshakeBytes := conn.sent.Len()
 	request := json.RawMessage(`{"jsonrpc":"2.0","id":1,"method":"echo","params":{"text":"pay"}}`)
 	require.NoError(t, out.WriteObject(request))
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -29,6 +29,7 @@
 	session  session
 	maxBytes int
 	counters *Counters
+	meter    *meter
 	reject   func(Reason)
 
 	mu       sync.Mutex
@@ -56,6 +57,7 @@
 	}
 	n, err := s.conn.Write(frame)
 	s.counters.sent(n)
+	s.meter.written(n)
 	if err != nil {
 		// The other end may have received a part of the frame, so that no
 		// further frame can follow on this connection.
@@ -72,6 +74,7 @@
 		return s.reportRejection(err)
 	}
 	s.counters.received(headerBytes + len(frame))
+	s.meter.read = headerBytes + len(frame)
 	if len(frame) < macBytes {
 		return s.reportRejection(errors.WithStack(&RejectedError{ReasonMalformed}))
 	}
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/metrics"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
@@ -44,6 +45,8 @@
 	// Endpoint is the ID of the endpoint, and Address its network address.
 	Endpoint string
 	Address  string
+	// FailureDomain is that of the endpoint; empty if it is not known.
+	FailureDomain string
 	// Tokens is the amount of memory, in tokens.
 	Tokens int
 }
@@ -217,7 +220,7 @@
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	resp, err := r.cfg.Transport.Send(ctx, &upstream.Request{
-		Address: request.Address, Method: req.Method, URI: req.URI, Host: request.Address,
+		Address: request.Address, FailureDomain: request.FailureDomain, Cause: metrics.CauseReservation, Method: req.Method, URI: req.URI, Host: request.Address,
 		Header: req.Header, Body: req.Body, NewConnection: newConnection, Match: r.cfg.Match,
 	})
 	if err != nil {
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -123,7 +123,7 @@
 	t.Helper()
 	log, err := event.New(io.Discard, "json", "info", "vm")
 	require.NoError(t, err)
-	transport := upstream.New(func() {})
+	transport := upstream.New(upstream.Config{})
 	t.Cleanup(transport.Close)
 	return NewReserver(Config{
 		Encoder: jsonEncoder{}, Transport: transport, Log: log, MaxIdle: maxIdle, MaxHold: 20 * time.Second,
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,6 +49,8 @@
 	r       *bufio.Reader
 	head    *headReader
 	address string
+	// sent and received count the bytes since the exchange began.
+	sent, received atomic.Int64
 	// used is set when a response was received on the connection.
 	used bool
 	// idleUntil is the time from which the idle connection must not be reused.
@@ -69,8 +72,24 @@
 }
 
 func newConn(c net.Conn, address string) *conn {
-	head := &headReader{conn: c}
-	return &conn{Conn: c, r: bufio.NewReaderSize(head, readBuffer), head: head, address: address}
+	opened := &conn{Conn: c, address: address}
+	opened.head = &headReader{conn: opened}
+	opened.r = bufio.NewReaderSize(opened.head, readBuffer)
+	return opened
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err //nolint:wrapcheck // callers tell io.EOF from other errors
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, errors.WithStack(err)
 }
 
 // headReader reads from a connection and bounds the bytes that it reads while it is
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"cornelsaddle.example/cornelsaddle/internal/metrics"
 )
 
 const (
@@ -29,9 +32,13 @@
 
 // Request is a request to an endpoint.
 type Request struct {
-	// Address is the endpoint's IP and port.
-	Address string
-	Method  string
+	// Address is the endpoint's IP and port, and FailureDomain its failure domain; empty
+	// if that is not known.
+	Address       string
+	FailureDomain string
+	// Cause is what the request is for.
+	Cause  metrics.Cause
+	Method string
 	// URI is the path and query as the caller sent them.
 	URI    string
 	Host   string
@@ -75,6 +82,7 @@
 	Framing Framing
 
 	transport *Transport
+	request   *Request
 	conn      *conn
 	raw       *http.Response
 	// written receives the result of writing the request.
@@ -90,16 +98,31 @@
 
 // Transport sends requests to endpoints. It is safe for concurrent use.
 type Transport struct {
-	pool pool
-	// opened is called for each new connection.
-	opened    func()
+	cfg       Config
+	pool      pool
 	stop      chan struct{}
 	closeOnce sync.Once
 }
 
-// New returns a Transport that calls opened for each new connection.
-func New(opened func()) *Transport {
-	t := &Transport{pool: pool{idle: make(map[string][]*conn)}, opened: opened, stop: make(chan struct{})}
+// Config configures a Transport.
+type Config struct {
+	// FailureDomain is the one of this VM; empty if it is not known.
+	FailureDomain string
+	// Opened counts the connections that were opened, and Traffic the bytes of the
+	// requests and responses. Without them nothing is counted.
+	Opened  gometrics.Counter
+	Traffic *metrics.Traffic
+}
+
+// New returns a Transport without connections.
+func New(cfg Config) *Transport {
+	if cfg.Opened == nil {
+		cfg.Opened = gometrics.NilCounter{}
+	}
+	if cfg.Traffic == nil {
+		cfg.Traffic = metrics.NewTraffic(gometrics.NewRegistry())
+	}
+	t := &Transport{cfg: cfg, pool: pool{idle: make(map[string][]*conn)}, stop: make(chan struct{})}
 	go t.sweep()
 	return t
 }
@@ -147,6 +170,7 @@
 	if err != nil {
 		release()
 		_ = c.Close()
+		t.count(req, c)
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -154,7 +178,7 @@
 	}
 	resp := &Response{
 		Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Framing: framingOf(raw),
-		transport: t, conn: c, raw: raw, written: written, release: release, identified: match == Own,
+		transport: t, request: req, conn: c, raw: raw, written: written, release: release, identified: match == Own,
 	}
 	resp.Body = &eofReader{resp: resp}
 	return resp, nil
@@ -184,10 +208,17 @@
 	if err != nil {
 		return nil, err
 	}
-	t.opened()
+	t.cfg.Opened.Inc(1)
 	return c, nil
 }
 
+// count counts the bytes of an exchange that has ended.
+func (t *Transport) count(req *Request, c *conn) {
+	domain := metrics.CompareDomains(t.cfg.FailureDomain, req.FailureDomain)
+	t.cfg.Traffic.Add(req.Cause, metrics.Sent, domain, c.sent.Swap(0))
+	t.cfg.Traffic.Add(req.Cause, metrics.Received, domain, c.received.Swap(0))
+}
+
 // writeRequest writes header and body in one call.
 func writeRequest(c *conn, req *Request) error {
 	var b bytes.Buffer
@@ -267,6 +298,7 @@
 // and the endpoint keeps the connection open; otherwise it closes the connection.
 func (r *Response) Close() {
 	live := r.release()
+	r.transport.count(r.request, r.conn)
 	keep := idleTimeout(r.raw)
 	if !live || !r.identified || !r.bodyEnded || keep == 0 || !r.requestWritten() || r.conn.r.Buffered() > 0 {
 		_ = r.conn.Close()
--- a/internal/upstream/transport_test.go
+++ b/internal/upstream/transport_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 )
@@ -58,12 +59,12 @@
 	return string(body), err
 }
 
-func newTransport(t *testing.T) (*Transport, *int) {
+func newTransport(t *testing.T) (*Transport, metrics.Counter) {
 	t.Helper()
-	opened := 0
-	tr := New(func() { opened++ })
+	opened := metrics.NewCounter()
+	tr := New(Config{Opened: opened})
 	t.Cleanup(tr.Close)
-	return tr, &opened
+	return tr, opened
 }
 
 func write(c net.Conn, s string) { _, _ = io.WriteString(c, s) }
@@ -83,11 +84,11 @@
 		body, err := send(t, tr, address, false)
 		require.NoError(t, err)
 		require.Equal(t, "x", body)
-		require.Equal(t, want, *opened, i)
+		require.EqualValues(t, want, opened.Count(), i)
 	}
 	_, err := send(t, tr, address, true)
 	require.NoError(t, err)
-	require.Equal(t, 3, *opened)
+	require.EqualValues(t, 3, opened.Count())
 }
 
 // TestUnusableIdleConnection checks that an idle connection is not reused if
@@ -110,7 +111,7 @@
 		time.Sleep(50 * time.Millisecond)
 		_, err = send(t, tr, address, false)
 		require.NoError(t, err, name)
-		require.Equal(t, 2, *opened, name)
+		require.EqualValues(t, 2, opened.Count(), name)
 	}
 }
 
