VMs follow relays of their own failure domain

Ruled out: requests to the holder and its notes (11 MB), membership (27 MB). Change: in a failure domain of eight VMs or more, two relays of each topic follow the watchers, and the others there follow a relay. A relay's answer has the age of its copy, so that relays that follow each other become stale; a VM that stops being a fresh source ends the polls that it holds. Test of the load: TestReadsOfALargeDeployment, 450 VMs in 12 domains, at most 24 reads leave a domain and no VM has more than 37 readers. TestStoreOutage took a VM that had a row for one whose copy was fresh, and failed once in some 250 runs, on the code before too; it now waits for that.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -96,7 +96,7 @@
 		platform: platform,
 		log:      log,
 		started:  time.Now(),
-		watchers: newWatchers(settings.VM),
+		watchers: newWatchers(settings.VM, settings.FailureDomain),
 		joined:   make(chan struct{}),
 		stopping: make(chan struct{}),
 		closed:   make(chan struct{}),
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -160,7 +160,8 @@
 // as well, and those that are not leaving to the watchers. If this VM was taken for
 // dead, its jobs are sent to their holders again.
 func (v *VM) updateMembers() {
-	var live, staying []coordination.Member
+	var live []coordination.Member
+	var staying []liveVM
 	for _, r := range v.members.service.Records() {
 		if r.ID == v.settings.VM && v.members.refuted(r.Refutations) {
 			defer v.components.Coordinator.Resend()
@@ -171,7 +172,7 @@
 		m := coordination.Member{VM: r.ID, Address: r.Address, Incarnation: r.Incarnation, Leaving: r.Leaving}
 		live = append(live, m)
 		if !m.Leaving {
-			staying = append(staying, m)
+			staying = append(staying, liveVM{r.ID, r.Address, r.FailureDomain})
 		}
 	}
 	v.components.Coordinator.SetMembers(live)
--- a/internal/entry/watchers.go
+++ b/internal/entry/watchers.go
@@ -2,13 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 
-	"cornelsaddle.example/cornelsaddle/internal/coordination"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
 )
 
@@ -16,41 +16,84 @@
 // of the others. With two, one may be cut off from the store.
 const watcherCount = 2
 
+const (
+	// relayCount is the number of VMs of a failure domain that follow the watchers on
+	// behalf of the others there. With two, one may be cut off.
+	relayCount = 2
+	// minRelayedVMs is the number of VMs from which a failure domain has relays: with
+	// fewer, what they save is not worth another step.
+	minRelayedVMs = 8
+)
+
+// liveVM is a VM that is neither dead nor leaving.
+type liveVM struct {
+	name string
+	// address is that at which other VMs reach it.
+	address string
+	domain  string
+}
+
 // watchers selects, by rendezvous hashing over the live VMs, those that follow the
-// store directly. It implements mirror.Sources and is safe for concurrent use.
+// store directly, and the relays of this VM's failure domain, which follow those. It
+// implements mirror.Sources and is safe for concurrent use.
 type watchers struct {
-	self string
+	self   string
+	domain string
 
 	mu   sync.Mutex
-	live []coordination.Member
+	live []liveVM
 	ring *rendezvous.Rendezvous
+	// relays are the VMs of the failure domain; nil if it has no relays.
+	relays *rendezvous.Rendezvous
 }
 
-func newWatchers(self string) *watchers { return &watchers{self: self} }
+func newWatchers(self, domain string) *watchers { return &watchers{self: self, domain: domain} }
 
 // set replaces the live VMs.
-func (w *watchers) set(live []coordination.Member) {
+func (w *watchers) set(live []liveVM) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.live = live
 	names := make([]string, 0, len(live))
+	var near []string
 	for _, m := range live {
-		names = append(names, m.VM)
+		names = append(names, m.name)
+		if m.domain == w.domain {
+			near = append(near, m.name)
+		}
 	}
 	w.ring = rendezvous.New(names, xxhash.Sum64String)
+	w.relays = nil
+	if len(near) >= minRelayedVMs {
+		w.relays = rendezvous.New(near, xxhash.Sum64String)
+	}
+}
+
+// choose returns up to a number of VMs of the ring for a topic. It may return fewer, as
+// two hash keys can select the same VM.
+func choose(ring *rendezvous.Rendezvous, topic provider.Topic, count int) map[string]bool {
+	chosen := make(map[string]bool, count)
+	for i := range count {
+		chosen[ring.Lookup(topic.String()+"/"+strconv.Itoa(i))] = true
+	}
+	return chosen
 }
 
-// watchersOf returns the names of the topic's watchers; the lock is held. It may
-// return fewer than watcherCount, as two hash keys can select the same VM.
+// watchersOf returns the names of the topic's watchers; the lock is held.
 func (w *watchers) watchersOf(topic provider.Topic) map[string]bool {
-	chosen := make(map[string]bool, watcherCount)
 	if len(w.live) == 0 {
-		return chosen
+		return nil
 	}
-	for i := range watcherCount {
-		chosen[w.ring.Lookup(topic.String()+"/"+strconv.Itoa(i))] = true
+	return choose(w.ring, topic, watcherCount)
+}
+
+// relaysOf returns the names of the topic's relays in this VM's failure domain; the lock
+// is held.
+func (w *watchers) relaysOf(topic provider.Topic) map[string]bool {
+	if w.relays == nil {
+		return nil
 	}
-	return chosen
+	return choose(w.relays, topic, relayCount)
 }
 
 // Watches implements mirror.Sources. Without other live VMs, this VM watches every
@@ -61,26 +104,40 @@
 	return len(w.live) <= 1 || w.watchersOf(topic)[w.self]
 }
 
-// Peers implements mirror.Sources. It returns the addresses of the topic's watchers
-// in random order, then those of up to watcherCount other VMs, since a watcher may
-// be cut off as well.
+// Relays implements mirror.Sources.
+func (w *watchers) Relays(topic provider.Topic) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.relaysOf(topic)[w.self]
+}
+
+// Peers implements mirror.Sources. It returns, each in random order, the addresses of the
+// relays of this VM's failure domain, unless it is a watcher or a relay itself, of the
+// topic's watchers, and of up to watcherCount other VMs, since a watcher may be cut off
+// as well.
 func (w *watchers) Peers(topic provider.Topic) []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	chosen := w.watchersOf(topic)
-	var preferred, others []string
+	chosen, relays := w.watchersOf(topic), w.relaysOf(topic)
+	if chosen[w.self] || relays[w.self] {
+		relays = nil
+	}
+	var near, preferred, others []string
 	for _, m := range w.live {
 		switch {
-		case m.VM == w.self:
-		case chosen[m.VM]:
-			preferred = append(preferred, m.Address)
+		case m.name == w.self:
+		case relays[m.name]:
+			near = append(near, m.address)
+		case chosen[m.name]:
+			preferred = append(preferred, m.address)
 		default:
-			others = append(others, m.Address)
+			others = append(others, m.address)
 		}
 	}
+	shuffle(near)
 	shuffle(preferred)
 	shuffle(others)
-	return append(preferred, others[:min(len(others), watcherCount)]...)
+	return slices.Concat(near, preferred, others[:min(len(others), watcherCount)])
 }
 
 func shuffle(list []string) {
--- /dev/null
+++ b/internal/entry/watchers_test.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/internal/provider"
+)
+
+// deployment returns the watchers of all VMs of a deployment with the given number of
+// VMs in each failure domain, by the VMs' addresses, which are their names.
+func deployment(domains, vmsEach int) map[string]*watchers {
+	var live []liveVM
+	for i := range domains * vmsEach {
+		name := fmt.Sprintf("vm-%d", i)
+		live = append(live, liveVM{name, name, fmt.Sprintf("d%d", i%domains)})
+	}
+	all := make(map[string]*watchers, len(live))
+	for _, m := range live {
+		all[m.name] = newWatchers(m.name, m.domain)
+		all[m.name].set(live)
+	}
+	return all
+}
+
+// TestReadsOfALargeDeployment counts who reads a topic from whom with 450 VMs in 12
+// failure domains: few reads leave a failure domain, and no VM is read by many.
+func TestReadsOfALargeDeployment(t *testing.T) {
+	const domains, vmsEach = 12, 450 / 12
+	all := deployment(domains, vmsEach)
+	for _, topic := range []provider.Topic{provider.Configuration, provider.Endpoints} {
+		readers := make(map[string]int)
+		left, relays := 0, 0
+		for _, w := range all {
+			if w.Watches(topic) {
+				continue
+			}
+			if w.Relays(topic) {
+				relays++
+			}
+			from := w.Peers(topic)[0]
+			readers[from]++
+			if all[from].domain != w.domain {
+				left++
+			}
+		}
+		require.LessOrEqual(t, relays, domains*relayCount)
+		require.LessOrEqual(t, left, domains*relayCount)
+		for vm, n := range readers {
+			require.LessOrEqual(t, n, vmsEach, "%s of topic %s", vm, topic)
+		}
+	}
+}
+
+// TestRelaysFollowWatchers checks that no VM prefers another one that would prefer it in
+// turn, directly or through others: the reads of a topic lead to a watcher.
+func TestRelaysFollowWatchers(t *testing.T) {
+	all := deployment(4, 20)
+	for _, w := range all {
+		for range 10 {
+			at, steps := w, 0
+			for ; !at.Watches(provider.Endpoints); steps++ {
+				at = all[at.Peers(provider.Endpoints)[0]]
+			}
+			require.LessOrEqual(t, steps, 2)
+		}
+	}
+}
+
+// TestSmallDomainsHaveNoRelays checks that the VMs of small failure domains follow the
+// watchers.
+func TestSmallDomainsHaveNoRelays(t *testing.T) {
+	all := deployment(3, minRelayedVMs-1)
+	for _, w := range all {
+		require.False(t, w.Relays(provider.Configuration))
+		if !w.Watches(provider.Configuration) {
+			require.True(t, all[w.Peers(provider.Configuration)[0]].Watches(provider.Configuration))
+		}
+	}
+}
+
+// TestSourcesBeyondTheRelays checks that a VM that loses both relays goes on with the
+// watchers, and then with VMs that are neither.
+func TestSourcesBeyondTheRelays(t *testing.T) {
+	all := deployment(2, minRelayedVMs)
+	for _, w := range all {
+		if w.Watches(provider.Endpoints) || w.Relays(provider.Endpoints) {
+			continue
+		}
+		kinds := make([]string, 0, 2*watcherCount+relayCount)
+		for _, vm := range w.Peers(provider.Endpoints) {
+			switch other := all[vm]; {
+			case other.Relays(provider.Endpoints) && other.domain == w.domain:
+				kinds = append(kinds, "relay")
+			case other.Watches(provider.Endpoints):
+				kinds = append(kinds, "watcher")
+			default:
+				kinds = append(kinds, "other")
+			}
+		}
+		order := strings.Join(kinds, " ")
+		require.Regexp(t, `^(relay ?)+(watcher ?)*other other$`, order)
+	}
+}
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -29,6 +29,12 @@
 	// peerPollWait and peerPollMargin are the same for reads from other VMs.
 	peerPollWait   = 800 * time.Millisecond
 	peerPollMargin = 300 * time.Millisecond
+	// relayPollWait is peerPollWait for the reads of a relay, which are shorter as what
+	// it hands on is as old as they are.
+	relayPollWait = 400 * time.Millisecond
+	// maxRelayAge is how long ago the copy of a relay may have been known to be up to date
+	// for the relay to count as a fresh source: it may have tried one source in vain.
+	maxRelayAge = 1500 * time.Millisecond
 	// minBackoff and maxBackoff bound the back-off between two reads while the store
 	// fails; random jitter of up to minBackoff is added.
 	minBackoff = 50 * time.Millisecond
@@ -43,7 +49,11 @@
 	// Watches reports whether this VM is a watcher: one that follows the store on
 	// behalf of the others.
 	Watches(topic provider.Topic) bool
-	// Peers returns the addresses of other VMs to follow, the watchers first.
+	// Relays reports whether this VM is a relay: one that follows a watcher, and hands on
+	// what it has to VMs that follow it.
+	Relays(topic provider.Topic) bool
+	// Peers returns the addresses of other VMs to follow, the preferred ones first: for
+	// a watcher and a relay the watchers.
 	Peers(topic provider.Topic) []string
 }
 
@@ -75,8 +85,8 @@
 	// storeReachable is true if this VM follows the store and its last call to it
 	// succeeded.
 	storeReachable bool
-	// peerFresh is true if the last poll of the other VMs reached one that itself
-	// reaches the store, and peersTried if they were polled since this VM last reached
+	// peerFresh is true if the last poll of the other VMs reached a fresh source, and
+	// peersTried if they were polled since this VM last reached
 	// the store: before that it is not known whether the copy is stale.
 	peerFresh  bool
 	peersTried bool
@@ -276,13 +286,35 @@
 // setPeerFresh records whether another VM supplies fresh rows.
 func (f *Follower) setPeerFresh(fresh bool) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	lost := f.peerFresh && !fresh
 	f.peerFresh, f.peersTried = fresh, true
+	f.mu.Unlock()
+	if lost {
+		// The VMs polling this one, if it is a relay, must fail over to another source.
+		f.wakeWaiters()
+	}
 }
 
-// readPeers polls the other VMs one by one until one responds that reaches the
-// store, and reports whether there was one. Rows from the others are applied as
-// well.
+// source reports whether this VM is a fresh source for others, and how long ago its copy
+// was known to be up to date: zero if it reaches the store. A relay is one as long as
+// another source was fresh for it. That its age counts keeps relays that follow each
+// other from taking each other for fresh.
+func (f *Follower) source() (age time.Duration, fresh bool) {
+	f.mu.Lock()
+	reachable, peerFresh := f.storeReachable, f.peerFresh
+	f.mu.Unlock()
+	if reachable {
+		return 0, true
+	}
+	if !peerFresh || !f.sources.Relays(f.topic) {
+		return 0, false
+	}
+	age = f.Unconfirmed()
+	return age, age <= maxRelayAge
+}
+
+// readPeers polls the other VMs one by one until one responds that is a fresh source,
+// and reports whether there was one. Rows from the others are applied as well.
 func (f *Follower) readPeers(ctx context.Context) bool {
 	for _, address := range f.sources.Peers(f.topic) {
 		if ctx.Err() != nil {
@@ -299,15 +331,18 @@
 // later rows.
 func (f *Follower) Pull(ctx context.Context, address string) { f.callPeer(ctx, address, 0) }
 
-// readPeer makes one long poll of a VM and reports whether that VM reaches the
-// store.
+// readPeer makes one long poll of a VM and reports whether that VM is a fresh source.
 func (f *Follower) readPeer(ctx context.Context, address string) bool {
+	wait := peerPollWait
+	if f.sources.Relays(f.topic) {
+		wait = relayPollWait
+	}
 	started := clock.Boot()
-	m, ok := f.callPeer(ctx, address, peerPollWait)
+	m, ok := f.callPeer(ctx, address, wait)
 	if !ok || m.Stale {
 		return false
 	}
-	f.confirm(started)
+	f.confirm(started - time.Duration(m.AgeMs)*time.Millisecond)
 	f.setStale(false, m.restored(time.Now()))
 	return true
 }
--- a/internal/mirror/messages.go
+++ b/internal/mirror/messages.go
@@ -35,8 +35,12 @@
 	// as many.
 	Kept   []rowMessage `json:"k,omitempty"`
 	KeptMs int64        `json:"km,omitempty"`
-	// Stale is true if the sender does not reach the store.
+	// Stale is true if the sender is no fresh source: it does not reach the store, and is
+	// no relay that has followed one that does.
 	Stale bool `json:"s,omitempty"`
+	// AgeMs is how long ago the copy of a sender that is not stale was known to be up to
+	// date; zero from senders that reach the store.
+	AgeMs int64 `json:"g,omitempty"`
 	// RestoredMs is the time since the store was last regained, as recorded by the
 	// sender; negative for never.
 	RestoredMs int64 `json:"o"`
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -147,7 +147,12 @@
 	followers    map[string]*Follower
 	observers    map[string]*recorder
 	watchers     map[string]bool
+	relays       map[string]bool
 	storeReads   map[string]int
+	// peerReads counts the reads by a VM of another one, and silent are the VMs that
+	// can't be called.
+	peerReads map[[2]string]int
+	silent    map[string]bool
 }
 
 var errRejected = errors.New("call rejected")
@@ -224,7 +229,10 @@
 func (s clusterStore) Remove(context.Context, provider.Topic, string) error { return nil }
 
 // clusterPeers is one VM's connection to the others.
-type clusterPeers struct{ *cluster }
+type clusterPeers struct {
+	*cluster
+	vm string
+}
 
 func (p clusterPeers) Call(ctx context.Context, address string, _ peer.Method, params, result any) (peer.Identity, error) {
 	request, ok := params.(readMessage)
@@ -234,6 +242,10 @@
 	}
 	p.mu.Lock()
 	f := p.followers[address]
+	if p.silent[address] {
+		f = nil
+	}
+	p.peerReads[[2]string{p.vm, address}]++
 	p.mu.Unlock()
 	if f == nil {
 		return peer.Identity{}, errRejected
@@ -254,8 +266,21 @@
 	return s.watchers[s.vm]
 }
 
-func (s clusterSources) Peers(provider.Topic) []string {
+func (s clusterSources) Relays(provider.Topic) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.relays[s.vm]
+}
+
+func (s clusterSources) Peers(topic provider.Topic) []string {
 	var list []string
+	if !s.Watches(topic) && !s.Relays(topic) {
+		s.mu.Lock()
+		for vm := range s.relays {
+			list = append(list, vm)
+		}
+		s.mu.Unlock()
+	}
 	for _, vm := range []string{"a", "b", "c"} {
 		if vm != s.vm {
 			list = append(list, vm)
@@ -305,12 +330,17 @@
 	c.changed = make(chan struct{})
 }
 
-// newCluster starts the VMs a, b and c, of which a is the watcher.
-func newCluster(t *testing.T) *cluster {
+// newCluster starts the VMs a, b and c, of which a is the watcher and the given ones are
+// relays.
+func newCluster(t *testing.T, relays ...string) *cluster {
 	t.Helper()
 	c := &cluster{
 		changed: make(chan struct{}), version: 1, followers: make(map[string]*Follower),
 		observers: make(map[string]*recorder), watchers: map[string]bool{"a": true}, storeReads: make(map[string]int),
+		relays: make(map[string]bool), peerReads: make(map[[2]string]int), silent: make(map[string]bool),
+	}
+	for _, vm := range relays {
+		c.relays[vm] = true
 	}
 	log, err := event.New(io.Discard, "json", "info", "vm")
 	require.NoError(t, err)
@@ -318,7 +348,7 @@
 		r := newRecorder()
 		// No test of a cluster depends on how long its VMs take.
 		r.keepFor = time.Hour
-		follower := Start(provider.Configuration, r, clusterStore{c, vm}, clusterPeers{c}, clusterSources{c, vm}, log, func(int64) {})
+		follower := Start(provider.Configuration, r, clusterStore{c, vm}, clusterPeers{c, vm}, clusterSources{c, vm}, log, func(int64) {})
 		c.mu.Lock()
 		c.followers[vm], c.observers[vm] = follower, r
 		c.mu.Unlock()
@@ -391,6 +421,11 @@
 	c := newCluster(t)
 	c.put(row("k", "1", 2))
 	c.awaitAll(t, "k", "1")
+	// A VM may have the row from another one that does not know yet that it reaches the
+	// store: only a copy that was fresh can become stale.
+	for vm, f := range c.followers {
+		require.Eventually(t, func() bool { return !f.isStale() }, 10*time.Second, time.Millisecond, vm)
+	}
 	c.rejectVMs("a", "b", "c")
 	for vm, r := range c.observers {
 		require.Eventually(t, func() bool {
@@ -421,7 +456,7 @@
 	log, err := event.New(io.Discard, "json", "info", "vm")
 	require.NoError(t, err)
 	r := newRecorder()
-	d := Start(provider.Configuration, r, clusterStore{c, "d"}, clusterPeers{c}, clusterSources{c, "d"}, log, func(int64) {})
+	d := Start(provider.Configuration, r, clusterStore{c, "d"}, clusterPeers{c, "d"}, clusterSources{c, "d"}, log, func(int64) {})
 	defer d.Stop()
 	require.Eventually(t, func() bool { return r.has("k", "1") }, 10*time.Second, time.Millisecond)
 }
--- /dev/null
+++ b/internal/mirror/relay_test.go
@@ -0,0 +1,105 @@
+package mirror
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// follows reports whether a VM's last poll of the others reached a fresh source.
+func (c *cluster) follows(vm string) bool {
+	f := c.followers[vm]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peerFresh && !f.storeReachable
+}
+
+// reads returns how often a VM has read from another one.
+func (c *cluster) reads(from, at string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peerReads[[2]string{from, at}]
+}
+
+// TestRelayHandsOn checks that a VM that follows a relay gets the changes, and neither
+// reads from the watcher nor from the store.
+func TestRelayHandsOn(t *testing.T) {
+	c := newCluster(t, "b")
+	c.put(row("k", "1", 2))
+	c.awaitAll(t, "k", "1")
+	require.Eventually(t, func() bool { return c.follows("b") && c.follows("c") && c.reads("c", "b") > 1 }, 10*time.Second, time.Millisecond)
+	c.mu.Lock()
+	c.peerReads = make(map[[2]string]int)
+	c.storeReads = make(map[string]int)
+	c.mu.Unlock()
+	for version := int64(3); version < 10; version++ {
+		c.put(row("k", string(rune('0'+version)), version))
+		c.awaitAll(t, "k", string(rune('0'+version)))
+	}
+	require.Zero(t, c.reads("c", "a"), "the relay has what the watcher has")
+	require.Positive(t, c.reads("c", "b"))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	require.Zero(t, c.storeReads["c"])
+	require.Zero(t, c.storeReads["b"])
+}
+
+// TestFollowersOfALostRelay cuts a relay off from the watcher and the store, without
+// cutting it off from the VM that follows it: that one must get the next change within the
+// two seconds allowed for applying a configuration, and may not take the relay's copy for
+// fresh.
+func TestFollowersOfALostRelay(t *testing.T) {
+	c := newCluster(t, "b")
+	c.put(row("k", "1", 2))
+	c.awaitAll(t, "k", "1")
+	require.Eventually(t, func() bool { return c.follows("b") && c.follows("c") }, 10*time.Second, time.Millisecond)
+	c.rejectVMs("b", "c")
+	c.mu.Lock()
+	c.silent["a"] = true
+	c.mu.Unlock()
+	for _, vm := range []string{"b", "c"} {
+		require.Eventually(t, func() bool { return c.followers[vm].isStale() }, 10*time.Second, time.Millisecond, vm)
+	}
+	c.mu.Lock()
+	c.silent["a"] = false
+	c.mu.Unlock()
+	c.put(row("k", "2", 3))
+	const propagationLimit = 2 * time.Second
+	require.Eventually(t, func() bool { return c.observers["c"].has("k", "2") }, propagationLimit, time.Millisecond)
+}
+
+// TestRelaysThatFollowEachOtherBecomeStale makes the watcher unreachable for two relays
+// that the store rejects: neither may take the other for fresh.
+func TestRelaysThatFollowEachOtherBecomeStale(t *testing.T) {
+	c := newCluster(t, "b", "c")
+	c.put(row("k", "1", 2))
+	c.awaitAll(t, "k", "1")
+	require.Eventually(t, func() bool { return c.follows("b") && c.follows("c") }, 10*time.Second, time.Millisecond)
+	c.rejectVMs("b", "c")
+	c.mu.Lock()
+	c.silent["a"] = true
+	c.mu.Unlock()
+	for _, vm := range []string{"b", "c"} {
+		require.Eventually(t, func() bool { return c.followers[vm].isStale() }, 10*time.Second, time.Millisecond, vm)
+	}
+	require.GreaterOrEqual(t, c.followers["b"].Revision().Version, int64(2))
+}
+
+// TestAgeIsHandedOn checks that a copy is no fresher than that of the relay from which it
+// was read.
+func TestAgeIsHandedOn(t *testing.T) {
+	c := newCluster(t, "b")
+	c.put(row("k", "1", 2))
+	c.awaitAll(t, "k", "1")
+	require.Eventually(t, func() bool { return c.follows("b") && c.follows("c") }, 10*time.Second, time.Millisecond)
+	b := c.followers["b"]
+	require.Eventually(t, func() bool {
+		m := b.serve(t.Context(), readMessage{After: b.Revision().Version, AfterEpoch: new(int64)})
+		return !m.Stale && m.AgeMs > 0
+	}, 10*time.Second, time.Millisecond)
+	a := c.followers["a"].serve(t.Context(), readMessage{})
+	require.False(t, a.Stale)
+	require.Zero(t, a.AgeMs, "the watcher reaches the store")
+	require.True(t, c.followers["c"].serve(t.Context(), readMessage{}).Stale, "only a relay hands on")
+}
--- a/internal/mirror/serve.go
+++ b/internal/mirror/serve.go
@@ -9,22 +9,23 @@
 )
 
 // serve returns the response to another VM's read. It is marked stale unless this
-// VM itself reaches the store, so that two VMs cut off from the store do not take
-// each other for a fresh source.
+// VM is a fresh source, so that two VMs cut off from the store do not take each other
+// for one.
 func (f *Follower) serve(ctx context.Context, request readMessage) pageMessage {
 	m := f.readCopy(ctx, request)
 	if len(m.Kept) == request.Kept {
 		m.Kept, m.KeptMs = nil, 0
 	}
-	m.Stale = !f.isStoreReachable()
+	age, fresh := f.source()
+	m.AgeMs, m.Stale = age.Milliseconds(), !fresh
 	return m
 }
 
 // readCopy returns the changes that were requested, or the whole topic if they are
-// not available. It does not wait for changes while the store is unreachable.
+// not available. It waits for changes only if this VM is a fresh source.
 func (f *Follower) readCopy(ctx context.Context, request readMessage) pageMessage {
 	wait := min(time.Duration(request.WaitMs)*time.Millisecond, peerPollWait)
-	if !f.isStoreReachable() {
+	if _, fresh := f.source(); !fresh {
 		wait = 0
 	}
 	if request.After > 0 {
