A topic's watchers are not among its relays

TestReadsOfALargeDeployment failed once: a VM was read by 39 others where 37 are allowed.

Cause: relays of a failure domain were chosen among all its VMs. A watcher that was chosen too served the relays of all other domains and half of its own domain's VMs; and two hash keys that selected one VM left a domain with a single relay, or a topic with a single watcher. Which readers pick which of the two is drawn at random, so the test passed most times.

Ruled out: a changed order of the live VMs (all watchers get the same list).

Change: the choice goes on to further hash keys until it has as many VMs as it should, and relays are none of the topic's watchers. A watcher is then read by the relays at most, a relay by its own domain's VMs at most, whatever is drawn.

Before: TestWatchersAreNoRelays fails ("vm-1 of 32"). After: it passes, and the tests of the choice pass 20 times in a row.

--- a/internal/entry/watchers.go
+++ b/internal/entry/watchers.go
@@ -23,6 +23,8 @@
 	// minRelayedVMs is the number of VMs from which a failure domain has relays: with
 	// fewer, what they save is not worth another step.
 	minRelayedVMs = 8
+	// choiceTries is the number of hash keys tried for a choice of VMs.
+	choiceTries = 16
 )
 
 // liveVM is a VM that is neither dead nor leaving.
@@ -69,12 +71,15 @@
 	}
 }
 
-// choose returns up to a number of VMs of the ring for a topic. It may return fewer, as
-// two hash keys can select the same VM.
-func choose(ring *rendezvous.Rendezvous, topic provider.Topic, count int) map[string]bool {
+// choose returns up to a number of VMs of the ring for a topic, and none of the excluded
+// ones. It returns fewer if the ring has fewer, or if too many hash keys select VMs that
+// others have selected.
+func choose(ring *rendezvous.Rendezvous, topic provider.Topic, count int, excluded map[string]bool) map[string]bool {
 	chosen := make(map[string]bool, count)
-	for i := range count {
-		chosen[ring.Lookup(topic.String()+"/"+strconv.Itoa(i))] = true
+	for i := 0; len(chosen) < count && i < choiceTries; i++ {
+		if vm := ring.Lookup(topic.String() + "/" + strconv.Itoa(i)); !excluded[vm] {
+			chosen[vm] = true
+		}
 	}
 	return chosen
 }
@@ -84,16 +89,16 @@
 	if len(w.live) == 0 {
 		return nil
 	}
-	return choose(w.ring, topic, watcherCount)
+	return choose(w.ring, topic, watcherCount, nil)
 }
 
-// relaysOf returns the names of the topic's relays in this VM's failure domain; the lock
-// is held.
+// relaysOf returns the names of the topic's relays in this VM's failure domain, which are
+// not among its watchers; the lock is held.
 func (w *watchers) relaysOf(topic provider.Topic) map[string]bool {
 	if w.relays == nil {
 		return nil
 	}
-	return choose(w.relays, topic, relayCount)
+	return choose(w.relays, topic, relayCount, w.watchersOf(topic))
 }
 
 // Watches implements mirror.Sources. Without other live VMs, this VM watches every
--- a/internal/entry/watchers_test.go
+++ b/internal/entry/watchers_test.go
@@ -13,7 +13,7 @@
 // deployment returns the watchers of all VMs of a deployment with the given number of
 // VMs in each failure domain, by the VMs' addresses, which are their names.
 func deployment(domains, vmsEach int) map[string]*watchers {
-	var live []liveVM
+	live := make([]liveVM, 0, domains*vmsEach)
 	for i := range domains * vmsEach {
 		name := fmt.Sprintf("vm-%d", i)
 		live = append(live, liveVM{name, name, fmt.Sprintf("d%d", i%domains)})
@@ -55,6 +55,28 @@
 	}
 }
 
+// TestWatchersAreNoRelays checks that no VM serves both the relays of all failure domains
+// and the VMs of its own, and that each topic has all its watchers and relays.
+func TestWatchersAreNoRelays(t *testing.T) {
+	for vmsEach := minRelayedVMs; vmsEach < 40; vmsEach++ {
+		all := deployment(4, vmsEach)
+		for _, topic := range []provider.Topic{provider.Configuration, provider.Endpoints} {
+			watching, relaying := 0, 0
+			for _, w := range all {
+				require.False(t, w.Watches(topic) && w.Relays(topic), "%s of %d", w.self, 4*vmsEach)
+				if w.Watches(topic) {
+					watching++
+				}
+				if w.Relays(topic) {
+					relaying++
+				}
+			}
+			require.Equal(t, watcherCount, watching)
+			require.Equal(t, 4*relayCount, relaying)
+		}
+	}
+}
+
 // TestRelaysFollowWatchers checks that no VM prefers another one that would prefer it in
 // turn, directly or through others: the reads of a topic lead to a watcher.
 func TestRelaysFollowWatchers(t *testing.T) {
