Rows between VMs are packed

Each change of the configuration sends its whole document, some 30 kB, to each VM.

Ruled out: sending fewer changes (each is one that the users ask for); sending patches from one version to the next (the platform's row is one document; each sender would need the versions that each of its readers has).

Change: a reader says that it can read packed rows, and the rows of a page from 1 KiB of values on are sent as their heads and values, deflated. VMs of earlier builds neither ask for them nor send them. Rows that can't be unpacked are logged (741), and the reader asks the next source.

--- a/internal/event/gateway_state.go
+++ b/internal/event/gateway_state.go
@@ -11,7 +11,7 @@
 var gatewayStateEvents = []Event{
 	StoreRestored{}, RowsReleased{}, EndpointLeaving{}, EndpointPaused{}, VMSuspended{}, CostModelInvalid{},
 	LingerNotSet{}, PartWithheld{}, PartReleased{}, VerdictNotShared{}, VerdictUnreadable{},
-	DomainEvacuated{}, EvacuationEnded{}, CountersReported{},
+	DomainEvacuated{}, EvacuationEnded{}, CountersReported{}, RowsUnreadable{},
 }
 
 // StoreRestored is emitted when a VM finds that the store was restored from a backup.
@@ -198,3 +198,16 @@
 func (CountersReported) Def() Def {
 	return Def{740, "counters_reported", log.InfoLevel, "How much the counters have grown in the interval, and the processor time that the process has used in it."}
 }
+
+// RowsUnreadable is emitted when the rows of another VM's answer can't be read.
+type RowsUnreadable struct {
+	Topic string `log:"topic"`
+	// Address is that of the other VM.
+	Address string `log:"address"`
+	Reason  string `log:"reason"`
+}
+
+// Def implements Event.
+func (RowsUnreadable) Def() Def {
+	return Def{741, "rows_unreadable", log.WarnLevel, "The rows of a topic that another VM sent can't be read; this VM reads them from the next source."}
+}
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -373,15 +373,16 @@
 	var m pageMessage
 	after := f.Revision()
 	request := readMessage{
-		Topic: f.topic, After: after.Version, AfterEpoch: &after.Epoch, Kept: f.Kept(), WaitMs: wait.Milliseconds(),
+		Topic: f.topic, After: after.Version, AfterEpoch: &after.Epoch, Kept: f.Kept(), WaitMs: wait.Milliseconds(), Packed: true,
 	}
 	if _, err := f.peers.Call(ctx, address, methodRead, request, &m); err != nil || m.NoCopy {
 		return m, false
 	}
-	if !f.apply(m) {
+	if err := m.unpack(); err != nil {
+		f.log.Emit(event.RowsUnreadable{Topic: f.topic.String(), Address: address, Reason: err.Error()})
 		return m, false
 	}
-	return m, true
+	return m, f.apply(m)
 }
 
 // apply applies another VM's rows. It returns false if they are of an earlier epoch.
--- a/internal/mirror/messages.go
+++ b/internal/mirror/messages.go
@@ -21,12 +21,16 @@
 	Kept int `json:"k,omitempty"`
 	// WaitMs bounds how long the response is held if there are no changes.
 	WaitMs int64 `json:"w,omitempty"`
+	// Packed is set if the requester can read packed rows.
+	Packed bool `json:"z,omitempty"`
 }
 
 // pageMessage is the response of methodRead.
 type pageMessage struct {
-	Rows    []rowMessage `json:"r,omitempty"`
-	Version int64        `json:"v"`
+	Rows []rowMessage `json:"r,omitempty"`
+	// Packed are the rows in place of Rows, as packedRow describes.
+	Packed  []byte `json:"z,omitempty"`
+	Version int64  `json:"v"`
 	// Epoch is the epoch of the version and the rows; zero from VMs that don't know
 	// epochs.
 	Epoch int64 `json:"e,omitempty"`
--- a/internal/mirror/serve.go
+++ b/internal/mirror/serve.go
@@ -16,6 +16,9 @@
 	if len(m.Kept) == request.Kept {
 		m.Kept, m.KeptMs = nil, 0
 	}
+	if request.Packed {
+		m.pack()
+	}
 	age, fresh := f.source()
 	m.AgeMs, m.Stale = age.Milliseconds(), !fresh
 	return m
