--- a/cmd/cornelsaddle/gateway.go
+++ b/cmd/cornelsaddle/gateway.go
@@ -26,6 +26,7 @@
 	flags := flag.NewFlagSet("gateway", flag.ContinueOnError)
 	path := flags.String("settings", platform.SettingsPath(), "settings file written by the platform")
 	metricsAddress := flags.String("metrics", "", "address (IP:PORT) on which metrics are served; empty to serve none")
+	peersListen := flags.String("listen-peers", "", "address (IP:PORT) on which the other VMs are served, if it differs from the one in the settings file, at which they reach this VM")
 	profiles := flags.Bool("profiles", false, "also serve profiles of the process on the metrics address, under /debug/pprof/")
 	level := flags.String("log", "info", "minimum log level: debug, info, warn or error")
 	if err := flags.Parse(args); err != nil {
@@ -34,7 +35,7 @@
 		}
 		return exitUsage
 	}
-	startup := gatewayStartup{settings: *path, level: *level, metrics: *metricsAddress, profiles: *profiles}
+	startup := gatewayStartup{settings: *path, level: *level, metrics: *metricsAddress, profiles: *profiles, peersListen: *peersListen}
 	if err := serveGateway(startup); err != nil {
 		fmt.Fprintln(os.Stderr, "cornelsaddle gateway:", err)
 		return exitFailed
@@ -46,9 +47,9 @@
 type gatewayStartup struct {
 	// settings is the path of the settings file, and level the minimum log level.
 	settings, level string
-	// metrics and profiles are those of config.Settings.
-	metrics  string
-	profiles bool
+	// metrics and peersListen are listen addresses of config.Settings.
+	metrics, peersListen string
+	profiles             bool
 }
 
 func serveGateway(startup gatewayStartup) error {
@@ -57,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	settings.Metrics, settings.Profiles = startup.metrics, startup.profiles
+	settings.Metrics, settings.Profiles, settings.PeersListen = startup.metrics, startup.profiles, startup.peersListen
 	out := event.NewBuffer(os.Stdout)
 	defer out.Close()
 	log, err := event.New(out, "json", startup.level, settings.VM)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -129,7 +130,7 @@
 // membership service, which probes the other VMs.
 func (v *VM) join() (*members, error) {
 	p := v.components
-	server, err := peer.Listen(v.settings.Peers, v.peerConfig(p.Identity), p.Mux, v.log, p.Metrics.Registry)
+	server, err := peer.Listen(cmp.Or(v.settings.PeersListen, v.settings.Peers), v.peerConfig(p.Identity), p.Mux, v.log, p.Metrics.Registry)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -22,6 +22,9 @@
 	Callers  string
 	Balancer string
 	Peers    string
+	// PeersListen is the listen address for the other VMs if it differs from Peers, the
+	// one at which they reach this VM, as behind a forwarded port; empty if it does not.
+	PeersListen string
 	// Metrics is the listen address of the metrics; empty to serve none.
 	Metrics string
 	// Profiles reports whether the metrics address also serves profiles of the process.
--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -66,7 +66,7 @@
 	// A logarithmic axis requires a non-empty range.
 	p.X.Min /= axisMargin
 	p.X.Max *= axisMargin
-	return render(p)
+	return SVG(p)
 }
 
 // cumulativePoints returns the steps of the cumulative distribution of the
@@ -89,8 +89,8 @@
 	return xys
 }
 
-// render returns the plot as an SVG element without the XML prologue.
-func render(p *plot.Plot) (template.HTML, error) {
+// SVG returns the plot as an SVG element without the XML prologue.
+func SVG(p *plot.Plot) (template.HTML, error) {
 	w, err := p.WriterTo(plotWidth, plotHeight, "svg")
 	if err != nil {
 		return "", errors.WithStack(err)
