The gap of a decoding job is that of the longest pass

A prompt of 1.1 passes was forecast as a gap of half a pass.

Ruled out: taking the longest for both (arrivals would count as if all passes were as long).

Change: MeanPassMs and LongestPassMs, each used where it belongs. The longest is found in one walk over the queue, whatever the number of passes.

--- a/core/dispatch/cost.go
+++ b/core/dispatch/cost.go
@@ -32,14 +32,14 @@
 	f := e.model.Forecast(now, *part)
 	for _, p := range e.parts {
 		if p.receiver {
-			interference += d.gapLoss(p.job, f.BaselinePassMs, f.PassMs)
+			interference += d.gapLoss(p.job, f.BaselinePassMs, f.LongestPassMs)
 		}
 		if !p.job.started {
 			interference += d.delayLoss(now, p.job, part.Ms)
 		}
 	}
 	if interactive[e.ID] {
-		interference += d.arrivalLoss(now, e, f.PassMs, len(interactive))
+		interference += d.arrivalLoss(now, e, f.MeanPassMs, len(interactive))
 	}
 	return interference, f.FirstMs + d.overdueMs(now, e)
 }
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -314,7 +314,7 @@
 	m.AddDecoding(start, 1, 0)
 	first := m.Forecast(at(4), *f.NewPrefillPart(200, 1))
 	require.InDelta(t, 6+10+20, first.FirstMs, 0.01, "the rest of the pass, and the next one with the part")
-	require.InDelta(t, 30, first.PassMs, 0.01)
+	require.InDelta(t, 30, first.MeanPassMs, 0.01)
 	require.InDelta(t, 10, first.BaselinePassMs, 0.01)
 	m.Add(at(4), f.NewPrefillPart(200, 1))
 	require.InDelta(t, 20, m.PendingPrefillMs(at(4)), 0.01)
--- a/core/engine/model.go
+++ b/core/engine/model.go
@@ -178,9 +178,12 @@
 	// FirstMs is the time until the end of the pass that completes the part's
 	// prefill.
 	FirstMs float64
-	// PassMs is the mean length of the passes until then, or the length of a
+	// MeanPassMs is the mean length of the passes until then, or the length of a
 	// step without prefill if no request is decoding.
-	PassMs float64
+	MeanPassMs float64
+	// LongestPassMs is the length of the longest of these passes: the longest gap
+	// between two events of a request that is decoding.
+	LongestPassMs float64
 	// BaselinePassMs is the length of the next pass without the part, or the length
 	// of a step without prefill if no request is decoding.
 	BaselinePassMs float64
@@ -194,7 +197,8 @@
 	if m.decoding == 0 {
 		steps := 1 + p.Tokens/float64(max(1, m.costModel.ChunkTokens))
 		prefillMs := ahead.ms + p.Ms + steps*m.costModel.StepMs
-		return Forecast{FirstMs: m.remainingPassMs(now) + prefillMs, PassMs: m.costModel.StepMs, BaselinePassMs: m.costModel.StepMs}
+		stepMs := m.costModel.StepMs
+		return Forecast{FirstMs: m.remainingPassMs(now) + prefillMs, MeanPassMs: stepMs, LongestPassMs: stepMs, BaselinePassMs: stepMs}
 	}
 	base := m.costModel.PassMs(m.decoding, m.context)
 	budget := float64(max(1, m.costModel.Stride) * max(1, m.costModel.ChunkTokens))
@@ -203,11 +207,53 @@
 	prefillMs := ahead.ms + p.Ms + behind.ms
 	return Forecast{
 		FirstMs:        m.remainingPassMs(now) + passes*base + prefillMs,
-		PassMs:         base + prefillMs/passes,
+		MeanPassMs:     base + prefillMs/passes,
+		LongestPassMs:  base + m.longestPrefillMs(index, p, budget, passes),
 		BaselinePassMs: base + m.pendingPrefill(m.parts, budget).ms,
 	}
 }
 
+// longestPrefillMs returns the prefill time of the pass that has most of it, among the
+// given number of passes of a budget in tokens, if a part is inserted into the queue at
+// an index.
+func (m *Model) longestPrefillMs(index int, inserted PrefillPart, budget, passes float64) float64 {
+	longest, ms, room := 0.0, 0.0, budget
+	add := func(c chunk) {
+		if c.tokens <= 0 {
+			return
+		}
+		msPerToken := c.ms / c.tokens
+		for c.tokens >= room && passes > 0 {
+			longest = max(longest, ms+msPerToken*room)
+			c.tokens -= room
+			ms, room = 0, budget
+			passes--
+			// The whole passes that the part fills are of one length.
+			if whole := min(passes, math.Floor(c.tokens/budget)); whole > 0 {
+				longest = max(longest, msPerToken*budget)
+				c.tokens -= whole * budget
+				passes -= whole
+			}
+		}
+		ms += msPerToken * c.tokens
+		room -= c.tokens
+	}
+	for _, p := range m.parts[:index] {
+		add(m.remainingAfterPass(p))
+	}
+	add(chunk{tokens: inserted.Tokens, ms: inserted.Ms})
+	for _, p := range m.parts[index:] {
+		if passes <= 0 {
+			break
+		}
+		add(m.remainingAfterPass(p))
+	}
+	if passes > 0 {
+		longest = max(longest, ms)
+	}
+	return longest
+}
+
 // remainingPassMs returns the remaining time of the current pass.
 func (m *Model) remainingPassMs(now time.Time) float64 {
 	if m.passEnd.IsZero() {
