VMs that start together get their first copies from each other

Each VM that started listed the configuration and all endpoints from the store.

Ruled out: relays and packing (they serve VMs that have a copy); the list of the VMs (1.9 MB, and each VM needs it to find the others).

Change: for its first 3 s a VM takes the VMs of the store's list for live ones, so that all that start together select the same watchers and relays. Only the watchers list a topic at once; the others ask them, and a source that starts itself holds the call until it has a copy. A VM that gets none lists the topic at a random time within 10 ms for each listed VM beyond 50. Event 742 says where each first copy came from.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -62,6 +62,8 @@
 	seeds []string
 	self  string
 	log   *event.Logger
+	// listed receives the VMs that were listed.
+	listed func([]liveVM)
 }
 
 // VMs implements member.List. Rows that can't be decoded are logged and left out.
@@ -73,6 +75,7 @@
 		return l.listFromSeeds(), nil
 	}
 	var list wire.VMList
+	var listed []liveVM
 	for _, row := range page.Rows {
 		var doc vmRow
 		if err := json.Unmarshal(row.Value, &doc); err != nil {
@@ -80,7 +83,9 @@
 			continue
 		}
 		list.VMs = append(list.VMs, wire.VM{ID: row.Key, Peer: doc.Peer, FailureDomain: doc.Domain, State: wire.VMLive})
+		listed = append(listed, liveVM{row.Key, doc.Peer, doc.Domain})
 	}
+	l.listed(listed)
 	return list, nil
 }
 
@@ -149,7 +154,7 @@
 			Incarnation:   p.Identity.Incarnation,
 		},
 		Caller:   p.Peers,
-		List:     &vmLister{v.platform.Store, p.Peers, v.settings.Seeds, v.settings.Peers, v.log},
+		List:     &vmLister{v.platform.Store, p.Peers, v.settings.Seeds, v.settings.Peers, v.log, v.watchers.setListed},
 		Log:      v.log,
 		Observer: &observer{vm: v},
 		Version:  p.Tables.version,
--- a/internal/entry/watchers.go
+++ b/internal/entry/watchers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
@@ -23,6 +24,18 @@
 	// minRelayedVMs is the number of VMs from which a failure domain has relays: with
 	// fewer, what they save is not worth another step.
 	minRelayedVMs = 8
+	// listSpreadPerVM is the time by which one more VM lengthens the time over which VMs
+	// that start together read a topic from the store, if they get it from no other VM.
+	listSpreadPerVM = 10 * time.Millisecond
+	// listsAtOnce is the number of VMs that read a topic from the store without a spread,
+	// when they start together: with fewer, waiting for another one takes longer.
+	listsAtOnce = 50
+	// listWait is how long a VM that starts waits for the list of the VMs before it
+	// selects among the ones that it knows.
+	listWait = 500 * time.Millisecond
+	// listTrust is how long after its start a VM takes listed VMs for live ones, before
+	// its probes have shown which are.
+	listTrust = 3 * time.Second
 	// choiceTries is the number of hash keys tried for a choice of VMs.
 	choiceTries = 16
 )
@@ -42,19 +55,56 @@
 	self   string
 	domain string
 
-	mu   sync.Mutex
+	started time.Time
+
+	mu sync.Mutex
+	// seen are the VMs that are live by the membership, and listed those of the list of
+	// the VMs, which is empty before it was read and after listTrust.
+	seen   []liveVM
+	listed []liveVM
+	// live has both.
 	live []liveVM
 	ring *rendezvous.Rendezvous
 	// relays are the VMs of the failure domain; nil if it has no relays.
 	relays *rendezvous.Rendezvous
 }
 
-func newWatchers(self, domain string) *watchers { return &watchers{self: self, domain: domain} }
+func newWatchers(self, domain string) *watchers {
+	return &watchers{self: self, domain: domain, started: time.Now()}
+}
 
-// set replaces the live VMs.
+// set replaces the VMs that are live by the membership.
 func (w *watchers) set(live []liveVM) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.seen = live
+	if time.Since(w.started) > listTrust {
+		w.listed = nil
+	}
+	w.join()
+}
+
+// setListed sets the listed VMs. VMs that start together and have read the same list
+// select the same watchers, before they have found each other. After listTrust, the list
+// is ignored.
+func (w *watchers) setListed(listed []liveVM) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Since(w.started) > listTrust {
+		return
+	}
+	w.listed = listed
+	w.join()
+}
+
+// join selects anew among the VMs seen and listed; the lock is held.
+func (w *watchers) join() {
+	live := slices.Clone(w.seen)
+	for _, m := range w.listed {
+		if !slices.ContainsFunc(w.seen, func(s liveVM) bool { return s.name == m.name }) {
+			live = append(live, m)
+		}
+	}
 	w.live = live
 	names := make([]string, 0, len(live))
 	var near []string
@@ -116,6 +166,14 @@
 	return w.relaysOf(topic)[w.self]
 }
 
+// Spread implements mirror.Sources. It grows with the number of VMs, so that they read
+// the store at a rate that doesn't.
+func (w *watchers) Spread() (time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Duration(max(0, len(w.live)-listsAtOnce)) * listSpreadPerVM, len(w.listed) > 0 || time.Since(w.started) > listWait
+}
+
 // Peers implements mirror.Sources. It returns, each in random order, the addresses of the
 // relays of this VM's failure domain, unless it is a watcher or a relay itself, of the
 // topic's watchers, and of up to watcherCount other VMs, since a watcher may be cut off
--- a/internal/event/gateway_state.go
+++ b/internal/event/gateway_state.go
@@ -11,7 +11,7 @@
 var gatewayStateEvents = []Event{
 	StoreRestored{}, RowsReleased{}, EndpointLeaving{}, EndpointPaused{}, VMSuspended{}, CostModelInvalid{},
 	LingerNotSet{}, PartWithheld{}, PartReleased{}, VerdictNotShared{}, VerdictUnreadable{},
-	DomainEvacuated{}, EvacuationEnded{}, CountersReported{}, RowsUnreadable{},
+	DomainEvacuated{}, EvacuationEnded{}, CountersReported{}, RowsUnreadable{}, FirstCopyAwaited{},
 }
 
 // StoreRestored is emitted when a VM finds that the store was restored from a backup.
@@ -211,3 +211,24 @@
 func (RowsUnreadable) Def() Def {
 	return Def{741, "rows_unreadable", log.WarnLevel, "The rows of a topic that another VM sent can't be read; this VM reads them from the next source."}
 }
+
+// FirstCopyAwaited is emitted when a VM that starts ends its wait for a copy of a topic
+// from another VM.
+type FirstCopyAwaited struct {
+	Topic string `log:"topic"`
+	// Found is false if the VM reads the topic from the store, as one that follows it or
+	// because the wait is over.
+	Found   bool  `log:"found"`
+	Watcher bool  `log:"watcher"`
+	Epoch   int64 `log:"epoch"`
+	Version int64 `log:"version"`
+	// Spread is the time over which the VMs read the store, and Waited how long this one
+	// has waited.
+	Spread time.Duration `log:"spread"`
+	Waited time.Duration `log:"waited"`
+}
+
+// Def implements Event.
+func (FirstCopyAwaited) Def() Def {
+	return Def{742, "first_copy_awaited", log.InfoLevel, "A VM that starts has got its first copy of a topic from another VM, or goes on to read it from the store."}
+}
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -42,6 +42,9 @@
 	// idleInterval is the interval at which an idle source checks whether it is
 	// needed.
 	idleInterval = 100 * time.Millisecond
+	// startInterval is the interval at which a VM that starts checks whether it has got a
+	// copy from another one.
+	startInterval = 2 * time.Millisecond
 )
 
 // Sources selects the sources to follow.
@@ -55,6 +58,9 @@
 	// Peers returns the addresses of other VMs to follow, the preferred ones first: for
 	// a watcher and a relay the watchers.
 	Peers(topic provider.Topic) []string
+	// Spread returns the time over which the VMs of a deployment that start together read
+	// the store, and false while the VMs to select sources from are not known.
+	Spread() (spread time.Duration, known bool)
 }
 
 // Peers makes calls to the other VMs.
@@ -118,6 +124,7 @@
 	retryDelay := backoff.NewExponentialBackOff()
 	retryDelay.InitialInterval = minBackoff
 	retryDelay.MaxInterval = maxBackoff
+	f.awaitCopy(ctx)
 	for ctx.Err() == nil {
 		if !f.shouldReadStore() {
 			f.setStoreReachable(ctx, false, nil)
@@ -139,6 +146,32 @@
 	}
 }
 
+// awaitCopy waits, when this VM starts, for a copy of the topic from another VM, so that
+// the VMs of a deployment that start together don't all list it from the store at the
+// same time. A watcher doesn't wait, and the others until a random time of the spread.
+func (f *Follower) awaitCopy(ctx context.Context) {
+	started := time.Now()
+	var end time.Time
+	outcome := event.FirstCopyAwaited{Topic: f.topic.String()}
+	for ctx.Err() == nil && f.Revision().Version == 0 {
+		if spread, known := f.sources.Spread(); known {
+			if end.IsZero() {
+				outcome.Spread = spread
+				end = time.Now().Add(rand.N(spread + 1))
+			}
+			outcome.Watcher = f.sources.Watches(f.topic)
+			if outcome.Watcher || !time.Now().Before(end) {
+				break
+			}
+		}
+		sleep(ctx, startInterval)
+	}
+	revision := f.Revision()
+	outcome.Found, outcome.Epoch, outcome.Version = revision.Version > 0, revision.Epoch, revision.Version
+	outcome.Waited = time.Since(started)
+	f.log.Emit(outcome)
+}
+
 // shouldReadStore reports whether this VM must follow the store itself.
 func (f *Follower) shouldReadStore() bool {
 	if f.sources.Watches(f.topic) {
@@ -267,11 +300,20 @@
 			sleep(ctx, idleInterval)
 			continue
 		}
+		if _, known := f.sources.Spread(); !known {
+			sleep(ctx, startInterval)
+			continue
+		}
 		started := clock.Boot()
 		fresh := f.readPeers(ctx)
 		f.attempted(started)
 		f.setPeerFresh(fresh)
-		if !fresh {
+		switch {
+		case fresh:
+		case f.Revision().Version == 0:
+			// The sources may be starting too.
+			sleep(ctx, rand.N(minBackoff))
+		default:
 			sleep(ctx, minBackoff+rand.N(minBackoff))
 		}
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -153,6 +153,8 @@
 	// can't be called.
 	peerReads map[[2]string]int
 	silent    map[string]bool
+	// spread is the time over which the VMs read the store at their start.
+	spread time.Duration
 }
 
 var errRejected = errors.New("call rejected")
@@ -272,6 +274,13 @@
 	return s.relays[s.vm]
 }
 
+// Spread implements Sources.
+func (s clusterSources) Spread() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spread, true
+}
+
 func (s clusterSources) Peers(topic provider.Topic) []string {
 	var list []string
 	if !s.Watches(topic) && !s.Relays(topic) {
@@ -333,8 +342,16 @@
 // newCluster starts the VMs a, b and c, of which a is the watcher and the given ones are
 // relays.
 func newCluster(t *testing.T, relays ...string) *cluster {
+	t.Helper()
+	return startCluster(t, 0, false, relays...)
+}
+
+// startCluster is newCluster with a spread of the reads of the store at the start, and a
+// watcher that can be out of reach.
+func startCluster(t *testing.T, spread time.Duration, watcherLost bool, relays ...string) *cluster {
 	t.Helper()
 	c := &cluster{
+		spread:  spread,
 		changed: make(chan struct{}), version: 1, followers: make(map[string]*Follower),
 		observers: make(map[string]*recorder), watchers: map[string]bool{"a": true}, storeReads: make(map[string]int),
 		relays: make(map[string]bool), peerReads: make(map[[2]string]int), silent: make(map[string]bool),
@@ -342,6 +359,10 @@
 	for _, vm := range relays {
 		c.relays[vm] = true
 	}
+	if watcherLost {
+		c.rejected = map[string]bool{"a": true}
+		c.silent["a"] = true
+	}
 	log, err := event.New(io.Discard, "json", "info", "vm")
 	require.NoError(t, err)
 	for _, vm := range []string{"a", "b", "c"} {
--- a/internal/mirror/serve.go
+++ b/internal/mirror/serve.go
@@ -25,7 +25,8 @@
 }
 
 // readCopy returns the changes that were requested, or the whole topic if they are
-// not available. It waits for changes only if this VM is a fresh source.
+// not available. It waits for changes only if this VM is a fresh source, and for its
+// first copy only if it is to be one.
 func (f *Follower) readCopy(ctx context.Context, request readMessage) pageMessage {
 	wait := min(time.Duration(request.WaitMs)*time.Millisecond, peerPollWait)
 	if _, fresh := f.source(); !fresh {
@@ -38,12 +39,26 @@
 		}
 	}
 	p, ok := f.list()
+	if !ok && (f.sources.Watches(f.topic) || f.sources.Relays(f.topic)) {
+		f.awaitSource(ctx, min(time.Duration(request.WaitMs)*time.Millisecond, peerPollWait))
+		p, ok = f.list()
+	}
 	if !ok {
 		return pageMessage{NoCopy: true}
 	}
 	return encodePage(p, true)
 }
 
+// awaitSource waits until this VM has its first copy and is a fresh source, and at most
+// for the given time.
+func (f *Follower) awaitSource(ctx context.Context, wait time.Duration) {
+	for end := time.Now().Add(wait); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, startInterval) {
+		if _, fresh := f.source(); fresh && f.Revision().Version > 0 {
+			return
+		}
+	}
+}
+
 // requested returns the revision after which changes are requested. A VM that doesn't
 // know epochs compares versions only.
 func (f *Follower) requested(request readMessage) provider.Revision {
