VMs that start together have the same holders

Ruled out: the engines' work for callers of the killed VMs (its connections ended with them), waiting at the holders (2 to 8 ms in the middle), the list of endpoints (known after 0.04 to 0.14 s).

Change: for its first 3 s a VM counts the listed VMs, of which nothing else is known, as live for the choice of holders too, as it did for watchers and relays. A holder that doesn't respond is replaced as before. A VM that becomes known with its incarnation isn't taken for restarted, so that its jobs stay.

--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -39,7 +39,8 @@
 type Member struct {
 	VM      string
 	Address string
-	// Incarnation distinguishes one start of the VM from another.
+	// Incarnation distinguishes one start of the VM from another; zero as long as it is
+	// not known.
 	Incarnation int64
 	// Leaving is true while the VM is shutting down: it finishes its requests in
 	// flight, and is a holder only if no other VM is available.
--- a/internal/coordination/holders.go
+++ b/internal/coordination/holders.go
@@ -58,7 +58,9 @@
 	h.hash = nil
 	var gone []string
 	for vm, m := range previous {
-		if vm != h.vm && h.live[vm].Incarnation != m.Incarnation {
+		now, found := h.live[vm]
+		restarted := m.Incarnation != 0 && now.Incarnation != m.Incarnation
+		if vm != h.vm && (!found || restarted) {
 			gone = append(gone, vm)
 			delete(h.backoffs, vm)
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,6 +60,7 @@
 	balancerServer *server
 	metricsServer  *server
 	members        *members
+	listed         *listedVMs
 	watchers       *watchers
 	// configuration and endpoints keep this VM's copies of those store topics up
 	// to date.
@@ -96,11 +97,12 @@
 		platform: platform,
 		log:      log,
 		started:  time.Now(),
-		watchers: newWatchers(settings.VM, settings.FailureDomain),
+		listed:   newListedVMs(),
 		joined:   make(chan struct{}),
 		stopping: make(chan struct{}),
 		closed:   make(chan struct{}),
 	}
+	e.watchers = newWatchers(settings.VM, settings.FailureDomain, e.listed)
 	e.applyReloadable(settings)
 	c := dig.New()
 	for _, constructor := range e.constructors() {
@@ -126,6 +128,7 @@
 	e.registerGauges()
 	go e.runPeriodically(countersInterval, e.newCountersReporter())
 	go e.runPeriodically(droppedLinesInterval, e.newDroppedLinesReporter(dropped))
+	time.AfterFunc(listTrust, e.updateMembers)
 	go e.runPeriodically(markSweepInterval, e.dropMarks)
 	go e.runPeriodically(markSweepInterval, e.dropVerdicts)
 	go e.runPeriodically(retryShareInterval, func() { e.components.Gateway.SetRetryBounds(e.retryShare()) })
--- /dev/null
+++ b/internal/entry/listed.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// listWait is how long a VM that starts waits for the list of the VMs before it
+	// selects among the ones that it knows.
+	listWait = 500 * time.Millisecond
+	// listTrust is how long after its start a VM takes listed VMs of which it knows
+	// nothing else for live ones.
+	listTrust = 3 * time.Second
+)
+
+// listedVMs are the VMs that the store listed when this VM started. VMs that start
+// together have read the same list, so that they select the same watchers, relays and
+// holders before they have found each other. It is safe for concurrent use.
+type listedVMs struct {
+	started time.Time
+
+	mu  sync.Mutex
+	vms []liveVM
+}
+
+func newListedVMs() *listedVMs { return &listedVMs{started: time.Now()} }
+
+// set replaces the listed VMs, and reports whether they matter still.
+func (l *listedVMs) set(vms []liveVM) bool {
+	if time.Since(l.started) > listTrust {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.vms = vms
+	return true
+}
+
+// known reports whether the list was read, or was waited for in vain.
+func (l *listedVMs) known() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.vms) > 0 || time.Since(l.started) > listWait
+}
+
+// trusted returns the listed VMs other than the given ones, whose state is known; none
+// after listTrust.
+func (l *listedVMs) trusted(known map[string]bool) []liveVM {
+	if time.Since(l.started) > listTrust {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var others []liveVM
+	for _, m := range l.vms {
+		if !known[m.name] {
+			others = append(others, m)
+		}
+	}
+	return others
+}
--- /dev/null
+++ b/internal/entry/listed_test.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/internal/provider"
+)
+
+// TestVMsThatStartTogetherAgree starts the VMs of a large deployment, each of which has
+// read the list of the VMs and found only a few of the others: all select the same few
+// that list a topic from the store.
+func TestVMsThatStartTogetherAgree(t *testing.T) {
+	const domains, vmsEach = 12, 450 / 12
+	all := deployment(domains, vmsEach)
+	vms := make([]liveVM, 0, len(all))
+	for name, w := range all {
+		vms = append(vms, liveVM{name, name, w.domain})
+	}
+	listing := 0
+	for name, w := range all {
+		found := vms[:3]
+		known := map[string]bool{name: true}
+		for _, m := range found {
+			known[m.name] = true
+		}
+		listed := newListedVMs()
+		require.False(t, listed.known())
+		require.True(t, listed.set(vms))
+		starting := newWatchers(name, w.domain, listed)
+		starting.set(append(append([]liveVM{{name, name, w.domain}}, found...), listed.trusted(known)...))
+		spread, ok := starting.Spread()
+		require.True(t, ok)
+		require.InDelta(t, (domains*vmsEach-listsAtOnce)*listSpreadPerVM, spread, float64(listSpreadPerVM))
+		if starting.Watches(provider.Endpoints) {
+			listing++
+		}
+	}
+	require.Equal(t, watcherCount, listing)
+}
+
+// TestListedVMsAreTrustedForAWhile checks that only VMs of which nothing is known are taken
+// for live ones by the list, and none some time after the start.
+func TestListedVMsAreTrustedForAWhile(t *testing.T) {
+	l := newListedVMs()
+	vms := []liveVM{{"vm-0", "vm-0", "d"}, {"vm-1", "vm-1", "d"}}
+	require.True(t, l.set(vms))
+	require.Equal(t, vms[1:], l.trusted(map[string]bool{"vm-0": true}))
+	l.started = time.Now().Add(-listTrust - time.Second)
+	require.Empty(t, l.trusted(nil))
+	require.False(t, l.set(vms))
+	require.True(t, l.known())
+}
+
+// TestListIsNotWaitedForForever checks that a VM that can't read the list goes on.
+func TestListIsNotWaitedForForever(t *testing.T) {
+	l := newListedVMs()
+	require.False(t, l.known())
+	l.started = time.Now().Add(-listWait - time.Millisecond)
+	require.True(t, l.known())
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -108,6 +108,13 @@
 	return list
 }
 
+// setListed takes the VMs of the store's list for live ones for a while.
+func (v *VM) setListed(vms []liveVM) {
+	if v.listed.set(vms) && v.hasJoined() {
+		v.updateMembers()
+	}
+}
+
 // members runs this VM's part in the membership: the peer server, the membership
 // service, and the VM's row in the store.
 type members struct {
@@ -154,7 +161,7 @@
 			Incarnation:   p.Identity.Incarnation,
 		},
 		Caller:   p.Peers,
-		List:     &vmLister{v.platform.Store, p.Peers, v.settings.Seeds, v.settings.Peers, v.log, v.watchers.setListed},
+		List:     &vmLister{v.platform.Store, p.Peers, v.settings.Seeds, v.settings.Peers, v.log, v.setListed},
 		Log:      v.log,
 		Observer: &observer{vm: v},
 		Version:  p.Tables.version,
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -157,12 +157,15 @@
 }
 
 // updateMembers passes the live VMs to the coordinator, which needs the leaving ones
-// as well, and those that are not leaving to the watchers. If this VM was taken for
-// dead, its jobs are sent to their holders again.
+// as well, and those that are not leaving to the watchers. Soon after the start, listed
+// VMs of which nothing else is known count as live. If this VM was taken for dead, its jobs
+// are sent to their holders again.
 func (v *VM) updateMembers() {
 	var live []coordination.Member
 	var staying []liveVM
+	known := make(map[string]bool)
 	for _, r := range v.members.service.Records() {
+		known[r.ID] = true
 		if r.ID == v.settings.VM && v.members.refuted(r.Refutations) {
 			defer v.components.Coordinator.Resend()
 		}
@@ -175,6 +178,10 @@
 			staying = append(staying, liveVM{r.ID, r.Address, r.FailureDomain})
 		}
 	}
+	for _, m := range v.listed.trusted(known) {
+		live = append(live, coordination.Member{VM: m.name, Address: m.address})
+		staying = append(staying, m)
+	}
 	v.components.Coordinator.SetMembers(live)
 	v.watchers.set(staying)
 }
--- a/internal/entry/watchers.go
+++ b/internal/entry/watchers.go
@@ -30,12 +30,6 @@
 	// listsAtOnce is the number of VMs that read a topic from the store without a spread,
 	// when they start together: with fewer, waiting for another one takes longer.
 	listsAtOnce = 50
-	// listWait is how long a VM that starts waits for the list of the VMs before it
-	// selects among the ones that it knows.
-	listWait = 500 * time.Millisecond
-	// listTrust is how long after its start a VM takes listed VMs for live ones, before
-	// its probes have shown which are.
-	listTrust = 3 * time.Second
 	// choiceTries is the number of hash keys tried for a choice of VMs.
 	choiceTries = 16
 )
@@ -55,60 +49,23 @@
 	self   string
 	domain string
 
-	started time.Time
+	listed *listedVMs
 
-	mu sync.Mutex
-	// seen are the VMs that are live by the membership, and listed those of the list of
-	// the VMs, which is empty before it was read and after listTrust.
-	seen   []liveVM
-	listed []liveVM
-	// live has both.
+	mu   sync.Mutex
 	live []liveVM
 	ring *rendezvous.Rendezvous
 	// relays are the VMs of the failure domain; nil if it has no relays.
 	relays *rendezvous.Rendezvous
 }
 
-func newWatchers(self, domain string) *watchers {
-	return &watchers{self: self, domain: domain, started: time.Now()}
+func newWatchers(self, domain string, listed *listedVMs) *watchers {
+	return &watchers{self: self, domain: domain, listed: listed}
 }
 
-// set replaces the VMs that are live by the membership.
+// set replaces the live VMs.
 func (w *watchers) set(live []liveVM) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.seen = live
-	if time.Since(w.started) > listTrust {
-		w.listed = nil
-	}
-	w.join()
-}
-
-// setListed sets the listed VMs. VMs that start together and have read the same list
-// select the same watchers, before they have found each other. After listTrust, the list
-// is ignored.
-func (w *watchers) setListed(listed []liveVM) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if time.Since(w.started) > listTrust {
-		return
-	}
-	w.listed = listed
-	w.join()
-}
-
-// join selects anew among the VMs seen and listed; the lock is held.
-func (w *watchers) join() {
-	seen := make(map[string]bool, len(w.seen))
-	for _, m := range w.seen {
-		seen[m.name] = true
-	}
-	live := slices.Clone(w.seen)
-	for _, m := range w.listed {
-		if !seen[m.name] {
-			live = append(live, m)
-		}
-	}
 	w.live = live
 	names := make([]string, 0, len(live))
 	var near []string
@@ -175,7 +132,7 @@
 func (w *watchers) Spread() (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return time.Duration(max(0, len(w.live)-listsAtOnce)) * listSpreadPerVM, len(w.listed) > 0 || time.Since(w.started) > listWait
+	return time.Duration(max(0, len(w.live)-listsAtOnce)) * listSpreadPerVM, w.listed.known()
 }
 
 // Peers implements mirror.Sources. It returns, each in random order, the addresses of the
--- a/internal/entry/watchers_test.go
+++ b/internal/entry/watchers_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -21,7 +20,7 @@
 	}
 	all := make(map[string]*watchers, len(live))
 	for _, m := range live {
-		all[m.name] = newWatchers(m.name, m.domain)
+		all[m.name] = newWatchers(m.name, m.domain, newListedVMs())
 		all[m.name].set(live)
 	}
 	return all
@@ -56,48 +55,6 @@
 	}
 }
 
-// TestVMsThatStartTogetherAgreeOnTheirWatchers starts the VMs of a large deployment, each
-// of which has read the list of the VMs and found only a few of the others: all must
-// select the same few that list a topic from the store.
-func TestVMsThatStartTogetherAgreeOnTheirWatchers(t *testing.T) {
-	const domains, vmsEach = 12, 450 / 12
-	all := deployment(domains, vmsEach)
-	listed := make([]liveVM, 0, len(all))
-	for name, w := range all {
-		listed = append(listed, liveVM{name, name, w.domain})
-	}
-	listing := 0
-	for name, w := range all {
-		own := liveVM{name, name, w.domain}
-		starting := newWatchers(name, w.domain)
-		starting.set([]liveVM{own})
-		_, known := starting.Spread()
-		require.False(t, known)
-		starting.setListed(listed)
-		starting.set(listed[:3])
-		spread, known := starting.Spread()
-		require.True(t, known)
-		require.Equal(t, (domains*vmsEach-listsAtOnce)*listSpreadPerVM, spread)
-		if starting.Watches(provider.Endpoints) {
-			listing++
-		}
-	}
-	require.Equal(t, watcherCount, listing)
-}
-
-// TestListedVMsAreTrustedForAWhile checks that a VM takes only those for live that the
-// membership has found, some time after its start.
-func TestListedVMsAreTrustedForAWhile(t *testing.T) {
-	w := newWatchers("vm-0", "d")
-	w.started = time.Now().Add(-listTrust - time.Second)
-	w.setListed([]liveVM{{"vm-0", "vm-0", "d"}, {"vm-1", "vm-1", "d"}})
-	w.set([]liveVM{{"vm-0", "vm-0", "d"}})
-	require.True(t, w.Watches(provider.Endpoints))
-	require.Empty(t, w.Peers(provider.Endpoints))
-	_, known := w.Spread()
-	require.True(t, known)
-}
-
 // TestWatchersAreNoRelays checks that no VM serves both the relays of all failure domains
 // and the VMs of its own, and that each topic has all its watchers and relays.
 func TestWatchersAreNoRelays(t *testing.T) {
