A VM selects among the listed VMs before it says that it knows them

Cause: a VM that had read the list of the VMs, but not passed it on, said that it knew the VMs while it counted itself alone as live; in that moment it was a watcher in its own eyes, and listed the topics from the store. Found by reading.

Change: the VMs are known once the live ones include the listed ones.

TestVMsThatStartTogetherAgree has that moment, and fails before.

--- a/internal/entry/listed.go
+++ b/internal/entry/listed.go
@@ -37,13 +37,16 @@
 	return true
 }
 
-// known reports whether the list was read, or was waited for in vain.
-func (l *listedVMs) known() bool {
+// read reports whether the list was read.
+func (l *listedVMs) read() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.vms) > 0 || time.Since(l.started) > listWait
+	return len(l.vms) > 0
 }
 
+// overdue reports whether the list was waited for in vain.
+func (l *listedVMs) overdue() bool { return time.Since(l.started) > listWait }
+
 // trusted returns the listed VMs other than the given ones, whose state is known; none
 // after listTrust.
 func (l *listedVMs) trusted(known map[string]bool) []liveVM {
--- a/internal/entry/listed_test.go
+++ b/internal/entry/listed_test.go
@@ -27,10 +27,12 @@
 			known[m.name] = true
 		}
 		listed := newListedVMs()
-		require.False(t, listed.known())
-		require.True(t, listed.set(vms))
 		starting := newWatchers(name, w.domain, listed)
-		starting.set(append(append([]liveVM{{name, name, w.domain}}, found...), listed.trusted(known)...))
+		starting.set([]liveVM{{name, name, w.domain}}, listed.read())
+		require.True(t, listed.set(vms))
+		_, ok := starting.Spread()
+		require.False(t, ok, "the listed VMs are not among the live ones yet")
+		starting.set(append(append([]liveVM{{name, name, w.domain}}, found...), listed.trusted(known)...), listed.read())
 		spread, ok := starting.Spread()
 		require.True(t, ok)
 		require.InDelta(t, (domains*vmsEach-listsAtOnce)*listSpreadPerVM, spread, float64(listSpreadPerVM))
@@ -51,13 +53,12 @@
 	l.started = time.Now().Add(-listTrust - time.Second)
 	require.Empty(t, l.trusted(nil))
 	require.False(t, l.set(vms))
-	require.True(t, l.known())
 }
 
 // TestListIsNotWaitedForForever checks that a VM that can't read the list goes on.
 func TestListIsNotWaitedForForever(t *testing.T) {
 	l := newListedVMs()
-	require.False(t, l.known())
+	require.False(t, l.overdue())
 	l.started = time.Now().Add(-listWait - time.Millisecond)
-	require.True(t, l.known())
+	require.True(t, l.overdue())
 }
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -163,6 +163,7 @@
 func (v *VM) updateMembers() {
 	var live []coordination.Member
 	var staying []liveVM
+	complete := v.listed.read()
 	known := make(map[string]bool)
 	for _, r := range v.members.service.Records() {
 		known[r.ID] = true
@@ -183,7 +184,7 @@
 		staying = append(staying, m)
 	}
 	v.components.Coordinator.SetMembers(live)
-	v.watchers.set(staying)
+	v.watchers.set(staying, complete)
 }
 
 // addressOf returns the peer address of a live VM.
--- a/internal/entry/watchers.go
+++ b/internal/entry/watchers.go
@@ -53,7 +53,9 @@
 
 	mu   sync.Mutex
 	live []liveVM
-	ring *rendezvous.Rendezvous
+	// complete is set once the live VMs include the listed ones, for as long as those count.
+	complete bool
+	ring     *rendezvous.Rendezvous
 	// relays are the VMs of the failure domain; nil if it has no relays.
 	relays *rendezvous.Rendezvous
 }
@@ -62,11 +64,11 @@
 	return &watchers{self: self, domain: domain, listed: listed}
 }
 
-// set replaces the live VMs.
-func (w *watchers) set(live []liveVM) {
+// set replaces the live VMs; complete is set if the listed ones were known.
+func (w *watchers) set(live []liveVM, complete bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.live = live
+	w.live, w.complete = live, complete
 	names := make([]string, 0, len(live))
 	var near []string
 	for _, m := range live {
@@ -132,7 +134,7 @@
 func (w *watchers) Spread() (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return time.Duration(max(0, len(w.live)-listsAtOnce)) * listSpreadPerVM, w.listed.known()
+	return time.Duration(max(0, len(w.live)-listsAtOnce)) * listSpreadPerVM, w.complete || w.listed.overdue()
 }
 
 // Peers implements mirror.Sources. It returns, each in random order, the addresses of the
--- a/internal/entry/watchers_test.go
+++ b/internal/entry/watchers_test.go
@@ -21,7 +21,7 @@
 	all := make(map[string]*watchers, len(live))
 	for _, m := range live {
 		all[m.name] = newWatchers(m.name, m.domain, newListedVMs())
-		all[m.name].set(live)
+		all[m.name].set(live, true)
 	}
 	return all
 }
