A VM that stops answers the requests that wait at it

Cause: Stop waited for the requests in flight and returned at the end of the grace period; placement, at whichever VM, didn't know that the owner of a job had a last moment. Jobs that a VM had queued at itself also stayed there when it handed its services over.

Change: a job names the exit of its owner, which the dispatcher counts like the deadline: what can't end by then is refused at once. At SIGTERM the VM hands its services over, then submits the waiting jobs again with that time. 0.1 s before the end whatever is in flight and has no response yet is answered, as not run only if it was sent nowhere.

Evidence: TestPlannedStopAnswersWaitingRequests (real processes) failed before with an unexpected EOF.

--- a/core/dispatch/cost.go
+++ b/core/dispatch/cost.go
@@ -77,10 +77,10 @@
 
 // firstEventCutoff returns the latest time at which a job's first event is of
 // use: before its caller disconnects, and early enough for the rest of the
-// answer to be decoded by the deadline.
+// answer to be decoded by the deadline and before the owner exits.
 func (d *Dispatcher) firstEventCutoff(job *Job) time.Time {
 	f := d.services[job.Service]
-	cutoff := job.Deadline
+	cutoff := job.endBy()
 	if f != nil {
 		cutoff = cutoff.Add(-engine.Duration(float64(f.Events(job.AnswerTokens)) * f.PassMs(1, 0)))
 	}
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -11,6 +11,10 @@
 // retries.
 const refusalRetryAfter = 500 * time.Millisecond
 
+// stoppingRetryAfter is the minimum time before the caller of a job retries that was
+// refused because its owner is stopping.
+const stoppingRetryAfter = 50 * time.Millisecond
+
 // Decide places or refuses the queued jobs that can be decided now, and returns
 // the decisions.
 func (d *Dispatcher) Decide(now time.Time) []Decision {
@@ -183,9 +187,18 @@
 }
 
 // refusalTime returns when a job that can't be placed is refused: after a third
-// of the time to its deadline, so that its caller can still retry.
+// of the time in which it must end, so that its caller can still retry.
 func (d *Dispatcher) refusalTime(job *Job) time.Time {
-	return job.Arrived.Add(job.Deadline.Sub(job.Arrived) / 3)
+	return job.Arrived.Add(job.endBy().Sub(job.Arrived) / 3)
+}
+
+// refuseTooLate refuses a job that can't end in time. If that is because its owner is
+// stopping, its caller may come back to another VM soon.
+func refuseTooLate(job *Job, retryAfter time.Duration) Decision {
+	if job.ownerExitsFirst() {
+		return refuse(job, ReasonOwnerStopping, stoppingRetryAfter)
+	}
+	return refuse(job, ReasonTooLate, retryAfter)
 }
 
 func (d *Dispatcher) place(now time.Time, job *Job, p Placement) Decision {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -32,6 +32,13 @@
 	heldForTurn bool
 }
 
+// setOwnerExit sets when the job's owner exits. If that changes, the job is decided anew.
+func (q *queuedJob) setOwnerExit(at time.Time) {
+	if !q.OwnerExit.Equal(at) {
+		q.OwnerExit, q.recheckAt = at, time.Time{}
+	}
+}
+
 // placedJob is a job that was placed at endpoints.
 type placedJob struct {
 	Job
@@ -110,10 +117,14 @@
 	}
 }
 
-// Submit queues a job; Decide places or refuses it. A job that is already
-// queued or placed is left unchanged.
+// Submit queues a job; Decide places or refuses it. A job that is already placed is left
+// unchanged, and of one that is queued only the exit of its owner changes.
 func (d *Dispatcher) Submit(now time.Time, job Job) {
-	if d.placed[job.Key()] != nil || d.queueIndex(job.Key()) >= 0 {
+	if d.placed[job.Key()] != nil {
+		return
+	}
+	if i := d.queueIndex(job.Key()); i >= 0 {
+		d.queue[i].setOwnerExit(job.OwnerExit)
 		return
 	}
 	d.recordArrival(now, &job)
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -31,6 +31,9 @@
 	Due time.Time
 	// Deadline is when the request times out, at the caller or by its route.
 	Deadline time.Time
+	// OwnerExit is when the owner exits, which ends the job if it is still in progress; zero
+	// unless the owner is stopping.
+	OwnerExit time.Time
 	// FirstEventBy is when the caller disconnects if no event has come; zero if it
 	// stays until the deadline.
 	FirstEventBy time.Time
@@ -51,6 +54,19 @@
 	Exclude []string
 }
 
+// endBy returns when the job must have ended.
+func (j *Job) endBy() time.Time {
+	if j.ownerExitsFirst() {
+		return j.OwnerExit
+	}
+	return j.Deadline
+}
+
+// ownerExitsFirst reports whether the job's owner exits before its deadline.
+func (j *Job) ownerExitsFirst() bool {
+	return !j.OwnerExit.IsZero() && j.OwnerExit.Before(j.Deadline)
+}
+
 // Key returns the job's key.
 func (j *Job) Key() JobKey { return JobKey{Owner: j.Owner, ID: j.ID} }
 
@@ -92,6 +108,8 @@
 	ReasonTooLarge Reason = "prompt_too_large"
 	// ReasonTooLate means that the job can't be answered in time.
 	ReasonTooLate Reason = "deadline_unreachable"
+	// ReasonOwnerStopping means that the job can't be answered before its owner exits.
+	ReasonOwnerStopping Reason = "vm_stopping"
 	// ReasonLimited means that the endpoints take too few requests for the job to get its
 	// turn in time.
 	ReasonLimited Reason = "endpoints_limited"
--- a/core/dispatch/plain.go
+++ b/core/dispatch/plain.go
@@ -35,8 +35,8 @@
 	}
 	mean := d.demandOf(job.Service).holding.mean
 	wait := mean * time.Duration(d.heldPlain[job.Service]+1) / time.Duration(slots)
-	if now.Add(wait+mean).After(job.Deadline) || !now.Before(d.refusalTime(job)) {
-		return refuse(job, ReasonTooLate, max(wait, refusalRetryAfter)), true
+	if now.Add(wait+mean).After(job.endBy()) || !now.Before(d.refusalTime(job)) {
+		return refuseTooLate(job, max(wait, refusalRetryAfter)), true
 	}
 	d.heldPlain[job.Service]++
 	return Decision{}, false
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -111,7 +111,7 @@
 func (d *Dispatcher) hold(now time.Time, job *Job) (Decision, bool) {
 	minWait := engine.Duration(d.minPrefillMs(job)) + d.cfg.QueueMargin
 	if now.Add(minWait).After(d.firstEventCutoff(job)) {
-		return refuse(job, ReasonTooLate, refusalRetryAfter), true
+		return refuseTooLate(job, refusalRetryAfter), true
 	}
 	return Decision{}, false
 }
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -23,7 +23,8 @@
 	// maxMisses is the number of consecutive timeouts after which a holder is backed
 	// off: the first may be due to a connection that was just opened.
 	maxMisses = 2
-	// resubmitInterval is the time after which a queued job is submitted again.
+	// resubmitInterval is the time after which the holder of a queued job is looked up
+	// again, and the job is submitted again to another VM.
 	resubmitInterval = 250 * time.Millisecond
 	// minBackoff is how long an unresponsive holder is not called; it doubles each
 	// time the holder is unresponsive again, up to maxBackoff.
@@ -71,6 +72,9 @@
 	began bool
 	// suspicious is true if the holder has asked for the digest of the request.
 	suspicious bool
+	// queuedHere is set while this VM's dispatcher is the one at which the job is queued,
+	// and withdrawn once it was removed from there for another holder.
+	queuedHere, withdrawn bool
 }
 
 // Coordinator implements gateway.Placer. It is safe for concurrent use.
@@ -86,6 +90,9 @@
 	senders map[string]*sender
 	// term is incremented with each change of a holder.
 	term int64
+	// exit is when this VM exits, and stopping is closed once that is known.
+	exit     time.Time
+	stopping chan struct{}
 	// announce tells the other VMs of a verdict of this VM.
 	announce func(quarantine.Verdict)
 }
@@ -102,6 +109,7 @@
 		jobs:    make(map[string]*job),
 		senders: make(map[string]*sender),
 
+		stopping: make(chan struct{}),
 		announce: announce,
 	}
 	local.onDecisions = c.handleDecisions
@@ -117,6 +125,7 @@
 func (c *Coordinator) Place(ctx context.Context, dj dispatch.Job) (gateway.Placed, error) {
 	j := &job{Job: dj, decisions: make(chan holderDecision, 1)}
 	c.mu.Lock()
+	j.OwnerExit = c.exit
 	c.jobs[dj.ID] = j
 	c.mu.Unlock()
 	for {
@@ -137,14 +146,16 @@
 // another one.
 func (c *Coordinator) requestDecision(ctx context.Context, j *job) (holderDecision, bool, error) {
 	holder := c.holder(j.Service)
-	c.mu.Lock()
-	j.Term = c.term
-	c.mu.Unlock()
+	submitted, stop := c.beginSubmission(j)
 	if holder.VM == c.vm {
-		c.local.submit(j.Job)
-		return c.await(ctx, j, 0)
+		if !j.queuedHere {
+			j.queuedHere = true
+			c.local.submit(submitted)
+		}
+		return c.await(ctx, j, stop)
 	}
-	answer, err := c.submit(ctx, holder, j.Job)
+	c.withdrawLocal(j)
+	answer, err := c.submit(ctx, holder, submitted)
 	if ctx.Err() != nil {
 		return holderDecision{}, false, errors.WithStack(ctx.Err())
 	}
@@ -156,22 +167,56 @@
 	if answer.decided() {
 		return holderDecision{answer.decision(), holder.VM, answer.Suspicious}, false, nil
 	}
-	return c.await(ctx, j, resubmitInterval)
+	return c.await(ctx, j, stop)
+}
+
+// beginSubmission returns the job as it is to be submitted now, and the channel whose close
+// makes it necessary to submit it again.
+func (c *Coordinator) beginSubmission(j *job) (dispatch.Job, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j.Term = c.term
+	if !j.OwnerExit.Equal(c.exit) {
+		j.OwnerExit, j.queuedHere = c.exit, false
+	}
+	if !c.exit.IsZero() {
+		return j.Job, nil
+	}
+	return j.Job, c.stopping
+}
+
+// withdrawLocal removes a queued job from this VM's dispatcher, as another VM has become the
+// holder.
+func (c *Coordinator) withdrawLocal(j *job) {
+	if !j.queuedHere {
+		return
+	}
+	j.queuedHere, j.withdrawn = false, true
+	c.local.applyUpdate(c.vm, jobUpdate{Job: j.ID, Finished: true, Outcome: dispatch.Abandoned})
 }
 
-// await waits for the decision on a queued job, and reports whether the limit ran
-// out first. A zero limit means no limit.
-func (c *Coordinator) await(ctx context.Context, j *job, limit time.Duration) (holderDecision, bool, error) {
-	var expired <-chan time.Time
-	if limit > 0 {
-		timer := time.NewTimer(limit)
-		defer timer.Stop()
-		expired = timer.C
+// Stop announces when this VM exits. Its jobs that wait for a placement are submitted again
+// with that time, and are refused if they can't end by then.
+func (c *Coordinator) Stop(exit time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.exit.IsZero() {
+		c.exit = exit
+		close(c.stopping)
 	}
+}
+
+// await waits for the decision on a queued job, and reports whether the job must be
+// submitted again instead, after resubmitInterval or because this VM stops.
+func (c *Coordinator) await(ctx context.Context, j *job, stop <-chan struct{}) (holderDecision, bool, error) {
+	timer := time.NewTimer(resubmitInterval)
+	defer timer.Stop()
 	select {
 	case d := <-j.decisions:
 		return d, false, nil
-	case <-expired:
+	case <-timer.C:
+		return holderDecision{}, true, nil
+	case <-stop:
 		return holderDecision{}, true, nil
 	case <-ctx.Done():
 		return holderDecision{}, false, errors.WithStack(ctx.Err())
@@ -203,7 +248,7 @@
 	update := jobUpdate{Job: j.ID, Adopted: c.encodeAdopted(j)}
 	c.mu.Unlock()
 	c.withdrawUnused(j, d.holder)
-	if d.holder != c.vm {
+	if d.holder != c.vm || j.withdrawn {
 		c.local.applyUpdate(c.vm, update)
 	}
 	return gateway.Placed{Placement: placement, Holder: d.holder}, nil
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -19,19 +19,22 @@
 // jobMessage is a job as sent between VMs. All times are in microseconds, relative
 // to the time of encoding, since the VMs' clocks differ.
 type jobMessage struct {
-	ID           string   `json:"id"`
-	Term         int64    `json:"k,omitempty"`
-	Service      string   `json:"s"`
-	Organisation string   `json:"o,omitempty"`
-	Age          int64    `json:"a"`
-	Due          *int64   `json:"d,omitempty"`
-	Deadline     int64    `json:"e"`
-	FirstBy      *int64   `json:"f,omitempty"`
-	Gap          int64    `json:"g,omitempty"`
-	Priority     int      `json:"p,omitempty"`
-	Prompt       int      `json:"n,omitempty"`
-	Answer       int      `json:"w,omitempty"`
-	Avoid        []string `json:"v,omitempty"`
+	ID           string `json:"id"`
+	Term         int64  `json:"k,omitempty"`
+	Service      string `json:"s"`
+	Organisation string `json:"o,omitempty"`
+	Age          int64  `json:"a"`
+	Due          *int64 `json:"d,omitempty"`
+	Deadline     int64  `json:"e"`
+	// OwnerExit is unknown to earlier builds, which may place the job too late for its
+	// owner to finish it.
+	OwnerExit *int64   `json:"b,omitempty"`
+	FirstBy   *int64   `json:"f,omitempty"`
+	Gap       int64    `json:"g,omitempty"`
+	Priority  int      `json:"p,omitempty"`
+	Prompt    int      `json:"n,omitempty"`
+	Answer    int      `json:"w,omitempty"`
+	Avoid     []string `json:"v,omitempty"`
 	// Exclude is unknown to earlier builds, which may place the job at an excluded
 	// endpoint; its owner checks each placement.
 	Exclude []string `json:"x,omitempty"`
@@ -43,7 +46,7 @@
 	return jobMessage{
 		ID: j.ID, Term: j.Term, Service: j.Service, Organisation: j.Organisation,
 		Age: now.Sub(j.Arrived).Microseconds(), Due: encodeTime(now, j.Due),
-		Deadline: j.Deadline.Sub(now).Microseconds(), FirstBy: encodeTime(now, j.FirstEventBy),
+		Deadline: j.Deadline.Sub(now).Microseconds(), OwnerExit: encodeTime(now, j.OwnerExit), FirstBy: encodeTime(now, j.FirstEventBy),
 		Gap: j.MaxGap.Microseconds(), Priority: j.Priority, Prompt: j.PromptTokens, Answer: j.AnswerTokens, Avoid: j.Avoid, Exclude: j.Exclude, Parts: j.Parts,
 	}
 }
@@ -52,7 +55,7 @@
 	return dispatch.Job{
 		ID: m.ID, Owner: owner, Term: m.Term, Service: m.Service, Organisation: m.Organisation,
 		Arrived: now.Add(-microseconds(m.Age)), Due: decodeTime(now, m.Due),
-		Deadline: now.Add(microseconds(m.Deadline)), FirstEventBy: decodeTime(now, m.FirstBy),
+		Deadline: now.Add(microseconds(m.Deadline)), OwnerExit: decodeTime(now, m.OwnerExit), FirstEventBy: decodeTime(now, m.FirstBy),
 		MaxGap: microseconds(m.Gap), Priority: m.Priority, PromptTokens: m.Prompt, AnswerTokens: m.Answer, Avoid: m.Avoid, Exclude: m.Exclude, Parts: m.Parts,
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -303,15 +303,20 @@
 }
 
 // Stop drains the VM. Readiness checks fail immediately, while requests are served
-// until the balancer has taken the VM out of rotation. Stop returns when no
+// until the balancer has taken the VM out of rotation. Requests that wait for a
+// placement are refused once they can't end before the VM exits. Stop returns when no
 // request is in flight, or graceMargin before the end of the grace period.
 func (v *VM) Stop() {
 	grace := v.reloadable.Load().grace
 	end := time.Now().Add(grace - graceMargin)
 	v.log.Emit(event.GatewayStopping{InFlight: v.components.Gateway.InFlight(), Grace: grace})
 	close(v.stopping)
-	v.components.Gateway.Stop()
-	go v.members.leave()
+	v.components.Gateway.Stop(end.Add(-answerMargin))
+	// The other VMs take over this one's services before the jobs that wait are submitted
+	// again.
+	v.members.announceLeave()
+	v.components.Coordinator.Stop(end.Add(-answerMargin))
+	go v.members.removeOwnRow()
 	time.Sleep(unreadyDetectionTime)
 	v.callerServer.drain(end)
 	v.log.Emit(event.GatewayStopped{Cut: v.components.Gateway.InFlight()})
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -261,14 +261,18 @@
 	}
 }
 
-// leave announces to the other VMs that this one stops, and removes its row.
-func (m *members) leave() {
+// announceLeave announces to the other VMs that this one stops. It does not wait for them.
+func (m *members) announceLeave() {
 	m.mu.Lock()
 	m.leaving = true
 	m.mu.Unlock()
 	m.cancel()
 	m.service.Leave()
 	m.vm.updateMembers()
+}
+
+// removeOwnRow removes this VM's row, after announceLeave.
+func (m *members) removeOwnRow() {
 	m.registrations.Wait()
 	for range removalAttempts {
 		if m.removeRow() {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -20,6 +20,9 @@
 	// graceMargin is the time left between the end of draining and the end of the
 	// grace period.
 	graceMargin = 300 * time.Millisecond
+	// answerMargin is the time left between the answers to the requests that can't be
+	// finished and the end of draining.
+	answerMargin = 100 * time.Millisecond
 	// headerTimeout bounds the time to read a request's header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long a caller's connection may be idle. It is longer than
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -99,7 +99,11 @@
 		x.fail(failUnknownKey, 0)
 		return false
 	}
-	body, ok, err := readBody(x.r, x.table.Limits().MaxBodyBytes)
+	body, ok, err := x.readBody()
+	if err != nil && x.gateway.exitingSoon() {
+		x.fail(failNotRun, defaultRetryAfter)
+		return false
+	}
 	if err != nil {
 		x.fail(failUnreadable, 0)
 		return false
@@ -118,6 +122,15 @@
 	return true
 }
 
+// readBody reads the request's body. It ends early if the VM is about to exit.
+func (x *exchange) readBody() (body []byte, ok bool, err error) {
+	defer context.AfterFunc(x.gateway.exiting, func() {
+		// A connection that can't take a deadline is read to the end of the process.
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
+	})()
+	return readBody(x.r, x.table.Limits().MaxBodyBytes)
+}
+
 // authenticate sets the organisation and the priority from the request's key. It
 // returns false if the route requires a key and the key is unknown.
 func (x *exchange) authenticate() bool {
@@ -148,6 +161,7 @@
 func (x *exchange) serve() {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.gateway.exiting, cancel)()
 	for x.attempt(ctx) {
 	}
 }
@@ -315,6 +329,8 @@
 // it may, the retry is taken from the service's budget.
 func (x *exchange) mayRetry(ctx context.Context, result attemptResult) (bool, string) {
 	switch {
+	case x.gateway.exitingSoon():
+		return false, "VM exits"
 	case ctx.Err() != nil:
 		return false, "deadline expired"
 	case x.attempts >= x.route.MaxAttempts:
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -195,8 +195,8 @@
 	// limits are what the responses said of their endpoints' limits.
 	limits []ratelimit.Limit
 	refuse *dispatch.Refusal
-	// panics makes Place panic.
-	panics bool
+	// panics makes Place panic, and held makes it wait for the end of its context.
+	panics, held bool
 	// pinned is the endpoint that every job gets; empty for the first in order
 	// that the job need not avoid.
 	pinned string
@@ -239,9 +239,12 @@
 // Place implements Placer. It returns the first endpoint that the job need not
 // avoid.
 func (w *harness) Place(ctx context.Context, job dispatch.Job) (Placed, error) {
+	if w.recordJob(job) {
+		<-ctx.Done()
+		return Placed{}, ctx.Err()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.jobs = append(w.jobs, job)
 	if w.panics {
 		panic("unexpected job")
 	}
@@ -312,6 +315,21 @@
 	w.panics = panics
 }
 
+// recordJob records a job and reports whether it is held.
+func (w *harness) recordJob(job dispatch.Job) (held bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.jobs = append(w.jobs, job)
+	return w.held
+}
+
+// hold makes Place wait for the end of its context.
+func (w *harness) hold() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.held = true
+}
+
 // skipFirst removes the first endpoint from the order of placement.
 func (w *harness) skipFirst() {
 	w.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,6 +107,10 @@
 	cfg Config
 	// stopping makes responses close their connections.
 	stopping atomic.Bool
+	// exiting ends, by exit, when the requests still in flight must be answered, as the VM
+	// is about to exit.
+	exiting  context.Context //nolint:containedctx // the lifetime of the process
+	exit     context.CancelFunc
 	inFlight atomic.Int64
 	// jobs counts the jobs; the count makes their IDs unique.
 	jobs atomic.Int64
@@ -123,8 +127,11 @@
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
+	exiting, exit := context.WithCancel(context.Background())
 	return &Gateway{
 		cfg:          cfg,
+		exiting:      exiting,
+		exit:         exit,
 		retryBudgets: make(map[string]*retry.Window),
 		requests:     cfg.Metrics.Counter("gateway.requests"),
 		resends:      cfg.Metrics.Counter("gateway.resends"),
@@ -138,8 +145,16 @@
 	return request + "/" + strconv.FormatInt(g.jobs.Add(1), 36)
 }
 
-// Stop makes the responses to all later requests close their connections.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
+// Stop makes the responses to all later requests close their connections. Requests that are
+// still in flight at the time end are answered then, as far as their responses have not begun:
+// as not run if they were sent to no endpoint.
+func (g *Gateway) Stop(end time.Time) {
+	g.stopping.Store(true)
+	time.AfterFunc(time.Until(end), g.exit)
+}
+
+// exitingSoon reports whether the requests in flight must be answered now.
+func (g *Gateway) exitingSoon() bool { return g.exiting.Err() != nil }
 
 // InFlight returns the number of in-flight requests.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -157,7 +157,7 @@
 	if errors.As(err, &withheld) {
 		result.outcome = dispatch.Abandoned
 	}
-	if ctx.Err() != nil && x.r.Context().Err() != nil {
+	if ctx.Err() != nil && (x.r.Context().Err() != nil || x.gateway.exitingSoon()) {
 		result.outcome = dispatch.Abandoned
 	}
 	return result
--- a/test/process/gateway_test.go
+++ b/test/process/gateway_test.go
@@ -64,16 +64,22 @@
 		{Prefix: "/stream/", Kind: "streaming", Service: "s", Timeout: 5 * time.Second, MaxAttempts: 2},
 	}, []string{gatewayKey}))
 	for i := range endpoints {
-		e := &platformtest.Endpoint{ID: fmt.Sprintf("i-%d", i), Service: "s", Record: s.record}
+		e := s.addEndpoint(t, &platformtest.Endpoint{ID: fmt.Sprintf("i-%d", i), Service: "s", Record: s.record})
 		e.SetFault(f)
-		server := httptest.NewServer(e)
-		t.Cleanup(server.Close)
-		s.endpoints = append(s.endpoints, e)
-		s.store.Put(platformtest.TableEndpoints, e.ID, e.Entry(strings.TrimPrefix(server.URL, "http://"), "ready", 1))
 	}
 	return s
 }
 
+// addEndpoint starts an endpoint and lists it.
+func (s *gatewaySystem) addEndpoint(t *testing.T, e *platformtest.Endpoint) *platformtest.Endpoint {
+	t.Helper()
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	s.endpoints = append(s.endpoints, e)
+	s.store.Put(platformtest.TableEndpoints, e.ID, e.Entry(strings.TrimPrefix(server.URL, "http://"), "ready", 1))
+	return e
+}
+
 func (s *gatewaySystem) record(r platformtest.Run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -233,6 +239,55 @@
 	t.Logf("served %d, closed before they were read %d", served.Load(), crossed.Load())
 }
 
+// TestPlannedStopAnswersWaitingRequests stops a gateway while requests wait for the only
+// slot of their service, which is not free before the gateway exits: they were left
+// without an answer.
+func TestPlannedStopAnswersWaitingRequests(t *testing.T) {
+	const waiting, timeout = 6, time.Minute
+	s := startGatewaySystem(t, 0, platformtest.EndpointFault{})
+	e := s.addEndpoint(t, &platformtest.Endpoint{ID: "i-1", Service: "s", Slots: 1, Record: s.record})
+	e.SetFault(platformtest.EndpointFault{Latency: 2 * gatewayGrace})
+	s.store.Put(platformtest.TableOperator, "config", platformtest.Configuration(2, gatewayHost, []platformtest.Route{
+		{Prefix: "/safe/", Kind: "idempotent", Service: "s", Timeout: timeout, MaxAttempts: 2},
+	}, []string{gatewayKey}))
+	v := s.startGateway(t, "a")
+	s.startGateway(t, "b", v.peers)
+	type result struct {
+		attempt string
+		status  int
+		err     error
+	}
+	results := make(chan result, waiting+1)
+	send := func(attempt string) {
+		c, err := dialGateway(v.callers)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.conn.Close() })
+		go func() {
+			status, _, _, err := c.call("/safe/x", attempt)
+			results <- result{attempt, status, err}
+		}()
+	}
+	send("running")
+	require.Eventually(t, func() bool { return s.runsOf("running") == 1 }, 5*time.Second, time.Millisecond)
+	for i := range waiting {
+		send(fmt.Sprintf("waiting-%d", i))
+	}
+	time.Sleep(300 * time.Millisecond)
+	require.NoError(t, v.cmd.Process.Signal(syscall.SIGTERM))
+	for range waiting + 1 {
+		r := <-results
+		require.NoError(t, r.err, r.attempt)
+		want := http.StatusServiceUnavailable
+		if r.attempt == "running" {
+			want = http.StatusGatewayTimeout
+		}
+		require.Equal(t, want, r.status, r.attempt)
+	}
+	for i := range waiting {
+		require.Zero(t, s.runsOf(fmt.Sprintf("waiting-%d", i)))
+	}
+}
+
 // TestPausedGatewayDoesNotActOnOldState pauses a gateway for some seconds while an
 // endpoint leaves and a route and a key are removed. Requests that reached it meanwhile
 // are decided by the new state when it goes on.
