A VM that stops takes no request that it would cut

A caller whose stream was in progress when its gateway got SIGTERM sent its next request on the kept connection 5.6 s after it.

Cause: a response begun before the stop can't say Connection: close, so that requests come until late in the grace period; they were passed on whatever was left of it. Closing the connection with the response instead would reset it where the next request is already in its buffer, and could destroy the end of the response.

Change: a job of an owner that stops is placed only if it ends, as such jobs usually do, before its owner exits, and is refused at once otherwise, as not run. The owner checks placements by other VMs too, as a holder of an earlier build doesn't know of its exit.

Evidence: TestPlannedStopCutsNoLateRequest (real processes) failed before, six of six second requests cut.

--- a/core/dispatch/cost.go
+++ b/core/dispatch/cost.go
@@ -80,16 +80,26 @@
 // answer to be decoded by the deadline and before the owner exits.
 func (d *Dispatcher) firstEventCutoff(job *Job) time.Time {
 	f := d.services[job.Service]
-	cutoff := job.endBy()
+	cutoff := job.Deadline
 	if f != nil {
 		cutoff = cutoff.Add(-engine.Duration(float64(f.Events(job.AnswerTokens)) * f.PassMs(1, 0)))
 	}
+	if f != nil && job.ownerExitsFirst() {
+		cutoff = earlier(cutoff, d.exitCutoff(f, job))
+	}
 	if !job.FirstEventBy.IsZero() && job.FirstEventBy.Before(cutoff) {
 		return job.FirstEventBy
 	}
 	return cutoff
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // gapLoss returns the value that a decoding job loses when a pass grows from
 // oldMs to newMs. There is no loss unless only the longer pass exceeds the
 // job's gap limit.
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -11,10 +11,6 @@
 // retries.
 const refusalRetryAfter = 500 * time.Millisecond
 
-// stoppingRetryAfter is the minimum time before the caller of a job retries that was
-// refused because its owner is stopping.
-const stoppingRetryAfter = 50 * time.Millisecond
-
 // Decide places or refuses the queued jobs that can be decided now, and returns
 // the decisions.
 func (d *Dispatcher) Decide(now time.Time) []Decision {
@@ -192,15 +188,6 @@
 	return job.Arrived.Add(job.endBy().Sub(job.Arrived) / 3)
 }
 
-// refuseTooLate refuses a job that can't end in time. If that is because its owner is
-// stopping, its caller may come back to another VM soon.
-func refuseTooLate(job *Job, retryAfter time.Duration) Decision {
-	if job.ownerExitsFirst() {
-		return refuse(job, ReasonOwnerStopping, stoppingRetryAfter)
-	}
-	return refuse(job, ReasonTooLate, retryAfter)
-}
-
 func (d *Dispatcher) place(now time.Time, job *Job, p Placement) Decision {
 	d.countRequests(now, job, &p)
 	p.Limited = d.endpoints[p.Endpoint].limit != nil
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -47,8 +47,10 @@
 	// until it has been prefilled, and zero afterwards.
 	light     bool
 	prefillMs float64
-	// started is set once the first event has been reported.
-	started bool
+	// started is set once the first event has been reported, at startedAt, which is zero if
+	// that was before the job was adopted.
+	started   bool
+	startedAt time.Time
 	// predicted is when the first event is expected.
 	predicted time.Time
 	placedAt  time.Time
@@ -178,6 +180,7 @@
 	pl := d.addPlaced(now, &job, p)
 	if started {
 		d.markStarted(now, pl)
+		pl.startedAt = time.Time{}
 	}
 }
 
@@ -201,8 +204,8 @@
 		return
 	}
 	d.removePlaced(now, p)
-	if outcome == Served && d.services[p.Service] == nil {
-		d.demandOf(p.Service).holding.add(now.Sub(p.placedAt))
+	if outcome == Served {
+		d.recordDuration(now, p)
 	}
 	if blamed == "" {
 		blamed = p.Endpoint
@@ -222,6 +225,17 @@
 	}
 }
 
+// recordDuration counts the time that a served job took.
+func (d *Dispatcher) recordDuration(now time.Time, p *placedJob) {
+	m := d.demandOf(p.Service)
+	switch {
+	case d.services[p.Service] == nil:
+		m.holding.add(now.Sub(p.placedAt))
+	case !p.startedAt.IsZero() && p.AnswerTokens > 0:
+		m.decoding.add(now.Sub(p.startedAt) / time.Duration(p.AnswerTokens))
+	}
+}
+
 // DropOwner removes all jobs of an entry VM, queued and placed.
 func (d *Dispatcher) DropOwner(now time.Time, owner string) {
 	d.dropJobs(now, func(j *Job) bool { return j.Owner == owner })
@@ -300,7 +314,7 @@
 // markStarted records that a job's prompt has been prefilled.
 func (d *Dispatcher) markStarted(now time.Time, p *placedJob) {
 	d.demandOf(p.Service).markPrefilled(p)
-	p.started = true
+	p.started, p.startedAt = true, now
 	d.forEachPart(p, func(_ *endpoint, pt *part) { pt.startDecode(now) })
 }
 
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -56,10 +56,10 @@
 
 // endBy returns when the job must have ended.
 func (j *Job) endBy() time.Time {
-	if j.ownerExitsFirst() {
-		return j.OwnerExit
+	if j.OwnerExit.IsZero() {
+		return j.Deadline
 	}
-	return j.Deadline
+	return earlier(j.Deadline, j.OwnerExit)
 }
 
 // ownerExitsFirst reports whether the job's owner exits before its deadline.
--- a/core/dispatch/plain.go
+++ b/core/dispatch/plain.go
@@ -2,22 +2,23 @@
 
 import "time"
 
-// holdingWeight is the weight of the latest job in the mean holding time of a service.
-const holdingWeight = 0.1
+// durationWeight is the weight of the latest job in a mean duration of a service.
+const durationWeight = 0.1
 
-// holding is the mean time for which jobs hold a slot of a plain service.
-type holding struct{ mean time.Duration }
+// meanDuration is an average of the durations of the latest jobs of a service; zero for none.
+type meanDuration struct{ mean time.Duration }
 
-// add counts a job that was served.
-func (h *holding) add(took time.Duration) {
-	if h.mean == 0 {
-		h.mean = took
+// add counts the duration of a job.
+func (m *meanDuration) add(took time.Duration) {
+	if m.mean == 0 {
+		m.mean = took
 		return
 	}
-	h.mean += time.Duration(holdingWeight * float64(took-h.mean))
+	m.mean += time.Duration(durationWeight * float64(took-m.mean))
 }
 
-// decidePlain places the job at the endpoint with the lowest occupancy. While all are
+// decidePlain places the job at the endpoint with the lowest occupancy, or refuses it if it
+// might not end there before its owner exits. While all are
 // full the job is held, until its refusal time. It is refused at once if the time until
 // a slot is free for it, by the mean holding time of the slots and the jobs that wait
 // before it, leaves too little of its time.
@@ -30,6 +31,9 @@
 			best = e
 		}
 	}
+	if best.occupancy() < 1 && !d.endsBeforeOwnerExits(now, job, 0) {
+		return refuseTooLate(job, refusalRetryAfter), true
+	}
 	if best.occupancy() < 1 {
 		return d.place(now, job, Placement{Job: job.ID, Endpoint: best.ID}), true
 	}
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -70,6 +70,9 @@
 	if !light && missesCutoff(now, c.firstMs, d.firstEventCutoff(job)) {
 		return false
 	}
+	if !d.endsBeforeOwnerExits(now, job, engine.Duration(c.firstMs)) {
+		return false
+	}
 	value := d.value(job)
 	interference, regret := c.interference, c.interference
 	if !light {
--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -45,8 +45,10 @@
 	// emptySince is when the service lost its last endpoint, or a job first found it
 	// without any; zero while it has some.
 	emptySince time.Time
-	// holding is that of a plain service.
-	holding holding
+	// holding is the time for which jobs hold a slot of a plain service, and decoding the
+	// time in which engines decode an answer, for each token of the longest answer that its
+	// caller takes.
+	holding, decoding meanDuration
 	// heldLight counts the light jobs that were held until heldUntil although an engine
 	// had a free slot.
 	heldLight int
--- a/core/dispatch/stopping_test.go
+++ b/core/dispatch/stopping_test.go
@@ -63,3 +63,81 @@
 	require.Len(t, decisions, 1)
 	require.Equal(t, ReasonOwnerStopping, decisions[0].Refusal.Reason)
 }
+
+// TestLateCallOfStoppingOwner places calls of an owner that is about to exit at a plain
+// service with free slots: one that might still be in progress then is refused, as it would be
+// cut off.
+func TestLateCallOfStoppingOwner(t *testing.T) {
+	const unknown = 0
+	for _, c := range []struct {
+		usual, deadline, left time.Duration
+		placed                bool
+	}{
+		{unknown, time.Second, 2 * time.Second, true},
+		{unknown, 15 * time.Second, 2 * time.Second, false},
+		{200 * time.Millisecond, 15 * time.Second, 2 * time.Second, true},
+		{6 * time.Second, 15 * time.Second, 2 * time.Second, false},
+		{200 * time.Millisecond, 15 * time.Second, 300 * time.Millisecond, false},
+	} {
+		d := fleet(0, 1)
+		if c.usual > 0 {
+			d.Submit(start, Job{ID: "past", Service: "p", Arrived: start, Deadline: start.Add(time.Minute)})
+			require.Len(t, d.Decide(start), 1)
+			d.Finished(start.Add(c.usual), JobKey{ID: "past"}, Served, "")
+		}
+		now := start.Add(time.Minute)
+		d.Submit(now, Job{ID: "late", Service: "p", Arrived: now, Deadline: now.Add(c.deadline), OwnerExit: now.Add(c.left)})
+		decisions := d.Decide(now)
+		require.Len(t, decisions, 1, c)
+		require.Equal(t, c.placed, decisions[0].Placement != nil, c)
+		if !c.placed {
+			require.Equal(t, ReasonOwnerStopping, decisions[0].Refusal.Reason, c)
+		}
+	}
+}
+
+// TestLatePromptOfStoppingOwner checks the same for prompts, of which it is predicted how
+// long they take on an engine that is in full use.
+func TestLatePromptOfStoppingOwner(t *testing.T) {
+	for _, c := range []struct {
+		tokens int
+		left   time.Duration
+		placed bool
+	}{
+		{5000, 2 * time.Second, true},
+		{5000, 700 * time.Millisecond, false},
+		{200000, 7 * time.Second, true},
+		{200000, time.Second, false},
+	} {
+		d := fleet(4, 0)
+		job := prompt("late", c.tokens, start)
+		job.OwnerExit = start.Add(c.left)
+		d.Submit(start, job)
+		decisions := d.Decide(start)
+		require.Len(t, decisions, 1, c)
+		require.Equal(t, c.placed, decisions[0].Placement != nil, c)
+	}
+}
+
+// TestStopGoesByTheUsualLengthOfAnswers checks that a late prompt is placed which ends in time
+// as answers usually do, although its caller would take a much longer one.
+func TestStopGoesByTheUsualLengthOfAnswers(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		d := fleet(4, 0)
+		if known {
+			past := prompt("past", 5000, start)
+			past.AnswerTokens = 3000
+			d.Submit(start, past)
+			require.Len(t, d.Decide(start), 1)
+			d.FirstEvent(at(50), testKey("past"))
+			d.Finished(at(1550), testKey("past"), Served, "")
+		}
+		now := at(2000)
+		job := prompt("late", 5000, now)
+		job.AnswerTokens, job.OwnerExit = 3000, now.Add(4*time.Second)
+		d.Submit(now, job)
+		decisions := d.Decide(now)
+		require.Len(t, decisions, 1)
+		require.Equal(t, known, decisions[0].Placement != nil)
+	}
+}
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -243,6 +243,9 @@
 		return gateway.Placed{}, &gateway.RefusedError{Refusal: *d.decision.Refusal, Holder: d.holder}
 	}
 	placement := *d.decision.Placement
+	if d.holder != c.vm && !c.local.endsInTime(j.Job, placement) {
+		return gateway.Placed{}, c.declineLate(j)
+	}
 	c.mu.Lock()
 	j.placement, j.suspicious = &placement, d.suspicious
 	update := jobUpdate{Job: j.ID, Adopted: c.encodeAdopted(j)}
@@ -254,6 +257,15 @@
 	return gateway.Placed{Placement: placement, Holder: d.holder}, nil
 }
 
+// declineLate gives up the placement of a job that would not end before this VM exits: its
+// holder may be of an earlier build, which doesn't know about that.
+func (c *Coordinator) declineLate(j *job) error {
+	c.Finished(j.ID, dispatch.End{Outcome: dispatch.Abandoned})
+	c.withdrawUnused(j, "")
+	refusal := dispatch.Refusal{Job: j.ID, Reason: dispatch.ReasonOwnerStopping, RetryAfter: dispatch.StoppingRetryAfter}
+	return &gateway.RefusedError{Refusal: refusal, Holder: c.vm}
+}
+
 // withdrawUnused withdraws a placement that an earlier holder granted while the
 // holder decidedBy made the decision that counts. Otherwise it would occupy its
 // endpoint until it expires. The job must be decided or ended already, so that no
--- a/internal/coordination/coordinator_test.go
+++ b/internal/coordination/coordinator_test.go
@@ -462,3 +462,25 @@
 	leaving.Finished("1", dispatch.End{Outcome: dispatch.Served})
 	require.Equal(t, next.name, (<-done).Holder)
 }
+
+// TestPlacementThatCanNotEndBeforeTheExitIsDeclined gives a VM that stops a placement by a
+// holder of an earlier build, which doesn't know when the VM exits.
+func TestPlacementThatCanNotEndBeforeTheExitIsDeclined(t *testing.T) {
+	vms := startVMs(t, []string{"a", "b"}, 1)
+	holder := holderOf(vms)
+	stopping := otherVM(vms, holder)
+	stopping.Stop(time.Now().Add(time.Second))
+	j := &job{Job: newJob("1", stopping), decisions: make(chan holderDecision, 1)}
+	submitted := j.Job
+	stopping.jobs["1"] = j
+	m, _ := stopping.holders.member(holder.name)
+	answer, err := stopping.submit(context.Background(), m, submitted)
+	require.NoError(t, err)
+	require.True(t, answer.decided())
+	stopping.beginSubmission(j)
+	_, err = stopping.accept(j, holderDecision{decision: answer.decision(), holder: holder.name})
+	var refusal *gateway.RefusedError
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, dispatch.ReasonOwnerStopping, refusal.Reason)
+	require.Eventually(t, func() bool { _, placed := holder.counts(); return placed == 0 }, 5*time.Second, time.Millisecond)
+}
--- a/internal/coordination/local.go
+++ b/internal/coordination/local.go
@@ -117,6 +117,13 @@
 	return answer
 }
 
+// endsInTime reports whether a placed job ends before its owner exits.
+func (l *LocalDispatcher) endsInTime(job dispatch.Job, p dispatch.Placement) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dispatcher.EndsInTime(time.Now(), job, p)
+}
+
 // applyUpdate applies an update on a job of the owner.
 func (l *LocalDispatcher) applyUpdate(owner string, u jobUpdate) {
 	key := dispatch.JobKey{Owner: owner, ID: u.Job}
--- a/test/process/gateway_test.go
+++ b/test/process/gateway_test.go
@@ -92,6 +92,13 @@
 	return s.runs[attempt]
 }
 
+// runCount returns the number of attempts that have run.
+func (s *gatewaySystem) runCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.runs)
+}
+
 func freePort(t *testing.T) string {
 	t.Helper()
 	address, err := platformtest.FreeAddress()
@@ -288,6 +295,49 @@
 	}
 }
 
+// TestPlannedStopCutsNoLateRequest stops a gateway whose callers have streams in progress,
+// and send their next requests on the same connections when these have ended, too late for
+// the gateway to finish them: it took them, passed them on and cut them.
+func TestPlannedStopCutsNoLateRequest(t *testing.T) {
+	const callers, events, gap = 6, 40, 100 * time.Millisecond
+	s := startGatewaySystem(t, 2, platformtest.EndpointFault{Events: events, Gap: gap})
+	s.store.Put(platformtest.TableOperator, "config", platformtest.Configuration(2, gatewayHost, []platformtest.Route{
+		{Prefix: "/stream/", Kind: "streaming", Service: "s", Timeout: 15 * time.Second, MaxAttempts: 2, Resumable: true},
+	}, []string{gatewayKey}))
+	v := s.startGateway(t, "a")
+	s.startGateway(t, "b", v.peers)
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			c, err := dialGateway(v.callers)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = c.conn.Close() }()
+			first, second := fmt.Sprintf("first-%d", i), fmt.Sprintf("second-%d", i)
+			status, body, closes, err := c.call("/stream/x", first)
+			if err != nil || status != http.StatusOK || body != platformtest.StreamAnswer(first, events) {
+				t.Errorf("%s: status %d, %d bytes: %v", first, status, len(body), err)
+				return
+			}
+			if closes {
+				return
+			}
+			status, _, _, err = c.call("/stream/x", second)
+			switch runs := s.runsOf(second); {
+			case err != nil && runs == 0:
+				// It crossed the end of the connection.
+			case err != nil, status == http.StatusServiceUnavailable && runs != 0:
+				t.Errorf("%s: status %d, runs %d: %v", second, status, runs, err)
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return s.runCount() == callers }, 5*time.Second, time.Millisecond)
+	require.NoError(t, v.cmd.Process.Signal(syscall.SIGTERM))
+	wg.Wait()
+}
+
 // TestPausedGatewayDoesNotActOnOldState pauses a gateway for some seconds while an
 // endpoint leaves and a route and a key are removed. Requests that reached it meanwhile
 // are decided by the new state when it goes on.
