A draining connection is busy while a pipelined request is served

A caller that sends a request right behind another one, without waiting for the response, got no answer to the second if it took more than 0.1 s while the gateway drained, although it had been read and passed on.

Cause: a connection became busy by a read that returns bytes only. The HTTP server had read the second request with the first, so that the connection counted as idle while it was served; draining then ended its idle time by a read deadline, which cancels the request.

Change: the begin of a request's handler makes its connection busy.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"cornelsaddle.example/cornelsaddle/internal/gateway"
 )
 
 const (
@@ -122,7 +125,7 @@
 	listener *drainListener
 
 	mu sync.Mutex
-	// busy is set from the first byte of a request to the end of its response, and
+	// busy is set from the begin of a request to the end of its response, and
 	// idleSince is the last such end. isNew is set before the first request.
 	busy      bool
 	idleSince time.Time
@@ -137,9 +140,14 @@
 // not be ended by expireIdle.
 func (c *drainConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 {
-		return n, err //nolint:wrapcheck // http.Server checks the type
+	if n > 0 {
+		c.becomeBusy()
 	}
+	return n, err //nolint:wrapcheck // http.Server checks the type
+}
+
+// becomeBusy records that a request has begun.
+func (c *drainConn) becomeBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy, c.isNew = true, false
@@ -148,7 +156,6 @@
 		// A connection that can't take a deadline fails at its next read.
 		_ = c.Conn.SetReadDeadline(c.deadline)
 	}
-	return n, err //nolint:wrapcheck // http.Server checks the type
 }
 
 // SetReadDeadline implements net.Conn.
@@ -216,6 +223,26 @@
 	_ = c.Conn.SetReadDeadline(now)
 }
 
+// drainConnKey is the key of a request's connection in its context.
+type drainConnKey struct{}
+
+// connContext adds the connection to the contexts of its requests. It is an
+// http.Server.ConnContext.
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(gateway.ConnContext(ctx, c), drainConnKey{}, c)
+}
+
+// trackRequests makes the connection of each request busy: one that was sent together with
+// the request before it is served without a further read.
+func trackRequests(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(drainConnKey{}).(*drainConn); ok {
+			conn.becomeBusy()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // trackState records the idle connections of a server. It is an http.Server.ConnState.
 func trackState(c net.Conn, state http.ConnState) {
 	if conn, ok := c.(*drainConn); ok && state == http.StateIdle {
--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -97,6 +97,28 @@
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "the server's own deadline does not undo it")
 }
 
+// TestDrainAnswersPipelinedRequests sends two requests in one write to a server that drains.
+// The second one is served from what was read with the first, without a read of its own: the
+// connection counted as idle, and the end of its idle time ended the request unanswered.
+func TestDrainAnswersPipelinedRequests(t *testing.T) {
+	s, err := serve("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(4 * idleQuiet):
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}), 0)
+	require.NoError(t, err)
+	t.Cleanup(s.close)
+	c, r := dialServer(t, s.listener.Addr().String())
+	_, err = io.WriteString(c, testRequest+testRequest)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.listener.busy() == 1 }, 5*time.Second, time.Millisecond)
+	s.drain(time.Now().Add(time.Minute))
+	requireAnswer(t, r)
+	requireAnswer(t, r)
+}
+
 func accepts(address string) bool {
 	c, err := net.DialTimeout("tcp4", address, time.Second)
 	if err != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-
-	"cornelsaddle.example/cornelsaddle/internal/gateway"
 )
 
 const (
@@ -53,9 +51,9 @@
 	}
 	tracked := newDrainListener(l, maxConnections)
 	s := &server{listener: tracked, http: &http.Server{
-		Handler:           handler,
+		Handler:           trackRequests(handler),
 		ConnState:         trackState,
-		ConnContext:       gateway.ConnContext,
+		ConnContext:       connContext,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
