An entry of another writer that can't be an endpoint is not used

Callers got 503 while the registry held entries with a port out of range, without a port, with 2^62 slots or a cold time of 1e300 ms beside a sound one: the odd ones were listed and chosen. Reported by operators of similar systems, as VMs that end or stop following the list; that was looked for and is not so here.

Cause: the decoder checked that fields are there, and believed their values. A key with a line break would have got into the header of requests.

Change: an entry names an endpoint only if requests can be sent to it. Odd rows are logged once for each row and reason.

--- a/core/dispatch/stopping.go
+++ b/core/dispatch/stopping.go
@@ -33,11 +33,11 @@
 // the job's owner exits. An engine all of whose slots and memory are in use is assumed if no
 // answer has been decoded yet.
 func (d *Dispatcher) exitCutoff(f *engine.CostModel, job *Job) time.Time {
-	decoding := engine.Duration(float64(f.Events(job.AnswerTokens)) * f.PassMs(f.Slots, f.MemoryTokens))
+	decodeMs := float64(f.Events(job.AnswerTokens)) * f.PassMs(f.Slots, f.MemoryTokens)
 	if mean := d.demandOf(job.Service).decoding.mean; mean > 0 {
-		decoding = min(decoding, stopDecodings*mean*time.Duration(job.AnswerTokens))
+		decodeMs = min(decodeMs, stopDecodings*engine.Ms(mean)*float64(job.AnswerTokens))
 	}
-	return job.OwnerExit.Add(-decoding)
+	return job.OwnerExit.Add(-engine.Duration(decodeMs))
 }
 
 // EndsInTime reports whether a job that another dispatcher has placed ends before its owner
--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -101,7 +101,7 @@
 // The second one is served from what was read with the first, without a read of its own: the
 // connection counted as idle, and the end of its idle time ended the request unanswered.
 func TestDrainAnswersPipelinedRequests(t *testing.T) {
-	s, err := serve("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s, err := serve("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		select {
 		case <-time.After(4 * idleQuiet):
 		case <-r.Context().Done():
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -179,6 +179,12 @@
 	t.Helper()
 	log, err := event.New(io.Discard, "json", "info", name)
 	require.NoError(t, err)
+	return startVMWithLog(t, name, store, log, seeds...)
+}
+
+// startVMWithLog is like startVM, with a given logger.
+func startVMWithLog(t *testing.T, name string, store provider.Store, log *event.Logger, seeds ...string) *VM {
+	t.Helper()
 	e, err := Start(config.Settings{
 		VM: name, FailureDomain: "z", Callers: freeAddress(t), Balancer: freeAddress(t), Peers: freeAddress(t),
 		Metrics: freeAddress(t), Seeds: seeds, Grace: 5 * time.Second,
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -22,6 +22,8 @@
 	// removes those that miss three heartbeats.
 	keepHeartbeats = 4
 	minKeepFor     = 3 * time.Second
+	// maxReasonBytes bounds the reason that is logged for a row, as it may quote the row.
+	maxReasonBytes = 200
 )
 
 // endpointSink receives the endpoints that requests may be dispatched to.
@@ -46,8 +48,10 @@
 	coldUntil map[string]time.Time
 	// unreadable has the endpoints, of those listed, whose limit could not be read.
 	unreadable map[directory.Incarnation]bool
-	listed     bool
-	expiry     *time.Timer
+	// unreadableRows has the reasons that were logged for rows that name no endpoint, by key.
+	unreadableRows map[string]string
+	listed         bool
+	expiry         *time.Timer
 }
 
 // newRegistry returns an empty registry of endpoints that write a heartbeat to the
@@ -56,7 +60,7 @@
 	return &registry{
 		decoder: decoder, log: log, sink: sink, directory: directory.New(relistTimeout),
 		announce:  announce,
-		coldUntil: make(map[string]time.Time), unreadable: make(map[directory.Incarnation]bool),
+		coldUntil: make(map[string]time.Time), unreadable: make(map[directory.Incarnation]bool), unreadableRows: make(map[string]string),
 		keepFor: max(minKeepFor, keepHeartbeats*heartbeat),
 	}
 }
@@ -176,6 +180,7 @@
 		r.log.Emit(event.EndpointUnlisted{Endpoint: row.Key, Row: row.Version})
 		r.directory.Remove(time.Now(), row.Key)
 		delete(r.coldUntil, row.Key)
+		delete(r.unreadableRows, row.Key)
 		return true
 	}
 	e, ok := r.decode(row)
@@ -197,9 +202,10 @@
 func (r *registry) decode(row provider.Row) (directory.Entry, bool) {
 	e, err := r.decoder.Entry(row)
 	if err != nil {
-		r.log.Emit(event.EntryUnreadable{Endpoint: row.Key, Row: row.Version, Reason: err.Error()})
+		r.logUnreadableRow(row, err.Error())
 		return directory.Entry{}, false
 	}
+	delete(r.unreadableRows, row.Key)
 	if known, _ := r.directory.Entry(e.ID); known != e {
 		r.log.Emit(event.EndpointListed{
 			Endpoint: e.ID, Service: e.Service, Address: e.Address,
@@ -209,6 +215,17 @@
 	return e, true
 }
 
+// logUnreadableRow logs that a row names no endpoint, once for each row and reason: its writer
+// may write it again and again. The lock is held.
+func (r *registry) logUnreadableRow(row provider.Row, reason string) {
+	reason = reason[:min(len(reason), maxReasonBytes)]
+	if r.unreadableRows[row.Key] == reason {
+		return
+	}
+	r.unreadableRows[row.Key] = reason
+	r.log.Emit(event.EntryUnreadable{Endpoint: row.Key, Row: row.Version, Reason: reason})
+}
+
 // Outage implements mirror.Observer.
 func (r *registry) Outage() {
 	r.mu.Lock()
