A copy of a refusal is not taken for the answer to a second attempt

A caller was told that its request has not run while an endpoint ran it, where the endpoint wrote its refusal of the first attempt once more on a kept connection (reported by operators of similar systems).

Cause: both attempts have the caller's ID. The second one went on a new connection only where it had failed at the same endpoint ID before; connections are kept by address, and one process may be listed under two IDs.

Change: a request that was sent to an address goes there again on a new connection only.

Evidence: TestCopyOfRefusalIsNotTheNextAnswer failed before (503 for 200).

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -186,3 +186,26 @@
 	defer e.mu.Unlock()
 	require.Equal(t, 3, e.conns)
 }
+
+// TestCopyOfRefusalIsNotTheNextAnswer lists one endpoint under two IDs, as where it was
+// restarted or another writer has listed it again. It refuses a request, and sends that refusal
+// once more before it answers the second attempt: the copy has the ID of both, and was taken
+// for the answer, so that the caller was told that a request has not run that did.
+func TestCopyOfRefusalIsNotTheNextAnswer(t *testing.T) {
+	var e *endpoint
+	e = newEndpoint(t, func(n int, _ *http.Request, _ []byte, c net.Conn) {
+		e.mu.Lock()
+		sameConnection := e.conns == 1
+		e.mu.Unlock()
+		if sameConnection {
+			respond(c, "503 Service Unavailable", hID+": r1\r\n"+hNotRun+": 1\r\n", "")
+		}
+		if n > 1 {
+			respond(c, "200 OK", ownHeader, "answer")
+		}
+	})
+	w := newHarness(t, e, e)
+	got := w.call(t, "GET", "/calm/safe/", "", patient)
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, "answer", got.body)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -47,6 +47,8 @@
 
 	// attempts is the number of endpoints that the request was sent to.
 	attempts int
+	// sentTo are the addresses of these endpoints.
+	sentTo []string
 	// mayHaveRun is set when an endpoint may have started to run the request.
 	mayHaveRun bool
 	// avoid lists the endpoints that placement must not choose again: those at
@@ -212,6 +214,7 @@
 		Limited: placed.Limited, Digest: x.requestDigest,
 	})
 	result := x.send(ctx, job.ID, entry, x.helpers(placed, grant))
+	x.sentTo = append(x.sentTo, entry.Address)
 	x.gateway.cfg.Placer.Finished(job.ID, dispatch.End{
 		Outcome: result.outcome, Blamed: result.blamed, BrokenOff: upstream.BrokenOff(result.err), Digest: x.requestDigest,
 	})
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -41,10 +41,10 @@
 
 // needsNewConnection reports whether the request must not be sent on a used connection:
 // one that may run only once, as the connection may be closed while it is sent, and one
-// that was sent to the endpoint before, as a late second copy of that response has the
-// same ID.
+// that was sent to the address before, under whatever endpoint's ID, as a late second copy of
+// that response has the same ID as the request.
 func (x *exchange) needsNewConnection(entry directory.Entry) bool {
-	return !x.route.Repeatable() || slices.Contains(x.avoid, entry.ID)
+	return !x.route.Repeatable() || slices.Contains(x.sentTo, entry.Address)
 }
 
 // match tells whether a response with the header belongs to this request.
