serve: a copy of a refusal is not taken for the response to the next prompt

A caller of serve was told "not run" for a prompt that an engine ran, where the engine wrote an earlier refusal once more on a kept connection (reported by operators of similar systems).

Cause: the responses of engines name their attempt in the events only, and connections were kept, so that the copy was taken for the response to the next prompt.

Change: each attempt of a prompt has a connection of its own, as each call to a service has.

Evidence: TestCopyOfRefusalIsNotTheNextStream failed before (refused). Tests of endpoint, prompt, node, standin and test/process pass.

--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -21,9 +21,7 @@
 )
 
 const (
-	dialTimeout         = 2 * time.Second
-	idleTimeout         = 30 * time.Second
-	maxIdleConnsPerHost = 64
+	dialTimeout = 2 * time.Second
 	// maxHeaderBytes bounds the header of a response.
 	maxHeaderBytes = 64 << 10
 )
@@ -85,10 +83,11 @@
 // NewWithDial returns a Client that opens its connections with dial.
 func NewWithDial(dial DialFunc) *Client {
 	return &Client{limits: NoLimits{}, http: &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:        dial,
+		DisableCompression: true,
+		// A response names its attempt in its events only: on a connection that is used
+		// again, a second copy of an earlier refusal would be taken for it.
+		DisableKeepAlives: true,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}}
