Only a proven resumption continues a stream

Callers whose stream broke off could get the events of its begin again, a stream with an event missing, or an error's text or head in the middle of it, and a stream that ended early could look complete (reported by operators of similar systems: an error's text in the stream).

Cause: what an endpoint sent as events of a sealed 200 was delivered as the continuation; nothing compared it with what the caller had.

Change: the first event of a resumption must have the ID that follows the last one delivered, else the attempt has failed and nothing of it is delivered.

--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -19,7 +19,7 @@
 		require.True(t, end == 0 || b[end-1] == '\n' || b[end-1] == '\r')
 		x := &exchange{}
 		x.trackEvents(b[:end])
-		require.NotContains(t, x.stream.lastEventID, "\r")
+		require.NotContains(t, x.stream.position.LastID, "\r")
 		if at < 0 || at > len(b) {
 			return
 		}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -16,7 +16,7 @@
 		Remaining:    x.remaining(),
 		Endpoint:     entry.ID,
 		Organisation: x.organisation,
-		LastEventID:  x.stream.lastEventID,
+		LastEventID:  x.stream.position.LastID,
 		Helpers:      helpers,
 	}
 	return x.gateway.cfg.Headers.EncodeRequest(x.r.Header, o)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -167,6 +167,12 @@
 	return attemptResult{outcome: dispatch.Failed, status: status, err: errors.WithStack(&UnprovenError{status})}
 }
 
+// notResumed returns the result of a response that doesn't continue the stream of which the
+// caller has the begin. Nothing of it is delivered.
+func notResumed(status int) attemptResult {
+	return attemptResult{outcome: dispatch.Failed, status: status, err: errors.WithStack(&NotResumedError{status})}
+}
+
 // relayBuffered reads up to maxBufferedBytes of the response before any of it is
 // delivered, so that a truncated one can still be replaced by another endpoint's.
 func (x *exchange) relayBuffered(ctx context.Context, job string, resp *upstream.Response, sealed bool) attemptResult {
@@ -181,9 +187,7 @@
 	case x.stream.headerSent:
 		// The caller already has the header of a stream, which a response of
 		// another kind can't continue.
-		result.outcome = dispatch.Failed
-		result.err = errors.WithStack(&NotResumedError{resp.Status})
-		return result
+		return notResumed(resp.Status)
 	case resp.Status < http.StatusMultipleChoices && !sealed:
 		return unproven(resp.Status)
 	case impliesNotRun(resp.Status):
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"mime"
@@ -23,14 +22,12 @@
 // eventStreamType is the media type of a stream of events.
 const eventStreamType = "text/event-stream"
 
-var eventID = []byte("id:")
-
 // stream is the state of a stream's delivery to the caller.
 type stream struct {
 	// headerSent is set when the response header was written.
 	headerSent bool
-	// lastEventID is the ID of the last event delivered.
-	lastEventID string
+	// position is that of the last event delivered.
+	position eventstream.Position
 	// lastDelivery is the time of the last delivery of events.
 	lastDelivery time.Time
 	// longestGap is the longest time between two deliveries.
@@ -90,14 +87,19 @@
 
 // relayStream delivers a stream's events as they arrive, never part of one. The
 // header is sent with the first event, so that a stream that breaks before it
-// can be replaced by another endpoint's.
+// can be replaced by another endpoint's. Once it was sent, the events must go on after the last
+// one delivered.
 func (x *exchange) relayStream(ctx context.Context, job string, resp *upstream.Response) attemptResult {
 	stall := x.newStallTimer(resp)
 	defer stall.stop()
 	buffer := newEventBuffer(resp)
+	resumption := x.resumption()
 	for {
 		events, err := buffer.next()
 		x.unfinished = buffer.unfinished()
+		if resumption != nil && !resumption.Accept(events) {
+			return notResumed(resp.Status)
+		}
 		if len(events) > 0 {
 			if x.began.IsZero() {
 				x.began = time.Now()
@@ -110,6 +112,9 @@
 			}
 			stall.restart()
 		}
+		if errors.Is(err, io.EOF) && resumption != nil && !resumption.Proven() && !statesEventStream(resp) {
+			return notResumed(resp.Status)
+		}
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(resp, buffer.rest())
 		}
@@ -121,6 +126,20 @@
 	}
 }
 
+// resumption returns what checks the events of an attempt; nil for one that begins a response.
+func (x *exchange) resumption() *eventstream.Resumption {
+	if !x.stream.headerSent {
+		return nil
+	}
+	return eventstream.NewResumption(x.stream.position)
+}
+
+// statesEventStream reports whether the header of a response says that its body consists of
+// events.
+func statesEventStream(resp *upstream.Response) bool {
+	return resp.Header.Get("Content-Type") != "" && isEventStream(resp)
+}
+
 // isEventStream reports whether the body of a response consists of events, which it does
 // unless its header states another media type.
 func isEventStream(resp *upstream.Response) bool {
@@ -185,11 +204,9 @@
 // one.
 func (x *exchange) trackEvents(events []byte) {
 	for line := range eventstream.Lines(events) {
-		id, found := bytes.CutPrefix(line, eventID)
-		if !found {
-			continue
+		if id, found := eventstream.ID(line); found {
+			x.stream.position.Advance(id)
+			x.stream.events++
 		}
-		x.stream.lastEventID = string(bytes.TrimSpace(id))
-		x.stream.events++
 	}
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -276,3 +277,49 @@
 	require.False(t, got.broken)
 	require.Empty(t, got.body)
 }
+
+// TestOnlyAProvenResumptionContinuesAStream lets an endpoint answer the resumption of a broken
+// stream by something else than the events that follow: none of it must get into the response,
+// which must not look complete. Error texts and repeated events did.
+func TestOnlyAProvenResumptionContinuesAStream(t *testing.T) {
+	const stream, plain = "Content-Type: text/event-stream\r\n", "Content-Type: text/plain\r\n"
+	large := strings.Repeat("x", 2*maxBufferedBytes)
+	for name, answer := range map[string]struct{ status, header, body string }{
+		"error with length":       {"500 Oops", plain, "internal error"},
+		"large error":             {"500 Oops", plain, large},
+		"error as events":         {"500 Oops", stream, event3},
+		"refusal":                 {"503 Full", plain + hNotRun + ": 1\r\n", "full"},
+		"success of another type": {"200 OK", plain, "internal error\n\n"},
+		"success without a type":  {"200 OK", "", "internal error\n\n"},
+		"empty, without a type":   {"200 OK", "", ""},
+		"text as an event":        {"200 OK", stream, "data: internal error\n\n"},
+		"head as an event":        {"200 OK", stream, "HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\nfail\n\n"},
+		"from the begin":          {"200 OK", stream, event1 + event2 + event3},
+		"last event again":        {"200 OK", stream, event2 + event3},
+		"event skipped":           {"200 OK", stream, "id: 4\ndata: d\n\n"},
+		"ID without number":       {"200 OK", stream, "id: x\ndata: d\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cut := newEndpoint(t, breaksAfterTwo)
+			spare := newEndpoint(t, respondWith(answer.status, ownHeader+answer.header, answer.body))
+			w := newHarness(t, cut, spare)
+			a := w.call(t, "POST", "/stream/", "b", nil)
+			require.Equal(t, event1+event2, a.body)
+			require.True(t, a.broken, "the response must not look complete")
+		})
+	}
+}
+
+// TestResumptionMayBeginWithAComment checks that a sound resumption is delivered whose first
+// line is a comment, or that has no event left.
+func TestResumptionMayBeginWithAComment(t *testing.T) {
+	const stream = "Content-Type: text/event-stream\r\n"
+	for _, rest := range []string{": resumed\n\n" + event3, "version: 7\n" + event3, ""} {
+		cut := newEndpoint(t, breaksAfterTwo)
+		spare := newEndpoint(t, respondWith("200 OK", ownHeader+stream, rest))
+		w := newHarness(t, cut, spare)
+		a := w.call(t, "POST", "/stream/", "b", nil)
+		require.Equal(t, event1+event2+rest, a.body)
+		require.False(t, a.broken)
+	}
+}
