Idle engines take late prompts

Cause: the time of engines is charged by the load of the last seconds. After a few long prompts at once they count as scarce although none is in use, and late prompts, worth a quarter, are held for prompts that don't come.

Change: it costs nothing while no engine of the service prefills a long prompt.

--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"cornelsaddle.example/cornelsaddle/core/engine"
@@ -120,14 +121,15 @@
 
 // prefillPrice returns the value of a ms of an engine's prefill time to the
 // other long jobs of the service: little while there is capacity for all of
-// them, and what they earn per ms when they need all engines.
+// them, and what they earn per ms when they need all engines. It is zero while no
+// engine prefills a long prompt: engines are not left idle for jobs that may come.
 func (d *Dispatcher) prefillPrice(now time.Time, job *Job) float64 {
 	m := d.demandOf(job.Service)
 	ownWeight := math.Exp(-float64(now.Sub(job.Arrived))/float64(d.cfg.LongRateWindow)) / d.cfg.LongRateWindow.Seconds()
 	msPerS := m.longPrefillRate.current(now, d.cfg.LongRateWindow) - ownWeight*d.services[job.Service].PrefillMs(job.PromptTokens, 1)
 	valuePerS := m.longValueRate.current(now, d.cfg.LongRateWindow) - ownWeight*d.value(job)
 	engines := float64(len(d.pools[job.Service]))
-	if msPerS <= 0 || valuePerS <= 0 || engines == 0 {
+	if msPerS <= 0 || valuePerS <= 0 || engines == 0 || !d.prefillsLong(job.Service) {
 		return 0
 	}
 	const msPerSecond = 1000
@@ -135,3 +137,10 @@
 	scarcity := min(1, load)
 	return valuePerS / msPerS * scarcity * scarcity
 }
+
+// prefillsLong reports whether an engine of the service prefills a part of a long prompt.
+func (d *Dispatcher) prefillsLong(service string) bool {
+	return slices.ContainsFunc(d.pools[service], func(e *endpoint) bool {
+		return slices.ContainsFunc(e.parts, func(p *part) bool { return !p.job.started && !p.job.light })
+	})
+}
--- a/core/dispatch/sim_test.go
+++ b/core/dispatch/sim_test.go
@@ -84,10 +84,11 @@
 	done        bool
 	failed      bool
 	emitted     int
-	// placedMs and firstMs are the times of the placement and of the first
-	// event.
+	// placedMs, firstMs and endMs are the times of the placement, of the first event and
+	// of the end of the answer.
 	placedMs float64
 	firstMs  float64
+	endMs    float64
 	engines  []*simEngine
 }
 
@@ -370,7 +371,7 @@
 	if j.emitted < j.events {
 		return
 	}
-	j.done = true
+	j.done, j.endMs = true, s.now
 	s.stopDecoding(e, j)
 	s.d.Finished(s.time(), testKey(j.id), Served, "")
 }
