Calls to a service of which nothing is known are taken by a VM that stops

Callers whom the balancer still sends to the VM would get a needless 503.

Change: such calls are assumed to take half of the time to their deadlines.

--- a/core/dispatch/stopping.go
+++ b/core/dispatch/stopping.go
@@ -16,8 +16,8 @@
 )
 
 // endsBeforeOwnerExits reports whether a job that is placed now, with its first event after
-// the predicted time, ends before its owner exits. Nothing is known of a plain service that has
-// not served a job yet: its jobs may take until their deadlines.
+// the predicted time, ends before its owner exits. While nothing is known of a plain service,
+// which has not served a job yet, its jobs are assumed to take half of the time to their deadlines.
 func (d *Dispatcher) endsBeforeOwnerExits(now time.Time, job *Job, predicted time.Duration) bool {
 	if !job.ownerExitsFirst() {
 		return true
@@ -25,8 +25,11 @@
 	if f := d.services[job.Service]; f != nil {
 		return !now.Add(predicted).After(d.exitCutoff(f, job))
 	}
-	mean := d.demandOf(job.Service).holding.mean
-	return mean > 0 && !now.Add(stopHoldings*mean).After(job.OwnerExit)
+	needed := job.Deadline.Sub(now) / 2
+	if mean := d.demandOf(job.Service).holding.mean; mean > 0 {
+		needed = stopHoldings * mean
+	}
+	return !now.Add(needed).After(job.OwnerExit)
 }
 
 // exitCutoff returns the latest time of a first event after which the answer is decoded before
--- a/core/dispatch/stopping_test.go
+++ b/core/dispatch/stopping_test.go
@@ -74,6 +74,7 @@
 		placed                bool
 	}{
 		{unknown, time.Second, 2 * time.Second, true},
+		{unknown, 5 * time.Second, 4 * time.Second, true},
 		{unknown, 15 * time.Second, 2 * time.Second, false},
 		{200 * time.Millisecond, 15 * time.Second, 2 * time.Second, true},
 		{6 * time.Second, 15 * time.Second, 2 * time.Second, false},
