Followers of dark watchers turn to the store in time

Cause: a follower asked the watchers and two other VMs one after the other, for 1.1 s each, and read the store only when all had failed.

Change: when the first one is no fresh source, all others are asked at once, without waiting for changes, and then the store is read. A source found that way is asked first for 5 s. A poll of the others that ends after the store was reached doesn't count any more for what is known without it.

--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -29,6 +29,9 @@
 	// peerPollWait and peerPollMargin are the same for reads from other VMs.
 	peerPollWait   = 800 * time.Millisecond
 	peerPollMargin = 300 * time.Millisecond
+	// standbyTime is how long a VM is polled in place of a preferred one that did not
+	// respond, which the membership has declared dead by then.
+	standbyTime = 5 * time.Second
 	// relayPollWait is peerPollWait for the reads of a relay, which are shorter as what
 	// it hands on is as old as they are.
 	relayPollWait = 400 * time.Millisecond
@@ -96,6 +99,11 @@
 	// the store: before that it is not known whether the copy is stale.
 	peerFresh  bool
 	peersTried bool
+
+	// standby is the address of a fresh source that was found when the preferred one was
+	// none, which takes its place until standbyUntil. Both are used by followPeers only.
+	standby      string
+	standbyUntil time.Time
 }
 
 // Start starts following the topic and returns its Follower, which runs until Stop.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -153,6 +153,9 @@
 	// can't be called.
 	peerReads map[[2]string]int
 	silent    map[string]bool
+	// dark are the VMs that have lost power: calls to them get no answer, also those that
+	// are in progress.
+	dark map[string]bool
 	// spread is the time over which the VMs read the store at their start.
 	spread time.Duration
 }
@@ -253,6 +256,12 @@
 		return peer.Identity{}, errRejected
 	}
 	*answer = f.serve(ctx, request)
+	p.mu.Lock()
+	dark := p.dark[address]
+	p.mu.Unlock()
+	if dark {
+		<-ctx.Done()
+	}
 	return peer.Identity{VM: address}, ctx.Err()
 }
 
@@ -354,7 +363,7 @@
 		spread:  spread,
 		changed: make(chan struct{}), version: 1, followers: make(map[string]*Follower),
 		observers: make(map[string]*recorder), watchers: map[string]bool{"a": true}, storeReads: make(map[string]int),
-		relays: make(map[string]bool), peerReads: make(map[[2]string]int), silent: make(map[string]bool),
+		relays: make(map[string]bool), peerReads: make(map[[2]string]int), silent: make(map[string]bool), dark: make(map[string]bool),
 	}
 	for _, vm := range relays {
 		c.relays[vm] = true
--- a/internal/mirror/peers.go
+++ b/internal/mirror/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cornelsaddle.example/cornelsaddle/internal/clock"
@@ -46,7 +47,9 @@
 func (f *Follower) setPeerFresh(fresh bool) {
 	f.mu.Lock()
 	lost := f.peerFresh && !fresh
-	f.peerFresh, f.peersTried = fresh, true
+	f.peerFresh = fresh
+	// A poll that ends after the store was reached began before that.
+	f.peersTried = !f.storeReachable
 	f.mu.Unlock()
 	if lost {
 		// The VMs polling this one, if it is a relay, must fail over to another source.
@@ -72,30 +75,66 @@
 	return age, age <= maxRelayAge
 }
 
-// readPeers polls the other VMs one by one until one responds that is a fresh source,
-// and reports whether there was one. Rows from the others are applied as well.
+// readPeers polls the preferred VM. If that is no fresh source, or doesn't respond, it reads
+// from all others at once, so that several VMs that don't respond take no longer than two, and the
+// store is read well within the time limit for applying a new configuration. It reports whether
+// there was a fresh source. Rows from the others are applied as well.
 func (f *Follower) readPeers(ctx context.Context) bool {
-	for _, address := range f.sources.Peers(f.topic) {
-		if ctx.Err() != nil {
-			return false
-		}
-		if f.readPeer(ctx, address) {
-			return true
+	addresses := f.preferStandby(f.sources.Peers(f.topic))
+	if len(addresses) == 0 {
+		return false
+	}
+	wait := peerPollWait
+	if f.sources.Relays(f.topic) {
+		wait = relayPollWait
+	}
+	if f.readPeer(ctx, addresses[0], wait) {
+		return true
+	}
+	f.standby = f.readAny(ctx, addresses[1:])
+	f.standbyUntil = time.Now().Add(standbyTime)
+	return f.standby != ""
+}
+
+// preferStandby moves the standby, if there is one, to the front of the addresses.
+func (f *Follower) preferStandby(addresses []string) []string {
+	if i := slices.Index(addresses, f.standby); i > 0 && time.Now().Before(f.standbyUntil) {
+		addresses[0], addresses[i] = addresses[i], addresses[0]
+	}
+	return addresses
+}
+
+// readAny reads from all VMs at once, without waiting for changes, and returns the address of
+// the first one that responds and is a fresh source; empty if none is.
+func (f *Follower) readAny(ctx context.Context, addresses []string) string {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	responses := make(chan string, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			if !f.readPeer(ctx, address, 0) {
+				address = ""
+			}
+			responses <- address
+		}()
+	}
+	found := ""
+	for range addresses {
+		if address := <-responses; address != "" && found == "" {
+			found = address
+			cancel()
 		}
 	}
-	return false
+	return found
 }
 
 // Pull reads the topic once, without waiting for changes, from a VM that may have
 // later rows.
 func (f *Follower) Pull(ctx context.Context, address string) { f.callPeer(ctx, address, 0) }
 
-// readPeer makes one long poll of a VM and reports whether that VM is a fresh source.
-func (f *Follower) readPeer(ctx context.Context, address string) bool {
-	wait := peerPollWait
-	if f.sources.Relays(f.topic) {
-		wait = relayPollWait
-	}
+// readPeer makes one poll of a VM, which may hold it for the wait time, and reports whether
+// that VM is a fresh source.
+func (f *Follower) readPeer(ctx context.Context, address string, wait time.Duration) bool {
 	started := clock.Boot()
 	m, ok := f.callPeer(ctx, address, wait)
 	if !ok || m.Stale {
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -105,3 +105,51 @@
 	require.Zero(t, a.AgeMs, "the watcher reaches the store")
 	require.True(t, c.followers["c"].serve(t.Context(), readMessage{}).Stale, "only a relay hands on")
 }
+
+// TestFollowersOfDarkWatchers takes the power from both watchers just after a VM has begun to
+// wait for the first of them: that VM must get the next change from the store within the two
+// seconds allowed for applying a configuration, and for sending nothing more to an endpoint that
+// leaves. It polled one dark VM after the other before it turned to the store.
+func TestFollowersOfDarkWatchers(t *testing.T) {
+	c := newCluster(t)
+	c.mu.Lock()
+	c.watchers["b"] = true
+	c.mu.Unlock()
+	c.put(row("k", "1", 2))
+	c.awaitAll(t, "k", "1")
+	require.Eventually(t, func() bool { return c.follows("c") }, 10*time.Second, time.Millisecond)
+	polls := c.reads("c", "a")
+	require.Eventually(t, func() bool { return c.reads("c", "a") > polls }, 10*time.Second, time.Millisecond)
+	c.mu.Lock()
+	c.dark["a"], c.dark["b"] = true, true
+	c.mu.Unlock()
+	c.put(row("k", "2", 3))
+	const propagationLimit = 2 * time.Second
+	require.Eventually(t, func() bool { return c.observers["c"].has("k", "2") }, propagationLimit, time.Millisecond)
+}
+
+// TestFollowerOfADarkWatcherStaysWithTheOther checks that a VM which has found another source,
+// as its first one doesn't answer, goes on with that one and doesn't wait for the dark one at each
+// change.
+func TestFollowerOfADarkWatcherStaysWithTheOther(t *testing.T) {
+	c := newCluster(t)
+	c.mu.Lock()
+	c.watchers["b"] = true
+	c.mu.Unlock()
+	c.put(row("k", "1", 2))
+	c.awaitAll(t, "k", "1")
+	require.Eventually(t, func() bool { return c.follows("c") }, 10*time.Second, time.Millisecond)
+	c.mu.Lock()
+	c.dark["a"] = true
+	c.mu.Unlock()
+	c.put(row("k", "2", 3))
+	require.Eventually(t, func() bool { return c.observers["c"].has("k", "2") }, 10*time.Second, time.Millisecond)
+	before := c.reads("c", "a")
+	for version := int64(4); version < 8; version++ {
+		value := string(rune('0' + version))
+		c.put(row("k", value, version))
+		require.Eventually(t, func() bool { return c.observers["c"].has("k", value) }, peerPollWait, time.Millisecond)
+	}
+	require.Equal(t, before, c.reads("c", "a"))
+	require.Less(t, c.reads("c", "b"), 20, "the other source is not asked without a pause")
+}
