VMs don't take the shares of the retry budget of VMs that they don't see

Cause: a VM divided the allowance by the VMs that it sees.

Change: it divides by the largest number of VMs seen within ten minutes, or listed at its start, and keeps the share of a VM that has just started until it knows which VMs there are.

--- a/core/retry/share_test.go
+++ b/core/retry/share_test.go
@@ -20,3 +20,33 @@
 		require.LessOrEqual(t, bounds.Share(1, time.Second).Allowance*float64(vms), bounds.Allowance)
 	}
 }
+
+// TestSharesOfSeparatedVMsStayWithinTheBounds cuts all VMs off from each other. Each then sees
+// itself only, and took a share that is right for a few VMs: together they exceeded the bound.
+func TestSharesOfSeparatedVMsStayWithinTheBounds(t *testing.T) {
+	const vms = 32
+	bounds := Bounds{Ratio: 0.2, Allowance: 240}
+	now := time.Unix(1000, 0)
+	sum := func(at time.Time, seen int) float64 {
+		total := 0.0
+		for range vms {
+			var p Population
+			require.Equal(t, vms, p.Observe(now, vms))
+			total += bounds.Share(p.Observe(at, seen), time.Minute).Allowance
+		}
+		return total
+	}
+	require.LessOrEqual(t, sum(now.Add(time.Second), 1), bounds.Allowance)
+	require.LessOrEqual(t, sum(now.Add(5*time.Minute), vms/2), bounds.Allowance)
+}
+
+// TestVMsThatAreGoneAreForgotten checks that the VMs that stay get the shares of the others
+// after a while.
+func TestVMsThatAreGoneAreForgotten(t *testing.T) {
+	var p Population
+	now := time.Unix(1000, 0)
+	require.Equal(t, 32, p.Observe(now, 32))
+	require.Equal(t, 32, p.Observe(now.Add(forgetTime), 5))
+	require.Equal(t, 5, p.Observe(now.Add(forgetTime+time.Second), 5))
+	require.Equal(t, 6, p.Observe(now.Add(forgetTime+2*time.Second), 6))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -62,6 +63,8 @@
 	members        *members
 	listed         *listedVMs
 	watchers       *watchers
+	// population is the number of VMs that share the retry budget.
+	population population
 	// configuration and endpoints keep this VM's copies of those store topics up
 	// to date.
 	configuration *mirror.Follower
@@ -259,13 +262,29 @@
 	return retry.NewWindow(v.reloadable.Load().retries.Window, share.Ratio, share.Allowance)
 }
 
-// retryShare returns this VM's share of the retry budget of all VMs.
+// retryShare returns this VM's share of the retry budget of all VMs. As long as it has not
+// read which VMs there are, it counts as just started.
 func (v *VM) retryShare() retry.Bounds {
-	vms := 1
+	vms, age := v.listed.count(), time.Since(v.started)
 	if v.hasJoined() {
-		vms = len(v.members.service.Live())
+		vms = max(vms, len(v.members.service.Live()))
 	}
-	return v.reloadable.Load().retries.Share(vms, time.Since(v.started))
+	if vms <= 1 && !v.listed.read() {
+		age = 0
+	}
+	return v.reloadable.Load().retries.Share(v.population.observe(vms), age)
+}
+
+// population is a retry.Population that is safe for concurrent use.
+type population struct {
+	mu  sync.Mutex
+	vms retry.Population
+}
+
+func (p *population) observe(vms int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.vms.Observe(time.Now(), vms)
 }
 
 // runPeriodically runs the task at each interval until Close.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -492,3 +492,21 @@
 	}
 	return names
 }
+
+// TestLostVMsKeepTheirSharesOfTheRetryBudget checks that a VM which no longer sees the others
+// doesn't take their shares of the retry budget.
+func TestLostVMsKeepTheirSharesOfTheRetryBudget(t *testing.T) {
+	const others = 31
+	store := newMemoryStore()
+	store.putConfiguration(t, 1, "/a/")
+	for i := range others {
+		row := fmt.Sprintf(`{"peer":"127.0.0.1:%d","failure_domain":"z"}`, i+1)
+		require.NoError(t, store.Put(context.Background(), provider.VMs, fmt.Sprint("gone-", i), []byte(row)))
+	}
+	v := startVM(t, "a", store)
+	awaitStatus(t, v.settings.Balancer, "/readyz", http.StatusOK)
+	require.Eventually(t, func() bool { return len(v.members.service.Live()) == 1 }, 20*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return time.Since(v.started) > listTrust }, 20*time.Second, 10*time.Millisecond)
+	want := v.settings.Retries.Share(others, time.Minute).Allowance
+	require.LessOrEqual(t, v.retryShare().Allowance, want)
+}
--- a/internal/entry/listed.go
+++ b/internal/entry/listed.go
@@ -44,6 +44,13 @@
 	return len(l.vms) > 0
 }
 
+// count returns the number of VMs that were listed.
+func (l *listedVMs) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.vms)
+}
+
 // overdue reports whether the list was waited for in vain.
 func (l *listedVMs) overdue() bool { return time.Since(l.started) > listWait }
 
