--- a/internal/peer/meter_test.go
+++ b/internal/peer/meter_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	traffic "cornelsaddle.example/cornelsaddle/internal/metrics"
@@ -36,22 +38,29 @@
 	require.Error(t, err)
 	_, _, err = call(t, c, s.Addr(), "none", "x")
 	require.Error(t, err)
-	for cause, n := range map[traffic.Cause]int64{"echo": 3, "fail": 1} {
-		for _, r := range []metrics.Registry{at, from} {
-			require.Equal(t, n, counted(r, cause, traffic.Sent, traffic.OtherDomain), cause)
-			require.Equal(t, n, counted(r, cause, traffic.Received, traffic.OtherDomain), cause)
+	assertCounts := func(t require.TestingT) {
+		for cause, n := range map[traffic.Cause]int64{"echo": 3, "fail": 1} {
+			for _, r := range []metrics.Registry{at, from} {
+				require.Equal(t, n, counted(r, cause, traffic.Sent, traffic.OtherDomain), cause)
+				require.Equal(t, n, counted(r, cause, traffic.Received, traffic.OtherDomain), cause)
+			}
 		}
+		require.EqualValues(t, 1, counted(at, causeUnknown, traffic.Received, traffic.OtherDomain))
+		require.EqualValues(t, 1, counted(at, causeUnknown, traffic.Sent, traffic.OtherDomain))
+		require.Zero(t, counted(at, "none", traffic.Received, traffic.OtherDomain))
+		total := metrics.GetOrRegisterCounter("peer.bytes_sent", at).Count()
+		sum := int64(0)
+		for _, cause := range []traffic.Cause{"echo", "fail", causeUnknown} {
+			name := traffic.Labelled("traffic.bytes", "cause", string(cause), "direction", "sent", "domain", "other")
+			sum += metrics.GetOrRegisterCounter(name, at).Count()
+		}
+		require.Equal(t, total, sum)
 	}
-	require.EqualValues(t, 1, counted(at, causeUnknown, traffic.Received, traffic.OtherDomain))
-	require.EqualValues(t, 1, counted(at, causeUnknown, traffic.Sent, traffic.OtherDomain))
-	require.Zero(t, counted(at, "none", traffic.Received, traffic.OtherDomain))
-	total := metrics.GetOrRegisterCounter("peer.bytes_sent", at).Count()
-	sum := int64(0)
-	for _, cause := range []traffic.Cause{"echo", "fail", causeUnknown} {
-		name := traffic.Labelled("traffic.bytes", "cause", string(cause), "direction", "sent", "domain", "other")
-		sum += metrics.GetOrRegisterCounter(name, at).Count()
-	}
-	require.Equal(t, total, sum)
+	// The server counts a response after it has written it, when the client may have it.
+	require.EventuallyWithT(t, func(t *assert.CollectT) { assertCounts(t) }, 10*time.Second, time.Millisecond)
+	c.Close()
+	s.Close()
+	assertCounts(t)
 }
 
 // TestDomainIsKnownLater checks that the failure domain of the other end counts from when
