What a response says of its endpoint holds for the incarnation that was asked

Cause: Server-Leaving and Retry-After were recorded for the incarnation listed when the response came, and forgotten if there was none.

Change: they are recorded for the incarnation to which the request was sent, listed or not. A request isn't sent if another incarnation has taken the place of the chosen one.

Evidence: TestLeavingIsKnownOfTheIncarnationThatWasAsked failed before (available, leaving expected), by the same test on the code before with the ID in place of the incarnation.

--- a/core/directory/availability.go
+++ b/core/directory/availability.go
@@ -78,18 +78,19 @@
 	return true
 }
 
-// Pause records that an endpoint has asked for no requests for the given time, of
-// which at most MaxPause counts. A time that is not positive is ignored, and an
-// earlier pause is never shortened. It returns the end of the pause.
-func (d *Directory) Pause(now time.Time, id string, pause time.Duration) time.Time {
-	if d.records[id] == nil || pause <= 0 {
-		return d.pausedUntil[id]
+// Pause records that an incarnation has asked for no requests for the given time, of
+// which at most MaxPause counts. A time that is not positive, or of an incarnation that is not
+// listed, is ignored, and an earlier pause is never shortened. It returns the end of the pause.
+func (d *Directory) Pause(now time.Time, i Incarnation, pause time.Duration) time.Time {
+	r := d.records[i.ID]
+	if r == nil || r.Incarnation() != i || pause <= 0 {
+		return d.pausedUntil[i.ID]
 	}
 	until := now.Add(min(pause, MaxPause))
-	if until.After(d.pausedUntil[id]) {
-		d.pausedUntil[id] = until
+	if until.After(d.pausedUntil[i.ID]) {
+		d.pausedUntil[i.ID] = until
 	}
-	return d.pausedUntil[id]
+	return d.pausedUntil[i.ID]
 }
 
 // Lookup returns the entry with the given ID and whether requests may be sent to the
--- a/core/directory/availability_test.go
+++ b/core/directory/availability_test.go
@@ -59,15 +59,15 @@
 	d.Put(Entry{ID: "a", Service: "s"})
 	d.Put(Entry{ID: "b", Service: "s"})
 	for _, pause := range []time.Duration{-time.Hour, 0} {
-		require.Zero(t, d.Pause(start, "a", pause))
+		require.Zero(t, d.Pause(start, Incarnation{ID: "a"}, pause))
 	}
-	d.Pause(start, "a", 3*time.Second)
-	require.Equal(t, at(3*time.Second), d.Pause(at(time.Second), "a", time.Second))
+	d.Pause(start, Incarnation{ID: "a"}, 3*time.Second)
+	require.Equal(t, at(3*time.Second), d.Pause(at(time.Second), Incarnation{ID: "a"}, time.Second))
 	_, availability := d.Lookup(at(2999*time.Millisecond), "a")
 	require.Equal(t, Paused, availability)
 	_, availability = d.Lookup(at(3*time.Second), "a")
 	require.Equal(t, Available, availability)
-	require.Equal(t, at(MaxPause), d.Pause(start, "b", 72*time.Hour))
+	require.Equal(t, at(MaxPause), d.Pause(start, Incarnation{ID: "b"}, 72*time.Hour))
 }
 
 // Paused lists the paused endpoints of a service, with a wait only if all of its
@@ -81,12 +81,12 @@
 	ids, wait := d.Paused(start, "s")
 	require.Empty(t, ids)
 	require.Zero(t, wait)
-	d.Pause(start, "a", 5*time.Second)
-	d.Pause(start, "p", time.Second)
+	d.Pause(start, Incarnation{ID: "a"}, 5*time.Second)
+	d.Pause(start, Incarnation{ID: "p"}, time.Second)
 	ids, wait = d.Paused(start, "s")
 	require.Equal(t, []string{"a"}, ids)
 	require.Zero(t, wait)
-	d.Pause(start, "b", 2*time.Second)
+	d.Pause(start, Incarnation{ID: "b"}, 2*time.Second)
 	ids, wait = d.Paused(at(time.Second), "s")
 	require.Equal(t, []string{"a", "b"}, ids)
 	require.Equal(t, time.Second, wait)
@@ -98,7 +98,7 @@
 func TestPauseEndsWithIncarnation(t *testing.T) {
 	d := New(time.Second)
 	d.Put(Entry{ID: "a", Started: 1})
-	d.Pause(start, "a", time.Minute)
+	d.Pause(start, Incarnation{ID: "a", Started: 1}, time.Minute)
 	d.Put(Entry{ID: "a", Started: 1, Slots: 3})
 	_, availability := d.Lookup(start, "a")
 	require.Equal(t, Paused, availability)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/dig"
 
+	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/core/quarantine"
 	"cornelsaddle.example/cornelsaddle/core/retry"
@@ -227,8 +228,8 @@
 		Log:       v.log,
 		MaxIdle:   v.settings.Reservations.ReleaseWithin,
 		MaxHold:   v.settings.Reservations.MaxHold,
-		Observe: func(endpoint string, status int, h http.Header) {
-			r.Observed(endpoint, v.platform.Headers.DecodeResponse(status, h))
+		Observe: func(request ticket.Request, status int, h http.Header) {
+			r.Observed(directory.Incarnation{ID: request.Endpoint, Started: request.Started}, v.platform.Headers.DecodeResponse(status, h))
 		},
 		Match: func(h http.Header) upstream.Match {
 			if v.platform.Headers.DecodeResponse(0, h).ID != "" {
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -39,7 +39,7 @@
 		tb.Changed(rows)
 		_ = r.Supersedes(rows[0], rows[1], false)
 		_ = tb.Supersedes(rows[0], rows[1], true)
-		r.Observed(key, platform.Headers{}.DecodeResponse(http.StatusOK, http.Header{"Server-Leaving": {"1"}}))
+		r.Observed(directory.Incarnation{ID: key}, platform.Headers{}.DecodeResponse(http.StatusOK, http.Header{"Server-Leaving": {"1"}}))
 		_, _ = r.Lookup(key)
 	})
 }
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,12 @@
 	"github.com/stretchr/testify/require"
 
 	"cornelsaddle.example/cornelsaddle/core/directory"
+	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/core/quarantine"
+	"cornelsaddle.example/cornelsaddle/internal/coordination"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/provider"
+	"cornelsaddle.example/cornelsaddle/platform"
 )
 
 // startLeavingEndpoint starts an endpoint that says in each response that it leaves.
@@ -58,3 +65,44 @@
 	}
 	require.Equal(t, int64(1), served.Load())
 }
+
+// newTestRegistry returns a registry that lists one endpoint, "i-1", of an incarnation.
+func newTestRegistry(t *testing.T, started int64) *registry {
+	t.Helper()
+	log, err := event.New(io.Discard, "json", "info", "vm")
+	require.NoError(t, err)
+	sink := coordination.NewLocalDispatcher(dispatch.DefaultConfig(), quarantine.DefaultConfig())
+	r := newRegistry(platform.Documents{}, log, sink, time.Second, func(directory.Incarnation) {})
+	t.Cleanup(r.stop)
+	r.Changed([]provider.Row{incarnationRow(started, 1)})
+	return r
+}
+
+func incarnationRow(started, version int64) provider.Row {
+	text := fmt.Sprintf(`{"service":"s","address":"10.0.0.5:80","slots":8,"state":"ready","born":%d}`, started)
+	return provider.Row{Key: "i-1", Value: []byte(text), Version: version}
+}
+
+// TestLeavingIsKnownOfTheIncarnationThatWasAsked lets responses tell that an endpoint leaves which is
+// not listed when they come, or whose next incarnation is: the one that was asked gets no more
+// requests when it is listed again, and the next one does. What was told of an unlisted endpoint
+// was forgotten, and the next incarnation was taken for the one that leaves.
+func TestLeavingIsKnownOfTheIncarnationThatWasAsked(t *testing.T) {
+	leaving := provider.ResponseHeader{Leaving: true}
+	r := newTestRegistry(t, 7)
+	asked, _ := r.Lookup("i-1")
+	r.Changed([]provider.Row{{Key: "i-1", Removed: true, Version: 2}})
+	r.Observed(asked.Incarnation(), leaving)
+	r.Changed([]provider.Row{incarnationRow(7, 3)})
+	_, availability := r.Lookup("i-1")
+	require.Equal(t, directory.Leaving, availability)
+
+	r = newTestRegistry(t, 7)
+	r.Changed([]provider.Row{incarnationRow(8, 2)})
+	r.Observed(asked.Incarnation(), leaving)
+	_, availability = r.Lookup("i-1")
+	require.Equal(t, directory.Available, availability)
+	r.Observed(asked.Incarnation(), provider.ResponseHeader{RetryAfter: time.Minute})
+	_, availability = r.Lookup("i-1")
+	require.Equal(t, directory.Available, availability, "the incarnation that asked for a pause is gone")
+}
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -81,21 +81,15 @@
 
 // Observed implements gateway.Directory. It stops the use of an endpoint that leaves,
 // announces that to the other VMs, and pauses an endpoint that asks for it.
-func (r *registry) Observed(id string, h provider.ResponseHeader) {
+func (r *registry) Observed(i directory.Incarnation, h provider.ResponseHeader) {
 	if h.RetryAfter > 0 {
-		r.pause(id, h.RetryAfter)
+		r.pause(i, h.RetryAfter)
 	}
 	if h.UnreadableLimit != "" {
-		r.logUnreadableLimit(id, h.UnreadableLimit)
+		r.logUnreadableLimit(i, h.UnreadableLimit)
 	}
-	if !h.Leaving {
-		return
-	}
-	r.mu.Lock()
-	e, listed := r.directory.Entry(id)
-	r.mu.Unlock()
-	if listed && r.markLeaving(e.Incarnation(), sourceResponse) {
-		r.announce(e.Incarnation())
+	if h.Leaving && r.markLeaving(i, sourceResponse) {
+		r.announce(i)
 	}
 }
 
@@ -132,23 +126,23 @@
 	return true
 }
 
-func (r *registry) pause(id string, retryAfter time.Duration) {
+func (r *registry) pause(i directory.Incarnation, retryAfter time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	until := r.directory.Pause(time.Now(), id, retryAfter)
-	r.log.Emit(event.EndpointPaused{Endpoint: id, RetryAfter: retryAfter, Pause: max(0, time.Until(until))})
+	until := r.directory.Pause(time.Now(), i, retryAfter)
+	r.log.Emit(event.EndpointPaused{Endpoint: i.ID, RetryAfter: retryAfter, Pause: max(0, time.Until(until))})
 }
 
 // logUnreadableLimit logs that an endpoint's limit can't be read, once for an incarnation.
-func (r *registry) logUnreadableLimit(id, limit string) {
+func (r *registry) logUnreadableLimit(i directory.Incarnation, limit string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e, listed := r.directory.Entry(id)
-	if !listed || r.unreadable[e.Incarnation()] {
+	e, listed := r.directory.Entry(i.ID)
+	if !listed || e.Incarnation() != i || r.unreadable[i] {
 		return
 	}
-	r.unreadable[e.Incarnation()] = true
-	r.log.Emit(event.EndpointLimitUnreadable{Endpoint: id, Started: e.Started, Limit: limit})
+	r.unreadable[i] = true
+	r.log.Emit(event.EndpointLimitUnreadable{Endpoint: i.ID, Started: i.Started, Limit: limit})
 }
 
 // lists reports whether the registry lists the incarnation.
--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -119,7 +119,11 @@
 	if x.stopwatch.Suspended() > suspensionLimit {
 		x.gateway.cfg.Freshness.Await(x.r.Context())
 	}
-	if _, availability := x.gateway.cfg.Directory.Lookup(entry.ID); availability != directory.Available {
+	current, availability := x.gateway.cfg.Directory.Lookup(entry.ID)
+	if availability == directory.Available && current.Incarnation() != entry.Incarnation() {
+		availability = directory.Unlisted
+	}
+	if availability != directory.Available {
 		return errors.WithStack(&UnavailableError{Endpoint: entry.ID, Availability: availability})
 	}
 	if subject, _, refused := x.withheld(); refused {
--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -98,7 +98,7 @@
 	entry, availability := w.Lookup("e1")
 	require.Equal(t, directory.Available, availability)
 	require.NoError(t, x.checkPermission(entry))
-	w.Observed("e1", provider.ResponseHeader{Leaving: true})
+	w.Observed(directory.Incarnation{ID: "e1"}, provider.ResponseHeader{Leaving: true})
 	var unavailable *UnavailableError
 	require.ErrorAs(t, x.checkPermission(entry), &unavailable)
 	require.Equal(t, directory.Leaving, unavailable.Availability)
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -227,12 +227,12 @@
 }
 
 // Observed implements Directory.
-func (w *harness) Observed(id string, r provider.ResponseHeader) {
+func (w *harness) Observed(i directory.Incarnation, r provider.ResponseHeader) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.directory.Pause(time.Now(), id, r.RetryAfter)
+	w.directory.Pause(time.Now(), i, r.RetryAfter)
 	if r.Leaving {
-		w.directory.MarkLeaving(directory.Incarnation{ID: id})
+		w.directory.MarkLeaving(i)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,8 +38,9 @@
 	// VM for now. If the service has no other endpoint, wait is the time until the
 	// first of them may be sent requests again; otherwise it is zero.
 	Paused(service string) (ids []string, wait time.Duration)
-	// Observed records what a response's header tells about the endpoint that sent it.
-	Observed(id string, r provider.ResponseHeader)
+	// Observed records what a response's header tells about the incarnation of an endpoint
+	// to which the request was sent, also if it is not listed any more.
+	Observed(i directory.Incarnation, r provider.ResponseHeader)
 }
 
 // Freshness tells whether Tables and Directory are up to date.
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -29,7 +29,7 @@
 				Endpoint: id, Cause: &UnavailableError{Endpoint: id, Availability: availability},
 			})
 		}
-		wants = append(wants, ticket.Request{Endpoint: id, Address: entry.Address, FailureDomain: entry.Domain, Tokens: tokens})
+		wants = append(wants, ticket.Request{Endpoint: id, Started: entry.Started, Address: entry.Address, FailureDomain: entry.Domain, Tokens: tokens})
 	}
 	// The name must not contain a slash, which separates it from an address.
 	return x.gateway.cfg.Tickets.Reserve(ctx, x.reservationName(job), wants)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -100,7 +100,7 @@
 		x.gateway.closeFramed.Inc(1)
 	}
 	meta := x.gateway.cfg.Headers.DecodeResponse(resp.Status, resp.Header)
-	x.gateway.cfg.Directory.Observed(entry.ID, meta)
+	x.gateway.cfg.Directory.Observed(entry.Incarnation(), meta)
 	x.limit = limitText(meta)
 	if resp.Status != http.StatusMisdirectedRequest {
 		x.gateway.cfg.Placer.Answered(job, meta.Limit)
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -42,8 +42,10 @@
 
 // Request is a request for memory at one endpoint.
 type Request struct {
-	// Endpoint is the ID of the endpoint, and Address its network address.
+	// Endpoint is the ID of the endpoint, Started that of its incarnation, and Address its
+	// network address.
 	Endpoint string
+	Started  int64
 	Address  string
 	// FailureDomain is that of the endpoint; empty if it is not known.
 	FailureDomain string
@@ -85,7 +87,7 @@
 	// MaxHold is the longest hold time that endpoints grant; zero for no limit.
 	MaxHold time.Duration
 	// Observe receives the status and header of each response of an endpoint.
-	Observe func(endpoint string, status int, header http.Header)
+	Observe func(request Request, status int, header http.Header)
 	// Match tells whether a response belongs to a request of the Reserver.
 	Match func(http.Header) upstream.Match
 }
@@ -227,7 +229,7 @@
 		return errors.WithStack(&NotGrantedError{Endpoint: request.Endpoint, Cause: err})
 	}
 	defer resp.Close()
-	r.cfg.Observe(request.Endpoint, resp.Status, resp.Header)
+	r.cfg.Observe(request, resp.Status, resp.Header)
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
 		return errors.WithStack(&NotGrantedError{Endpoint: request.Endpoint, Cause: err})
 	}
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -127,7 +127,7 @@
 	t.Cleanup(transport.Close)
 	return NewReserver(Config{
 		Encoder: jsonEncoder{}, Transport: transport, Log: log, MaxIdle: maxIdle, MaxHold: 20 * time.Second,
-		Observe: func(string, int, http.Header) {},
+		Observe: func(Request, int, http.Header) {},
 	})
 }
 
