A new holder gets the placed jobs of a VM before those that wait

A holder that stops submitted its waiting jobs to the next one at once, which placed them at endpoints that its placed jobs fill: the endpoint rejects such a request, and its retry counts against the budget.

Cause: placed jobs are told by a queue of messages, and jobs are submitted by calls of their own, so that these may come first.

--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -223,8 +223,10 @@
 	}
 }
 
-// submit calls the holder's place method.
+// submit calls the holder's place method, once a new holder has got this VM's placed jobs, so
+// that it knows what is taken.
 func (c *Coordinator) submit(ctx context.Context, holder Member, dj dispatch.Job) (decisionMessage, error) {
+	c.awaitTransfer(ctx, holder)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var answer decisionMessage
@@ -232,6 +234,17 @@
 	return answer, err
 }
 
+// awaitTransfer waits until this VM's placed jobs have been sent to the holder, if they are on
+// their way.
+func (c *Coordinator) awaitTransfer(ctx context.Context, holder Member) {
+	c.mu.Lock()
+	s := c.senders[holder.VM]
+	c.mu.Unlock()
+	if s != nil {
+		s.awaitResets(ctx)
+	}
+}
+
 // accept applies a decision: it returns a refusal as a RefusedError, and records a
 // placement, also with the local dispatcher if another VM decided.
 func (c *Coordinator) accept(j *job, d holderDecision) (gateway.Placed, error) {
--- a/internal/coordination/coordinator_test.go
+++ b/internal/coordination/coordinator_test.go
@@ -484,3 +484,31 @@
 	require.Equal(t, dispatch.ReasonOwnerStopping, refusal.Reason)
 	require.Eventually(t, func() bool { _, placed := holder.counts(); return placed == 0 }, 5*time.Second, time.Millisecond)
 }
+
+// TestStoppingHolderHandsItsJobsOverFirst stops a holder with jobs that fill the only endpoint
+// and one that waits: the next holder learns of the placed jobs before the one that waits is
+// submitted to it. It placed that one at the full endpoint, which rejected it.
+func TestStoppingHolderHandsItsJobsOverFirst(t *testing.T) {
+	for range 20 {
+		vms := startVMs(t, []string{"a", "b", "c"}, 1)
+		leaving := holderOf(vms)
+		leaving.place(t, "1")
+		leaving.place(t, "2")
+		done := leaving.placeAsync("3")
+		require.Eventually(t, func() bool { waiting, _ := leaving.counts(); return waiting == 1 }, 5*time.Second, time.Millisecond)
+		live := make([]Member, 0, len(vms))
+		for name, v := range vms {
+			m, _ := leaving.holders.member(name)
+			live = append(live, Member{VM: name, Address: v.server.Addr(), Incarnation: m.Incarnation, Leaving: v == leaving})
+		}
+		leaving.SetMembers(live)
+		leaving.Stop(time.Now().Add(time.Minute))
+		next := vms[leaving.holder("s").VM]
+		require.Eventually(t, func() bool { waiting, placed := next.counts(); return waiting+placed == 3 }, 5*time.Second, time.Millisecond)
+		waiting, placed := next.counts()
+		require.Equal(t, 1, waiting)
+		require.Equal(t, 2, placed)
+		leaving.Finished("1", dispatch.End{Outcome: dispatch.Served})
+		<-done
+	}
+}
--- a/internal/coordination/sender.go
+++ b/internal/coordination/sender.go
@@ -29,6 +29,10 @@
 	mu      sync.Mutex
 	pending []updateMessage
 	running bool
+	// resets is the number of full sets of updates that are not delivered yet. While there
+	// are any, delivered is a channel that is closed when there are none.
+	resets    int
+	delivered chan struct{}
 }
 
 // sender returns the sender for the VM.
@@ -67,9 +71,39 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pending = append(s.pending, m)
+	if s.resets == 0 {
+		s.delivered = make(chan struct{})
+	}
+	s.resets++
 	s.start()
 }
 
+// resetEnded records that a full set of updates was delivered, or could not be.
+func (s *sender) resetEnded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resets--
+	if s.resets == 0 {
+		close(s.delivered)
+	}
+}
+
+// awaitResets waits until no full set of updates is on its way, or for callTimeout.
+func (s *sender) awaitResets(ctx context.Context) {
+	s.mu.Lock()
+	resets, delivered := s.resets, s.delivered
+	s.mu.Unlock()
+	if resets == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	select {
+	case <-delivered:
+	case <-ctx.Done():
+	}
+}
+
 // start starts the delivery goroutine unless it is running. The caller must hold
 // the lock.
 func (s *sender) start() {
@@ -91,6 +125,9 @@
 				break
 			}
 		}
+		if m.Reset != nil {
+			s.resetEnded()
+		}
 		if err != nil {
 			s.onFailure(s.to, err)
 		}
