A test of a stop of all gateways, signalled again

Both gateways get SIGTERM, SIGHUP and SIGTERM under load, so that the one that takes over stops too: each request is answered, or its connection ends before it was read. The callers' loop is shared with TestPlannedStopCutsNothing, whose checks are the same.

--- a/test/process/gateway_test.go
+++ b/test/process/gateway_test.go
@@ -197,53 +197,92 @@
 	s := startGatewaySystem(t, 4, platformtest.EndpointFault{Latency: 20 * time.Millisecond, Gap: 10 * time.Millisecond})
 	v := s.startGateway(t, "a")
 	s.startGateway(t, "b", v.peers)
-	var served, crossed, cut atomic.Int64
+	var counts callCounts
 	var wg sync.WaitGroup
 	for caller := range 16 {
-		wg.Go(func() {
-			paths := []string{"/once/x", "/safe/x", "/stream/x"}
-			for n, refusals := 0, 0; refusals < 3; {
-				c, err := dialGateway(v.callers)
-				if err != nil {
-					refusals++
-					continue
-				}
-				for {
-					n++
-					attempt := fmt.Sprintf("c%d-%d", caller, n)
-					path := paths[n%len(paths)]
-					status, body, closes, err := c.call(path, attempt)
-					want := platformtest.Answer(attempt)
-					if path == "/stream/x" {
-						want = platformtest.StreamAnswer(attempt, 3)
-					}
-					switch {
-					case err == nil && status == http.StatusOK && body == want:
-						served.Add(1)
-					case err != nil && s.runsOf(attempt) == 0:
-						crossed.Add(1)
-					default:
-						cut.Add(1)
-						t.Errorf("attempt %s on %s: status %d, %d bytes, runs %d: %v", attempt, path, status, len(body), s.runsOf(attempt), err)
-					}
-					if err != nil || closes {
-						_ = c.conn.Close()
-						break
-					}
-				}
-			}
-		})
+		wg.Go(func() { s.callUntilClosed(t, v, fmt.Sprintf("c%d", caller), &counts) })
 	}
-	require.Eventually(t, func() bool { return served.Load() > 200 }, 20*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return counts.served.Load() > 200 }, 20*time.Second, 10*time.Millisecond)
 	require.NoError(t, v.cmd.Process.Signal(syscall.SIGTERM))
+	v.awaitExit(t)
+	wg.Wait()
+	require.Zero(t, counts.cut.Load())
+	t.Logf("served %d, closed before they were read %d", counts.served.Load(), counts.crossed.Load())
+}
+
+// TestStopOfAllGatewaysCutsNothing stops both gateways under load, so that the one that takes over the
+// service of the other stops as well. Each gets SIGTERM twice, with SIGHUP between.
+func TestStopOfAllGatewaysCutsNothing(t *testing.T) {
+	s := startGatewaySystem(t, 4, platformtest.EndpointFault{Latency: 20 * time.Millisecond, Gap: 10 * time.Millisecond})
+	a := s.startGateway(t, "a")
+	b := s.startGateway(t, "b", a.peers)
+	var counts callCounts
+	var wg sync.WaitGroup
+	for _, v := range []*gatewayVM{a, b} {
+		for caller := range 8 {
+			wg.Go(func() { s.callUntilClosed(t, v, fmt.Sprintf("%s-%d", v.callers, caller), &counts) })
+		}
+	}
+	require.Eventually(t, func() bool { return counts.served.Load() > 200 }, 20*time.Second, 10*time.Millisecond)
+	for _, signal := range []os.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		require.NoError(t, a.cmd.Process.Signal(signal))
+		require.NoError(t, b.cmd.Process.Signal(signal))
+		time.Sleep(200 * time.Millisecond)
+	}
+	a.awaitExit(t)
+	b.awaitExit(t)
+	wg.Wait()
+	require.Zero(t, counts.cut.Load())
+}
+
+// awaitExit waits until the process has ended, at most for its grace period and some time.
+func (v *gatewayVM) awaitExit(t *testing.T) {
+	t.Helper()
 	select {
 	case <-v.exited:
 	case <-time.After(gatewayGrace + 10*time.Second):
 		t.Fatal("the gateway does not stop")
 	}
-	wg.Wait()
-	require.Zero(t, cut.Load())
-	t.Logf("served %d, closed before they were read %d", served.Load(), crossed.Load())
+}
+
+// callCounts counts calls by how they ended: with the whole answer, by the end of a connection
+// before they were read, or otherwise.
+type callCounts struct{ served, crossed, cut atomic.Int64 }
+
+// callUntilClosed makes calls on one connection after the other, each until it ends, until the
+// gateway accepts none.
+func (s *gatewaySystem) callUntilClosed(t *testing.T, v *gatewayVM, caller string, counts *callCounts) {
+	paths := []string{"/once/x", "/safe/x", "/stream/x"}
+	for n, refusals := 0, 0; refusals < 3; {
+		c, err := dialGateway(v.callers)
+		if err != nil {
+			refusals++
+			continue
+		}
+		for {
+			n++
+			attempt := fmt.Sprintf("%s-%d", caller, n)
+			path := paths[n%len(paths)]
+			status, body, closes, err := c.call(path, attempt)
+			want := platformtest.Answer(attempt)
+			if path == "/stream/x" {
+				want = platformtest.StreamAnswer(attempt, 3)
+			}
+			switch {
+			case err == nil && status == http.StatusOK && body == want:
+				counts.served.Add(1)
+			case err != nil && s.runsOf(attempt) == 0:
+				counts.crossed.Add(1)
+			default:
+				counts.cut.Add(1)
+				t.Errorf("attempt %s on %s: status %d, %d bytes, runs %d: %v", attempt, path, status, len(body), s.runsOf(attempt), err)
+			}
+			if err != nil || closes {
+				_ = c.conn.Close()
+				break
+			}
+		}
+	}
 }
 
 // TestPlannedStopAnswersWaitingRequests stops a gateway while requests wait for the only
