Tests of second responses don't depend on when these arrive; a mutation follows its code

TestStrayResponsesAreDropped got the second response to a request, sent by a write of its own, as the answer to the next one. Traced: all its requests have one ID, which attempts of callers never have, so that the second response is told from the answer only if it has arrived before.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -250,14 +250,19 @@
 }
 
 // TestStrayResponsesAreDropped sends a late response to another request before
-// the response, and a second response after it: neither reaches a caller.
+// the response, and a second response with it: neither reaches a caller.
 func TestStrayResponsesAreDropped(t *testing.T) {
+	response := func(header, body string) string {
+		return "HTTP/1.1 200 OK\r\n" + header + "Content-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+	}
 	e := newEndpoint(t, func(n int, _ *http.Request, _ []byte, c net.Conn) {
 		respond(c, "200 OK", hID+": other\r\n"+hSeal+": s\r\n", "not yours")
-		respond(c, "200 OK", ownHeader, "yours")
+		answer := response(ownHeader, "yours")
 		if n == 1 {
-			respond(c, "200 OK", hID+": r1\r\n"+hSeal+": s\r\n", "again")
+			answer += response(ownHeader, "again")
 		}
+		// One write, so that the second response has arrived with the first one.
+		_, _ = io.WriteString(c, answer)
 	})
 	w := newHarness(t, e)
 	for range 3 {
@@ -265,6 +270,23 @@
 	}
 }
 
+// TestSecondResponseMayComeAtAnyTime lets the second response to a request come at any time
+// up to the response to the next one, which has an ID of its own as each attempt of a caller.
+func TestSecondResponseMayComeAtAnyTime(t *testing.T) {
+	for _, delay := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+		e := newEndpoint(t, func(_ int, req *http.Request, _ []byte, c net.Conn) {
+			id := req.Header.Get(hID)
+			respond(c, "200 OK", hID+": "+id+"\r\n"+hSeal+": s\r\n", "to "+id)
+			time.Sleep(delay)
+			respond(c, "200 OK", hID+": "+id+"\r\n"+hSeal+": s\r\n", "again")
+		})
+		w := newHarness(t, e)
+		for _, id := range []string{"r1", "r2", "r3", "r4"} {
+			require.Equal(t, "to "+id, w.call(t, "GET", "/safe/", "", http.Header{hID: {id}}).body, delay)
+		}
+	}
+}
+
 // TestEarlyResponse checks that a response sent before the endpoint has read a
 // large request body reaches the caller.
 func TestEarlyResponse(t *testing.T) {
--- a/test/soak/mutation_test.go
+++ b/test/soak/mutation_test.go
@@ -37,7 +37,7 @@
 	notRun:      {{"internal/gateway/exchange.go", "case !x.mayHaveRun:", "case true:"}},
 	leavingAlone: {
 		{"core/directory/directory.go", "if r == nil {\n\t\treturn\n\t}\n\tif r.State", "if true {\n\t\treturn\n\t}\n\tif r.State"},
-		{"internal/entry/registry.go", "if !h.Leaving {", "if true {"},
+		{"internal/entry/registry.go", "if h.Leaving && r.markLeaving(i, sourceResponse) {", "if false {"},
 	},
 	evacuation:   {{"internal/entry/tables.go", "t.evacuate(domain, !row.Removed)", "_ = domain"}},
 	limitKept:    {{"core/dispatch/limit.go", "return !bounded || e.bucket.Admits(now, perSecond)", "return true || !bounded || e.bucket.Admits(now, perSecond)"}},
