--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -106,11 +106,10 @@
 	require.True(t, c.followers["c"].serve(t.Context(), readMessage{}).Stale, "only a relay hands on")
 }
 
-// TestFollowersOfDarkWatchers takes the power from both watchers just after a VM has begun to
-// wait for the first of them: that VM must get the next change from the store within the two
-// seconds allowed for applying a configuration, and for sending nothing more to an endpoint that
-// leaves. It polled one dark VM after the other before it turned to the store.
-func TestFollowersOfDarkWatchers(t *testing.T) {
+// newClusterOfTwoWatchers is newCluster with the watchers a and b, once all VMs have a row and c
+// follows one of them.
+func newClusterOfTwoWatchers(t *testing.T) *cluster {
+	t.Helper()
 	c := newCluster(t)
 	c.mu.Lock()
 	c.watchers["b"] = true
@@ -118,6 +117,15 @@
 	c.put(row("k", "1", 2))
 	c.awaitAll(t, "k", "1")
 	require.Eventually(t, func() bool { return c.follows("c") }, 10*time.Second, time.Millisecond)
+	return c
+}
+
+// TestFollowersOfDarkWatchers takes the power from both watchers just after a VM has begun to
+// wait for the first of them: that VM must get the next change from the store within the two
+// seconds allowed for applying a configuration, and for sending nothing more to an endpoint that
+// leaves. It polled one dark VM after the other before it turned to the store.
+func TestFollowersOfDarkWatchers(t *testing.T) {
+	c := newClusterOfTwoWatchers(t)
 	polls := c.reads("c", "a")
 	require.Eventually(t, func() bool { return c.reads("c", "a") > polls }, 10*time.Second, time.Millisecond)
 	c.mu.Lock()
@@ -132,13 +140,7 @@
 // as its first one doesn't answer, goes on with that one and doesn't wait for the dark one at each
 // change.
 func TestFollowerOfADarkWatcherStaysWithTheOther(t *testing.T) {
-	c := newCluster(t)
-	c.mu.Lock()
-	c.watchers["b"] = true
-	c.mu.Unlock()
-	c.put(row("k", "1", 2))
-	c.awaitAll(t, "k", "1")
-	require.Eventually(t, func() bool { return c.follows("c") }, 10*time.Second, time.Millisecond)
+	c := newClusterOfTwoWatchers(t)
 	c.mu.Lock()
 	c.dark["a"] = true
 	c.mu.Unlock()
