--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -136,8 +136,14 @@
 // putConfiguration writes a configuration with one route to the service "s".
 func (s *memoryStore) putConfiguration(t *testing.T, version int, path string) {
 	t.Helper()
-	text := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h","path_prefix":"%s","kind":"idempotent","timeout_ms":5000,"service":"s","max_attempts":2}],
-		"services":[{"name":"s"}],"limits":{"max_body_bytes":1000000}}`, version, path)
+	s.putConfigurationOfKind(t, version, path, "idempotent")
+}
+
+// putConfigurationOfKind is like putConfiguration, for a route of the kind.
+func (s *memoryStore) putConfigurationOfKind(t *testing.T, version int, path, kind string) {
+	t.Helper()
+	text := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h","path_prefix":"%s","kind":"%s","timeout_ms":5000,"service":"s","max_attempts":2}],
+		"services":[{"name":"s"}],"limits":{"max_body_bytes":1000000}}`, version, path, kind)
 	require.NoError(t, s.Put(context.Background(), provider.Configuration, "config", []byte(text)))
 }
 
