A VM that does not reach an endpoint sends its requests through another VM

Callers of a VM that was cut off from all endpoints saw 503, or nothing until their deadlines: each request learnt anew that no endpoint answers, by waiting 1 s for a dial, and the VM had no other way to serve it.

Whether an endpoint is reached is now kept for the pair, VM and endpoint (core/reach). A connection is opened on the VM's own path and, after 0.1 s, a failure, or at once where the path is suspect, through another VM (internal/relay), whichever opens first. The VM between looks at its own list of endpoints, immediately before the first byte as well, and says so where nothing was sent. Requests that may be repeated and are silent on a path that is found lost are sent again. Failures of a lost path are not told as the endpoint's; requests of which no byte was sent use up neither the route's attempts nor the retry budget. Events 745 to 748, gauges paths.lost and relay.*.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"cornelsaddle.example/cornelsaddle/internal/mirror"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
+	"cornelsaddle.example/cornelsaddle/internal/relay"
 	"cornelsaddle.example/cornelsaddle/internal/ticket"
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
@@ -91,6 +92,8 @@
 	Identity    peer.Identity
 	Mux         *peer.Mux
 	Peers       *peer.Client
+	Relays      *relay.Client
+	RelayServer *relay.Server
 }
 
 // Start constructs the gateway, opens its listeners and joins the other VMs.
@@ -188,7 +191,11 @@
 			return newTables(v.platform.Decoder, v.log, l, r.setEvacuated)
 		},
 		func(m *metrics.Metrics) *metrics.Traffic { return metrics.NewTraffic(m.Registry) },
+		func(p *peer.Client) *relay.Client { return relay.NewClient(p, v.settings.FailureDomain) },
 		v.newTransport,
+		func(r *registry, u *upstream.Transport, mux *peer.Mux) *relay.Server {
+			return relay.NewServer(r, u, mux, v.log)
+		},
 		v.newTickets,
 		func() *freshness { return &freshness{log: v.log, copies: v.copies} },
 		v.newGateway,
@@ -215,9 +222,10 @@
 	return coordination.New(self.VM, l, peers, mux, v.log, v.announceVerdict)
 }
 
-func (v *VM) newTransport(m *metrics.Metrics, traffic *metrics.Traffic) *upstream.Transport {
+func (v *VM) newTransport(m *metrics.Metrics, traffic *metrics.Traffic, relays *relay.Client) *upstream.Transport {
 	return upstream.New(upstream.Config{
 		FailureDomain: v.settings.FailureDomain, Opened: m.Counter("upstream.connections"), Traffic: traffic,
+		Relay: relays, Log: v.log,
 	})
 }
 
@@ -324,13 +332,14 @@
 
 // Stop drains the VM. Readiness checks fail immediately, while requests are served
 // until the balancer has taken the VM out of rotation. Requests that wait for a
-// placement are refused once they can't end before the VM exits. Stop returns when no
-// request is in flight, or graceMargin before the end of the grace period.
+// placement are refused once they can't end before the VM exits. No further requests are
+// relayed for other VMs. Stop returns when no request is in flight, or graceMargin before the end of the grace period.
 func (v *VM) Stop() {
 	grace := v.reloadable.Load().grace
 	end := time.Now().Add(grace - graceMargin)
 	v.log.Emit(event.GatewayStopping{InFlight: v.components.Gateway.InFlight(), Grace: grace})
 	close(v.stopping)
+	v.components.RelayServer.Stop()
 	v.components.Gateway.Stop(end.Add(-answerMargin))
 	// The other VMs take over this one's services before the jobs that wait are submitted
 	// again.
@@ -339,6 +348,7 @@
 	go v.members.removeOwnRow()
 	time.Sleep(unreadyDetectionTime)
 	v.callerServer.drain(end)
+	v.components.RelayServer.Drain(end)
 	v.log.Emit(event.GatewayStopped{Cut: v.components.Gateway.InFlight()})
 }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -29,6 +29,10 @@
 	gauge("dispatch.waiting", func() int64 { return int64(v.components.Local.Waiting()) })
 	gauge("dispatch.placed", func() int64 { return int64(v.components.Local.Placed()) })
 	gauge("dispatch.searches", func() int64 { return v.components.Local.Searches() })
+	gauge("paths.lost", func() int64 { return int64(v.components.Transport.LostPaths()) })
+	gauge("relay.sent", func() int64 { return v.components.Transport.Relayed() })
+	gauge("relay.served", func() int64 { return v.components.RelayServer.Total() })
+	gauge("relay.in_flight", func() int64 { return int64(v.components.RelayServer.InFlight()) })
 	gauge("endpoints.limited", func() int64 { return int64(v.components.Local.Limited()) })
 	gauge("quarantine.parts", func() int64 { return int64(v.components.Local.Withholding()) })
 	// The names are fixed, and each is registered once.
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -10,6 +10,7 @@
 
 	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/core/membership"
+	"cornelsaddle.example/cornelsaddle/core/reach"
 	"cornelsaddle.example/cornelsaddle/internal/coordination"
 	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/member"
@@ -26,7 +27,7 @@
 
 // digest is the data that VMs attach to their membership probes: for each topic's
 // copy, the version and the epoch of its newest row, and the number of rows that it
-// keeps from earlier epochs. VMs that don't know epochs send the versions only.
+// keeps from earlier epochs, and whether the VM is cut off. VMs that don't know epochs send the versions only.
 type digest struct {
 	Configuration      int64 `json:"c"`
 	Endpoints          int64 `json:"e"`
@@ -34,6 +35,8 @@
 	EndpointsEpoch     int64 `json:"ee,omitempty"`
 	ConfigurationKept  int   `json:"ck,omitempty"`
 	EndpointsKept      int   `json:"ek,omitempty"`
+	// CutOff is set if the VM reaches no endpoint, so that it can't relay requests of others.
+	CutOff bool `json:"x,omitempty"`
 }
 
 // digest returns this VM's encoded digest, or nil before it has joined.
@@ -45,6 +48,7 @@
 	b, err := json.Marshal(digest{
 		Configuration: configuration.Version, ConfigurationEpoch: configuration.Epoch, ConfigurationKept: v.configuration.Kept(),
 		Endpoints: endpoints.Version, EndpointsEpoch: endpoints.Epoch, EndpointsKept: v.endpoints.Kept(),
+		CutOff: v.components.Transport.CutOff(),
 	})
 	if err != nil {
 		return nil
@@ -70,6 +74,7 @@
 	if !o.vm.hasJoined() {
 		return
 	}
+	o.vm.components.Relays.SetCutOff(vm, d.CutOff)
 	o.pull(vm, o.vm.configuration, provider.Revision{Epoch: d.ConfigurationEpoch, Version: d.Configuration}, d.ConfigurationKept)
 	o.pull(vm, o.vm.endpoints, provider.Revision{Epoch: d.EndpointsEpoch, Version: d.Endpoints}, d.EndpointsKept)
 }
@@ -183,6 +188,18 @@
 	}
 	v.components.Coordinator.SetMembers(live)
 	v.watchers.set(staying, complete)
+	v.components.Relays.SetVMs(relaysAmong(staying, v.settings.VM))
+}
+
+// relaysAmong returns the VMs that may relay requests of the VM self.
+func relaysAmong(vms []liveVM, self string) []reach.Relay {
+	relays := make([]reach.Relay, 0, len(vms))
+	for _, m := range vms {
+		if m.name != self {
+			relays = append(relays, reach.Relay{VM: m.name, Address: m.address, Domain: m.domain})
+		}
+	}
+	return relays
 }
 
 // addressOf returns the peer address of a live VM.
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -203,6 +203,8 @@
 	Unfinished int `log:"unfinished"`
 	// Limit is the number of requests per second that the response names.
 	Limit string `log:"limit"`
+	// Via is the VM through which the request was sent; empty for none.
+	Via   string `log:"via"`
 	Again bool   `log:"again"`
 	Why   string `log:"why"`
 }
@@ -227,10 +229,11 @@
 	Pause        time.Duration `log:"pause"`
 	Took         time.Duration `log:"took"`
 	Events       int           `log:"events"`
-	// Framing, Unfinished and Limit are those of the last response, as in SendEnded.
+	// Framing, Unfinished, Limit and Via are those of the last response, as in SendEnded.
 	Framing    string `log:"framing"`
 	Unfinished int    `log:"unfinished"`
 	Limit      string `log:"limit"`
+	Via        string `log:"via"`
 }
 
 // Def implements Event.
--- a/internal/event/gateway_state.go
+++ b/internal/event/gateway_state.go
@@ -12,7 +12,7 @@
 	StoreRestored{}, RowsReleased{}, EndpointLeaving{}, EndpointPaused{}, VMSuspended{}, CostModelInvalid{},
 	LingerNotSet{}, SubjectWithheld{}, SubjectReleased{}, VerdictNotShared{}, VerdictUnreadable{},
 	DomainEvacuated{}, EvacuationEnded{}, CountersReported{}, RowsUnreadable{}, FirstCopyAwaited{},
-	EndpointLimitChanged{}, EndpointLimitUnreadable{},
+	EndpointLimitChanged{}, EndpointLimitUnreadable{}, PathsLost{}, PathsRegained{}, RelayEnded{}, RelayNotTold{},
 }
 
 // StoreRestored is emitted when a VM finds that the store was restored from a backup.
@@ -271,3 +271,59 @@
 func (EndpointLimitUnreadable) Def() Def {
 	return Def{744, "endpoint_limit_unreadable", log.WarnLevel, "An endpoint names a limit on requests that is no number, or a negative one; it counts as none. It is logged once for each incarnation."}
 }
+
+// PathsLost is emitted when this VM finds that its own paths to endpoints are lost.
+type PathsLost struct {
+	// Scope is endpoint, failure_domain or all, and Name the address of the endpoint or the
+	// name of the failure domain.
+	Scope string `log:"scope"`
+	Name  string `log:"name"`
+	// Evidence are the addresses that this VM does not reach.
+	Evidence string `log:"evidence"`
+}
+
+// Def implements Event.
+func (PathsLost) Def() Def {
+	return Def{745, "paths_lost", log.WarnLevel, "This VM does not reach an endpoint that another VM reaches, or none of a failure domain or of all; evidence has the addresses. Its requests go through other VMs."}
+}
+
+// PathsRegained is emitted when paths that were lost work again.
+type PathsRegained struct {
+	Scope string `log:"scope"`
+	Name  string `log:"name"`
+	// Evidence is the address of the endpoint that was reached.
+	Evidence string `log:"evidence"`
+	// Lost is for how long the paths had been lost.
+	Lost time.Duration `log:"lost"`
+}
+
+// Def implements Event.
+func (PathsRegained) Def() Def {
+	return Def{746, "paths_regained", log.InfoLevel, "This VM reaches an endpoint again, on paths that had been lost for the time lost."}
+}
+
+// RelayEnded is emitted when a request that this VM relays for another one ends otherwise than
+// by the end of either connection.
+type RelayEnded struct {
+	Owner    string `log:"owner"`
+	Endpoint string `log:"endpoint"`
+	Reason   string `log:"reason"`
+}
+
+// Def implements Event.
+func (RelayEnded) Def() Def {
+	return Def{747, "relay_ended", log.InfoLevel, "A request that this VM relays for the VM owner ended because of the connection between the two."}
+}
+
+// RelayNotTold is emitted when the VM between could not be told what a response says of its
+// endpoint.
+type RelayNotTold struct {
+	Via      string `log:"via"`
+	Endpoint string `log:"endpoint"`
+	Reason   string `log:"reason"`
+}
+
+// Def implements Event.
+func (RelayNotTold) Def() Def {
+	return Def{748, "relay_not_told", log.WarnLevel, "The VM via, through which a request was sent, could not be told that the endpoint leaves or wants no requests for a while."}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -21,6 +21,10 @@
 // configuration, or when no endpoint was usable and placement gave no delay.
 const defaultRetryAfter = 500 * time.Millisecond
 
+// maxUnsent bounds the attempts of one request that end before a byte of it is sent. They don't
+// count for the route's limit of attempts nor for the retry budget.
+const maxUnsent = 2
+
 // exchange is the state of one caller's request, from its arrival to the end of
 // its response.
 type exchange struct {
@@ -45,8 +49,9 @@
 	// requestDigest is the digest of the request.
 	requestDigest string
 
-	// attempts is the number of endpoints that the request was sent to.
-	attempts int
+	// attempts is the number of attempts to send the request to an endpoint, and unsent that
+	// of those in which no byte of it was sent.
+	attempts, unsent int
 	// sentTo are the addresses of these endpoints.
 	sentTo []string
 	// mayHaveRun is set when an endpoint may have started to run the request.
@@ -78,6 +83,9 @@
 	unfinished int
 	// limit is what the latest response says of its endpoint's limit, for the log.
 	limit string
+	// via is the VM through which the latest response came; empty if it came on this VM's
+	// own path.
+	via string
 	// began is the time of the first event of the current attempt; zero if there was
 	// none.
 	began time.Time
@@ -215,12 +223,30 @@
 	})
 	result := x.send(ctx, job.ID, entry, x.helpers(placed, grant))
 	x.sentTo = append(x.sentTo, entry.Address)
-	x.gateway.cfg.Placer.Finished(job.ID, dispatch.End{
-		Outcome: result.outcome, Blamed: result.blamed, BrokenOff: upstream.BrokenOff(result.err), Digest: x.requestDigest,
-	})
+	x.reportEnd(job.ID, entry, result)
 	return x.finishAttempt(ctx, entry, result)
 }
 
+// reportEnd tells placement how the attempt ended. Where its connection broke, that is told
+// only once it is known whether the endpoint was at fault or this VM's path to it.
+func (x *exchange) reportEnd(job string, entry directory.Entry, result attemptResult) {
+	end := dispatch.End{
+		Outcome: result.outcome, Blamed: result.blamed, BrokenOff: upstream.BrokenOff(result.err), Digest: x.requestDigest,
+	}
+	placer, transport := x.gateway.cfg.Placer, x.gateway.cfg.Transport
+	if end.Outcome != dispatch.Failed || x.via != "" || !upstream.Broke(result.err) {
+		placer.Finished(job, end)
+		return
+	}
+	req := x.endpointRequest(entry, nil)
+	go func() {
+		if transport.OwnPathFailed(context.Background(), req) {
+			end.Outcome, end.BrokenOff = dispatch.Abandoned, false
+		}
+		placer.Finished(job, end)
+	}()
+}
+
 // job returns the description of the request that placement needs.
 func (x *exchange) job() dispatch.Job {
 	job := dispatch.Job{
@@ -308,6 +334,9 @@
 	if !result.notRun {
 		x.mayHaveRun = true
 	}
+	if result.unsent {
+		x.unsent++
+	}
 	x.avoid = append(x.avoid, entry.ID)
 	if result.blamed != "" {
 		x.avoid = append(x.avoid, result.blamed)
@@ -319,7 +348,7 @@
 	x.gateway.cfg.Log.Emit(event.SendEnded{
 		Request: x.call.ID, Attempt: x.attempts, Endpoint: entry.ID, Status: result.status,
 		Outcome: result.outcome.String(), Blamed: result.blamed, Began: x.sinceBegan(), Reason: result.reason(),
-		Framing: string(x.framing), Unfinished: x.unfinished, Limit: x.limit, Again: retry, Why: why,
+		Framing: string(x.framing), Unfinished: x.unfinished, Limit: x.limit, Via: x.via, Again: retry, Why: why,
 	})
 	if retry {
 		return true
@@ -336,13 +365,13 @@
 		return false, "VM exits"
 	case ctx.Err() != nil:
 		return false, "deadline expired"
-	case x.attempts >= x.route.MaxAttempts:
+	case x.unsent > maxUnsent || x.attempts-x.unsent >= x.route.MaxAttempts:
 		return false, "attempt limit reached"
 	case !result.notRun && !x.route.Repeatable():
 		return false, "may have run"
 	case x.stream.headerSent && x.stream.position.LastID == "":
 		return false, "no event ID to resume from"
-	case !x.gateway.takeRetry(x.service):
+	case !result.unsent && !x.gateway.takeRetry(x.service):
 		return false, "retry budget exhausted"
 	}
 	return true, ""
@@ -362,7 +391,7 @@
 		Request: x.call.ID, Service: x.service, Organisation: x.organisation, Endpoint: x.endpoint,
 		Attempts: x.attempts, Status: x.status, Code: string(x.code), First: x.timeToFirst, Pause: x.stream.longestGap,
 		Took: time.Since(x.arrived), Events: x.stream.events, Framing: string(x.framing), Unfinished: x.unfinished,
-		Limit: x.limit,
+		Limit: x.limit, Via: x.via,
 	}
 	if x.route != nil {
 		e.Route = x.route.Name
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -27,6 +27,8 @@
 	return &upstream.Request{
 		Address:       entry.Address,
 		FailureDomain: entry.Domain,
+		Endpoint:      entry.Incarnation(),
+		Repeatable:    x.route.Repeatable(),
 		Cause:         metrics.CauseRequest,
 		Method:        x.r.Method,
 		URI:           x.r.RequestURI,
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -35,7 +35,9 @@
 	// callerLeft is set when writing to the caller's connection failed.
 	callerLeft bool
 	// notRun is set when it is certain that the endpoint did not run the request.
-	notRun  bool
+	notRun bool
+	// unsent is set when no byte of the request was sent to the endpoint.
+	unsent  bool
 	outcome dispatch.Outcome
 	// blamed is the ID of the endpoint at fault; empty for the one that
 	// received the request.
@@ -89,18 +91,19 @@
 
 // send sends the request to one endpoint and delivers its response.
 func (x *exchange) send(ctx context.Context, job string, entry directory.Entry, helpers []provider.Helper) attemptResult {
-	x.framing, x.unfinished, x.limit, x.began = "", 0, "", time.Time{}
+	x.framing, x.unfinished, x.limit, x.via, x.began = "", 0, "", "", time.Time{}
 	resp, err := x.gateway.cfg.Transport.Send(ctx, x.endpointRequest(entry, helpers))
 	if err != nil {
 		return x.failedAttempt(ctx, err)
 	}
 	defer resp.Close()
-	x.framing = resp.Framing
+	x.framing, x.via = resp.Framing, resp.Via
 	if resp.Framing == upstream.ByClose {
 		x.gateway.closeFramed.Inc(1)
 	}
 	meta := x.gateway.cfg.Headers.DecodeResponse(resp.Status, resp.Header)
 	x.gateway.cfg.Directory.Observed(entry.Incarnation(), meta)
+	resp.Observed(meta.RetryAfter, meta.Leaving)
 	x.limit = limitText(meta)
 	if resp.Status != http.StatusMisdirectedRequest {
 		x.gateway.cfg.Placer.Answered(job, meta.Limit)
@@ -147,7 +150,11 @@
 	result := attemptResult{outcome: dispatch.Failed, err: err}
 	var unsent *upstream.UnsentError
 	if errors.As(err, &unsent) {
-		result.notRun = true
+		result.notRun, result.unsent = true, true
+	}
+	if upstream.PathLost(err) {
+		// It says nothing of the endpoint.
+		result.outcome = dispatch.Abandoned
 	}
 	var unavailable *UnavailableError
 	if errors.As(err, &unavailable) {
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -89,7 +89,7 @@
 }
 
 func (s *shared) handshaker() handshaker {
-	return handshaker{s.cfg.Self, s.cfg.Keys, s.cfg.HandshakeTimeout}
+	return handshaker{self: s.cfg.Self, keys: s.cfg.Keys, timeout: s.cfg.HandshakeTimeout}
 }
 
 // reject counts a rejected connection or message and logs it. The rate of log
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -26,6 +26,9 @@
 	Identity
 	Nonce []byte `json:"nonce"`
 	KeyID []byte `json:"key_id"`
+	// Upgrade asks for a connection that is handed over after its first call. Servers of
+	// earlier builds ignore it and answer that they don't know the method.
+	Upgrade bool `json:"upgrade,omitempty"`
 }
 
 // challenge is the server's response to a hello; its MAC proves that the server
@@ -47,6 +50,8 @@
 	peer       Identity
 	sendKey    []byte
 	receiveKey []byte
+	// upgrade is set if the client hands the connection over after its first call.
+	upgrade bool
 }
 
 // keyID returns an identifier of a key that does not reveal the key.
@@ -93,13 +98,15 @@
 	self    Identity
 	keys    []string
 	timeout time.Duration
+	// upgrade is the Upgrade field of the client's hello.
+	upgrade bool
 }
 
 // connect performs the client's side of a handshake with the first key. It
 // returns a RejectedError if the server's proof or a message is not valid.
 func (s handshaker) connect(conn net.Conn, r *bufio.Reader) (session, error) {
 	key := s.keys[0]
-	h := hello{Identity: s.self, Nonce: newNonce(), KeyID: keyID(key)}
+	h := hello{Identity: s.self, Nonce: newNonce(), KeyID: keyID(key), Upgrade: s.upgrade}
 	if err := s.write(conn, h); err != nil {
 		return session{}, err
 	}
@@ -150,6 +157,7 @@
 		peer:       h.Identity,
 		sendKey:    mac([]byte(key), "server-to-client", t),
 		receiveKey: mac([]byte(key), "client-to-server", t),
+		upgrade:    h.Upgrade,
 	}, conn.SetDeadline(time.Time{})
 }
 
--- a/internal/peer/mux.go
+++ b/internal/peer/mux.go
@@ -30,6 +30,7 @@
 type Mux struct {
 	mu       sync.RWMutex
 	handlers map[Method]labelledHandler
+	upgrades map[Method]UpgradeHandler
 }
 
 // labelledHandler is a handler with the labels of its goroutines in profiles.
@@ -39,7 +40,9 @@
 }
 
 // NewMux returns a Mux without handlers.
-func NewMux() *Mux { return &Mux{handlers: make(map[Method]labelledHandler)} }
+func NewMux() *Mux {
+	return &Mux{handlers: make(map[Method]labelledHandler), upgrades: make(map[Method]UpgradeHandler)}
+}
 
 // Handle registers the handler of a method, replacing any earlier one.
 func (m *Mux) Handle(method Method, h Handler) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -122,12 +122,16 @@
 		}
 		return
 	}
+	out := &stream{conn: conn, r: r, session: sess, maxBytes: s.cfg.MaxMessageBytes, counters: s.counters, meter: s.newMeter(sess.peer.VM), reject: func(reason Reason) { s.reject(address, reason) }}
+	if sess.upgrade {
+		s.serveUpgrade(ctx, out)
+		return
+	}
 	slots := make(chan struct{}, maxConcurrentRequests)
 	var inFlight inFlightRequests
 	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 		return s.serveRequest(ctx, sess.peer, req)
 	})
-	out := &stream{conn: conn, r: r, session: sess, maxBytes: s.cfg.MaxMessageBytes, counters: s.counters, meter: s.newMeter(sess.peer.VM), reject: func(reason Reason) { s.reject(address, reason) }}
 	c := jsonrpc2.NewConn(ctx, out, concurrentHandler{handler, slots, &inFlight}, out.meter.options()...)
 	<-c.DisconnectNotify()
 	inFlight.drain()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,33 +2,22 @@
 
 import (
 	"bufio"
-	"context"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
-	"cornelsaddle.example/cornelsaddle/internal/dial"
+	"cornelsaddle.example/cornelsaddle/core/reach"
 )
 
 const (
 	// dialTimeout bounds the time to open a connection.
 	dialTimeout = time.Second
-	// userTimeout is how long sent data may stay unacknowledged before the system
-	// closes the connection (TCP_USER_TIMEOUT).
-	userTimeout = 1500 * time.Millisecond
-	// keepAliveInterval is the idle time before the first TCP keep-alive probe,
-	// and the time between probes.
-	keepAliveInterval = time.Second
-	// keepAliveCount is the number of unanswered probes after which the system
-	// closes the connection.
-	keepAliveCount = 2
 	// readBuffer is the size of a connection's read buffer, in bytes.
 	readBuffer = 4 << 10
 	// idleMargin is subtracted from the endpoint's keep-alive timeout, so that no
@@ -39,6 +28,9 @@
 	defaultIdleTimeout = 2 * time.Second
 )
 
+// epoch is the time from which the times of connections count, by the monotonic clock.
+var epoch = time.Now()
+
 // maxHeadBytes bounds the bytes of one response's status line and header.
 const maxHeadBytes = 64 << 10
 
@@ -46,9 +38,20 @@
 type conn struct {
 	net.Conn
 	// r reads from the connection through head.
-	r       *bufio.Reader
-	head    *headReader
-	address string
+	r    *bufio.Reader
+	head *headReader
+	// path is that to the endpoint, and relayed the connection through another VM; nil on
+	// this VM's own path.
+	path    reach.Path
+	paths   *paths
+	relayed RelayedConn
+	// heard is when the last bytes arrived, or the last request was written, and lost is set
+	// when the request was given up as the path is lost.
+	heard atomic.Int64
+	lost  atomic.Bool
+	// checkedAt is when the path was last checked for the request in flight; the transport's
+	// lock guards it.
+	checkedAt time.Time
 	// sent and received count the bytes since the exchange began.
 	sent, received atomic.Int64
 	// used is set when a response was received on the connection.
@@ -57,31 +60,37 @@
 	idleUntil time.Time
 }
 
-// open opens a connection that the system closes when the endpoint stops
-// acknowledging data or answering keep-alive probes.
-func open(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control:         setUserTimeout,
-	}
-	c, err := dial.WithRetry(ctx, d, address, dialTimeout)
-	if err != nil {
-		return nil, err
-	}
-	return newConn(c, address), nil
-}
-
-func newConn(c net.Conn, address string) *conn {
-	opened := &conn{Conn: c, address: address}
+func newConn(c net.Conn, path reach.Path, known *paths) *conn {
+	opened := &conn{Conn: c, path: path, paths: known}
 	opened.head = &headReader{conn: opened}
 	opened.r = bufio.NewReaderSize(opened.head, readBuffer)
+	opened.hear()
 	return opened
 }
 
+// hear records that the connection is not silent.
+func (c *conn) hear() { c.heard.Store(int64(time.Since(epoch))) }
+
+// silence returns the time since the last bytes arrived or the last request was written.
+func (c *conn) silence() time.Duration { return time.Since(epoch) - time.Duration(c.heard.Load()) }
+
+// giveUp ends the request in flight, as the path is lost.
+func (c *conn) giveUp() {
+	c.lost.Store(true)
+	_ = c.Close()
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
+	if n > 0 && c.relayed == nil {
+		c.hear()
+		c.paths.reached(c.path)
+	}
+	if err != nil && c.lost.Load() {
+		return n, errors.WithStack(&PathLostError{})
+	}
 	return n, err //nolint:wrapcheck // callers tell io.EOF from other errors
 }
 
@@ -89,6 +98,7 @@
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.sent.Add(int64(n))
+	c.hear()
 	return n, errors.WithStack(err)
 }
 
@@ -118,18 +128,6 @@
 	return n, err //nolint:wrapcheck // callers tell io.EOF from other errors
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var failure error
-	err := c.Control(func(fd uintptr) {
-		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	return errors.WithStack(failure)
-}
-
 // usable reports whether an idle connection can be reused: neither data, which
 // would belong to no request, nor the end of the connection was received.
 func (c *conn) usable() bool {
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -25,6 +26,54 @@
 // Unwrap returns the cause.
 func (e *UnsentError) Unwrap() error { return e.Cause }
 
+// UnreachedError reports that no connection to the endpoint could be opened, neither on this
+// VM's own path nor through another VM.
+type UnreachedError struct {
+	Direct, Relayed error
+	// OwnPath is set if this VM's path is lost and no other VM found the endpoint at fault.
+	OwnPath bool
+}
+
+// Error implements error.
+func (e *UnreachedError) Error() string {
+	return e.Direct.Error() + "; " + e.Relayed.Error()
+}
+
+// Unwrap returns the failure on this VM's own path.
+func (e *UnreachedError) Unwrap() error { return e.Direct }
+
+// PathLost reports whether the error is no fault of the endpoint.
+func (e *UnreachedError) PathLost() bool { return e.OwnPath }
+
+// PathLost reports whether the error of a request is no fault of its endpoint, as the path to
+// it is lost.
+func PathLost(err error) bool {
+	var e interface{ PathLost() bool }
+	return errors.As(err, &e) && e.PathLost()
+}
+
+// notSent reports whether another VM proves that no byte of the request was sent.
+func notSent(err error) bool {
+	var e interface{ NotSent() bool }
+	return errors.As(err, &e) && e.NotSent()
+}
+
+// Broke reports whether the error of a request means that its connection, on this VM's own path,
+// broke other than by a regular end, as it does where the path is lost.
+func Broke(err error) bool {
+	var unsent *UnsentError
+	var relayed interface{ ThroughRelay() bool }
+	if errors.As(err, &unsent) || errors.As(err, &relayed) || PathLost(err) {
+		return false
+	}
+	for _, cause := range []error{syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // NoResponseError reports that the request was sent, in whole or in part, and no
 // response was received: it may have run.
 type NoResponseError struct {
--- /dev/null
+++ b/internal/upstream/inflight.go
@@ -0,0 +1,80 @@
+package upstream
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/reach"
+)
+
+const (
+	// silentFor is the time without bytes after which a request in flight on a lost path
+	// counts as lost with it.
+	silentFor = 250 * time.Millisecond
+	// checkInterval is the time between two checks of the path of one request in flight.
+	checkInterval = 500 * time.Millisecond
+	// maxChecks bounds the paths that are checked because those to other endpoints are lost.
+	maxChecks = 32
+)
+
+// PathLostError reports that a request in flight was given up as its path is lost.
+type PathLostError struct{}
+
+// Error implements error.
+func (*PathLostError) Error() string { return "the path to the endpoint is lost" }
+
+// PathLost marks the error as no fault of the endpoint.
+func (*PathLostError) PathLost() bool { return true }
+
+// track adds a request in flight on this VM's own path.
+func (t *Transport) track(c *conn, req *Request) {
+	if t.cfg.Relay == nil || c.relayed != nil || req.Endpoint.ID == "" {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inFlight[c] = req
+}
+
+func (t *Transport) untrack(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.inFlight, c)
+}
+
+// pathFailed records that a path is lost; silent is set if it neither answers nor refuses. The
+// requests in flight on a silent path that may be repeated and have got no bytes lately are given
+// up, so that they are sent again. If the paths to other endpoints are presumed lost now, those
+// with such requests are checked.
+func (t *Transport) pathFailed(path reach.Path, silent bool) {
+	t.paths.failed(path)
+	for _, req := range t.giveUpSilent(path, silent) {
+		go t.check(context.Background(), req)
+	}
+}
+
+// giveUpSilent gives up the silent requests on a silent path, and returns one request of each
+// other path that must be checked.
+func (t *Transport) giveUpSilent(path reach.Path, silent bool) []*Request {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	checks := make(map[string]*Request)
+	for c, req := range t.inFlight {
+		if !req.Repeatable || c.silence() < silentFor {
+			continue
+		}
+		if c.path == path {
+			if silent {
+				c.giveUp()
+			}
+			continue
+		}
+		if len(checks) < maxChecks && time.Since(c.checkedAt) > checkInterval && t.paths.lost(c.path) {
+			c.checkedAt = time.Now()
+			checks[c.path.Address] = req
+		}
+	}
+	return slices.Collect(maps.Values(checks))
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -47,12 +47,12 @@
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[c.address]
+	list := p.idle[c.path.Address]
 	if p.closed || len(list) >= maxIdlePerEndpoint {
 		_ = c.Close()
 		return
 	}
-	p.idle[c.address] = append(list, c)
+	p.idle[c.path.Address] = append(list, c)
 }
 
 // closeExpired closes the connections whose idle time has expired.
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -11,7 +11,10 @@
 
 	"github.com/pkg/errors"
 	gometrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/singleflight"
 
+	"cornelsaddle.example/cornelsaddle/core/directory"
+	"cornelsaddle.example/cornelsaddle/internal/event"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
 )
 
@@ -36,6 +39,11 @@
 	// if that is not known.
 	Address       string
 	FailureDomain string
+	// Endpoint is the incarnation that is meant; without an ID the request is sent on this
+	// VM's own path only.
+	Endpoint directory.Incarnation
+	// Repeatable allows to give the request up, for being sent again, when its path is lost.
+	Repeatable bool
 	// Cause is what the request is for.
 	Cause  metrics.Cause
 	Method string
@@ -80,6 +88,8 @@
 	Length int64
 	// Framing tells how the end of the body is marked.
 	Framing Framing
+	// Via is the VM between this one and the endpoint; empty for none.
+	Via string
 
 	transport *Transport
 	request   *Request
@@ -100,8 +110,15 @@
 type Transport struct {
 	cfg       Config
 	pool      pool
+	paths     *paths
+	checks    singleflight.Group
+	relayed   gometrics.Counter
 	stop      chan struct{}
 	closeOnce sync.Once
+
+	mu sync.Mutex
+	// inFlight has the requests in flight on this VM's own paths.
+	inFlight map[*conn]*Request
 }
 
 // Config configures a Transport.
@@ -112,6 +129,10 @@
 	// requests and responses. Without them nothing is counted.
 	Opened  gometrics.Counter
 	Traffic *metrics.Traffic
+	// Relay opens connections through other VMs; nil for none. Log receives the changes of
+	// this VM's paths; nil for none.
+	Relay Relay
+	Log   *event.Logger
 }
 
 // New returns a Transport without connections.
@@ -122,7 +143,10 @@
 	if cfg.Traffic == nil {
 		cfg.Traffic = metrics.NewTraffic(gometrics.NewRegistry())
 	}
-	t := &Transport{cfg: cfg, pool: pool{idle: make(map[string][]*conn)}, stop: make(chan struct{})}
+	t := &Transport{
+		cfg: cfg, pool: pool{idle: make(map[string][]*conn)}, paths: newPaths(cfg.Log), relayed: gometrics.NewCounter(),
+		stop: make(chan struct{}), inFlight: make(map[*conn]*Request),
+	}
 	go t.sweep()
 	return t
 }
@@ -160,6 +184,7 @@
 		return nil, &UnsentError{err}
 	}
 	release := context.AfterFunc(ctx, func() { _ = c.Close() })
+	t.track(c, req)
 	written := make(chan error, 1)
 	if len(req.Body) <= maxInlineBody {
 		written <- writeRequest(c, req)
@@ -169,8 +194,12 @@
 	raw, match, err := readResponse(c, req) //nolint:bodyclose // Response.Close closes the body's connection or returns it to the pool
 	if err != nil {
 		release()
+		t.untrack(c)
 		_ = c.Close()
 		t.count(req, c)
+		if notSent(err) {
+			return nil, &UnsentError{err}
+		}
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -180,6 +209,9 @@
 		Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Framing: framingOf(raw),
 		transport: t, request: req, conn: c, raw: raw, written: written, release: release, identified: match == Own,
 	}
+	if c.relayed != nil {
+		resp.Via, _ = c.relayed.Via()
+	}
 	resp.Body = &eofReader{resp: resp}
 	return resp, nil
 }
@@ -199,22 +231,21 @@
 }
 
 func (t *Transport) connection(ctx context.Context, req *Request) (*conn, error) {
-	if !req.NewConnection {
+	if !req.NewConnection && !t.paths.suspect(req.path()) {
 		if c := t.pool.take(req.Address); c != nil {
 			return c, nil
 		}
 	}
-	c, err := open(ctx, req.Address)
-	if err != nil {
-		return nil, err
-	}
-	t.cfg.Opened.Inc(1)
-	return c, nil
+	return t.open(ctx, req)
 }
 
 // count counts the bytes of an exchange that has ended.
 func (t *Transport) count(req *Request, c *conn) {
-	domain := metrics.CompareDomains(t.cfg.FailureDomain, req.FailureDomain)
+	other := req.FailureDomain
+	if c.relayed != nil {
+		_, other = c.relayed.Via()
+	}
+	domain := metrics.CompareDomains(t.cfg.FailureDomain, other)
 	t.cfg.Traffic.Add(req.Cause, metrics.Sent, domain, c.sent.Swap(0))
 	t.cfg.Traffic.Add(req.Cause, metrics.Received, domain, c.received.Swap(0))
 }
@@ -298,9 +329,10 @@
 // and the endpoint keeps the connection open; otherwise it closes the connection.
 func (r *Response) Close() {
 	live := r.release()
+	r.transport.untrack(r.conn)
 	r.transport.count(r.request, r.conn)
 	keep := idleTimeout(r.raw)
-	if !live || !r.identified || !r.bodyEnded || keep == 0 || !r.requestWritten() || r.conn.r.Buffered() > 0 {
+	if !live || r.conn.relayed != nil || !r.identified || !r.bodyEnded || keep == 0 || !r.requestWritten() || r.conn.r.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
@@ -309,6 +341,17 @@
 	r.transport.pool.put(r.conn)
 }
 
+// Observed tells the VM between, if there is one, what the response says of its endpoint: for how
+// long it wants no requests, and whether it leaves.
+func (r *Response) Observed(retryAfter time.Duration, leaving bool) {
+	if r.conn.relayed == nil || retryAfter <= 0 && !leaving {
+		return
+	}
+	if err := r.conn.relayed.Observed(retryAfter, leaving); err != nil && r.transport.cfg.Log != nil {
+		r.transport.cfg.Log.Emit(event.RelayNotTold{Via: r.Via, Endpoint: r.request.Endpoint.ID, Reason: err.Error()})
+	}
+}
+
 // Abort closes the connection, which ends a read of Body with an error. It may be
 // called concurrently with that read.
 func (r *Response) Abort() { _ = r.conn.Close() }
