Paths are checked when the requests of a VM fall silent together

A VM that is cut off while it has few new requests learnt of it with the next dial, 1.6 s after the begin of the cut in a trial, when callers of its streams had left. Now the paths of four requests in flight are checked once the requests at two endpoints or more, of a failure domain or of all, have been silent for 0.25 s and none has not.

What is left is streams that were in flight as the cut began, for which the VM's share of the retry budget does not suffice.

--- a/core/reach/tracker.go
+++ b/core/reach/tracker.go
@@ -58,8 +58,9 @@
 	domain      string
 }
 
-// group is the state of the paths to a set of endpoints. Only the paths that failed since
-// the last time that one of the set was reached count.
+// group is the state of the paths to a set of endpoints. Only the paths that began to fail after
+// the last time that one of the set was reached count, so that a part of them that is lost does
+// not count again and again.
 type group struct {
 	// failed has the addresses that were not reached, and is true for those that another VM
 	// reached.
@@ -123,7 +124,7 @@
 }
 
 // CutOff reports whether this VM reaches no endpoint, as far as it knows.
-func (t *Tracker) CutOff() bool { return t.all.suspect() }
+func (t *Tracker) CutOff() bool { return t.all.lost() }
 
 // LostPaths returns the number of paths that are lost, without those presumed lost.
 func (t *Tracker) LostPaths() int { return len(t.paths) }
@@ -142,11 +143,11 @@
 	}
 	if g := t.domains[p.Domain]; g != nil {
 		delete(t.domains, p.Domain)
-		if g.suspect() {
+		if g.lost() {
 			changes = append(changes, Change{Scope: DomainPaths, Name: p.Domain, Evidence: []string{p.Address}, For: now.Sub(g.since)})
 		}
 	}
-	if t.all.suspect() {
+	if t.all.lost() {
 		changes = append(changes, Change{Scope: AllPaths, Evidence: []string{p.Address}, For: now.Sub(t.all.since)})
 	}
 	clear(t.all.failed)
@@ -165,6 +166,9 @@
 	}
 	l.seen = now
 	t.paths[p.Address] = l
+	if known {
+		return nil
+	}
 	return append(changes, t.addToGroups(now, p, true)...)
 }
 
@@ -172,7 +176,11 @@
 // changed.
 func (t *Tracker) Unreached(now time.Time, p Path) []Change {
 	t.forget(now)
+	_, known := t.down[p.Address]
 	t.down[p.Address] = now.Add(downFor)
+	if known {
+		return nil
+	}
 	return t.addToGroups(now, p, false)
 }
 
@@ -197,14 +205,15 @@
 	return changes
 }
 
-// add adds a path that does not work and reports whether the group is suspect from now on.
+// add adds a path that does not work and reports whether the paths of the group are presumed
+// lost from now on.
 func (g *group) add(now time.Time, address string, proven bool) bool {
-	was := g.suspect()
+	was := g.lost()
 	if len(g.failed) == 0 {
 		g.since = now
 	}
 	g.failed[address] = g.failed[address] || proven
-	return !was && g.suspect()
+	return !was && g.lost()
 }
 
 // evidence returns the paths of the group that do not work.
--- a/internal/upstream/inflight.go
+++ b/internal/upstream/inflight.go
@@ -13,8 +13,16 @@
 	// silentFor is the time without bytes after which a request in flight on a lost path
 	// counts as lost with it.
 	silentFor = 250 * time.Millisecond
+	// silenceInterval is the time between two looks for silent requests, minSilent the number
+	// of endpoints that must be silent together, and maxSilentChecks that of those whose paths
+	// are checked.
+	silenceInterval = 100 * time.Millisecond
+	minSilent       = 2
+	maxSilentChecks = 4
+	// anyDomain stands for the endpoints of all failure domains.
+	anyDomain = ""
 	// checkInterval is the time between two checks of the path of one request in flight.
-	checkInterval = 500 * time.Millisecond
+	checkInterval = time.Second
 	// maxChecks bounds the paths that are checked because those to other endpoints are lost.
 	maxChecks = 32
 )
@@ -44,6 +52,57 @@
 	delete(t.inFlight, c)
 }
 
+// watchSilence checks the paths of requests in flight while all requests at the endpoints of a
+// failure domain, or at all endpoints, are silent: their streams would have to fall silent at the
+// same time otherwise. It returns with stop.
+func (t *Transport) watchSilence() {
+	ticker := time.NewTicker(silenceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.stop:
+			return
+		case <-ticker.C:
+		}
+		for _, req := range t.silentRequests() {
+			go t.check(context.Background(), req)
+		}
+	}
+}
+
+// silentRequests returns requests of the paths to check, one of each.
+func (t *Transport) silentRequests() []*Request {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sound := make(map[string]bool)
+	silent := make(map[string]map[string]*conn)
+	for c := range t.inFlight {
+		if c.silence() < silentFor {
+			sound[c.path.Domain], sound[anyDomain] = true, true
+			continue
+		}
+		for _, domain := range []string{c.path.Domain, anyDomain} {
+			if silent[domain] == nil {
+				silent[domain] = make(map[string]*conn)
+			}
+			silent[domain][c.path.Address] = c
+		}
+	}
+	checks := make(map[string]*Request)
+	for domain, paths := range silent {
+		if sound[domain] || len(paths) < minSilent {
+			continue
+		}
+		for address, c := range paths {
+			if len(checks) < maxSilentChecks && time.Since(c.checkedAt) > checkInterval {
+				c.checkedAt = time.Now()
+				checks[address] = t.inFlight[c]
+			}
+		}
+	}
+	return slices.Collect(maps.Values(checks))
+}
+
 // pathFailed records that a path is lost; silent is set if it neither answers nor refuses. The
 // requests in flight on a silent path that may be repeated and have got no bytes lately are given
 // up, so that they are sent again. If the paths to other endpoints are presumed lost now, those
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -148,6 +148,9 @@
 		stop: make(chan struct{}), inFlight: make(map[*conn]*Request),
 	}
 	go t.sweep()
+	if cfg.Relay != nil {
+		go t.watchSilence()
+	}
 	return t
 }
 
--- a/internal/upstream/ways.go
+++ b/internal/upstream/ways.go
@@ -267,22 +267,17 @@
 // path are one.
 func (t *Transport) check(ctx context.Context, req *Request) {
 	_, _, _ = t.checks.Do(req.Address, func() (any, error) {
-		relayed := make(chan error, 1)
-		go func() {
-			c, err := t.openRelayed(ctx, req)
-			if err == nil {
-				_ = c.Close()
-			}
-			relayed <- err
-		}()
 		c, err := t.openDirect(ctx, req.path(), suspectTimeout)
 		if err == nil {
 			_ = c.Close()
 			return struct{}{}, nil
 		}
-		if <-relayed == nil {
+		relayed, relayErr := t.openRelayed(ctx, req)
+		switch {
+		case relayErr == nil:
+			_ = relayed.Close()
 			t.pathFailed(req.path(), isTimeout(err))
-		} else if ctx.Err() == nil {
+		case ctx.Err() == nil:
 			t.paths.unreached(req.path())
 		}
 		return struct{}{}, nil
