Requests that no VM can send are refused at once; tests of requests through other VMs

Where no VM reached an endpoint, a request tried a first dial of 1 s, up to three times: 2.36 s until its refusal (TestVMsThatAllReachNoEndpointRefuseAtOnce, which failed at 0.9 s). The dial is given 0.5 s where there is another way, and a VM that has just found that none reaches the endpoint says so without a try.

--- a/core/reach/tracker.go
+++ b/core/reach/tracker.go
@@ -111,13 +111,16 @@
 // Suspect reports whether a connection on the path may well not open: it is lost, or no VM has
 // reached the endpoint lately, or this VM none of its failure domain or of all.
 func (t *Tracker) Suspect(now time.Time, p Path) bool {
-	if t.Lost(p) || now.Before(t.down[p.Address]) || t.all.suspect() {
+	if t.Lost(p) || t.Down(now, p) || t.all.suspect() {
 		return true
 	}
 	g := t.domains[p.Domain]
 	return g != nil && g.suspect()
 }
 
+// Down reports whether no VM has reached the endpoint lately.
+func (t *Tracker) Down(now time.Time, p Path) bool { return now.Before(t.down[p.Address]) }
+
 // Quiet reports whether nothing is known against any path.
 func (t *Tracker) Quiet() bool {
 	return len(t.paths) == 0 && len(t.down) == 0 && len(t.domains) == 0 && len(t.all.failed) == 0
--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"cornelsaddle.example/cornelsaddle/core/directory"
@@ -193,3 +194,107 @@
 		})
 	}
 }
+
+// startEndpoints starts endpoints of the service and returns their addresses.
+func startEndpoints(t *testing.T, store *memoryStore, n int) []string {
+	t.Helper()
+	addresses := make([]string, 0, n)
+	for i := range n {
+		address, _ := startEndpoint(t, 0)
+		store.putEndpoint(t, fmt.Sprintf("i-%d", i), address, "ready")
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+// TestEachVMCutOffInTurn guards against a VM that places requests for others and, as it is cut
+// off itself, places them badly or not at all: each VM in turn reaches no endpoint, the holder
+// among them, and all go on to serve.
+func TestEachVMCutOffInTurn(t *testing.T) {
+	t.Parallel()
+	const settle = time.Second
+	store := newMemoryStore()
+	store.putConfiguration(t, 1, "/a/")
+	startEndpoints(t, store, 4)
+	vms := startLinkedVMs(t, store, "a", "b", "c")
+	for _, cut := range vms {
+		cut.links.set(platformtest.LinkSilent)
+		firstTries(t, cut.VM, settle)
+		var wg sync.WaitGroup
+		for _, vm := range vms {
+			wg.Go(func() {
+				assert.Equal(t, map[string]int{"200": 50}, firstTries(t, vm.VM, time.Second), "%s, while %s is cut off", vm.settings.VM, cut.settings.VM)
+			})
+		}
+		wg.Wait()
+		cut.links.set(platformtest.LinkUp)
+	}
+	require.NotZero(t, vms[0].log.count(`"event":745`, `"scope":"all"`), "that it lost its paths is logged")
+	require.NotZero(t, vms[0].log.count(`"event":746`, `"scope":"all"`), "and that they work again")
+}
+
+// TestVMsThatAllReachNoEndpointRefuseAtOnce guards against requests that wait for their
+// deadlines, or go from VM to VM, where no VM reaches an endpoint.
+func TestVMsThatAllReachNoEndpointRefuseAtOnce(t *testing.T) {
+	t.Parallel()
+	const atOnce = 900 * time.Millisecond
+	store := newMemoryStore()
+	store.putConfiguration(t, 1, "/a/")
+	startEndpoints(t, store, 3)
+	vms := startLinkedVMs(t, store, "a", "b", "c")
+	for _, vm := range vms {
+		vm.links.set(platformtest.LinkSilent)
+	}
+	for _, vm := range vms {
+		firstTries(t, vm.VM, 500*time.Millisecond)
+	}
+	for _, vm := range vms {
+		start := time.Now()
+		require.Equal(t, http.StatusServiceUnavailable, status(t, vm.settings.Callers, "/a/x"))
+		require.Less(t, time.Since(start), atOnce)
+	}
+	for _, vm := range vms {
+		vm.links.set(platformtest.LinkUp)
+	}
+	for _, vm := range vms {
+		require.Eventually(t, func() bool { return status(t, vm.settings.Callers, "/a/x") == http.StatusOK }, 3*time.Second, 50*time.Millisecond)
+	}
+}
+
+// TestSilentEndpointIsNoLostPath checks that an endpoint that falls silent for a second, for all
+// VMs, and goes on is not taken for a lost path of any of them.
+func TestSilentEndpointIsNoLostPath(t *testing.T) {
+	t.Parallel()
+	store := newMemoryStore()
+	store.putConfiguration(t, 1, "/a/")
+	addresses := startEndpoints(t, store, 3)
+	vms := startLinkedVMs(t, store, "a", "b")
+	firstTries(t, vms[0].VM, 300*time.Millisecond)
+	for _, vm := range vms {
+		vm.links.set(platformtest.LinkSilent, addresses[0])
+	}
+	firstTries(t, vms[0].VM, time.Second)
+	for _, vm := range vms {
+		vm.links.set(platformtest.LinkUp)
+	}
+	require.Equal(t, map[string]int{"200": 25}, firstTries(t, vms[0].VM, 500*time.Millisecond))
+	for _, vm := range vms {
+		require.Zero(t, vm.log.count(`"event":745`, ""))
+	}
+}
+
+// TestFlappingPathsServeFirstTries checks that paths that are lost and work again by turns cost
+// no first try once the VM has learnt of them.
+func TestFlappingPathsServeFirstTries(t *testing.T) {
+	t.Parallel()
+	store := newMemoryStore()
+	store.putConfigurationOfKind(t, 1, "/a/", "non_idempotent")
+	startEndpoints(t, store, 3)
+	vms := startLinkedVMs(t, store, "a", "b")
+	for range 4 {
+		vms[0].links.set(platformtest.LinkRefusing)
+		require.Equal(t, map[string]int{"200": 20}, firstTries(t, vms[0].VM, 400*time.Millisecond))
+		vms[0].links.set(platformtest.LinkUp)
+		require.Equal(t, map[string]int{"200": 20}, firstTries(t, vms[0].VM, 400*time.Millisecond))
+	}
+}
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -26,6 +26,12 @@
 // Unwrap returns the cause.
 func (e *UnsentError) Unwrap() error { return e.Cause }
 
+// DownError reports an endpoint that no VM has reached lately.
+type DownError struct{ Address string }
+
+// Error implements error.
+func (e *DownError) Error() string { return "no VM has reached " + e.Address + " lately" }
+
 // UnreachedError reports that no connection to the endpoint could be opened, neither on this
 // VM's own path nor through another VM.
 type UnreachedError struct {
--- a/internal/upstream/paths.go
+++ b/internal/upstream/paths.go
@@ -76,6 +76,16 @@
 	return p.tracker.Suspect(time.Now(), path)
 }
 
+// down reports whether no VM has reached the endpoint lately.
+func (p *paths) down(path reach.Path) bool {
+	if p.quiet.Load() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.Down(time.Now(), path)
+}
+
 func (p *paths) lost(path reach.Path) bool {
 	if p.quiet.Load() {
 		return false
--- a/internal/upstream/ways.go
+++ b/internal/upstream/ways.go
@@ -16,6 +16,9 @@
 	// relayDelay is the time after which another VM is asked for a connection to an endpoint
 	// while this VM's own one has not opened.
 	relayDelay = 100 * time.Millisecond
+	// directTimeout bounds the time to open a connection on this VM's own path where there is
+	// another way: if neither opens by then, another endpoint is a better choice.
+	directTimeout = 500 * time.Millisecond
 	// suspectTimeout bounds the time to open a connection on a path that may well be lost.
 	suspectTimeout = 150 * time.Millisecond
 	// relayTimeout bounds the time to open a connection through another VM.
@@ -125,7 +128,7 @@
 }
 
 func (o *opening) startDirect() {
-	timeout := dialTimeout
+	timeout := directTimeout
 	if o.suspect {
 		timeout = suspectTimeout
 	}
@@ -225,9 +228,13 @@
 	return errors.WithStack(&UnreachedError{Direct: direct, Relayed: relayed, OwnPath: pathLost})
 }
 
-// Dial opens a connection to an endpoint on this VM's own path, for another VM.
+// Dial opens a connection to an endpoint on this VM's own path, for another VM. It fails at once
+// with a DownError if this VM, too, has just found that no VM reaches the endpoint.
 func (t *Transport) Dial(ctx context.Context, entry directory.Entry) (net.Conn, error) {
 	path := reach.Path{Address: entry.Address, Domain: entry.Domain}
+	if t.paths.down(path) {
+		return nil, errors.WithStack(&DownError{entry.Address})
+	}
 	c, err := t.openDirect(ctx, path, dialTimeout)
 	if err != nil {
 		return nil, err
