Responses that their endpoints cut at any byte are never taken for whole

An operator of a similar system reports callers who got a 200 with an empty or short body, framed as whole, where an endpoint stopped in the middle of its head and closed.

--- a/internal/endpoint/framing_test.go
+++ b/internal/endpoint/framing_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -74,6 +75,41 @@
 	}
 }
 
+// TestAnswerCutAnywhereIsNotWhole guards against an answer that its endpoint cuts off, in the
+// head, inside a number, in a chunk's size line or in the trailers, being taken for the whole.
+func TestAnswerCutAnywhereIsNotWhole(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+	for name, response := range map[string]string{
+		"length":        ok + "Content-Length: 20\r\nX-Last: 1\r\n\r\n0123456789abcdefghij",
+		"chunks":        ok + "Transfer-Encoding: chunked\r\n\r\n14\r\n0123456789abcdefghij\r\n0\r\n\r\n",
+		"trailers":      ok + "Trailer: X-T\r\nTransfer-Encoding: chunked\r\n\r\n14\r\n0123456789abcdefghij\r\n0\r\nX-T: value\r\n\r\n",
+		"after interim": "HTTP/1.1 100 Continue\r\n\r\n" + ok + "Content-Length: 20\r\n\r\n0123456789abcdefghij",
+		"end by close":  ok + "\r\n",
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %v", name, reset), func(t *testing.T) {
+				t.Parallel()
+				whole := len(response)
+				if name == "end by close" && !reset {
+					// A body that ends with its connection is whole after the head.
+					whole--
+				}
+				c := NewCaller()
+				defer c.Close()
+				if !reset {
+					answer, err := c.Do(Call{Address: serveRaw(t, response, reset), Operation: "x", Timeout: 5 * time.Second})
+					require.NoError(t, err, "the whole answer")
+					require.Equal(t, 200, answer.Status)
+				}
+				for at := range whole {
+					answer, err := c.Do(Call{Address: serveRaw(t, response[:at], reset), Operation: "x", Timeout: 5 * time.Second})
+					require.Error(t, err, "cut at byte %d of %q: %d %q", at, response, answer.Status, answer.Body)
+				}
+			})
+		}
+	}
+}
+
 // TestStreamWithoutItsEndMarkerIsIncomplete guards against a stream that ends with its
 // connection before, or inside, its end marker being taken for complete.
 func TestStreamWithoutItsEndMarkerIsIncomplete(t *testing.T) {
