A VM that stops takes no late requests that must not be cut

Callers saw a stream that was cut in its middle, and a call that may run only once answered 504, where these were sent 3.9 s after SIGTERM on a kept connection and their endpoint was at work on them for longer than usual. What is placed late was expected to end in time, by how long others took, which doesn't hold for each.

TestLateRequestsThatOutlastAStopAreNotCut (real processes) failed before: two streams cut, one call with an unknown outcome.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -336,11 +336,12 @@
 // relayed for other VMs. Stop returns when no request is in flight, or graceMargin before the end of the grace period.
 func (v *VM) Stop() {
 	grace := v.reloadable.Load().grace
-	end := time.Now().Add(grace - graceMargin)
+	now := time.Now()
+	end := now.Add(grace - graceMargin)
 	v.log.Emit(event.GatewayStopping{InFlight: v.components.Gateway.InFlight(), Grace: grace})
 	close(v.stopping)
 	v.components.RelayServer.Stop()
-	v.components.Gateway.Stop(end.Add(-answerMargin))
+	v.components.Gateway.Stop(now.Add(lateAfter), end.Add(-answerMargin))
 	// The other VMs take over this one's services before the jobs that wait are submitted
 	// again.
 	v.members.announceLeave()
--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -43,6 +43,15 @@
 	x.giveUp(ctx, wait)
 }
 
+// refuseLate refuses a request that a VM that stops might cut. Another VM can serve it at once.
+func (x *exchange) refuseLate() {
+	x.gateway.cfg.Log.Emit(event.RequestRefused{
+		Request: x.call.ID, Reason: string(dispatch.ReasonOwnerStopping), Holder: x.gateway.cfg.VM,
+		Waited: time.Since(x.arrived), RetryAfter: dispatch.StoppingRetryAfter,
+	})
+	x.fail(failNotRun, dispatch.StoppingRetryAfter)
+}
+
 // reasonPaused is the reason of a refusal, in the log, because all endpoints of the
 // service have asked this VM for no requests.
 const reasonPaused = "endpoints_paused"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,6 +108,10 @@
 	cfg Config
 	// stopping makes responses close their connections.
 	stopping atomic.Bool
+	// late is the time, in nanoseconds since created, from which a VM that stops takes no
+	// requests that must not be cut; zero while it does not stop.
+	late    atomic.Int64
+	created time.Time
 	// exiting ends, by exit, when the requests still in flight must be answered, as the VM
 	// is about to exit.
 	exiting  context.Context //nolint:containedctx // the lifetime of the process
@@ -131,6 +135,7 @@
 	exiting, exit := context.WithCancel(context.Background())
 	return &Gateway{
 		cfg:          cfg,
+		created:      time.Now(),
 		exiting:      exiting,
 		exit:         exit,
 		retryBudgets: make(map[string]*retry.Window),
@@ -146,14 +151,25 @@
 	return request + "/" + strconv.FormatInt(g.jobs.Add(1), 36)
 }
 
-// Stop makes the responses to all later requests close their connections. Requests that are
-// still in flight at the time end are answered then, as far as their responses have not begun:
-// as not run if they were sent to no endpoint.
-func (g *Gateway) Stop(end time.Time) {
+// Stop makes the responses to all later requests close their connections. From the time late,
+// only requests that may run again are taken: a stream or a call that lasts longer than usual
+// would be cut by the end of the process. Requests that are still in flight at the time end are
+// answered then, as far as their responses have not begun: as not run if they were sent to no
+// endpoint.
+func (g *Gateway) Stop(late, end time.Time) {
 	g.stopping.Store(true)
+	g.late.Store(int64(late.Sub(g.created)))
 	time.AfterFunc(time.Until(end), g.exit)
 }
 
+// tooLate reports whether a request of the route that arrived at the time is refused because the
+// VM stops.
+func (g *Gateway) tooLate(route *routing.Route, arrived time.Time) bool {
+	late := g.late.Load()
+	mustNotBeCut := route.Kind == routing.Streaming || !route.Repeatable()
+	return late > 0 && mustNotBeCut && arrived.Sub(g.created) >= time.Duration(late)
+}
+
 // exitingSoon reports whether the requests in flight must be answered now.
 func (g *Gateway) exitingSoon() bool { return g.exiting.Err() != nil }
 
@@ -181,6 +197,10 @@
 	if !x.admit() {
 		return
 	}
+	if g.tooLate(x.route, x.arrived) {
+		x.refuseLate()
+		return
+	}
 	x.serve()
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -391,7 +391,7 @@
 func TestStopClosesConnections(t *testing.T) {
 	e := newEndpoint(t, respondWith("200 OK", ownHeader, "x"))
 	w := newHarness(t, e)
-	w.gateway.Stop(time.Now().Add(time.Minute))
+	w.gateway.Stop(time.Now().Add(time.Minute), time.Now().Add(time.Minute))
 	a := w.call(t, "GET", "/safe/", "", nil)
 	require.Equal(t, 200, a.status)
 	require.True(t, a.closes)
--- a/test/process/gateway_test.go
+++ b/test/process/gateway_test.go
@@ -377,6 +377,69 @@
 	wg.Wait()
 }
 
+// TestLateRequestsThatOutlastAStopAreNotCut stops a gateway in calm, and sends requests of each
+// kind on connections that it could not close before, late in the grace period. Their endpoint
+// is still at work on them when that ends, though such requests are quick as a rule: a stream
+// was taken and cut, and a request that may run only once was left with an unknown outcome.
+func TestLateRequestsThatOutlastAStopAreNotCut(t *testing.T) {
+	const events, gap, stuck = 39, 100 * time.Millisecond, 8 * time.Second
+	s := startGatewaySystem(t, 1, platformtest.EndpointFault{})
+	calls := s.endpoints[0]
+	streams := s.addEndpoint(t, &platformtest.Endpoint{ID: "i-streams", Service: "streams", Record: s.record})
+	s.addEndpoint(t, &platformtest.Endpoint{ID: "i-long", Service: "long", Record: s.record}).SetFault(platformtest.EndpointFault{Events: events, Gap: gap})
+	s.store.Put(platformtest.TableOperator, "config", platformtest.Configuration(2, gatewayHost, []platformtest.Route{
+		{Prefix: "/once/", Kind: "non_idempotent", Service: "s", Timeout: 15 * time.Second, MaxAttempts: 2},
+		{Prefix: "/safe/", Kind: "idempotent", Service: "s", Timeout: 15 * time.Second, MaxAttempts: 2},
+		{Prefix: "/stream/", Kind: "streaming", Service: "streams", Timeout: 15 * time.Second, MaxAttempts: 2},
+		{Prefix: "/resumable/stream/", Kind: "streaming", Service: "streams", Timeout: 15 * time.Second, MaxAttempts: 2, Resumable: true},
+		{Prefix: "/long/stream/", Kind: "streaming", Service: "long", Timeout: 15 * time.Second, MaxAttempts: 2},
+	}, []string{gatewayKey}))
+	v := s.startGateway(t, "a")
+	s.startGateway(t, "b", v.peers)
+	paths := []string{"/safe/x", "/once/x", "/stream/x", "/resumable/stream/x"}
+	for i := range 20 {
+		c, err := dialGateway(v.callers)
+		require.NoError(t, err)
+		for _, path := range paths {
+			status, _, _, err := c.call(path, fmt.Sprintf("usual-%s-%d", path, i))
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+		}
+		require.NoError(t, c.conn.Close())
+	}
+	usual := s.runCount()
+	var wg sync.WaitGroup
+	for _, path := range paths {
+		wg.Go(func() {
+			c, err := dialGateway(v.callers)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = c.conn.Close() }()
+			if status, _, _, err := c.call("/long/stream/x", "first"+path); err != nil || status != http.StatusOK {
+				t.Errorf("first: status %d: %v", status, err)
+				return
+			}
+			attempt := "late" + path
+			status, _, _, err := c.call(path, attempt)
+			switch runs := s.runsOf(attempt); {
+			case err != nil && runs == 0:
+				// It crossed the end of the connection.
+			case err != nil, status == http.StatusServiceUnavailable && runs != 0:
+				t.Errorf("%s: status %d, runs %d: %v", path, status, runs, err)
+			case path == "/once/x" && status != http.StatusServiceUnavailable:
+				t.Errorf("%s: status %d, runs %d: its outcome is unknown", path, status, runs)
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return s.runCount() == usual+len(paths) }, 5*time.Second, time.Millisecond)
+	calls.SetFault(platformtest.EndpointFault{Latency: stuck})
+	streams.SetFault(platformtest.EndpointFault{Gap: stuck})
+	require.NoError(t, v.cmd.Process.Signal(syscall.SIGTERM))
+	wg.Wait()
+}
+
 // TestPausedGatewayDoesNotActOnOldState pauses a gateway for some seconds while an
 // endpoint leaves and a route and a key are removed. Requests that reached it meanwhile
 // are decided by the new state when it goes on.
