The soak cuts VMs off from endpoints and counts first tries by VM

Each VM has a link of its own to each endpoint: the soak's gateway (test/soak/gateway) wraps the decoder of endpoints' rows, as a list that VMs hand to each other can't name a link for each. A VM loses its paths to all endpoints, one, or those of a failure domain, silently, one way, by resets or refusals. The new checker compares first tries with those at VMs that are not cut off.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -24,11 +24,12 @@
 	crashStopped promise = "a request that crashes endpoints is stopped"
 	plannedStop  promise = "nothing cut by a planned stop"
 	neverBack    promise = "configuration never back"
+	firstTries   promise = "first tries served at a VM that is cut off"
 	recovery     promise = "served again, and by the latest configuration, after the faults"
 )
 
 // promises are all of them, in the order of the summary.
-var promises = []promise{wholeAnswer, atMostOnce, notRun, leavingAlone, evacuation, limitKept, crashStopped, plannedStop, neverBack, recovery}
+var promises = []promise{wholeAnswer, atMostOnce, notRun, leavingAlone, evacuation, limitKept, crashStopped, plannedStop, neverBack, firstTries, recovery}
 
 // outcome is what a caller saw of one request.
 type outcome struct {
@@ -71,6 +72,7 @@
 	excused []span
 	limits  limitRecord
 	crashes crashRecord
+	paths   pathRecord
 	// seen maps an incarnation of a VM to the latest configuration seen in force there.
 	seen map[string]int
 	// faultsEnd is when the last fault has ended; zero before.
@@ -102,6 +104,13 @@
 	}
 }
 
+// addViolation adds a violation of no promise.
+func (c *checkers) addViolation(text string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violations = append(c.violations, text)
+}
+
 func (c *checkers) violate(p promise, format string, args ...any) {
 	c.violations = append(c.violations, string(p)+": "+fmt.Sprintf(format, args...))
 }
@@ -194,6 +203,7 @@
 	if !o.complete && len(c.runs[o.attempt]) > 0 {
 		c.cut = append(c.cut, o)
 	}
+	c.paths.ended(o)
 	if !c.faultsEnd.IsZero() && o.sent.After(c.faultsEnd) {
 		c.late = append(c.late, o)
 	}
@@ -263,6 +273,7 @@
 	c.checked[plannedStop] += len(c.stops)
 	c.checkLimits()
 	c.checkCrashes()
+	c.checkPaths()
 	served := 0
 	for _, o := range c.late {
 		if o.complete && o.status == http.StatusOK {
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -49,6 +49,7 @@
 	faultProcess       faultKind = "process"
 	faultLimit         faultKind = "limit of an endpoint"
 	faultCrash         faultKind = "request that crashes endpoints"
+	faultPaths         faultKind = "paths of a VM to endpoints"
 )
 
 // fault is one disturbance: it begins, lasts, and ends.
@@ -60,6 +61,8 @@
 	// vm is the VM whose requests it may cut off, and endpoint the endpoint; empty for all.
 	vm       string
 	endpoint string
+	// least is added to its length.
+	least time.Duration
 }
 
 // occurrence is a fault that has begun, with its times since the start of the run.
@@ -88,7 +91,8 @@
 // run begins a fault every 0.2 to 0.8 s until the context ends, and waits for their ends.
 func (f *faults) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		next, length := f.draw(), 200*time.Millisecond+f.upTo(maxFault)
+		next := f.draw()
+		length := next.least + 200*time.Millisecond + f.upTo(maxFault)
 		f.log(next.kind, next.name, length)
 		f.w.checks.addDisturbance(span{next.vm, next.endpoint, time.Now(), time.Now().Add(length + settleTime)})
 		next.begin()
@@ -109,7 +113,7 @@
 func (f *faults) draw() fault {
 	draws := []func() fault{
 		f.store, f.store, f.restore, f.restore, f.storeLink, f.peerLink, f.endpointFault, f.endpointFault, f.breakOff, f.endpointLink,
-		f.leave, f.evacuate, f.configure, f.configure, f.process, f.process, f.limit, f.crash,
+		f.leave, f.evacuate, f.configure, f.configure, f.process, f.process, f.limit, f.crash, f.paths, f.paths, f.paths,
 	}
 	return draws[f.random.IntN(len(draws))]()
 }
@@ -121,17 +125,17 @@
 	heal := func() { s.SetFault(platformtest.StoreFault{}) }
 	switch f.random.IntN(5) {
 	case 0:
-		return fault{faultStore, "store silent", func() { s.SetFault(platformtest.StoreFault{Silent: true}) }, heal, noVM, ""}
+		return fault{faultStore, "store silent", func() { s.SetFault(platformtest.StoreFault{Silent: true}) }, heal, noVM, "", 0}
 	case 1:
-		return fault{faultStore, "store resets", func() { s.SetFault(platformtest.StoreFault{Reset: true}) }, heal, noVM, ""}
+		return fault{faultStore, "store resets", func() { s.SetFault(platformtest.StoreFault{Reset: true}) }, heal, noVM, "", 0}
 	case 2:
-		return fault{faultStore, "store busy", func() { s.SetFault(platformtest.StoreFault{Busy: true}) }, heal, noVM, ""}
+		return fault{faultStore, "store busy", func() { s.SetFault(platformtest.StoreFault{Busy: true}) }, heal, noVM, "", 0}
 	case 3:
 		return fault{faultStore, "store slow, loses answers", func() {
 			s.SetFault(platformtest.StoreFault{Delay: 150 * time.Millisecond, LoseWrites: 0.3})
-		}, heal, noVM, ""}
+		}, heal, noVM, "", 0}
 	}
-	return fault{faultStore, "store forgets its history", s.Compact, none, noVM, ""}
+	return fault{faultStore, "store forgets its history", s.Compact, none, noVM, "", 0}
 }
 
 // restore takes the store away soon after a change of the configuration; it comes back
@@ -147,7 +151,7 @@
 		s.SetFault(platformtest.StoreFault{})
 		time.Sleep(rewriteDelay)
 		f.w.rewrite()
-	}, noVM, ""}
+	}, noVM, "", 0}
 }
 
 func (f *faults) linkFault() linkFault {
@@ -156,18 +160,18 @@
 
 func (f *faults) storeLink() fault {
 	v, link := f.w.vms[f.random.IntN(len(f.w.vms))], f.linkFault()
-	return fault{faultStoreLink, v.name + " cut off from the store", func() { v.store.setFault(link) }, func() { v.store.setFault(linkFault{}) }, noVM, ""}
+	return fault{faultStoreLink, v.name + " cut off from the store", func() { v.store.setFault(link) }, func() { v.store.setFault(linkFault{}) }, noVM, "", 0}
 }
 
 func (f *faults) peerLink() fault {
 	v, link := f.w.vms[f.random.IntN(len(f.w.vms))], f.linkFault()
 	f.w.checks.excuse(span{v.name, "", time.Now(), time.Now().Add(maxFault + settleTime)})
-	return fault{faultPeerLink, "others cut off from " + v.name, func() { v.peers.setFault(link) }, func() { v.peers.setFault(linkFault{}) }, noVM, ""}
+	return fault{faultPeerLink, "others cut off from " + v.name, func() { v.peers.setFault(link) }, func() { v.peers.setFault(linkFault{}) }, noVM, "", 0}
 }
 
 func (f *faults) endpointLink() fault {
 	e, link := f.w.pick(f.random), f.linkFault()
-	return fault{faultEndpointLink, e.ID + " cut off", func() { e.proxy.setFault(link) }, func() { e.proxy.setFault(linkFault{}) }, "", e.ID}
+	return fault{faultEndpointLink, e.ID + " cut off", func() { e.proxy.setFault(link) }, func() { e.proxy.setFault(linkFault{}) }, "", e.ID, 0}
 }
 
 func (f *faults) endpointFault() fault {
@@ -187,7 +191,41 @@
 }
 
 func (f *faults) inTrouble(e *endpoint, kind platformtest.EndpointFault) fault {
-	return fault{faultEndpoint, fmt.Sprintf("%s in trouble: %+v", e.ID, kind), func() { e.SetFault(kind) }, e.heal, "", e.ID}
+	return fault{faultEndpoint, fmt.Sprintf("%s in trouble: %+v", e.ID, kind), func() { e.SetFault(kind) }, e.heal, "", e.ID, 0}
+}
+
+// paths cuts a VM off from all endpoints, from one of them or from those of a failure domain.
+func (f *faults) paths() fault {
+	v := f.w.vms[f.random.IntN(len(f.w.vms))]
+	states := map[string]platformtest.LinkState{
+		"silent": platformtest.LinkSilent, "one way": platformtest.LinkOneWay, "reset": platformtest.LinkReset, "refusing": platformtest.LinkRefusing,
+	}
+	how := []string{"silent", "one way", "reset", "refusing"}[f.random.IntN(len(states))]
+	from, addresses := "all endpoints", []string(nil)
+	switch f.random.IntN(4) {
+	case 0:
+		from, addresses = "one endpoint", []string{f.w.pick(f.random).proxy.address()}
+	case 1:
+		from, addresses = "a failure domain", f.w.addressesIn(evacuableDomain)
+	}
+	least := time.Duration(0)
+	if len(addresses) == 0 {
+		least = stableWindow
+	}
+	return fault{faultPaths, fmt.Sprintf("%s cut off from %s, %s", v.name, from, how), func() {
+		f.failed(v.links.set(states[how], addresses))
+		f.w.checks.pathsCut(v.name, len(addresses) == 0, time.Now())
+	}, func() {
+		f.w.checks.pathsHealed(v.name, time.Now())
+		f.failed(v.links.heal())
+	}, v.name, "", least}
+}
+
+// failed records that a fault could not be brought about.
+func (f *faults) failed(err error) {
+	if err != nil {
+		f.w.checks.addViolation("fault: " + err.Error())
+	}
 }
 
 // leave replaces an endpoint: a new one is listed, and the old one leaves.
@@ -198,12 +236,12 @@
 			return
 		}
 		f.w.checks.leaves(e.ID, time.Now())
-	}, none, noVM, ""}
+	}, none, noVM, "", 0}
 }
 
 // evacuate evacuates a failure domain, until the next such fault or the end of the run.
 func (f *faults) evacuate() fault {
-	return fault{faultEvacuation, "evacuation begins or ends", f.w.evacuate, none, noVM, ""}
+	return fault{faultEvacuation, "evacuation begins or ends", f.w.evacuate, none, noVM, "", 0}
 }
 
 // limit makes an endpoint name a limit in its responses, or takes that back. The limit stays
@@ -216,7 +254,7 @@
 		}
 		e.limited = !e.limited
 		e.SetLimit(perSecond)
-	}, none, noVM, ""}
+	}, none, noVM, "", 0}
 }
 
 // crash lets one request come again and again that crashes the endpoints which run it.
@@ -229,11 +267,11 @@
 			defer cancel()
 			f.w.sendCrashing(ctx, path)
 		})
-	}, none, noVM, ""}
+	}, none, noVM, "", 0}
 }
 
 func (f *faults) configure() fault {
-	return fault{faultConfiguration, "configuration", f.w.configure, none, noVM, ""}
+	return fault{faultConfiguration, "configuration", f.w.configure, none, noVM, "", 0}
 }
 
 // process pauses, kills or stops one VM; at most one is disturbed at a time.
@@ -259,12 +297,12 @@
 	}
 	switch f.random.IntN(4) {
 	case 0:
-		return fault{faultProcess, v.name + " paused", func() { v.signal(syscall.SIGSTOP) }, func() { v.signal(syscall.SIGCONT); free() }, v.name, ""}
+		return fault{faultProcess, v.name + " paused", func() { v.signal(syscall.SIGSTOP) }, func() { v.signal(syscall.SIGCONT); free() }, v.name, "", 0}
 	case 1:
-		return fault{faultProcess, v.name + " killed", func() { v.signal(syscall.SIGKILL) }, restart, v.name, ""}
+		return fault{faultProcess, v.name + " killed", func() { v.signal(syscall.SIGKILL) }, restart, v.name, "", 0}
 	}
 	return fault{faultProcess, v.name + " stopped", func() {
 		f.w.checks.addStop(span{v.name, "", time.Now(), time.Now().Add(grace)})
 		v.signal(syscall.SIGTERM)
-	}, restart, noVM, ""}
+	}, restart, noVM, "", 0}
 }
--- a/test/soak/mutation_test.go
+++ b/test/soak/mutation_test.go
@@ -49,7 +49,8 @@
 		{"internal/entry/tables.go", "if deployment.Version <= active {", "if false {"},
 		{"internal/entry/tables.go", "return t.versionOf(row) >= t.versionOf(known)", "return true"},
 	},
-	recovery: {{"internal/mirror/follower.go", "sleep(ctx, retryDelay.NextBackOff()+rand.N(minBackoff))", "_ = rand.N(minBackoff)\n\t\t\treturn"}},
+	firstTries: {{"internal/upstream/ways.go", "if t.cfg.Relay == nil || req.Endpoint.ID == \"\" {\n\t\treturn t.openDirect", "if true {\n\t\treturn t.openDirect"}},
+	recovery:   {{"internal/mirror/follower.go", "sleep(ctx, retryDelay.NextBackOff()+rand.N(minBackoff))", "_ = rand.N(minBackoff)\n\t\t\treturn"}},
 }
 
 // TestMutationsApply checks that each promise has a mutation, which the sources still
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -108,6 +108,16 @@
 			c.probed("vm-0/1", 2, true, now)
 			c.probed("vm-0/1", 2, false, now)
 		}},
+		"not served while cut off": {firstTries, func(c *checkers) {
+			c.pathsCut("vm-0", true, now.Add(-stableWindow))
+			c.pathsHealed("vm-0", now.Add(time.Minute))
+			other := answered("a", "/safe/x", http.StatusOK, platformtest.Answer("a"))
+			other.vm = "vm-1"
+			for range 20 {
+				c.ended(answered("a", "/safe/x", http.StatusServiceUnavailable, ""))
+				c.ended(other)
+			}
+		}},
 		"not by the latest configuration": {recovery, func(c *checkers) {
 			c.endFaults(now.Add(-time.Second))
 			c.probed("vm-0/1", 2, false, now)
@@ -158,6 +168,18 @@
 	c.addStop(span{"vm-0", "", now, now.Add(grace)})
 	c.addDisturbance(span{"", "i-1", now, now.Add(time.Second)})
 	c.ended(outcome{vm: "vm-0", attempt: "a", path: "/safe/x", sent: now, ended: now})
+	// First tries that are not served soon after the begin of a cut, or while the VM is stopping,
+	// or as the others' are not either.
+	c.pathsCut("vm-3", true, now)
+	for range 20 {
+		c.ended(outcome{vm: "vm-3", path: "/safe/x", sent: now, ended: now, status: http.StatusServiceUnavailable, complete: true})
+	}
+	c.pathsCut("vm-0", true, now.Add(-stableWindow))
+	for _, vm := range []string{"vm-0", "vm-4"} {
+		for range 20 {
+			c.ended(outcome{vm: vm, path: "/safe/x", sent: now.Add(time.Second), ended: now.Add(time.Second), status: http.StatusServiceUnavailable, complete: true})
+		}
+	}
 	c.probed("vm-0/1", 1, true, now)
 	c.probed("vm-0/1", 2, false, now)
 	c.probed("vm-0/2", 1, false, now)
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -52,8 +52,8 @@
 	limited bool
 }
 
-// vm is a gateway, a process of its own. The other VMs reach it through a proxy, and it
-// the store through another one.
+// vm is a gateway, a process of its own. The other VMs reach it through a proxy, it the store
+// through another one, and each endpoint through a link of its own.
 type vm struct {
 	name    string
 	file    string
@@ -61,6 +61,10 @@
 	ready   string
 	store   *proxy
 	peers   *proxy
+	// links are its paths to the endpoints, and linksURL is where it asks for them.
+	links    *links
+	linksURL string
+	server   *http.Server
 	// listen is the address on which it serves the other VMs.
 	listen string
 	// starts counts the processes, which are the incarnations of the VM.
@@ -249,6 +253,19 @@
 	}
 }
 
+// addressesIn returns the addresses of the listed endpoints of a failure domain.
+func (w *world) addressesIn(domain string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var addresses []string
+	for _, e := range w.endpoints {
+		if e.listed && e.Domain == domain {
+			addresses = append(addresses, e.proxy.address())
+		}
+	}
+	return addresses
+}
+
 // list writes the endpoint's row; the lock is held.
 func (w *world) list(e *endpoint, state string) {
 	w.store.Put(platformtest.TableEndpoints, e.ID, e.Entry(e.proxy.address(), state, 1))
@@ -287,6 +304,12 @@
 	if v.peers, err = newProxy(v.listen); err != nil {
 		return nil, err
 	}
+	v.links = newLinks()
+	var linksAt string
+	if v.server, linksAt, err = serve(v.links); err != nil {
+		return nil, err
+	}
+	v.linksURL = "http://" + linksAt + "/?address="
 	settings := platformtest.Settings(name, v.callers, v.ready, v.peers.address(), v.store.address(), seeds, grace)
 	if err := os.WriteFile(v.file, settings, 0o600); err != nil {
 		return nil, errors.WithStack(err)
@@ -303,7 +326,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	cmd := exec.Command(bin, "gateway", "-settings", v.file, "-listen-peers", v.listen)
+	cmd := exec.Command(bin, "-settings", v.file, "-listen-peers", v.listen, "-links", v.linksURL)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return errors.WithStack(err)
@@ -366,6 +389,8 @@
 		<-v.exited
 		v.store.close()
 		v.peers.close()
+		v.links.close()
+		_ = v.server.Close()
 	}
 	for _, e := range w.endpoints {
 		_ = e.server.Close()
@@ -374,10 +399,10 @@
 	_ = w.server.Close()
 }
 
-// program builds the gateway's program into the directory, with more flags of the build.
+// program builds the gateway's program of the soak into the directory, with more flags of the build.
 func program(dir string, flags ...string) (string, error) {
-	bin := filepath.Join(dir, "cornelsaddle")
-	args := slices.Concat([]string{"build", "-o", bin}, flags, []string{"cornelsaddle.example/cornelsaddle/cmd/cornelsaddle"})
+	bin := filepath.Join(dir, "gateway")
+	args := slices.Concat([]string{"build", "-o", bin}, flags, []string{"cornelsaddle.example/cornelsaddle/test/soak/gateway"})
 	out, err := exec.Command("go", args...).CombinedOutput()
 	return bin, errors.Wrap(err, strings.TrimSpace(string(out)))
 }
