--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -350,7 +350,7 @@
 	time.Sleep(unreadyDetectionTime)
 	v.callerServer.drain(end)
 	v.components.RelayServer.Drain(end)
-	v.log.Emit(event.GatewayStopped{Cut: v.components.Gateway.InFlight()})
+	v.log.Emit(event.GatewayStopped{Cut: v.components.Gateway.InFlight() + v.components.RelayServer.InFlight()})
 }
 
 func (v *VM) closeServers() {
