A request is given up only where its VM's path is tried again after another VM has reached the endpoint

A VM that does not reach an endpoint for a moment, while the endpoint is silent, could take its path for lost if another VM reached the endpoint as it went on, and gave up and repeated the requests in flight there (TestRequestAtAnEndpointThatWasSilentGoesOn, which failed without the second try). The path is tried again in between.

--- a/internal/upstream/inflight.go
+++ b/internal/upstream/inflight.go
@@ -103,37 +103,38 @@
 	return slices.Collect(maps.Values(checks))
 }
 
-// pathFailed records that a path is lost; silent is set if it neither answers nor refuses. The
-// requests in flight on a silent path that may be repeated and have got no bytes lately are given
-// up, so that they are sent again. If the paths to other endpoints are presumed lost now, those
-// with such requests are checked.
-func (t *Transport) pathFailed(path reach.Path, silent bool) {
+// pathFailed records that a path is lost. The paths of requests in flight that have been silent
+// are checked if they count as lost now.
+func (t *Transport) pathFailed(path reach.Path) {
 	t.paths.failed(path)
-	for _, req := range t.giveUpSilent(path, silent) {
+	for _, req := range t.silentOnLostPaths() {
 		go t.check(context.Background(), req)
 	}
 }
 
-// giveUpSilent gives up the silent requests on a silent path, and returns one request of each
-// other path that must be checked.
-func (t *Transport) giveUpSilent(path reach.Path, silent bool) []*Request {
+// silentOnLostPaths returns one request of each path that must be checked.
+func (t *Transport) silentOnLostPaths() []*Request {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	checks := make(map[string]*Request)
 	for c, req := range t.inFlight {
-		if !req.Repeatable || c.silence() < silentFor {
-			continue
-		}
-		if c.path == path {
-			if silent {
-				c.giveUp()
-			}
-			continue
-		}
-		if len(checks) < maxChecks && time.Since(c.checkedAt) > checkInterval && t.paths.lost(c.path) {
+		due := req.Repeatable && c.silence() >= silentFor && time.Since(c.checkedAt) > checkInterval
+		if due && len(checks) < maxChecks && t.paths.lost(c.path) {
 			c.checkedAt = time.Now()
 			checks[c.path.Address] = req
 		}
 	}
 	return slices.Collect(maps.Values(checks))
 }
+
+// giveUpSilent gives up the requests in flight on a path that may be repeated and have been
+// silent.
+func (t *Transport) giveUpSilent(path reach.Path) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c, req := range t.inFlight {
+		if c.path == path && req.Repeatable && c.silence() >= silentFor {
+			c.giveUp()
+		}
+	}
+}
--- a/internal/upstream/ways.go
+++ b/internal/upstream/ways.go
@@ -156,9 +156,9 @@
 	}
 	switch {
 	case o.direct != nil:
-		t.pathFailed(path, isTimeout(o.direct))
+		t.pathFailed(path)
 	case !o.suspect:
-		t.pathFailed(path, true)
+		t.pathFailed(path)
 		o.cancelDirect()
 	}
 	go o.settle()
@@ -182,7 +182,7 @@
 			o.transport.paths.reached(o.req.path())
 			_ = r.conn.Close()
 		case o.directCtx.Err() == nil && o.transport.paths.lost(o.req.path()):
-			o.transport.pathFailed(o.req.path(), isTimeout(r.err))
+			o.transport.pathFailed(o.req.path())
 		}
 	}
 }
@@ -270,23 +270,45 @@
 	return t.paths.lost(path)
 }
 
-// check finds out whether the path to a request's endpoint works. Concurrent checks of one
-// path are one.
+// check finds out whether the path to a request's endpoint works. Requests in flight on a path
+// that is lost and silent are given up, so that they are sent again. Concurrent checks of one path
+// are one.
 func (t *Transport) check(ctx context.Context, req *Request) {
 	_, _, _ = t.checks.Do(req.Address, func() (any, error) {
-		c, err := t.openDirect(ctx, req.path(), suspectTimeout)
-		if err == nil {
-			_ = c.Close()
-			return struct{}{}, nil
-		}
-		relayed, relayErr := t.openRelayed(ctx, req)
-		switch {
-		case relayErr == nil:
-			_ = relayed.Close()
-			t.pathFailed(req.path(), isTimeout(err))
-		case ctx.Err() == nil:
-			t.paths.unreached(req.path())
-		}
+		t.checkPath(ctx, req)
 		return struct{}{}, nil
 	})
 }
+
+// checkPath tries this VM's path again after another VM has reached the endpoint: one that was
+// silent for a moment has not lost its path.
+func (t *Transport) checkPath(ctx context.Context, req *Request) {
+	if t.reaches(ctx, req) == nil {
+		return
+	}
+	relayed, err := t.openRelayed(ctx, req)
+	if err != nil {
+		if ctx.Err() == nil {
+			t.paths.unreached(req.path())
+		}
+		return
+	}
+	_ = relayed.Close()
+	err = t.reaches(ctx, req)
+	if err == nil {
+		return
+	}
+	t.pathFailed(req.path())
+	if isTimeout(err) {
+		t.giveUpSilent(req.path())
+	}
+}
+
+// reaches opens a connection on this VM's own path, and closes it.
+func (t *Transport) reaches(ctx context.Context, req *Request) error {
+	c, err := t.openDirect(ctx, req.path(), suspectTimeout)
+	if err != nil {
+		return err
+	}
+	return c.Close() //nolint:wrapcheck // a net.Conn returns the connection's errors
+}
