--- a/core/reach/tracker.go
+++ b/core/reach/tracker.go
@@ -130,7 +130,10 @@
 func (t *Tracker) CutOff() bool { return t.all.lost() }
 
 // LostPaths returns the number of paths that are lost, without those presumed lost.
-func (t *Tracker) LostPaths() int { return len(t.paths) }
+func (t *Tracker) LostPaths(now time.Time) int {
+	t.forget(now)
+	return len(t.paths)
+}
 
 // Reached records that the endpoint was reached: a connection was opened, or bytes arrived. It
 // returns what changed.
--- a/core/reach/tracker_test.go
+++ b/core/reach/tracker_test.go
@@ -55,7 +55,8 @@
 	tr.Failed(start, path("1", "x"))
 	tr.Failed(start.Add(forgetAfter), path("2", "y"))
 	require.False(t, tr.Lost(path("1", "x")))
-	require.Equal(t, 1, tr.LostPaths())
+	require.Equal(t, 1, tr.LostPaths(start.Add(forgetAfter)))
+	require.Zero(t, tr.LostPaths(start.Add(2*forgetAfter)))
 }
 
 // TestTrackerAgainstAllEvents compares the tracker with one that looks at all events each time.
@@ -66,9 +67,10 @@
 			reached, failed bool
 		}
 		tr := New()
-		var history []record
+		const maxEvents = 40
+		history := make([]record, 0, maxEvents)
 		paths := []Path{path("1", "x"), path("2", "x"), path("3", "y"), path("4", "y"), path("5", "y")}
-		for i := range rapid.IntRange(1, 40).Draw(t, "events") {
+		for i := range rapid.IntRange(1, maxEvents).Draw(t, "events") {
 			p := rapid.SampledFrom(paths).Draw(t, "path")
 			now := start.Add(time.Duration(i) * time.Millisecond)
 			how := rapid.SampledFrom([]string{"reached", "failed", "unreached"}).Draw(t, "how")
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -62,6 +62,10 @@
 	err   error
 }
 
+// isWitness reports whether the VM found that the endpoint can't be reached, though its own path
+// is not lost.
+func (a answer) isWitness() bool { return a.resp.Refusal == refusedUnreached && !a.resp.PathLost }
+
 // Open implements upstream.Relay. It returns a connection to the endpoint through another VM. Several VMs are asked, each
 // after the one before it has failed or has not answered for a while. The error is a
 // NotOpenedError or that of the context.
@@ -97,10 +101,11 @@
 				return a.conn, nil
 			}
 			failed.Cause = a.err
-			if a.resp.Refusal == refusedUnreached && !a.resp.PathLost {
+			switch {
+			case a.isWitness():
 				failed.Witnesses++
 				unreached = append(unreached, a.relay.VM)
-			} else if a.resp.Refusal != refusedUnavailable {
+			case a.resp.Refusal != refusedUnavailable:
 				c.failed(a.relay.VM)
 			}
 			next.Reset(0)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -295,8 +295,10 @@
 	require.NoError(t, err)
 	b.server.Stop()
 	_, err = client.Open(context.Background(), endpointID, "x")
+	var failed *NotOpenedError
+	require.ErrorAs(t, err, &failed)
 	var refused *RefusedError
-	require.ErrorAs(t, errors.Unwrap(err).(*NotOpenedError).Cause, &refused)
+	require.ErrorAs(t, failed.Cause, &refused)
 	require.Equal(t, string(refusedStopping), refused.Refusal)
 	drained := make(chan struct{})
 	go func() {
--- a/internal/upstream/paths.go
+++ b/internal/upstream/paths.go
@@ -104,5 +104,5 @@
 func (p *paths) lostPaths() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.tracker.LostPaths()
+	return p.tracker.LostPaths(time.Now())
 }
--- a/test/soak/mutation_test.go
+++ b/test/soak/mutation_test.go
@@ -33,7 +33,7 @@
 // mutations has edits for each promise that make the program break it.
 var mutations = map[promise][]edit{
 	wholeAnswer: {{"internal/gateway/events.go", "case b.scanner.InEvent():", "case false:"}},
-	atMostOnce:  {{"internal/gateway/exchange.go", "case !result.notRun && !x.route.Repeatable():", "case false:"}},
+	atMostOnce:  {{"internal/gateway/end.go", "case !result.notRun && !x.route.Repeatable():", "case false:"}},
 	notRun:      {{"internal/gateway/exchange.go", "case !x.mayHaveRun:", "case true:"}},
 	leavingAlone: {
 		{"core/directory/directory.go", "if r == nil {\n\t\treturn\n\t}\n\tif r.State", "if true {\n\t\treturn\n\t}\n\tif r.State"},
