--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -17,7 +17,8 @@
 		Outcome: result.outcome, Blamed: result.blamed, BrokenOff: upstream.BrokenOff(result.err), Digest: x.requestDigest,
 	}
 	placer, transport := x.gateway.cfg.Placer, x.gateway.cfg.Transport
-	if end.Outcome != dispatch.Failed || x.via != "" || !upstream.Broke(result.err) {
+	known := end.Outcome != dispatch.Failed || x.via != "" || !upstream.Broke(result.err)
+	if known || !transport.HasOtherWay() {
 		placer.Finished(job, end)
 		return
 	}
--- a/internal/upstream/ways.go
+++ b/internal/upstream/ways.go
@@ -256,6 +256,9 @@
 // Relayed returns the number of requests sent through other VMs.
 func (t *Transport) Relayed() int64 { return t.relayed.Count() }
 
+// HasOtherWay reports whether requests can go through other VMs.
+func (t *Transport) HasOtherWay() bool { return t.cfg.Relay != nil }
+
 // OwnPathFailed reports whether the connection to the request's endpoint broke because this
 // VM's own path is lost, and not by a fault of the endpoint: whether another VM reaches it now,
 // and this one doesn't.
