--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -95,6 +95,11 @@
 	RejectBackoff  time.Duration
 	FailureBackoff time.Duration
 	MaxBackoff     time.Duration
+	// LearnCosts places jobs by what they are expected to cost and by the work that is left at
+	// each endpoint; without it the jobs of plain services are counted.
+	LearnCosts bool
+	// FairShares orders and refuses queued jobs by the work that their organisations have received.
+	FairShares bool
 }
 
 // DefaultConfig returns the configuration that entry VMs use.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -186,7 +186,9 @@
 		peer.NewMux,
 		v.newPeers,
 		func() *coordination.LocalDispatcher {
-			return coordination.NewLocalDispatcher(dispatch.DefaultConfig(), quarantine.DefaultConfig())
+			cfg := dispatch.DefaultConfig()
+			cfg.LearnCosts, cfg.FairShares = v.settings.Placement.LearnCosts, v.settings.Placement.FairShares
+			return coordination.NewLocalDispatcher(cfg, quarantine.DefaultConfig())
 		},
 		v.newCoordinator,
 		func(l *coordination.LocalDispatcher) *registry {
--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -41,6 +41,18 @@
 	Grace        time.Duration
 	Retries      Retries
 	Reservations Reservations
+	Placement    Placement
+}
+
+// Placement enables parts of placement that not all deployments need. They hold until the
+// process ends.
+type Placement struct {
+	// LearnCosts makes placement learn what requests cost and how fast endpoints are.
+	LearnCosts bool
+	// FairShares orders and refuses waiting requests by what their organisations have received.
+	FairShares bool
+	// HedgeSilent allows to ask a second endpoint beside one that doesn't begin to respond.
+	HedgeSilent bool
 }
 
 // Limits has the resource limits of the VM.
