A verdict on a request leaves the evidence on its parts

Each request that came again and again was withheld by itself first, and that verdict took its crashes out of the evidence on all else, so that the count for the part began anew. Crashes that a withheld request explains now still count for the parts of that request, and for nothing else. Both new tests failed before (no part found in nine crashes).

--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -91,7 +91,8 @@
 }
 
 // AddCrash adds a crash to the evidence on a service. It returns false for one that is
-// known already from the report of another VM, or has its cause among what is withheld.
+// known already from the report of another VM, or has its cause among what is withheld and
+// tells nothing of the parts of a prompt.
 func (t *Tracker) AddCrash(now time.Time, service string, c Crash) bool {
 	e := t.evidence[service]
 	if e == nil {
@@ -108,12 +109,20 @@
 	return true
 }
 
-// explained reports whether a suspect of the crash is withheld.
+// explained reports whether what is withheld explains the crash, so that it tells nothing
+// further. Of a crash that withheld requests explain, their parts remain under suspicion.
 func (t *Tracker) explained(now time.Time, service string, c *Crash) bool {
-	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool {
+	var requests []Subject
+	for _, s := range c.Suspects {
 		subject, _ := t.list.Withheld(now, service, s.Digest, s.Parts)
-		return !subject.None()
-	})
+		if subject.Part != "" {
+			return true
+		}
+		if !subject.None() {
+			requests = append(requests, subject)
+		}
+	}
+	return c.explain(requests...)
 }
 
 // sameCrash is the time within which crashes of one endpoint, from reports of several
@@ -177,13 +186,43 @@
 	e.recount()
 }
 
-// explain removes the crashes that a subject is the cause of: they tell nothing about
-// others.
+// explain takes the crashes that a subject is the cause of out of the evidence on others. Those by a
+// request remain as evidence on its parts: the request may crash endpoints by one of them.
 func (e *evidence) explain(subject Subject) {
-	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return c.suspects(subject) })
+	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return subject.Part != "" && c.suspects(subject) })
+	if subject.Digest != "" {
+		e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return c.suspects(subject) && len(c.partsOf(subject)) == 0 })
+		for i := range e.crashes {
+			e.crashes[i].explain(subject)
+		}
+	}
 	e.recount()
 }
 
+// explain makes the parts of requests the only suspects of a crash, if one of the requests is a
+// suspect of it. It reports whether no suspect is left: a request may have no parts.
+func (c *Crash) explain(requests ...Subject) bool {
+	if !slices.ContainsFunc(requests, c.suspects) {
+		return false
+	}
+	c.Suspects = c.partsOf(requests...)
+	return len(c.Suspects) == 0
+}
+
+// partsOf returns the suspects of a crash that are one of the requests and have parts, without their
+// digests.
+func (c *Crash) partsOf(requests ...Subject) []Suspect {
+	var suspects []Suspect
+	for _, s := range c.Suspects {
+		known := slices.ContainsFunc(requests, func(r Subject) bool { return r.Of(s.Digest, s.Parts) })
+		if known && len(s.Parts) > 0 {
+			s.Digest = ""
+			suspects = append(suspects, s)
+		}
+	}
+	return suspects
+}
+
 func (c *Crash) suspects(subject Subject) bool {
 	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return subject.Of(s.Digest, s.Parts) })
 }
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -151,6 +152,49 @@
 	require.Empty(t, b.Crashes("s"))
 }
 
+// TestWithheldRequestsLeaveTheEvidenceOnTheirPart lets prompts with a part crash endpoints, each of
+// which comes again until it is withheld by itself. Each such verdict took its crashes from the
+// evidence on the part, so that the part was found only after eighteen engines were lost.
+func TestWithheldRequestsLeaveTheEvidenceOnTheirPart(t *testing.T) {
+	b := newBench()
+	crashes := 0
+	for _, own := range []string{"own1", "own2", "own3"} {
+		for range DefaultConfig().Crashes {
+			key := b.place("e"+strconv.Itoa(crashes), "q", "p", own)
+			b.now = b.now.Add(DefaultConfig().MinRun)
+			b.Ended(b.now, key, BrokenOff, Identity{Digest: own})
+			findings := b.decide()
+			b.answer("q", "own")
+			crashes++
+			if slices.Contains(findings, found[0]) {
+				require.Equal(t, DefaultConfig().Crashes+1, crashes, "the second prompt is another request")
+				return
+			}
+			for _, f := range findings {
+				b.list.Decide(b.now, f)
+				b.Explain("s", f.Subject)
+			}
+		}
+	}
+	t.Fatal("the part was not found")
+}
+
+// TestCrashesOfAWithheldRequestCountForItsPart lets a request that is withheld crash endpoints, as it
+// was in flight there: the crashes tell of its part, and of no other request.
+func TestCrashesOfAWithheldRequestCountForItsPart(t *testing.T) {
+	b := newBench()
+	b.list.Decide(b.now, Finding{Service: "s", Subject: Subject{Digest: "own1"}})
+	for i := range DefaultConfig().Crashes - 1 {
+		victim := b.place(strconv.Itoa(i), "v", "own")
+		b.Ended(b.now, b.place(strconv.Itoa(i), "p", "own1"), BrokenOff, Identity{Digest: "own1"})
+		b.Ended(b.now, victim, BrokenOff, Identity{Digest: "own"})
+		require.Empty(t, b.decide())
+	}
+	require.Empty(t, b.Evidence("s", Subject{Part: "v"}))
+	require.Empty(t, b.Evidence("s", Subject{Digest: "own"}))
+	require.Equal(t, found, b.crash("9", "p", "own2"))
+}
+
 // TestAnswerReleasesAWithheldPart answers a prompt with a withheld part that was in
 // flight.
 func TestAnswerReleasesAWithheldPart(t *testing.T) {
