VMs that don't watch a failing store ask it less often in larger deployments

The watchers look out for its return as before and tell the others; these now ask at intervals that grow from 16 VMs on, up to 2 s.

--- a/internal/entry/watchers.go
+++ b/internal/entry/watchers.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 
+	"cornelsaddle.example/cornelsaddle/internal/mirror"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
 )
 
@@ -32,6 +33,12 @@
 	listsAtOnce = 50
 	// choiceTries is the number of hash keys tried for a choice of VMs.
 	choiceTries = 16
+	// backoffVMs is the number of VMs from which the back-off of those that don't watch a failing
+	// store grows with their number, up to maxStoreBackoff: the calls of all would grow with it
+	// otherwise, though the watchers tell the others once the store is back. The limit is well
+	// below the time after an outage from which the VMs must be up to date.
+	backoffVMs      = 16
+	maxStoreBackoff = 2 * time.Second
 )
 
 // liveVM is a VM that is neither dead nor leaving.
@@ -137,6 +144,17 @@
 	return time.Duration(max(0, len(w.live)-listsAtOnce)) * listSpreadPerVM, w.complete || w.listed.overdue()
 }
 
+// StoreBackoff implements mirror.Sources.
+func (w *watchers) StoreBackoff(topic provider.Topic) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.watchersOf(topic)[w.self] {
+		return mirror.MaxBackoff
+	}
+	grown := mirror.MaxBackoff * time.Duration(len(w.live)) / backoffVMs
+	return min(max(mirror.MaxBackoff, grown), maxStoreBackoff)
+}
+
 // Peers implements mirror.Sources. It returns, each in random order, the addresses of the
 // relays of this VM's failure domain, unless it is a watcher or a relay itself, of the
 // topic's watchers, and of up to watcherCount other VMs, since a watcher may be cut off
--- a/internal/entry/watchers_test.go
+++ b/internal/entry/watchers_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cornelsaddle.example/cornelsaddle/internal/mirror"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
 )
 
@@ -55,6 +56,25 @@
 	}
 }
 
+// TestReadsOfAFailingStore guards against an outage of the store in which the calls grow with the
+// number of VMs: the watchers look out for its return as in a small deployment, the others seldom.
+func TestReadsOfAFailingStore(t *testing.T) {
+	perSecond := func(vmsEach int) (total float64) {
+		for _, w := range deployment(3, vmsEach) {
+			backoff := w.StoreBackoff(provider.Endpoints)
+			if w.Watches(provider.Endpoints) {
+				require.Equal(t, mirror.MaxBackoff, backoff)
+			}
+			require.LessOrEqual(t, backoff, maxStoreBackoff)
+			total += 1 / backoff.Seconds()
+		}
+		return total
+	}
+	base := 1 / mirror.MaxBackoff.Seconds()
+	require.InDelta(t, 15*base, perSecond(5), 0.01)
+	require.LessOrEqual(t, perSecond(20), (backoffVMs+watcherCount)*base)
+}
+
 // TestWatchersAreNoRelays checks that no VM serves both the relays of all failure domains
 // and the VMs of its own, and that each topic has all its watchers and relays.
 func TestWatchersAreNoRelays(t *testing.T) {
--- a/internal/mirror/cluster_test.go
+++ b/internal/mirror/cluster_test.go
@@ -179,6 +179,8 @@
 	return s.spread, true
 }
 
+func (clusterSources) StoreBackoff(provider.Topic) time.Duration { return MaxBackoff }
+
 func (s clusterSources) Peers(topic provider.Topic) []string {
 	var list []string
 	if !s.Watches(topic) && !s.Relays(topic) {
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -38,10 +38,11 @@
 	// maxRelayAge is how long ago the copy of a relay may have been known to be up to date
 	// for the relay to count as a fresh source: it may have tried one source in vain.
 	maxRelayAge = 1500 * time.Millisecond
-	// minBackoff and maxBackoff bound the back-off between two reads while the store
-	// fails; random jitter of up to minBackoff is added.
+	// minBackoff and MaxBackoff bound the back-off between two reads while the store
+	// fails; random jitter of up to minBackoff is added. MaxBackoff holds for the watchers and
+	// for VMs without a copy; Sources may state a longer one for others.
 	minBackoff = 50 * time.Millisecond
-	maxBackoff = 500 * time.Millisecond
+	MaxBackoff = 500 * time.Millisecond
 	// idleInterval is the interval at which an idle source checks whether it is
 	// needed.
 	idleInterval = 100 * time.Millisecond
@@ -64,6 +65,8 @@
 	// Spread returns the time over which the VMs of a deployment that start together read
 	// the store, and false while the VMs to select sources from are not known.
 	Spread() (spread time.Duration, known bool)
+	// StoreBackoff returns the longest back-off between two reads while the store fails.
+	StoreBackoff(topic provider.Topic) time.Duration
 }
 
 // Peers makes calls to the other VMs.
@@ -131,7 +134,6 @@
 func (f *Follower) followStore(ctx context.Context) {
 	retryDelay := backoff.NewExponentialBackOff()
 	retryDelay.InitialInterval = minBackoff
-	retryDelay.MaxInterval = maxBackoff
 	f.awaitCopy(ctx)
 	for ctx.Err() == nil {
 		if !f.shouldReadStore() {
@@ -150,10 +152,20 @@
 			retryDelay.Reset()
 			continue
 		}
+		retryDelay.MaxInterval = f.storeBackoff()
 		sleep(ctx, retryDelay.NextBackOff()+rand.N(minBackoff))
 	}
 }
 
+// storeBackoff returns the longest back-off between two reads while the store fails. A VM without a
+// copy can't serve, and reads as often as a watcher.
+func (f *Follower) storeBackoff() time.Duration {
+	if f.Revision().Version == 0 {
+		return MaxBackoff
+	}
+	return f.sources.StoreBackoff(f.topic)
+}
+
 // shouldReadStore reports whether this VM must follow the store itself.
 func (f *Follower) shouldReadStore() bool {
 	if f.sources.Watches(f.topic) {
