An endpoint that fell silent gets one job at a time

A job that is given up long after its answer should have begun now marks its endpoint as silent: it is backed off, and then gets one job at a time until one is answered.

The test failed without the mark. It takes effect with the settings that enable learned costs.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -222,6 +222,9 @@
 	case Rejected:
 		e.backOff(now, d.cfg.RejectBackoff, d.cfg.MaxBackoff)
 	case Abandoned:
+		if blamed == p.Endpoint {
+			d.recordAbandoned(now, p, e)
+		}
 	}
 }
 
@@ -315,6 +318,9 @@
 func (d *Dispatcher) markStarted(now time.Time, p *placedJob) {
 	d.demandOf(p.Service).markPrefilled(p)
 	p.started, p.startedAt = true, now
+	if e := d.endpoints[p.Endpoint]; e != nil {
+		e.silent = false
+	}
 	d.forEachPart(p, func(_ *endpoint, pt *part) { pt.startDecode(now) })
 }
 
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -66,6 +66,9 @@
 	// backoffUntil is when the back-off after consecutive failures ends.
 	backoffUntil time.Time
 	failures     int
+	// silent is set while the last that is known of the endpoint is an answer that never began. It
+	// then gets one job at a time.
+	silent bool
 	// coldUntil is when the endpoint is no longer cold.
 	coldUntil time.Time
 	// limit is the limit that the endpoint has named; nil if it has none.
@@ -76,7 +79,7 @@
 	helperOnly bool
 }
 
-func (e *endpoint) usable(now time.Time) bool { return !now.Before(e.backoffUntil) }
+func (e *endpoint) usable(now time.Time) bool { return !now.Before(e.backoffUntil) && !e.awaitsProbe() }
 
 // freeTokens returns the KV-cache memory, in tokens, that is left for
 // placements if they may use the given share of it.
@@ -101,6 +104,7 @@
 
 func (e *endpoint) recordSuccess() {
 	e.failures = 0
+	e.silent = false
 	e.backoffUntil = time.Time{}
 }
 
--- /dev/null
+++ b/core/dispatch/silent_test.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// placeBurst submits short prompts at the same time, and returns the IDs of those that each endpoint
+// got.
+func placeBurst(d *Dispatcher, now time.Time, name string, n int) map[string][]string {
+	placed := make(map[string][]string)
+	for i := range n {
+		d.Submit(now, prompt(name+strconv.Itoa(i), 3000, now))
+	}
+	for _, decision := range d.Decide(now) {
+		if p := decision.Placement; p != nil {
+			placed[p.Endpoint] = append(placed[p.Endpoint], p.Job)
+		}
+	}
+	return placed
+}
+
+// TestSilentEndpointGetsOneJobAtATime lets an engine hang under a steady load of short prompts, whose
+// callers leave after two seconds. What they leave behind made it look idle, and it got as many again
+// as it had slots, each two seconds.
+func TestSilentEndpointGetsOneJobAtATime(t *testing.T) {
+	d := fleet(4, 0)
+	d.cfg.LearnCosts = true
+	const hanging = "ea"
+	finish := func(now time.Time, placed map[string][]string) {
+		for endpoint, ids := range placed {
+			for _, id := range ids {
+				if endpoint != hanging {
+					d.FirstEvent(now, testKey(id))
+					d.Finished(now, testKey(id), Served, "")
+				}
+			}
+		}
+	}
+	placed := placeBurst(d, start, "first", 16)
+	require.NotEmpty(t, placed[hanging])
+	finish(at(300), placed)
+	left := at(2000)
+	for _, id := range placed[hanging] {
+		d.Finished(left, testKey(id), Abandoned, "")
+	}
+	placed = placeBurst(d, left, "second", 16)
+	require.Empty(t, placed[hanging], "it is in back-off")
+	finish(left.Add(300*time.Millisecond), placed)
+	later := left.Add(d.cfg.FailureBackoff)
+	placed = placeBurst(d, later, "third", 40)
+	require.Len(t, placed[hanging], 1)
+	finish(later.Add(300*time.Millisecond), placed)
+
+	d.FirstEvent(later.Add(time.Second), testKey(placed[hanging][0]))
+	placed = placeBurst(d, later.Add(time.Second), "fourth", 40)
+	require.Greater(t, len(placed[hanging]), 1, "it answers again")
+}
+
+// TestEarlyLeaversSayNothingOfTheirEndpoint lets callers leave before their answers were due, or just
+// after that: the engine stays in use.
+func TestEarlyLeaversSayNothingOfTheirEndpoint(t *testing.T) {
+	for _, afterMs := range []float64{10, 300} {
+		d := fleet(1, 0)
+		d.cfg.LearnCosts = true
+		for endpoint, ids := range placeBurst(d, start, "first", 4) {
+			require.Equal(t, "ea", endpoint)
+			for _, id := range ids {
+				d.Finished(at(afterMs), testKey(id), Abandoned, "")
+			}
+		}
+		require.True(t, d.endpoints["ea"].usable(at(afterMs)))
+	}
+}
