--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -129,3 +129,171 @@
 	require.InDelta(t, 15, placed, 5)
 	require.Zero(t, d.Queued())
 }
+
+// coldEngines is a service of engines that are cold for 3 s and then bear 15 requests a second.
+var coldEngines = Service{Name: "s", Engine: simCostModel(), Cold: Cold{For: 3 * time.Second, PerSecond: 15}}
+
+// TestHelpersCountForColdEngines guards against cold engines that get more requests than they
+// bear, as helpers with prompts of others: a part of a prompt was not counted, so that each long
+// prompt could take all cold engines.
+func TestHelpersCountForColdEngines(t *testing.T) {
+	d := New(DefaultConfig())
+	d.SetServices(start, []Service{coldEngines})
+	list := make([]Endpoint, 0, 6)
+	for i := range 6 {
+		e := Endpoint{ID: fmt.Sprint("e", i), Service: "s", Slots: 16}
+		if i > 0 {
+			e.ColdUntil = start.Add(coldEngines.Cold.For)
+		}
+		list = append(list, e)
+	}
+	d.SetEndpoints(start, list)
+	arrivals := make(map[string][]time.Time)
+	helped := 0
+	for i, now := 0, start; now.Before(start.Add(coldEngines.Cold.For)); i, now = i+1, now.Add(10*time.Millisecond) {
+		d.Submit(now, prompt(fmt.Sprint(i), 200000, now))
+		for _, decision := range d.Decide(now) {
+			p := decision.Placement
+			if p == nil {
+				continue
+			}
+			helped += len(p.Helpers)
+			for _, id := range p.endpoints() {
+				arrivals[id] = append(arrivals[id], now)
+			}
+			d.Finished(now, decision.Key(), Served, "")
+		}
+	}
+	require.Positive(t, helped)
+	for _, e := range list[1:] {
+		require.LessOrEqual(t, most(arrivals[e.ID]), int(coldEngines.Cold.PerSecond*coldOvershoot+coldSlack), e.ID)
+	}
+}
+
+// TestEndpointsThatComeBackToAnEmptyServiceAreCold evacuates the only failure domain of a service
+// and takes that back. Its endpoints were warm again at once, as they joined no others.
+func TestEndpointsThatComeBackToAnEmptyServiceAreCold(t *testing.T) {
+	d := New(DefaultConfig())
+	d.SetServices(start, []Service{coldService})
+	d.SetEndpoints(start, plainEndpoints("a", "b"))
+	d.SetEndpoints(start.Add(time.Second), nil)
+	now := start.Add(2 * time.Second)
+	d.SetEndpoints(now, plainEndpoints("a", "b"))
+	placed := serveFor(d, now, coldService.Cold.For)
+	for _, id := range []string{"a", "b"} {
+		require.LessOrEqual(t, most(placed[id]), int(coldService.Cold.PerSecond*coldOvershoot+coldSlack), id)
+	}
+}
+
+// TestNextIncarnationIsCold lets an endpoint start again so soon that the registry lists its next
+// incarnation in the place of the last one, and without the time for which it is cold.
+func TestNextIncarnationIsCold(t *testing.T) {
+	d := New(DefaultConfig())
+	d.SetServices(start, []Service{coldService})
+	list := plainEndpoints("a", "b", "c")
+	list[0].Started = 1
+	d.SetEndpoints(start, list)
+	list[0].Started = 2
+	now := start.Add(time.Second)
+	d.SetEndpoints(now, list)
+	placed := serveFor(d, now, coldService.Cold.For)
+	limit := int(coldService.Cold.PerSecond*coldOvershoot + coldSlack)
+	require.LessOrEqual(t, most(placed["a"]), limit)
+	require.Greater(t, most(placed["b"]), limit, "it goes on as before")
+}
+
+// TestEndpointThatComesBackOftenStaysWithinItsBound lets an endpoint be unlisted and listed again
+// several times in a second, as with an evacuation that is taken back and declared again. Each
+// time it got another burst.
+func TestEndpointThatComesBackOftenStaysWithinItsBound(t *testing.T) {
+	d := New(DefaultConfig())
+	d.SetServices(start, []Service{coldService})
+	d.SetEndpoints(start, plainEndpoints("a", "b", "c"))
+	const times = 12
+	arrivals := make([]time.Time, 0, times)
+	now := start.Add(time.Second)
+	for range times {
+		d.SetEndpoints(now, plainEndpoints("a", "b"))
+		d.SetEndpoints(now.Add(time.Millisecond), plainEndpoints("a", "b", "c"))
+		arrivals = append(arrivals, serveFor(d, now.Add(time.Millisecond), 150*time.Millisecond)["c"]...)
+		now = now.Add(160 * time.Millisecond)
+	}
+	require.LessOrEqual(t, most(arrivals), int(coldService.Cold.PerSecond*coldOvershoot+coldSlack))
+	require.Greater(t, len(arrivals), 8, "it gets what it bears")
+}
+
+// TestColdBoundHoldsOverChangesOfTheHolder moves the placement of a service in quick succession
+// over several dispatchers, as when many VMs are lost, while an evacuation is taken back and one
+// endpoint states that it is cold again. Dispatchers that have never known the holder let no burst
+// through either.
+func TestColdBoundHoldsOverChangesOfTheHolder(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		testChangesOfTheHolder(t, known)
+	}
+}
+
+// testChangesOfTheHolder is TestColdBoundHoldsOverChangesOfTheHolder, where known tells whether
+// the dispatchers know the holder before they become it.
+func testChangesOfTheHolder(t *testing.T, known bool) {
+	t.Helper()
+	const holders = 8
+	list := make([]*Dispatcher, 0, holders)
+	for range holders {
+		d := New(DefaultConfig())
+		d.SetServices(start, []Service{coldService})
+		d.SetEndpoints(start, plainEndpoints("a", "b", "c"))
+		list = append(list, d)
+	}
+	now := start.Add(time.Second)
+	back := plainEndpoints("a", "b", "c")
+	back[0].ColdUntil = now.Add(coldService.Cold.For)
+	arrivals := make(map[string][]time.Time)
+	for i, d := range list {
+		for _, d := range list {
+			if i%2 == 0 {
+				d.SetEndpoints(now, plainEndpoints("a", "b"))
+			}
+			d.SetEndpoints(now, back)
+			if known {
+				d.SetHolder(now, "p", false)
+			}
+		}
+		d.SetHolder(now, "p", true)
+		for id, times := range serveFor(d, now, 200*time.Millisecond) {
+			arrivals[id] = append(arrivals[id], times...)
+		}
+		now = now.Add(200 * time.Millisecond)
+	}
+	limit := int(coldService.Cold.PerSecond*coldOvershoot + coldSlack)
+	require.LessOrEqual(t, most(arrivals["a"]), limit)
+	require.LessOrEqual(t, most(arrivals["c"]), limit)
+	require.Greater(t, len(arrivals["c"]), 8, "it gets what it bears")
+}
+
+// TestEvacuationWhileCallsWaitForColdEndpoints evacuates a domain while calls wait for turns of its cold
+// endpoint. None of them goes there any more; they go to another domain that is listed by then.
+func TestEvacuationWhileCallsWaitForColdEndpoints(t *testing.T) {
+	d := New(DefaultConfig())
+	d.SetServices(start, []Service{coldService})
+	list := plainEndpoints("a")
+	list[0].ColdUntil = start.Add(time.Minute)
+	d.SetEndpoints(start, list)
+	const calls = 12
+	for i := range calls {
+		d.Submit(start, Job{ID: fmt.Sprint(i), Service: "p", Arrived: start, Deadline: start.Add(3 * time.Second)})
+	}
+	placed := len(d.Decide(start))
+	require.Positive(t, placed)
+	require.Equal(t, calls-placed, d.Queued())
+	d.SetEndpoints(start, nil)
+	now := start.Add(200 * time.Millisecond)
+	require.Empty(t, d.Decide(now))
+	d.SetEndpoints(now, plainEndpoints("b"))
+	for ; d.Queued() > 0; now = now.Add(20 * time.Millisecond) {
+		for _, decision := range d.Decide(now) {
+			require.NotNil(t, decision.Placement)
+			require.Equal(t, "b", decision.Placement.Endpoint)
+			d.Finished(now, decision.Key(), Served, "")
+		}
+	}
+}
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -216,21 +216,24 @@
 
 // SetEndpoints replaces the endpoints that may get work. Jobs at endpoints that
 // are no longer listed stay placed until they finish, and count again if their
-// endpoints are listed again. Endpoints that join others of their service, or come back,
-// count as cold.
+// endpoints are listed again. Endpoints count as cold that join a service that has, or had
+// before, others, and those of which another incarnation is listed.
 func (d *Dispatcher) SetEndpoints(now time.Time, list []Endpoint) {
 	kept := make(map[string]*endpoint, len(list))
 	added := make(map[string]*endpoint)
-	previous := d.pools
 	d.pools = make(map[string][]*endpoint)
 	for _, spec := range list {
 		e := d.endpoints[spec.ID]
+		starts := e != nil && e.Started != spec.Started
 		if e == nil {
 			e = &endpoint{}
 			added[spec.ID] = e
-			if len(previous[spec.Service]) > 0 {
-				e.cool(now.Add(d.cold[spec.Service].For))
-			}
+			starts = d.demandOf(spec.Service).listed
+		}
+		if starts {
+			e.cool(now.Add(d.cold[spec.Service].For))
+			// An endpoint that comes back several times in a second gets no burst each time.
+			e.bucket.Empty(now)
 		}
 		e.Endpoint = spec
 		e.cool(spec.ColdUntil)
@@ -244,7 +247,8 @@
 		d.sortPool(service)
 	}
 	for service := range d.pools {
-		d.demandOf(service).emptySince = time.Time{}
+		m := d.demandOf(service)
+		m.emptySince, m.listed = time.Time{}, true
 	}
 	for service, m := range d.demands {
 		if len(d.pools[service]) == 0 && m.emptySince.IsZero() {
