Decision when a silent endpoint's request is hedged

Cause: an endpoint that has run a request and never responds holds the request until its caller disconnects; no rule says when another endpoint may be asked beside it.

Nothing uses it yet.

A service that becomes slow gets no more hedges after 8 overdue responses.

--- /dev/null
+++ b/core/hedging/delay.go
@@ -0,0 +1,78 @@
+package hedging
+
+import "time"
+
+const (
+	// floor is the shortest delay that the expected time alone gives. The slowest usual answers
+	// of short calls take 450 ms.
+	floor = 500 * time.Millisecond
+	// promptFactor and callFactor are the multiples of the expected time after which a response
+	// is overdue. A call's time varies more than that of a predicted prompt: one in a hundred
+	// takes five times as long.
+	promptFactor, callFactor = 3, 8
+	// leastPrompt and leastCall are the multiples of the expected time within which no response is
+	// overdue, also where the goal or the caller leaves little time.
+	leastPrompt, leastCall = 1.5, 4
+	// rareCall is the multiple of a call's rare time within which none is overdue: calls of few kinds
+	// take nearly the same time each.
+	rareCall = 1.25
+	// promptMargin is added to that for prompts.
+	promptMargin = 100 * time.Millisecond
+	// maxRatio bounds the learned ratios of the times to their predictions: beyond it the service is
+	// slow, which Guard handles.
+	maxRatio = 3
+)
+
+// Wait describes a request that has just been sent to an endpoint.
+type Wait struct {
+	// Predicted is the predicted time to a prompt's first event; zero for other requests.
+	Predicted time.Duration
+	// Usual is what is known of the route: the times of its calls in nanoseconds or, with a
+	// prediction, their ratios to it.
+	Usual Usual
+	// Goal is the time left in which the answer would be on time; zero or less for none.
+	Goal time.Duration
+	// Patience is the time left until the caller disconnects.
+	Patience time.Duration
+}
+
+// Delay returns the time from sending the request after which another endpoint may be asked. It
+// returns false if that would not serve the request before its caller disconnects.
+func (w *Wait) Delay() (time.Duration, bool) {
+	overdue, least := w.overdue()
+	delay := max(overdue, floor)
+	if half := w.Goal / 2; half >= floor {
+		delay = min(delay, half)
+	}
+	delay = max(min(delay, w.Patience/2), least)
+	return delay, delay+w.Expected() < w.Patience
+}
+
+// Expected returns the expected time to the response; zero if it is not known. A prediction is
+// corrected by the usual ratio where that makes it later.
+func (w *Wait) Expected() time.Duration {
+	if w.Predicted > 0 {
+		return scale(w.Predicted, min(max(w.Usual.Mean(), 1), maxRatio))
+	}
+	return time.Duration(w.Usual.Mean())
+}
+
+// overdue returns the time after which the response is overdue, and the least time after which
+// another endpoint may be asked, which hardly any response exceeds.
+func (w *Wait) overdue() (overdue, least time.Duration) {
+	expected := w.Expected()
+	switch {
+	case w.Predicted > 0:
+		rare := scale(w.Predicted, min(w.Usual.Rare(), maxRatio))
+		return promptFactor * expected, max(scale(expected, leastPrompt), rare) + promptMargin
+	case expected > 0:
+		return callFactor * expected, max(leastCall*expected, time.Duration(rareCall*w.Usual.Rare()))
+	case w.Goal > 0:
+		return 2 * w.Goal, 0
+	}
+	return w.Patience / 2, 0
+}
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
--- /dev/null
+++ b/core/hedging/guard.go
@@ -0,0 +1,66 @@
+package hedging
+
+import (
+	"time"
+
+	"cornelsaddle.example/cornelsaddle/core/retry"
+)
+
+const (
+	// ratio is the largest fraction of a service's requests that is hedged within the window.
+	ratio = 0.1
+	// allowance is the number of hedges in a window beyond that. A VM among 130 gets 8 requests
+	// in 10 s, of which a tenth would allow no hedge at all. The retry budget bounds the sum of
+	// all VMs.
+	allowance = 1
+	// overdueWeight is the weight of one response in the share of overdue ones, and maxOverdue
+	// the share above which no hedges are sent: eight consecutive overdue responses reach it. With
+	// one endpoint of six slow, the share stays below it.
+	overdueWeight = 1.0 / 16
+	maxOverdue    = 0.4
+)
+
+// Reason is why a request is not hedged.
+type Reason string
+
+// Reasons of Guard.
+const (
+	// ReasonSlow means that a large part of the service's responses is overdue.
+	ReasonSlow Reason = "many requests are overdue"
+	// ReasonShare means that the service's share of hedges in the window is used up.
+	ReasonShare Reason = "hedge limit reached"
+)
+
+// Guard bounds the hedges of one service at one VM. It is not safe for concurrent use.
+type Guard struct {
+	window  *retry.Window
+	overdue float64
+}
+
+// NewGuard returns a Guard with the length of the window in which hedges are counted.
+func NewGuard(window time.Duration) *Guard {
+	return &Guard{window: retry.NewWindow(window, ratio, allowance)}
+}
+
+// RecordRequest records a request to the service.
+func (g *Guard) RecordRequest(now time.Time) { g.window.RecordRequest(now) }
+
+// Overdue records a response that is overdue, and InTime one that has begun before.
+func (g *Guard) Overdue() { g.overdue += overdueWeight * (1 - g.overdue) }
+
+// InTime records a response that has begun in time.
+func (g *Guard) InTime() { g.overdue -= overdueWeight * g.overdue }
+
+// Refuses returns why a request may not be hedged now; empty if it may.
+func (g *Guard) Refuses(now time.Time) Reason {
+	switch {
+	case g.overdue > maxOverdue:
+		return ReasonSlow
+	case !g.window.Allows(now):
+		return ReasonShare
+	}
+	return ""
+}
+
+// Take counts a hedge that is about to be sent.
+func (g *Guard) Take(now time.Time) { g.window.Take(now) }
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -28,6 +28,9 @@
 	return &Window{length: length, ratio: ratio, allowance: allowance}
 }
 
+// Length returns the length of the window.
+func (w *Window) Length() time.Duration { return w.length }
+
 // SetBounds sets the fraction of the requests that may be retried and the
 // number of additional retries.
 func (w *Window) SetBounds(ratio, allowance float64) { w.ratio, w.allowance = ratio, allowance }
