Hedged requests for endpoints that don't begin to respond

Cause: where the answer of an endpoint was lost before its header, the VM waited until the caller disconnected and asked no other endpoint.

Change: with HedgeSilent, the standby of a silent stream also covers the time before the header, for streams and plain calls that may run again and whose route allows another attempt. The response that is first to be an answer by its header (for streams of another endpoint, by its first event) is delivered, the other exchange is ended and reported as abandoned. A response that is no answer waits for the endpoint that was asked beside it. The retry budget and the limit on hedges are taken immediately before the first byte. The share of overdue responses has half the weight per response, as a burst of requests that one endpoint loses stopped the hedges: a slow service gets no more after 17.

--- a/core/hedging/guard.go
+++ b/core/hedging/guard.go
@@ -14,9 +14,10 @@
 	// all VMs.
 	allowance = 1
 	// overdueWeight is the weight of one response in the share of overdue ones, and maxOverdue
-	// the share above which no hedges are sent: eight consecutive overdue responses reach it. With
-	// one endpoint of six slow, the share stays below it.
-	overdueWeight = 1.0 / 16
+	// the share above which no hedges are sent: 17 consecutive overdue responses reach it. With one
+	// endpoint of six slow, the share stays below it, and so it does where an endpoint's requests
+	// at this VM are lost at once.
+	overdueWeight = 1.0 / 32
 	maxOverdue    = 0.4
 )
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -270,6 +270,7 @@
 		Log:            v.log,
 		Metrics:        m,
 		NewRetryBudget: v.newRetryWindow,
+		HedgeSilent:    v.settings.Placement.HedgeSilent,
 		Random:         rand.Float64,
 	})
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/provider"
 	"cornelsaddle.example/cornelsaddle/internal/ticket"
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
@@ -40,6 +41,8 @@
 	entry directory.Entry
 	grant *ticket.Grant
 	resp  *upstream.Response
+	// meta is what the header of the response says; nil while it was not recorded.
+	meta *provider.ResponseHeader
 	// buffer has the first events of a stream that replaces another one; nil if nothing of the
 	// body was read yet.
 	buffer *eventBuffer
@@ -138,15 +141,21 @@
 		return nil, x.handleReservationError(ctx, job.ID, err)
 	}
 	x.beginAttempt(&job, placed, entry)
-	resp, err := x.gateway.cfg.Transport.Send(ctx, x.endpointRequest(entry, x.helpers(placed, grant)))
+	req := x.endpointRequest(entry, x.helpers(placed, grant))
 	x.sentTo = append(x.sentTo, entry.Address)
+	resp, cancel, err := x.send(ctx, x.newHedge(placed), req)
+	o = &openedAttempt{job: job.ID, entry: entry, grant: grant, resp: resp, cancel: cancel}
+	if x.replacement != nil {
+		return nil, x.endReplaced(ctx, o, err)
+	}
 	if err != nil {
-		grant.Release()
+		o.release()
 		result := x.failedAttempt(ctx, err)
 		x.reportEnd(job.ID, entry, result)
 		return nil, x.finishAttempt(ctx, entry, result)
 	}
-	return &openedAttempt{job: job.ID, entry: entry, grant: grant, resp: resp}, false
+	x.recordUsual(placed, resp)
+	return o, false
 }
 
 // beginAttempt counts and logs an attempt that is about to be sent.
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/internal/event"
@@ -47,8 +49,10 @@
 	if result.unsent {
 		x.unsent++
 	}
-	if !x.standingBy || ctx.Err() == nil {
-		// Nothing is wrong with an endpoint whose attempt is ended as the silent one goes on.
+	var refused *HedgeRefusedError
+	if (!x.standingBy || ctx.Err() == nil) && !errors.As(result.err, &refused) {
+		// Nothing is wrong with an endpoint whose attempt is ended as the silent one goes on, or
+		// which was not asked.
 		x.avoid = append(x.avoid, entry.ID)
 	}
 	if result.blamed != "" {
@@ -73,6 +77,9 @@
 	return false
 }
 
+// whyBudget is why a request is not sent again for which the retry budget of its service has no room.
+const whyBudget = "retry budget exhausted"
+
 // mayRetry reports whether the request may be sent again, and if not, why. If
 // it may, the retry is taken from the service's budget.
 func (x *exchange) mayRetry(ctx context.Context, result attemptResult) (bool, string) {
@@ -89,8 +96,10 @@
 		return false, "may have run"
 	case x.stream.headerSent.Load() && x.stream.position.LastID == "":
 		return false, "no event ID to resume from"
+	case x.refusesHedge() != "":
+		return false, x.refusesHedge()
 	case !x.hasRetry(result):
-		return false, "retry budget exhausted"
+		return false, whyBudget
 	}
 	return true, ""
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -82,6 +82,8 @@
 	// standingBy is set during a search for another endpoint beside a silent response (see
 	// standby); the request is not ended if the search fails.
 	standingBy bool
+	// hedge is that of the silent attempt during a search before its response; nil otherwise.
+	hedge *hedge
 	// replacement is the attempt that has replaced the one before it; nil if there is none.
 	replacement *openedAttempt
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/core/hedging"
 	"cornelsaddle.example/cornelsaddle/core/quarantine"
 	"cornelsaddle.example/cornelsaddle/core/ratelimit"
 	"cornelsaddle.example/cornelsaddle/core/retry"
@@ -103,6 +104,8 @@
 	Metrics *metrics.Metrics
 	// NewRetryBudget returns a new retry budget for a service.
 	NewRetryBudget func() *retry.Window
+	// HedgeSilent allows to ask another endpoint beside one that does not begin to respond.
+	HedgeSilent bool
 	// Random returns uniformly distributed random numbers from 0 to 1.
 	Random func() float64
 }
@@ -128,9 +131,16 @@
 	mu sync.Mutex
 	// retryBudgets maps services to their retry budgets.
 	retryBudgets map[string]*retry.Window
+	// hedges maps services to the bounds of their hedges, and usual routes to the times to the
+	// responses of their plain calls.
+	hedges map[string]*hedging.Guard
+	usual  map[string]*hedging.Usual
 
 	requests gometrics.Counter
 	resends  gometrics.Counter
+	// hedgesSent counts the hedged requests, hedgesWon those that were answered before the first
+	// attempt, and hedgesRefused the searches that the bounds prevented.
+	hedgesSent, hedgesWon, hedgesRefused gometrics.Counter
 	// closeFramed counts the responses that end with their connection.
 	closeFramed gometrics.Counter
 }
@@ -140,15 +150,20 @@
 	exiting, exit := context.WithCancel(context.Background())
 	breaking, breakOff := context.WithCancel(context.Background())
 	return &Gateway{
-		cfg:          cfg,
-		exiting:      exiting,
-		exit:         exit,
-		breaking:     breaking,
-		breakOff:     breakOff,
-		retryBudgets: make(map[string]*retry.Window),
-		requests:     cfg.Metrics.Counter("gateway.requests"),
-		resends:      cfg.Metrics.Counter("gateway.resends"),
-		closeFramed:  cfg.Metrics.Counter("gateway.responses_framed_by_close"),
+		cfg:           cfg,
+		exiting:       exiting,
+		exit:          exit,
+		breaking:      breaking,
+		breakOff:      breakOff,
+		retryBudgets:  make(map[string]*retry.Window),
+		requests:      cfg.Metrics.Counter("gateway.requests"),
+		hedges:        make(map[string]*hedging.Guard),
+		usual:         make(map[string]*hedging.Usual),
+		resends:       cfg.Metrics.Counter("gateway.resends"),
+		hedgesSent:    cfg.Metrics.Counter("gateway.hedges"),
+		hedgesWon:     cfg.Metrics.Counter("gateway.hedges_won"),
+		hedgesRefused: cfg.Metrics.Counter("gateway.hedges_refused"),
+		closeFramed:   cfg.Metrics.Counter("gateway.responses_framed_by_close"),
 	}
 }
 
@@ -281,7 +296,11 @@
 func (g *Gateway) countRequest(service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.budget(service).RecordRequest(time.Now())
+	now := time.Now()
+	g.budget(service).RecordRequest(now)
+	if g.cfg.HedgeSilent {
+		g.guard(service).RecordRequest(now)
+	}
 }
 
 // takeRetry takes a retry from the service's budget. It returns false if the
--- /dev/null
+++ b/internal/gateway/hedge.go
@@ -0,0 +1,261 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cornelsaddle.example/cornelsaddle/core/directory"
+	"cornelsaddle.example/cornelsaddle/core/dispatch"
+	"cornelsaddle.example/cornelsaddle/core/hedging"
+	"cornelsaddle.example/cornelsaddle/core/routing"
+	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/provider"
+	"cornelsaddle.example/cornelsaddle/internal/upstream"
+)
+
+// hedge is what is known of an attempt beside which another endpoint is asked if its own does not
+// begin to respond.
+type hedge struct {
+	// delay is the time from sent, when the attempt began, to the search for another endpoint.
+	delay time.Duration
+	sent  time.Time
+	// expected is the time to the response that was expected; zero if it is not known.
+	expected time.Duration
+	// endpoint is the one that is silent.
+	endpoint string
+	// overdue is set when the delay has passed.
+	overdue bool
+	// refused is why no other endpoint was asked at the last search; empty if one was.
+	refused string
+}
+
+// HedgedError reports an attempt that was ended because another endpoint has begun to answer before
+// its own.
+type HedgedError struct{ Delay time.Duration }
+
+// Error implements error.
+func (e *HedgedError) Error() string {
+	return "no response within " + e.Delay.String() + ", another endpoint answered"
+}
+
+// HedgeRefusedError reports a hedged request that was not sent.
+type HedgeRefusedError struct{ Reason string }
+
+// Error implements error.
+func (e *HedgeRefusedError) Error() string { return "hedged request not sent: " + e.Reason }
+
+// NoAnswerError reports a response that is not an answer to deliver while another endpoint is asked.
+type NoAnswerError struct{ Status int }
+
+// Error implements error.
+func (e *NoAnswerError) Error() string {
+	return "response is no answer: status " + strconv.Itoa(e.Status)
+}
+
+// newHedge returns the hedge of the current attempt; nil if no other endpoint is to be asked.
+func (x *exchange) newHedge(placed Placed) *hedge {
+	g := x.gateway
+	if !g.cfg.HedgeSilent || x.standingBy || !x.route.Repeatable() || x.attempts-x.unsent >= x.route.MaxAttempts || g.stop.Load() != nil {
+		return nil
+	}
+	wait := hedging.Wait{Predicted: placed.Predicted, Usual: g.usualTimes(x.route), Patience: time.Until(x.deadline)}
+	if x.route.Goal > 0 && !x.stream.headerSent.Load() {
+		wait.Goal = time.Until(x.arrived.Add(x.route.Goal))
+	}
+	if left := time.Until(x.waitingSince().Add(x.route.Patience)); x.route.Patience > 0 && left > 0 {
+		wait.Patience = min(wait.Patience, left)
+	}
+	delay, ok := wait.Delay()
+	if !ok {
+		return nil
+	}
+	return &hedge{delay: delay, sent: x.sent, expected: wait.Expected(), endpoint: x.endpoint}
+}
+
+// send sends the request of the current attempt. While its endpoint does not begin to respond, other
+// endpoints are asked according to the hedge, if there is one. If one of them has begun to answer in
+// its place, that is x.replacement, and the error is the reason. cancel ends the exchange; nil if it
+// has no context of its own.
+func (x *exchange) send(ctx context.Context, h *hedge, req *upstream.Request) (resp *upstream.Response, cancel context.CancelFunc, err error) {
+	if h == nil {
+		resp, err = x.gateway.cfg.Transport.Send(ctx, req)
+		return resp, nil, err //nolint:wrapcheck // it has its stack
+	}
+	own, cancel := context.WithCancel(ctx)
+	standby := &standby{x: x, ctx: ctx, abort: cancel, limit: h.delay, hedge: h}
+	defer standby.stop()
+	standby.start()
+	resp, err = x.gateway.cfg.Transport.Send(own, req)
+	failure := err
+	if err == nil && !x.isAnswer(resp, x.gateway.cfg.Headers.DecodeResponse(resp.Status, resp.Header)) {
+		failure = errors.WithStack(&NoAnswerError{resp.Status})
+	}
+	if failure != nil {
+		standby.await(failure)
+	}
+	if x.replacement = standby.stop(); x.replacement != nil {
+		return resp, cancel, standby.cause()
+	}
+	if failure == nil {
+		x.gateway.recordInTime(x.service, h)
+	}
+	return resp, cancel, err //nolint:wrapcheck // it has its stack
+}
+
+// isAnswer reports whether a response may be delivered, as far as its header tells.
+func (x *exchange) isAnswer(resp *upstream.Response, meta provider.ResponseHeader) bool {
+	switch {
+	case meta.NotRun || impliesNotRun(resp.Status) || resp.Status >= http.StatusInternalServerError:
+		return false
+	case x.stream.headerSent.Load() && !x.streams(resp):
+		return false
+	}
+	return meta.Sealed || resp.Status >= http.StatusMultipleChoices
+}
+
+// endReplaced ends an attempt before whose response another endpoint has begun to answer.
+func (x *exchange) endReplaced(ctx context.Context, o *openedAttempt, cause error) (again bool) {
+	result := x.failedAttempt(ctx, cause)
+	var hedged *HedgedError
+	var noAnswer *NoAnswerError
+	switch {
+	case errors.As(cause, &hedged):
+		result.outcome = dispatch.Abandoned
+	case errors.As(cause, &noAnswer):
+		meta := x.observe(o)
+		result.status, result.notRun, result.blamed = o.resp.Status, meta.NotRun, x.blamed(meta.AtFault)
+		if meta.NotRun {
+			result.outcome = dispatch.Rejected
+		}
+	}
+	if o.resp != nil {
+		o.resp.Close()
+	}
+	o.release()
+	result.replaced = true
+	x.gateway.hedgesWon.Inc(1)
+	x.reportEnd(o.job, o.entry, result)
+	return x.finishAttempt(ctx, o.entry, result)
+}
+
+// refusesHedge returns why the search under way may not send a hedged request now; empty if it may or
+// if it is not one for a hedge.
+func (x *exchange) refusesHedge() string {
+	switch {
+	case x.hedge == nil:
+		return ""
+	case x.gateway.stop.Load() != nil:
+		return "VM stops"
+	}
+	return x.gateway.refusesHedge(x.service)
+}
+
+// takeHedge takes a hedged request from the retry budget and from the limit on hedges. It is called
+// immediately before the first byte is sent.
+func (x *exchange) takeHedge(entry directory.Entry, h *hedge) error {
+	why := x.refusesHedge()
+	if why == "" {
+		why = x.gateway.takeHedge(x.service)
+	}
+	if why != "" {
+		return errors.WithStack(&HedgeRefusedError{why})
+	}
+	x.gateway.cfg.Log.Emit(event.RequestHedged{
+		Request: x.call.ID, Attempt: x.number, Endpoint: entry.ID, Beside: h.endpoint, Silent: time.Since(h.sent),
+		Delay: h.delay, Expected: h.expected,
+	})
+	return nil
+}
+
+// recordOverdue records, once, that the endpoint of a hedge has not begun to respond in time.
+func (g *Gateway) recordOverdue(service string, h *hedge) {
+	if h.overdue {
+		return
+	}
+	h.overdue = true
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.guard(service).Overdue()
+}
+
+// recordInTime records that the endpoint has begun to respond, unless that was overdue.
+func (g *Gateway) recordInTime(service string, h *hedge) {
+	if h.overdue {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.guard(service).InTime()
+}
+
+// guard returns the bounds of the service's hedges. The caller holds mu.
+func (g *Gateway) guard(service string) *hedging.Guard {
+	guard := g.hedges[service]
+	if guard == nil {
+		guard = hedging.NewGuard(g.budget(service).Length())
+		g.hedges[service] = guard
+	}
+	return guard
+}
+
+func (g *Gateway) refusesHedge(service string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return string(g.guard(service).Refuses(time.Now()))
+}
+
+// takeHedge takes a hedge from the service's retry budget and from its limit on hedges. It returns
+// why it may not be sent; empty if it may.
+func (g *Gateway) takeHedge(service string) string {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	guard := g.guard(service)
+	if why := guard.Refuses(now); why != "" {
+		return string(why)
+	}
+	if !g.budget(service).Take(now) {
+		return whyBudget
+	}
+	guard.Take(now)
+	g.resends.Inc(1)
+	g.hedgesSent.Inc(1)
+	return ""
+}
+
+// usualTimes returns what is known of the times to the header of a response on the route.
+func (g *Gateway) usualTimes(route *routing.Route) hedging.Usual {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m := g.usual[route.Name]; m != nil {
+		return *m
+	}
+	return hedging.Usual{}
+}
+
+// recordUsual records the time to the header of an attempt's response that is an answer, relative to
+// the prediction if there is one.
+func (x *exchange) recordUsual(placed Placed, resp *upstream.Response) {
+	if !x.gateway.cfg.HedgeSilent || !x.route.Repeatable() {
+		return
+	}
+	if !x.isAnswer(resp, x.gateway.cfg.Headers.DecodeResponse(resp.Status, resp.Header)) {
+		return
+	}
+	took := float64(time.Since(x.sent))
+	if placed.Predicted > 0 {
+		took /= float64(placed.Predicted)
+	}
+	x.gateway.mu.Lock()
+	defer x.gateway.mu.Unlock()
+	m := x.gateway.usual[x.route.Name]
+	if m == nil {
+		m = &hedging.Usual{}
+		x.gateway.usual[x.route.Name] = m
+	}
+	m.Observe(took)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -46,11 +46,14 @@
 // checkBeforeSending returns the last check of a request, immediately before its first byte. Beside a
 // silent response that takes the retry: a search often finds no endpoint, or reaches none.
 func (x *exchange) checkBeforeSending(entry directory.Entry) func() error {
-	standingBy := x.standingBy
+	standingBy, hedge := x.standingBy, x.hedge
 	return func() error {
 		if err := x.checkPermission(entry); err != nil {
 			return err
 		}
+		if hedge != nil {
+			return x.takeHedge(entry, hedge)
+		}
 		if standingBy && !x.gateway.takeRetry(x.service) {
 			return errors.WithStack(&RetriesExhaustedError{x.service})
 		}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -117,6 +117,9 @@
 
 // observe records what the header of an attempt's response says, and returns it.
 func (x *exchange) observe(o *openedAttempt) provider.ResponseHeader {
+	if o.meta != nil {
+		return *o.meta
+	}
 	resp := o.resp
 	x.framing, x.via = resp.Framing, resp.Via
 	if resp.Framing == upstream.ByClose {
@@ -125,6 +128,7 @@
 	meta := x.gateway.cfg.Headers.DecodeResponse(resp.Status, resp.Header)
 	x.gateway.cfg.Directory.Observed(o.entry.Incarnation(), meta)
 	resp.Observed(meta.RetryAfter, meta.Leaving)
+	o.meta = &meta
 	x.limit = limitText(meta)
 	if resp.Status != http.StatusMisdirectedRequest {
 		x.gateway.cfg.Placer.Answered(o.job, meta.Limit)
@@ -171,7 +175,8 @@
 		result.outcome = unavailableOutcome(unavailable.Availability)
 	}
 	var withheld *WithheldError
-	if errors.As(err, &withheld) {
+	var refused *HedgeRefusedError
+	if errors.As(err, &withheld) || errors.As(err, &refused) {
 		result.outcome = dispatch.Abandoned
 	}
 	if ctx.Err() != nil && (x.standingBy || x.r.Context().Err() != nil || x.gateway.exitingSoon()) {
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -26,17 +26,20 @@
 // Error implements error.
 func (e *StalledError) Error() string { return "no complete event within " + e.Limit.String() }
 
-// standby opens another way to the events of a stream while its endpoint is silent. The response
-// stays open meanwhile, and goes on if its endpoint does: it is given up only when another endpoint
-// has begun to answer.
+// standby opens another way to an answer while the endpoint of an attempt is silent: before the header
+// of its response, where the attempt is hedged, or between the events of a stream. The attempt goes on
+// if its endpoint does: it is given up only when another endpoint has begun to answer.
 //
-// While the handler's goroutine reads from the response, between start and stop, the standby's
+// While the handler's goroutine waits for the response, between start and stop, the standby's
 // goroutine alone uses the exchange.
 type standby struct {
-	x     *exchange
-	ctx   context.Context //nolint:containedctx // that of the handler
-	resp  *upstream.Response
+	x   *exchange
+	ctx context.Context //nolint:containedctx // that of the handler
+	// abort ends the attempt, and limit is the silence after which another way is looked for.
+	abort func()
 	limit time.Duration
+	// hedge is that of an attempt whose endpoint has not begun to respond; nil for a stream.
+	hedge *hedge
 	timer *time.Timer
 
 	mu sync.Mutex
@@ -58,8 +61,8 @@
 
 // newStandby returns the standby of an attempt.
 func (x *exchange) newStandby(ctx context.Context, o *openedAttempt) *standby {
-	s := &standby{x: x, ctx: ctx, resp: o.resp, limit: x.stallLimit()}
-	s.resp.OnPathLost(s.pathLost)
+	s := &standby{x: x, ctx: ctx, abort: o.resp.Abort, limit: x.stallLimit()}
+	o.resp.OnPathLost(s.pathLost)
 	return s
 }
 
@@ -136,6 +139,8 @@
 		return s.broke
 	case s.lost:
 		return errors.WithStack(&upstream.PathLostError{})
+	case s.hedge != nil:
+		return errors.WithStack(&HedgedError{s.limit})
 	}
 	return errors.WithStack(&StalledError{s.limit})
 }
@@ -148,7 +153,7 @@
 		return
 	}
 	defer close(done)
-	found := s.x.openOther(ctx, s.cancel)
+	found := s.x.openOther(ctx, s.cancel, s.hedge)
 	if s.end(found) || found == nil {
 		return
 	}
@@ -163,7 +168,7 @@
 	s.searching = nil
 	if found != nil && s.waiting {
 		s.found = found
-		s.resp.Abort()
+		s.abort()
 		return true
 	}
 	s.cancel()
@@ -209,15 +214,16 @@
 
 // openOther opens an attempt at another endpoint beside the current one, which stays the current
 // one: what the search changes of it is restored at the end. It returns nil if none has begun to
-// answer.
-func (x *exchange) openOther(ctx context.Context, cancel context.CancelFunc) (found *openedAttempt) {
+// answer. The hedge is that of the current attempt if its endpoint has not begun to respond.
+func (x *exchange) openOther(ctx context.Context, cancel context.CancelFunc, h *hedge) (found *openedAttempt) {
 	current, reservations, stale, unsent := x.attemptState, x.failedReservations, x.stalePlacements, x.unsent-x.unsentBefore
 	x.standingBy, x.failedReservations, x.stalePlacements, x.unsentBefore = true, 0, 0, x.unsent
+	x.hedge = h
 	defer func() {
 		if found != nil {
 			found.state, found.cancel = x.attemptState, cancel
 		}
-		x.attemptState, x.standingBy = current, false
+		x.attemptState, x.standingBy, x.hedge = current, false, nil
 		x.failedReservations, x.stalePlacements, x.unsentBefore = reservations, stale, x.unsent-unsent
 	}()
 	var o *openedAttempt
@@ -228,9 +234,7 @@
 		}
 	}()
 	may, why := x.mayRetry(ctx, attemptResult{})
-	x.gateway.cfg.Log.Emit(event.StreamSilent{
-		Request: x.call.ID, Attempt: current.number, Endpoint: current.endpoint, Silent: x.silence(), Again: may, Why: why,
-	})
+	x.recordSilence(may, why)
 	for again := may; again; {
 		if o, again = x.open(ctx, []string{current.endpoint}); o == nil {
 			continue
@@ -248,6 +252,24 @@
 	return nil
 }
 
+// recordSilence records that the current attempt is silent, and whether another endpoint is asked.
+func (x *exchange) recordSilence(may bool, why string) {
+	if x.hedge == nil {
+		x.gateway.cfg.Log.Emit(event.StreamSilent{
+			Request: x.call.ID, Attempt: x.number, Endpoint: x.endpoint, Silent: x.silence(), Again: may, Why: why,
+		})
+		return
+	}
+	x.gateway.recordOverdue(x.service, x.hedge)
+	if !may && x.hedge.refused != why {
+		x.hedge.refused = why
+		x.gateway.hedgesRefused.Inc(1)
+		x.gateway.cfg.Log.Emit(event.HedgeRefused{
+			Request: x.call.ID, Attempt: x.number, Endpoint: x.endpoint, Silent: time.Since(x.hedge.sent), Expected: x.hedge.expected, Why: why,
+		})
+	}
+}
+
 // recoverSearch logs a panic while another attempt was opened, and ends that attempt, if there is
 // one: the response goes on without it.
 func (x *exchange) recoverSearch(o *openedAttempt, recovered any) {
@@ -270,6 +292,11 @@
 			notRun: true, outcome: dispatch.Rejected, blamed: x.blamed(meta.AtFault), status: o.resp.Status,
 			err: errors.WithStack(&NotResumedError{o.resp.Status}),
 		}
+	case x.hedge != nil && !x.streams(o.resp):
+		if !x.isAnswer(o.resp, meta) || !keep() {
+			return attemptResult{outcome: dispatch.Failed, status: o.resp.Status, err: errors.WithStack(&NoAnswerError{o.resp.Status})}
+		}
+		return attemptResult{}
 	case !x.streams(o.resp):
 		return notResumed(o.resp.Status)
 	case !meta.Sealed:
