A hedged stream has begun with its first event

Cause: an engine may send its header at once. A stream whose header has arrived and whose first event is lost was asked for elsewhere only after the caller's patience and 0.5 s.

Change: the hedge holds until the first event. From the caller's patience and 0.5 s on, and where the path is lost, the standby of the stream decides as before. The times of a route's streams are learned from the first event.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,6 +41,12 @@
 	entry directory.Entry
 	grant *ticket.Grant
 	resp  *upstream.Response
+	// hedge is that of the attempt; nil for none. predicted is its predicted time to the first
+	// event; zero for none.
+	hedge     *hedge
+	predicted time.Duration
+	// hedges is set if the attempt was made beside one whose endpoint had not begun to respond.
+	hedges bool
 	// meta is what the header of the response says; nil while it was not recorded.
 	meta *provider.ResponseHeader
 	// buffer has the first events of a stream that replaces another one; nil if nothing of the
@@ -94,6 +100,9 @@
 	o := x.replacement
 	if o != nil {
 		x.replacement, x.attemptState = nil, o.state
+		if o.hedges {
+			x.gateway.hedgesWon.Inc(1)
+		}
 	}
 	return o
 }
@@ -143,8 +152,8 @@
 	x.beginAttempt(&job, placed, entry)
 	req := x.endpointRequest(entry, x.helpers(placed, grant))
 	x.sentTo = append(x.sentTo, entry.Address)
-	resp, cancel, err := x.send(ctx, x.newHedge(placed), req)
-	o = &openedAttempt{job: job.ID, entry: entry, grant: grant, resp: resp, cancel: cancel}
+	o = &openedAttempt{job: job.ID, entry: entry, grant: grant, hedge: x.newHedge(placed), predicted: placed.Predicted}
+	err = x.send(ctx, o, req)
 	if x.replacement != nil {
 		return nil, x.endReplaced(ctx, o, err)
 	}
@@ -154,7 +163,9 @@
 		x.reportEnd(job.ID, entry, result)
 		return nil, x.finishAttempt(ctx, entry, result)
 	}
-	x.recordUsual(placed, resp)
+	if !x.streams(o.resp) {
+		x.recordBegin(o)
+	}
 	return o, false
 }
 
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -78,32 +78,29 @@
 
 // send sends the request of the current attempt. While its endpoint does not begin to respond, other
 // endpoints are asked according to the hedge, if there is one. If one of them has begun to answer in
-// its place, that is x.replacement, and the error is the reason. cancel ends the exchange; nil if it
-// has no context of its own.
-func (x *exchange) send(ctx context.Context, h *hedge, req *upstream.Request) (resp *upstream.Response, cancel context.CancelFunc, err error) {
-	if h == nil {
-		resp, err = x.gateway.cfg.Transport.Send(ctx, req)
-		return resp, nil, err //nolint:wrapcheck // it has its stack
+// its place, that is x.replacement, and the error is the reason.
+func (x *exchange) send(ctx context.Context, o *openedAttempt, req *upstream.Request) (err error) {
+	if o.hedge == nil {
+		o.resp, err = x.gateway.cfg.Transport.Send(ctx, req)
+		return err //nolint:wrapcheck // it has its stack
 	}
 	own, cancel := context.WithCancel(ctx)
-	standby := &standby{x: x, ctx: ctx, abort: cancel, limit: h.delay, hedge: h}
+	o.cancel = cancel
+	standby := &standby{x: x, ctx: ctx, abort: cancel, limit: o.hedge.delay, hedge: o.hedge}
 	defer standby.stop()
 	standby.start()
-	resp, err = x.gateway.cfg.Transport.Send(own, req)
+	o.resp, err = x.gateway.cfg.Transport.Send(own, req)
 	failure := err
-	if err == nil && !x.isAnswer(resp, x.gateway.cfg.Headers.DecodeResponse(resp.Status, resp.Header)) {
-		failure = errors.WithStack(&NoAnswerError{resp.Status})
+	if err == nil && !x.isAnswer(o.resp, x.gateway.cfg.Headers.DecodeResponse(o.resp.Status, o.resp.Header)) {
+		failure = errors.WithStack(&NoAnswerError{o.resp.Status})
 	}
 	if failure != nil {
 		standby.await(failure)
 	}
 	if x.replacement = standby.stop(); x.replacement != nil {
-		return resp, cancel, standby.cause()
+		return standby.cause()
 	}
-	if failure == nil {
-		x.gateway.recordInTime(x.service, h)
-	}
-	return resp, cancel, err //nolint:wrapcheck // it has its stack
+	return err //nolint:wrapcheck // it has its stack
 }
 
 // isAnswer reports whether a response may be delivered, as far as its header tells.
@@ -137,7 +134,6 @@
 	}
 	o.release()
 	result.replaced = true
-	x.gateway.hedgesWon.Inc(1)
 	x.reportEnd(o.job, o.entry, result)
 	return x.finishAttempt(ctx, o.entry, result)
 }
@@ -227,7 +223,7 @@
 	return ""
 }
 
-// usualTimes returns what is known of the times to the header of a response on the route.
+// usualTimes returns what is known of the times to the begin of a response on the route.
 func (g *Gateway) usualTimes(route *routing.Route) hedging.Usual {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -237,18 +233,21 @@
 	return hedging.Usual{}
 }
 
-// recordUsual records the time to the header of an attempt's response that is an answer, relative to
-// the prediction if there is one.
-func (x *exchange) recordUsual(placed Placed, resp *upstream.Response) {
+// recordBegin records that an attempt's endpoint has begun to respond, with the header or, for a
+// stream, with its first event: whether that is in time, and how long it took.
+func (x *exchange) recordBegin(o *openedAttempt) {
 	if !x.gateway.cfg.HedgeSilent || !x.route.Repeatable() {
 		return
 	}
-	if !x.isAnswer(resp, x.gateway.cfg.Headers.DecodeResponse(resp.Status, resp.Header)) {
+	if !x.isAnswer(o.resp, x.gateway.cfg.Headers.DecodeResponse(o.resp.Status, o.resp.Header)) {
 		return
 	}
 	took := float64(time.Since(x.sent))
-	if placed.Predicted > 0 {
-		took /= float64(placed.Predicted)
+	if o.predicted > 0 {
+		took /= float64(o.predicted)
+	}
+	if o.hedge != nil {
+		x.gateway.recordInTime(x.service, o.hedge)
 	}
 	x.gateway.mu.Lock()
 	defer x.gateway.mu.Unlock()
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -107,6 +107,23 @@
 	})
 }
 
+// TestLostEventsAreServedByAnother guards against streams whose header arrives at once and whose
+// events are lost: they were asked for elsewhere only after most callers had left.
+func TestLostEventsAreServedByAnother(t *testing.T) {
+	w, endpoints := newHedging(t, func(n int, r *http.Request, b []byte, c net.Conn) {
+		streamHead(c)
+		lost(n, r, b, c)
+	}, answers)
+	begin := time.Now()
+	got := w.callHedged(t, "/stream/")
+	require.False(t, got.broken)
+	require.Equal(t, whole, got.body)
+	require.Less(t, time.Since(begin), time.Second, "the patience of the route")
+	requireEnds(t, endpoints[0])
+	require.Equal(t, []dispatch.Outcome{dispatch.Abandoned, dispatch.Served}, w.recordedOutcomes())
+	require.EqualValues(t, 1, w.gateway.hedgesWon.Count())
+}
+
 // TestLateAnswerEndsTheHedge guards against a second answer that is delivered as well, and against
 // work of the second endpoint that goes on.
 func TestLateAnswerEndsTheHedge(t *testing.T) {
@@ -231,7 +248,7 @@
 	x := exchange{gateway: w.gateway, route: w.table.Route("h", "/"+route+"/")}
 	for range 16 {
 		x.sent = time.Now().Add(-took)
-		x.recordUsual(Placed{}, &upstream.Response{Status: http.StatusOK, Header: http.Header{hSeal: {"s"}}})
+		x.recordBegin(&openedAttempt{resp: &upstream.Response{Status: http.StatusOK, Header: http.Header{hSeal: {"s"}}}})
 	}
 }
 
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -27,7 +27,8 @@
 func (e *StalledError) Error() string { return "no complete event within " + e.Limit.String() }
 
 // standby opens another way to an answer while the endpoint of an attempt is silent: before the header
-// of its response, where the attempt is hedged, or between the events of a stream. The attempt goes on
+// of its response and the first event of a stream, where the attempt is hedged, or between the events
+// of a stream. The attempt goes on
 // if its endpoint does: it is given up only when another endpoint has begun to answer.
 //
 // While the handler's goroutine waits for the response, between start and stop, the standby's
@@ -38,9 +39,12 @@
 	// abort ends the attempt, and limit is the silence after which another way is looked for.
 	abort func()
 	limit time.Duration
-	// hedge is that of an attempt whose endpoint has not begun to respond; nil for a stream.
+	// hedge is that of an attempt whose endpoint has not begun to respond; nil once it has, and for
+	// an attempt that has none.
 	hedge *hedge
-	timer *time.Timer
+	// responding is set if the header of the response has arrived.
+	responding bool
+	timer      *time.Timer
 
 	mu sync.Mutex
 	// lost is set when the path to the endpoint was found to be lost since the start.
@@ -62,10 +66,23 @@
 // newStandby returns the standby of an attempt.
 func (x *exchange) newStandby(ctx context.Context, o *openedAttempt) *standby {
 	s := &standby{x: x, ctx: ctx, abort: o.resp.Abort, limit: x.stallLimit()}
+	if o.hedge != nil {
+		s.hedge, s.limit, s.responding = o.hedge, o.hedge.delay-time.Since(o.hedge.sent), true
+		if s.limit <= 0 {
+			s.limit = o.hedge.delay
+		}
+	}
 	o.resp.OnPathLost(s.pathLost)
 	return s
 }
 
+// begun records the first event of the stream: from now on the limit on silence is that of streams.
+func (s *standby) begun() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hedge, s.limit = nil, s.x.stallLimit()
+}
+
 // start begins to wait for the next event.
 func (s *standby) start() {
 	s.mu.Lock()
@@ -140,7 +157,7 @@
 	case s.lost:
 		return errors.WithStack(&upstream.PathLostError{})
 	case s.hedge != nil:
-		return errors.WithStack(&HedgedError{s.limit})
+		return errors.WithStack(&HedgedError{s.hedge.delay})
 	}
 	return errors.WithStack(&StalledError{s.limit})
 }
@@ -153,7 +170,7 @@
 		return
 	}
 	defer close(done)
-	found := s.x.openOther(ctx, s.cancel, s.hedge)
+	found := s.x.openOther(ctx, s.cancel, s.hedgeNow())
 	if s.end(found) || found == nil {
 		return
 	}
@@ -179,10 +196,25 @@
 	return false
 }
 
+// hedgeNow returns the hedge that the search under way is for; nil for one that is due without it, as
+// the path is lost or the stream has been silent for longer than most callers wait.
+func (s *standby) hedgeNow() *hedge {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := s.x.stallLimit()
+	if s.hedge != nil && s.responding && (s.lost || limit > 0 && time.Since(s.hedge.sent) >= limit) {
+		s.hedge, s.limit = nil, limit
+	}
+	return s.hedge
+}
+
 // interval returns the time between two searches. The caller holds mu.
 func (s *standby) interval() time.Duration {
-	if s.lost {
+	switch {
+	case s.lost:
 		return lostInterval
+	case s.hedge != nil:
+		return s.hedge.delay
 	}
 	return s.limit
 }
@@ -209,6 +241,10 @@
 		// It says nothing of the endpoint.
 		result.outcome = dispatch.Abandoned
 	}
+	var hedged *HedgedError
+	if errors.As(cause, &hedged) {
+		result.outcome = dispatch.Abandoned
+	}
 	return result
 }
 
@@ -221,7 +257,7 @@
 	x.hedge = h
 	defer func() {
 		if found != nil {
-			found.state, found.cancel = x.attemptState, cancel
+			found.state, found.cancel, found.hedges = x.attemptState, cancel, h != nil
 		}
 		x.attemptState, x.standingBy, x.hedge = current, false, nil
 		x.failedReservations, x.stalePlacements, x.unsentBefore = reservations, stale, x.unsent-unsent
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -64,6 +64,8 @@
 			if x.began.IsZero() {
 				x.began = time.Now()
 				x.recordFirstEvent(o.job)
+				x.recordBegin(o)
+				standby.begun()
 			}
 			if err := x.deliverEvents(resp, events); err != nil {
 				return callerLeft(resp.Status, err)
