Tests of hedged requests notice a first attempt that isn't ended

As trials, ten faults were put into the mechanism, one at a time: two went unnoticed by the tests that are meant for them, as a lost answer was served only when the deadline ended the first attempt, and as the limit on hedges hid the one on attempts. With this change all ten are noticed.

--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -66,6 +66,13 @@
 	return w, endpoints
 }
 
+// recordRequests makes the limit on hedges allow a tenth of the number.
+func (w *harness) recordRequests(n int) {
+	for range n {
+		w.gateway.guard("s").RecordRequest(time.Now())
+	}
+}
+
 func (w *harness) callHedged(t *testing.T, path string) callerResponse {
 	t.Helper()
 	return w.call(t, "POST", path, "b", http.Header{hTimeout: {hedgeTimeout.String()}})
@@ -97,7 +104,9 @@
 func TestLostAnswerIsServedByAnother(t *testing.T) {
 	eachKind(t, func(t *testing.T, path string) {
 		w, endpoints := newHedging(t, lost, answers, answers)
+		begin := time.Now()
 		got := w.callHedged(t, path)
+		require.Less(t, time.Since(begin), lateAnswer)
 		require.False(t, got.broken)
 		require.Equal(t, whole, got.body)
 		requireEnds(t, endpoints[0])
@@ -154,6 +163,7 @@
 			t.Parallel()
 			eachKind(t, func(t *testing.T, path string) {
 				w, endpoints := newHedging(t, after(lateAnswer, answers), second, answers)
+				w.recordRequests(100)
 				got := w.callHedged(t, path)
 				require.False(t, got.broken)
 				require.Equal(t, whole, got.body)
@@ -298,6 +308,7 @@
 func TestBothSilent(t *testing.T) {
 	eachKind(t, func(t *testing.T, path string) {
 		w, endpoints := newHedging(t, lost, lost, answers)
+		w.recordRequests(100)
 		got := w.callHedged(t, path)
 		require.Equal(t, http.StatusGatewayTimeout, got.status)
 		requireEnds(t, endpoints[0])
@@ -441,9 +452,7 @@
 	w.allowance = 1e6
 	free := &freePlacer{harness: w}
 	w.gateway.cfg.Placer = free
-	for range callers * rounds * 10 {
-		w.gateway.guard("s").RecordRequest(time.Now())
-	}
+	w.recordRequests(callers * rounds * 10)
 	served := 0
 	var wg sync.WaitGroup
 	for caller := range callers {
