Searches for a second endpoint count against the limit on hedges

Cause: a hedge was counted only when it was sent. While a service's jobs are queued, each overdue request placed another job, however many.

Change: hedging.Guard counts the searches under way; retry.Window tells how many retries are left.

--- a/core/hedging/guard.go
+++ b/core/hedging/guard.go
@@ -36,6 +36,8 @@
 type Guard struct {
 	window  *retry.Window
 	overdue float64
+	// searching is the number of searches for another endpoint under way.
+	searching int
 }
 
 // NewGuard returns a Guard with the length of the window in which hedges are counted.
@@ -63,5 +65,22 @@
 	return ""
 }
 
+// Begin begins a search for another endpoint, unless it returns why there may be none. Searches that
+// wait for their placement count as hedges, so that they don't fill the queue of a service. One that
+// has sent its hedge counts twice until it ends, which is short.
+func (g *Guard) Begin(now time.Time) Reason {
+	if why := g.Refuses(now); why != "" {
+		return why
+	}
+	if g.window.Left(now) < float64(g.searching+1) {
+		return ReasonShare
+	}
+	g.searching++
+	return ""
+}
+
+// End ends a search.
+func (g *Guard) End() { g.searching-- }
+
 // Take counts a hedge that is about to be sent.
 func (g *Guard) Take(now time.Time) { g.window.Take(now) }
--- a/core/hedging/hedging_test.go
+++ b/core/hedging/hedging_test.go
@@ -151,6 +151,24 @@
 	})
 }
 
+// TestGuardBoundsTheSearches guards against a queue full of second copies of requests that wait for
+// their placement, of which none has been sent yet.
+func TestGuardBoundsTheSearches(t *testing.T) {
+	g, now := NewGuard(10*time.Second), time.Unix(1000, 0)
+	for range 20 {
+		g.RecordRequest(now)
+	}
+	for range 3 {
+		require.Empty(t, g.Begin(now))
+	}
+	require.Equal(t, ReasonShare, g.Begin(now))
+	g.Take(now)
+	g.End()
+	require.Equal(t, ReasonShare, g.Begin(now))
+	g.End()
+	require.Empty(t, g.Begin(now), "a search that has sent nothing")
+}
+
 func later(times []time.Time, since time.Time) (n int) {
 	for _, at := range times {
 		if !at.Before(since) {
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -48,14 +48,17 @@
 }
 
 // Allows reports whether a retry may be made, and counts none.
-func (w *Window) Allows(now time.Time) bool {
+func (w *Window) Allows(now time.Time) bool { return w.Left(now) >= 1 }
+
+// Left returns the number of retries that may be made.
+func (w *Window) Left(now time.Time) float64 {
 	w.tallyAt(now)
 	var sum tally
 	for _, s := range w.intervals {
 		sum.requests += s.requests
 		sum.retries += s.retries
 	}
-	return sum.retries+1 <= w.ratio*sum.requests+w.allowance
+	return w.ratio*sum.requests + w.allowance - sum.retries
 }
 
 // tallyAt returns the tally of the interval that contains now and clears the
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -198,6 +198,22 @@
 	return guard
 }
 
+// beginHedge begins a search for another endpoint, which end ends. Otherwise it returns why there is
+// none.
+func (g *Gateway) beginHedge(service string) (why string, end func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	guard := g.guard(service)
+	if why := guard.Begin(time.Now()); why != "" {
+		return string(why), nil
+	}
+	return "", func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		guard.End()
+	}
+}
+
 func (g *Gateway) refusesHedge(service string) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -214,6 +214,7 @@
 		"disabled":         {"/safe/", func(w *harness) { w.gateway.cfg.HedgeSilent = false }},
 		"retry budget":     {"/safe/", func(w *harness) { w.allowance = 0 }},
 		"limit":            {"/safe/", func(w *harness) { w.gateway.guard("s").Take(time.Now()) }},
+		"others search":    {"/safe/", func(w *harness) { w.gateway.beginHedge("s") }},
 		"VM stops":         {"/safe/", func(w *harness) { stopSoon(w, 0) }},
 		"VM stops later":   {"/safe/", func(w *harness) { stopSoon(w, hedgeTimeout/4) }},
 		"one endpoint":     {"/safe/", func(w *harness) { w.order = w.order[:1] }},
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -270,6 +270,13 @@
 		}
 	}()
 	may, why := x.mayRetry(ctx, attemptResult{})
+	if may && h != nil {
+		var end func()
+		if why, end = x.gateway.beginHedge(x.service); why == "" {
+			defer end()
+		}
+		may = why == ""
+	}
 	x.recordSilence(may, why)
 	for again := may; again; {
 		if o, again = x.open(ctx, []string{current.endpoint}); o == nil {
