--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/provider"
 	"cornelsaddle.example/cornelsaddle/internal/ticket"
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
@@ -40,6 +41,14 @@
 	entry directory.Entry
 	grant *ticket.Grant
 	resp  *upstream.Response
+	// hedge is that of the attempt; nil for none. predicted is its predicted time to the first
+	// event; zero for none.
+	hedge     *hedge
+	predicted time.Duration
+	// hedges is set if the attempt was made beside one whose endpoint had not begun to respond.
+	hedges bool
+	// meta is what the header of the response says; nil while it was not recorded.
+	meta *provider.ResponseHeader
 	// buffer has the first events of a stream that replaces another one; nil if nothing of the
 	// body was read yet.
 	buffer *eventBuffer
@@ -91,6 +100,9 @@
 	o := x.replacement
 	if o != nil {
 		x.replacement, x.attemptState = nil, o.state
+		if o.hedges {
+			x.gateway.hedgesWon.Inc(1)
+		}
 	}
 	return o
 }
@@ -138,15 +150,23 @@
 		return nil, x.handleReservationError(ctx, job.ID, err)
 	}
 	x.beginAttempt(&job, placed, entry)
-	resp, err := x.gateway.cfg.Transport.Send(ctx, x.endpointRequest(entry, x.helpers(placed, grant)))
+	req := x.endpointRequest(entry, x.helpers(placed, grant))
 	x.sentTo = append(x.sentTo, entry.Address)
+	o = &openedAttempt{job: job.ID, entry: entry, grant: grant, hedge: x.newHedge(placed), predicted: placed.Predicted}
+	err = x.send(ctx, o, req)
+	if x.replacement != nil {
+		return nil, x.endReplaced(ctx, o, err)
+	}
 	if err != nil {
-		grant.Release()
+		o.release()
 		result := x.failedAttempt(ctx, err)
 		x.reportEnd(job.ID, entry, result)
 		return nil, x.finishAttempt(ctx, entry, result)
 	}
-	return &openedAttempt{job: job.ID, entry: entry, grant: grant, resp: resp}, false
+	if !x.streams(o.resp) {
+		x.recordBegin(o)
+	}
+	return o, false
 }
 
 // beginAttempt counts and logs an attempt that is about to be sent.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -46,7 +46,7 @@
 // checkBeforeSending returns the last check of a request, immediately before its first byte. Beside a
 // silent response that takes the retry: a search often finds no endpoint, or reaches none.
 func (x *exchange) checkBeforeSending(entry directory.Entry) func() error {
-	standingBy, helpers := x.standingBy, x.helperAddresses
+	standingBy, hedge, helpers := x.standingBy, x.hedge, x.helperAddresses
 	return func() error {
 		if err := x.checkPermission(entry); err != nil {
 			return err
@@ -54,6 +54,9 @@
 		if err := x.checkHelpers(helpers); err != nil {
 			return err
 		}
+		if hedge != nil {
+			return x.takeHedge(entry, hedge)
+		}
 		if standingBy && !x.gateway.takeRetry(x.service) {
 			return errors.WithStack(&RetriesExhaustedError{x.service})
 		}
