gateway: an answer that ends before its request is written is incomplete

Callers saw: an endpoint answers a large upload at once with a 200 that has neither a length nor chunks, sends a part and closes, half-closes or resets the connection. The part was delivered as a complete answer, on idempotent, non-idempotent and streaming routes.

Cause: the end of the connection was taken for the end of the body whatever had become of the request. Where the connection is reset, the pending write takes the error of the socket, and the read that follows sees a regular end.

The end of the connection now completes a body only if the request had been written before. The write is ended when the end is read, and one that failed or was pending makes the answer an UnfinishedRequestError, as do bytes of the request that the other system has not acknowledged: a request of a few MB fits into the send buffer, where nobody has read it. An endpoint that has read all has acknowledged all by the packet that ends its connection, so its answer stays complete. Bodies with a length or chunks are not concerned.

--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -370,6 +370,12 @@
 
 // newHarnessWithMemory is like newHarness, with a memory for buffers.
 func newHarnessWithMemory(t *testing.T, memory *membudget.Budget, endpoints ...*endpoint) *harness {
+	t.Helper()
+	return newHarnessWithLimits(t, memory, routing.Limits{MaxBodyBytes: 1 << 20}, endpoints...)
+}
+
+// newHarnessWithLimits is like newHarnessWithMemory, with limits on requests.
+func newHarnessWithLimits(t *testing.T, memory *membudget.Budget, limits routing.Limits, endpoints ...*endpoint) *harness {
 	t.Helper()
 	w := &harness{directory: directory.New(time.Second), allowance: 10}
 	for i, e := range endpoints {
@@ -398,7 +404,7 @@
 			{Name: "org", Keys: []string{"key"}},
 			{Name: "first", Keys: []string{"key of the first"}, Priority: 0, HasPriority: true},
 		},
-		Limits: routing.Limits{MaxBodyBytes: 1 << 20},
+		Limits: limits,
 	})
 	log, err := event.New(io.Discard, "json", "info", "vm")
 	require.NoError(t, err)
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -1,11 +1,9 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -21,12 +19,6 @@
 )
 
 const (
-	// maxInlineBody is the largest body, in bytes, that is written before the
-	// response is read. A larger one is written concurrently, as the endpoint may
-	// respond before it has read the body.
-	maxInlineBody = 16 << 10
-	// headerBuffer is the initial size of the buffer for a request's header, in bytes.
-	headerBuffer = 1 << 10
 	// maxInterim bounds the interim responses (1xx) to one request, and maxStray the
 	// responses to other requests that are skipped.
 	maxInterim = 16
@@ -103,8 +95,8 @@
 	request   *Request
 	conn      *conn
 	raw       *http.Response
-	// written receives the result of writing the request.
-	written chan error
+	// writing is the writing of the request.
+	writing *writing
 	// release stops the context from closing the connection. It returns false if
 	// the context has ended.
 	release func() bool
@@ -200,12 +192,7 @@
 	memory := t.cfg.Memory.Hold(buffers.Responses, func() { _ = c.Close() })
 	c.head.memory, c.head.taken = memory, 0
 	t.track(c, req)
-	written := make(chan error, 1)
-	if len(req.Body) <= maxInlineBody {
-		written <- writeRequest(c, req)
-	} else {
-		go func() { written <- writeRequest(c, req) }()
-	}
+	w := startWriting(c, req)
 	raw, match, err := readResponse(c, req) //nolint:bodyclose // Response.Close closes the body's connection or returns it to the pool
 	if err != nil {
 		release()
@@ -224,7 +211,7 @@
 	}
 	resp := &Response{
 		Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Framing: framingOf(raw),
-		Memory: memory, transport: t, request: req, conn: c, raw: raw, written: written, release: release, identified: match == Own,
+		Memory: memory, transport: t, request: req, conn: c, raw: raw, writing: w, release: release, identified: match == Own,
 	}
 	if c.relayed != nil {
 		resp.Via, _ = c.relayed.Via()
@@ -276,35 +263,6 @@
 	t.cfg.Traffic.Add(req.Cause, metrics.Received, domain, c.received.Swap(0))
 }
 
-// writeRequest writes header and body, in one call unless the body is large.
-func writeRequest(c *conn, req *Request) error {
-	var b bytes.Buffer
-	large := len(req.Body) > maxInlineBody
-	if large {
-		b.Grow(headerBuffer)
-	} else {
-		b.Grow(headerBuffer + len(req.Body))
-	}
-	b.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
-	for name, values := range req.Header {
-		for _, v := range values {
-			b.WriteString(name + ": " + v + "\r\n")
-		}
-	}
-	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	if !large {
-		b.Write(req.Body)
-	}
-	_, err := c.Write(b.Bytes())
-	if err == nil && large {
-		_, err = c.Write(req.Body)
-	}
-	return errors.WithStack(err)
-}
-
 // readResponse returns the response to this request, Own or Unidentified. It skips
 // interim responses and those to other requests.
 func readResponse(c *conn, req *Request) (*http.Response, Match, error) {
@@ -351,7 +309,8 @@
 	return nil
 }
 
-// eofReader records that the body was read to its end.
+// eofReader records that the body was read to its end. The end of the connection is that of a body
+// only if the body is complete by it.
 type eofReader struct{ resp *Response }
 
 // Read implements io.Reader.
@@ -360,6 +319,11 @@
 	if err != nil {
 		err = gaveWay(r.resp.Memory, err)
 	}
+	if errors.Is(err, io.EOF) && r.resp.endsWithConnection() {
+		if failure := r.resp.writing.complete(r.resp.conn); failure != nil {
+			return n, failure
+		}
+	}
 	if errors.Is(err, io.EOF) {
 		r.resp.bodyEnded = true
 	}
@@ -378,7 +342,7 @@
 	r.conn.onLost.Store(nil)
 	r.transport.count(r.request, r.conn)
 	keep := idleTimeout(r.raw)
-	if !live || r.conn.relayed != nil || !r.identified || !r.bodyEnded || keep == 0 || !r.requestWritten() || r.conn.r.Buffered() > 0 {
+	if !live || r.conn.relayed != nil || !r.identified || !r.bodyEnded || keep == 0 || !r.writing.succeeded() || r.conn.r.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
@@ -406,12 +370,7 @@
 // called concurrently with that read.
 func (r *Response) Abort() { _ = r.conn.Close() }
 
-// requestWritten reports whether the whole request has been written.
-func (r *Response) requestWritten() bool {
-	select {
-	case err := <-r.written:
-		return err == nil
-	default:
-		return false
-	}
+// endsWithConnection reports whether the end of the connection is that of the body.
+func (r *Response) endsWithConnection() bool {
+	return r.Framing == ByClose && r.raw.Body != http.NoBody
 }
