relay: the VM between tells how much of the request it has written

Callers saw: with an endpoint that answers a large upload early and closes, half-closes or resets its connection, a part of the answer was delivered as complete where the request went through another VM.

Cause: the VM that sends the request has written it to the VM between, which still has a part of it or has failed to write it to the endpoint. That VM passed the regular end of the endpoint's connection on regardless.

The VM between reports a connection that broke if a write to the endpoint had failed or was pending when it read the end, which builds of before understand. Otherwise the frame of the end has the number of bytes that it had written, so that bytes that had not reached it yet count as well. Earlier builds ignore the payload; from one that sends none, the answer to a request of one frame is complete, as nothing of a response is forwarded before the first frame was written.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,12 +22,17 @@
 	// remaining is the number of bytes of the current frame of data that are not read yet.
 	remaining int
 	ended     error
+	// sent counts the bytes of the request that were written to the VM between, and frames their
+	// frames; forwarded are the bytes that it had written to the endpoint at the regular end of
+	// its connection, -1 if it did not say so.
+	sent, frames atomic.Int64
+	forwarded    int64
 	// writing serialises the frames.
 	writing sync.Mutex
 }
 
 func newConn(c net.Conn, vm, domain string) *Conn {
-	return &Conn{Conn: c, vm: vm, domain: domain, r: bufio.NewReader(c)}
+	return &Conn{Conn: c, vm: vm, domain: domain, r: bufio.NewReader(c), forwarded: -1}
 }
 
 // Via returns the VM between, and its failure domain.
@@ -38,6 +45,8 @@
 	if err := writeData(c.Conn, p); err != nil {
 		return 0, err
 	}
+	c.sent.Add(int64(len(p)))
+	c.frames.Add(int64((len(p) + maxPayload - 1) / maxPayload))
 	return len(p), nil
 }
 
@@ -72,7 +81,7 @@
 		c.remaining = n
 		return nil
 	case frameEnd:
-		return io.EOF
+		return c.end(n)
 	case frameNotSent:
 		return errors.WithStack(&NotSentError{c.vm})
 	case frameBroken:
@@ -82,6 +91,34 @@
 	return c.lost(&FrameError{byte(t), uint32(n)})
 }
 
+// end reads the payload of a frameEnd.
+func (c *Conn) end(n int) error {
+	if n == 0 {
+		// A VM of an earlier build sends none.
+		return io.EOF
+	}
+	var b [countBytes]byte
+	if n != len(b) {
+		return c.lost(&FrameError{byte(frameEnd), uint32(n)})
+	}
+	if _, err := io.ReadFull(c.r, b[:]); err != nil {
+		return c.lost(err)
+	}
+	c.forwarded = int64(binary.BigEndian.Uint64(b[:]))
+	return io.EOF
+}
+
+// RequestForwarded reports whether all that was written had been written to the endpoint when its
+// connection ended. It must be called after Read has returned io.EOF. A VM of an earlier build
+// doesn't tell; it forwards nothing of a response before it has written the first frame, so that the
+// answer is known for a request of one frame.
+func (c *Conn) RequestForwarded() bool {
+	if c.forwarded < 0 {
+		return c.frames.Load() <= 1
+	}
+	return c.forwarded >= c.sent.Load()
+}
+
 func (c *Conn) lost(err error) error { return errors.WithStack(&LostError{c.vm, err}) }
 
 // Observed tells the VM between what the response says of its endpoint: the time for which it
--- a/internal/relay/frame.go
+++ b/internal/relay/frame.go
@@ -17,7 +17,9 @@
 const (
 	// frameData has bytes of the request or of the response.
 	frameData frameType = 1
-	// frameEnd means that the endpoint has ended its connection regularly.
+	// frameEnd means that the endpoint has ended its connection regularly. Its payload is the number
+	// of bytes of the request that had been written to it by then, of countBytes; earlier builds
+	// send none, and ignore it.
 	frameEnd frameType = 2
 	// frameNotSent means that no byte of the request was sent to the endpoint, and none will
 	// be.
@@ -34,6 +36,8 @@
 	headerBytes = 5
 	// maxPayload bounds the payload of a frame, in bytes.
 	maxPayload = 64 << 10
+	// countBytes is the length of a number of bytes in a payload, a big-endian integer.
+	countBytes = 8
 )
 
 // FrameError reports a frame that the protocol doesn't allow.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 
 	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/httpcheck"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
 )
@@ -147,6 +149,12 @@
 	conn     net.Conn
 	// writing serialises the frames to the owner.
 	writing sync.Mutex
+	// forwarding serialises the writes to the endpoint, and guards the fields below.
+	forwarding sync.Mutex
+	// forwarded counts the bytes of the request that were written to the endpoint, and failed is
+	// set once a write failed.
+	forwarded int64
+	failed    bool
 }
 
 // Close implements peer.Upgraded.
@@ -196,7 +204,7 @@
 		if first && !r.mayWrite() {
 			return r.write(owner, frameNotSent, nil)
 		}
-		written, err := r.conn.Write(payload)
+		written, err := r.forward(payload)
 		if first && written == 0 && err != nil {
 			return r.write(owner, frameNotSent, nil)
 		}
@@ -212,6 +220,26 @@
 	}
 }
 
+// forward writes bytes of the request to the endpoint.
+func (r *relayed) forward(payload []byte) (int, error) {
+	r.forwarding.Lock()
+	defer r.forwarding.Unlock()
+	n, err := r.conn.Write(payload)
+	r.forwarded += int64(n)
+	r.failed = r.failed || err != nil
+	return n, errors.WithStack(err)
+}
+
+// requestForwarded returns the number of bytes of the request that had been written to the endpoint
+// when its connection ended, and false if more of them were to be written (see package httpcheck). A
+// write that is pending is ended: one that has returned from the system may not have been counted yet.
+func (r *relayed) requestForwarded() (int64, bool) {
+	_ = r.conn.SetWriteDeadline(time.Unix(1, 0))
+	r.forwarding.Lock()
+	defer r.forwarding.Unlock()
+	return r.forwarded, !r.failed && httpcheck.Acknowledged(r.conn)
+}
+
 // mayWrite reports whether the endpoint may be sent the request, immediately before its first
 // byte.
 func (r *relayed) mayWrite() bool {
@@ -231,7 +259,7 @@
 		case err == nil:
 			continue
 		case errors.Is(err, io.EOF):
-			_ = r.write(owner, frameEnd, nil)
+			r.writeEnd(owner)
 		default:
 			_ = r.write(owner, frameBroken, nil)
 		}
@@ -239,6 +267,17 @@
 	}
 }
 
+// writeEnd writes how the request and the response have ended with the regular end of the endpoint's
+// connection.
+func (r *relayed) writeEnd(owner net.Conn) {
+	forwarded, whole := r.requestForwarded()
+	if !whole {
+		_ = r.write(owner, frameBroken, nil)
+		return
+	}
+	_ = r.write(owner, frameEnd, binary.BigEndian.AppendUint64(nil, uint64(forwarded)))
+}
+
 func (r *relayed) write(owner net.Conn, t frameType, payload []byte) error {
 	r.writing.Lock()
 	defer r.writing.Unlock()
--- a/internal/upstream/paths_test.go
+++ b/internal/upstream/paths_test.go
@@ -31,6 +31,9 @@
 // Observed implements RelayedConn.
 func (relayedTo) Observed(time.Duration, bool) error { return nil }
 
+// RequestForwarded implements RelayedConn.
+func (relayedTo) RequestForwarded() bool { return true }
+
 // witness is the error of a VM that finds that the endpoint can't be reached.
 type witness struct{}
 
--- a/internal/upstream/ways.go
+++ b/internal/upstream/ways.go
@@ -33,6 +33,9 @@
 	// Observed tells that VM for how long the endpoint wants no requests, and whether it
 	// leaves.
 	Observed(retryAfter time.Duration, leaving bool) error
+	// RequestForwarded reports, once io.EOF was read, whether that VM had written all of the
+	// request to the endpoint when the endpoint ended the connection.
+	RequestForwarded() bool
 }
 
 // Relay opens connections to endpoints through other VMs.
--- a/internal/upstream/writing.go
+++ b/internal/upstream/writing.go
@@ -64,7 +64,7 @@
 		return errors.WithStack(&httpcheck.UnfinishedRequestError{})
 	case w.err != nil:
 		return errors.WithStack(&httpcheck.UnfinishedRequestError{Cause: w.err})
-	case !httpcheck.Acknowledged(c.Conn):
+	case c.relayed != nil && !c.relayed.RequestForwarded(), !httpcheck.Acknowledged(c.Conn):
 		return errors.WithStack(&httpcheck.UnfinishedRequestError{})
 	}
 	return nil
