serve: a service's answer that ends before its request was received is incomplete

Callers saw: a service answers a request of 1 MB at once without a length, sends a part and half-closes its connection without having read the request. The part was the answer of the call.

Cause: fasthttp writes the whole request before it reads the response, so that a write that fails or is pending is an error already. But a request that fits into the buffers of the system counts as written though nobody has read it.

The connections of all fasthttp clients report an end of the connection as an UnfinishedRequestError while bytes of the request are not acknowledged.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"cornelsaddle.example/cornelsaddle/internal/httpcheck"
 )
 
 // connectTimeout bounds the opening of one connection by TCP.
@@ -27,7 +29,7 @@
 
 // TCP opens a connection within the timeout, or within connectTimeout if that is
 // shorter or the timeout is not positive. It fails with an *Error. It is a
-// fasthttp.DialFuncWithTimeout.
+// fasthttp.DialFuncWithTimeout. The connection judges the ends of responses (see package httpcheck).
 func TCP(address string, timeout time.Duration) (net.Conn, error) {
 	if timeout <= 0 || timeout > connectTimeout {
 		timeout = connectTimeout
@@ -36,7 +38,7 @@
 	if err != nil {
 		return nil, errors.WithStack(&Error{err})
 	}
-	return conn, nil
+	return httpcheck.NewConn(conn), nil
 }
 
 // NotSent reports whether err proves that no byte of the request was sent: the
