gateway: a status below 100, or 101, ends the attempt

Callers saw: an endpoint answers with the status 000 and keeps its connection. The request waited until its deadline and ended with a timeout, and no other endpoint was asked.

Cause: every status below 200 counted as that of an interim response, which another response follows.

httpcheck.Status says which statuses are valid, and any other one fails the attempt and closes the connection at once: the request may have run, whatever the header says. Statuses that are no three digits were errors before. 600 to 999 stay errors of the server, as RFC 9110, section 15, asks of clients; the answer is passed on unchanged if no other endpoint may be asked, as callers are clients as well.

TestInvalidStatusEndsTheAttempt failed before for 000, 001, 099, 101, +20 and +99, alone and after an interim response, by the deadline; the other statuses passed. TestStatusAboveTheStandardIsAServerError passed before.

--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -14,6 +14,7 @@
 	"cornelsaddle.example/cornelsaddle/core/buffers"
 	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/httpcheck"
 	"cornelsaddle.example/cornelsaddle/internal/membudget"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
 )
@@ -278,7 +279,10 @@
 		if err != nil {
 			return nil, Other, errors.WithStack(err)
 		}
-		if raw.StatusCode < http.StatusOK {
+		if err := httpcheck.Status(raw.StatusCode); err != nil {
+			return nil, Other, err //nolint:wrapcheck // it has its stack
+		}
+		if httpcheck.IsInterim(raw.StatusCode) {
 			interim++
 			continue
 		}
