serve: a status below 100, or 101, is no response

Seen: an endpoint or the table service answers with the status 000. A probe, an order, a reservation, a call or a write to the store counted as done: fasthttp's StatusCode() returns 200 for 0. With 001 to 099 or 101 and a header that says that the request did not run, a call or an attempt counted as refused, and was sent again.

Cause: no client of serve looked at the range of a status, and fasthttp keeps a status of 0 to itself.

After an InvalidStatusError whether the request ran is not known. Statuses above 599 stay errors, of a service they are passed on as before.

Failed before: TestInvalidStatusIsNoResponse (000, 001, 099, 101, +20 and +99, in one client or more) and TestInvalidStatusOfTheStoreIsNoSuccess (000). TestStatusAboveTheStandardIsAnError and TestResponsesAfterAnInterimOneAreRead guard what stays; the latter and TestStatusIsReadFromPieces are of the new check.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -29,7 +29,8 @@
 
 // TCP opens a connection within the timeout, or within connectTimeout if that is
 // shorter or the timeout is not positive. It fails with an *Error. It is a
-// fasthttp.DialFuncWithTimeout. The connection judges the ends of responses (see package httpcheck).
+// fasthttp.DialFuncWithTimeout. The connection checks the statuses and the
+// ends of responses (see package httpcheck).
 func TCP(address string, timeout time.Duration) (net.Conn, error) {
 	if timeout <= 0 || timeout > connectTimeout {
 		timeout = connectTimeout
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, errors.WithStack(&Error{err})
 	}
-	return httpcheck.NewConn(conn), nil
+	return httpcheck.NewSequentialConn(conn), nil
 }
 
 // NotSent reports whether err proves that no byte of the request was sent: the
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"cornelsaddle.example/cornelsaddle/core/wire"
+	"cornelsaddle.example/cornelsaddle/internal/httpcheck"
 )
 
 const (
@@ -128,6 +129,10 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	if err := httpcheck.Status(res.StatusCode); err != nil {
+		_ = res.Body.Close()
+		return nil, err //nolint:wrapcheck // it has its stack
+	}
 	observeLimit(c.limits, a.Address, sentAt, res.Header.Values(wire.HeaderLimit))
 	if res.StatusCode != http.StatusOK {
 		_ = res.Body.Close()
