gateway: an endpoint that answers early gets the rest of the upload

Seen: an endpoint answers a large upload with a length or chunks before it has read it, keeps the connection and reads on. The answer was delivered, and the upload broke off at the endpoint: 3.9 of 8 MB arrived.

Cause: the connection was closed as soon as the answer had been read.

The rest is written after the answer was delivered, without holding the caller, for at most 0.4 s: nothing may be left at an endpoint half a second after its caller has disconnected, and an endpoint that does not read on must not keep the upload. The memory of the body counts until then. An endpoint that announces the end of its connection wants no more of the request (RFC 9112, section 9.6), and gets none.

--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -141,10 +141,20 @@
 // given.
 type writerOnly struct{ io.Writer }
 
-// releaseMemory gives the memory of the request's body, and of what is retained, back.
+// releaseMemory gives the memory of the request's body, and of what is retained, back. The body is
+// kept while an endpoint still gets the rest of it.
 func (x *exchange) releaseMemory() {
-	x.memory.Close()
 	x.retention.Close()
+	if len(x.lingering) == 0 {
+		x.memory.Close()
+		return
+	}
+	go func() {
+		defer x.memory.Close()
+		for _, done := range x.lingering {
+			<-done
+		}
+	}()
 }
 
 // refuseMemory refuses a request whose body has no room in the memory.
--- a/internal/gateway/early_test.go
+++ b/internal/gateway/early_test.go
@@ -175,3 +175,37 @@
 		}
 	}
 }
+
+// TestEarlyEndpointGetsTheRestOfTheUpload guards against the upload breaking off at an endpoint that has
+// answered before it has read it, keeps the connection and reads on, and against an endpoint that does
+// not read on keeping the upload.
+func TestEarlyEndpointGetsTheRestOfTheUpload(t *testing.T) {
+	t.Parallel()
+	for kind, answer := range map[string]string{
+		"length": "Content-Length: 5\r\n\r\nwhole",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	} {
+		for _, reads := range []bool{true, false} {
+			read := make(chan int64, 1)
+			answered := make(chan struct{})
+			w := newUploadHarness(t, newHeadEndpoint(t, func(c *net.TCPConn, req *http.Request) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+ownHeader+answer)
+				<-answered
+				if !reads {
+					time.Sleep(time.Second)
+				}
+				n, _ := io.Copy(io.Discard, req.Body)
+				read <- n
+			}))
+			got := w.call(t, "POST", "/calm/once/", upload, patient)
+			require.Equal(t, "whole", got.body, kind)
+			close(answered)
+			n := <-read
+			if reads {
+				require.EqualValues(t, len(upload), n, kind)
+			} else {
+				require.Less(t, n, int64(len(upload)), kind)
+			}
+		}
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -49,6 +49,9 @@
 	body     []byte
 	// memory holds the memory of body, and retention that of failureResponse.
 	memory, retention *membudget.Holder
+	// lingering has, for each endpoint that has answered before it has read the body, what is
+	// closed when it gets no more of it.
+	lingering []<-chan struct{}
 	// requestDigest is the digest of the request.
 	requestDigest string
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -40,6 +40,7 @@
 		NewConnection: x.needsNewConnection(entry),
 		Check:         x.checkBeforeSending(entry),
 		Match:         x.match,
+		OnLinger:      func(done <-chan struct{}) { x.lingering = append(x.lingering, done) },
 	}
 }
 
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -59,6 +59,9 @@
 	// Match tells whether a response with the header belongs to this request; nil takes
 	// every response as its own.
 	Match func(http.Header) Match
+	// OnLinger is called by Response.Close if the endpoint still gets the rest of Body, which must
+	// not change until done is closed; nil for none.
+	OnLinger func(done <-chan struct{})
 }
 
 // Match tells whether a response belongs to a request.
@@ -336,7 +339,9 @@
 
 // Close ends the exchange. It returns the connection to the pool if request and
 // response were transferred completely, the response is known to be this request's,
-// and the endpoint keeps the connection open; otherwise it closes the connection.
+// and the endpoint keeps the connection open; otherwise it closes the connection. An endpoint
+// that has answered before it has read the request, and keeps the connection open, gets the rest
+// within lingerTimeout first.
 func (r *Response) Close() {
 	live := r.release() && r.Memory.Err() == nil
 	// From here on the holder can't give way, which would close a connection that is reused.
@@ -346,6 +351,10 @@
 	r.conn.onLost.Store(nil)
 	r.transport.count(r.request, r.conn)
 	keep := idleTimeout(r.raw)
+	if live && r.bodyEnded && keep > 0 && !r.writing.ended() {
+		r.linger()
+		return
+	}
 	if !live || r.conn.relayed != nil || !r.identified || !r.bodyEnded || keep == 0 || !r.writing.succeeded() || r.conn.r.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
--- a/internal/upstream/writing.go
+++ b/internal/upstream/writing.go
@@ -19,6 +19,10 @@
 	maxInlineBody = 16 << 10
 	// headerBuffer is the initial size of the buffer for a request's header, in bytes.
 	headerBuffer = 1 << 10
+	// lingerTimeout bounds the time for which the rest of a request is written after its response was
+	// read. It is under the half second after which nothing may be left at an endpoint of a caller
+	// that has disconnected.
+	lingerTimeout = 400 * time.Millisecond
 )
 
 // writing is the writing of one request.
@@ -43,16 +47,19 @@
 	return w
 }
 
-// succeeded reports whether the whole request has been written.
-func (w *writing) succeeded() bool {
+// ended reports whether writing has ended.
+func (w *writing) ended() bool {
 	select {
 	case <-w.done:
-		return w.err == nil
+		return true
 	default:
 		return false
 	}
 }
 
+// succeeded reports whether the whole request has been written.
+func (w *writing) succeeded() bool { return w.ended() && w.err == nil }
+
 // complete returns nil if the end of the connection, which was just read, makes the response complete
 // (see package httpcheck), and an UnfinishedRequestError otherwise. A write that is pending is ended:
 // one that has returned from the system may not have been noticed yet.
@@ -70,6 +77,19 @@
 	return nil
 }
 
+// linger writes the rest of the request, and closes the connection then.
+func (r *Response) linger() {
+	_ = r.conn.SetWriteDeadline(time.Now().Add(lingerTimeout))
+	if r.request.OnLinger != nil {
+		r.request.OnLinger(r.writing.done)
+	}
+	go func() {
+		<-r.writing.done
+		r.transport.count(r.request, r.conn)
+		_ = r.conn.Close()
+	}()
+}
+
 // writeRequest writes header and body, in one call unless the body is large.
 func writeRequest(c *conn, req *Request) error {
 	var b bytes.Buffer
