--- a/internal/httpcheck/doc.go
+++ b/internal/httpcheck/doc.go
@@ -1,9 +1,9 @@
 // Package httpcheck has the rules by which the HTTP clients of this VM, in gateway and in serve,
-// judge the response of an endpoint or a store.
+// judge the response of an endpoint or a store. docs/design/complete-answers.md has the reasons.
 //
 // # When an answer is complete
 //
-// An answer is complete when its body has ended as its framing says:
+// An answer has a valid status (Status), and is complete when its body has ended as its framing says:
 //
 //   - by length: that many bytes have arrived;
 //   - by chunks: the last chunk and the trailer have arrived;
@@ -12,23 +12,26 @@
 //     answer incomplete (UnfinishedRequestError), and so do bytes of the request that the other
 //     system has not acknowledged: nobody can have read them. A reset is never an end.
 //
-// Streams have rules of their own on top: in gateway a stream does not end inside an event, in serve
-// it ends with its end marker. An incomplete answer is replaced by another attempt where that is
-// allowed, and otherwise the caller can see that it is broken.
+// Streams have rules of their own on top. In gateway a stream does not end inside an event, nor, by
+// the end of its connection, without one. In serve a stream ends with its end marker. An incomplete
+// answer is replaced by another attempt where that is allowed, and otherwise the caller can see that
+// it is broken.
 //
 // An endpoint may answer before it has read the whole request. The rest of the request is written
-// while the answer is read, and an answer with a length or chunks is complete without it.
+// while the answer is read, and for a short time after that (lingerTimeout in internal/upstream); an
+// answer with a length or chunks is complete without it.
 //
 // # When an answer is ended
 //
 // This VM ends an answer that has begun, by closing its connection, only when
 //
-//   - the caller has disconnected, or the deadline of the request has expired;
-//   - another endpoint has begun to answer in its place;
+//   - the caller has disconnected or does not read, or the deadline of the request has expired;
+//   - it is not what was asked for: its status is not valid, it belongs to another request, or it
+//     does not go on where the stream has been delivered to;
 //   - it exceeds a bound of bytes, or its memory has to give way;
-//   - its status is not valid (Status), or it belongs to another request;
-//   - the path to the endpoint is lost and the request may be sent again;
+//   - another endpoint has begun to answer in its place, or, in serve, takes the prompt in its place;
+//   - the path to the endpoint is lost, and the request may be sent again;
 //   - the process ends.
 //
-// Silence of the endpoint is no reason.
+// The silence of an endpoint alone is no reason.
 package httpcheck
--- a/internal/httpcheck/trace.go
+++ b/internal/httpcheck/trace.go
@@ -12,12 +12,12 @@
 type Trace struct {
 	ctx context.Context //nolint:containedctx // that of the request
 	// written receives the result of the last write.
-	written chan error
+	written chan httptrace.WroteRequestInfo
 }
 
 // NewTrace returns a Trace, and the context for the request.
 func NewTrace(ctx context.Context) (context.Context, *Trace) {
-	t := &Trace{ctx: ctx, written: make(chan error, 1)}
+	t := &Trace{ctx: ctx, written: make(chan httptrace.WroteRequestInfo, 1)}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: t.wrote}), t
 }
 
@@ -27,7 +27,7 @@
 	case <-t.written:
 	default:
 	}
-	t.written <- info.Err
+	t.written <- info
 }
 
 // Complete returns nil if a response whose body was read to its end is complete, and an
@@ -37,9 +37,9 @@
 		return nil
 	}
 	select {
-	case err := <-t.written:
-		if err != nil {
-			return errors.WithStack(&UnfinishedRequestError{Cause: err})
+	case info := <-t.written:
+		if info.Err != nil {
+			return errors.WithStack(&UnfinishedRequestError{Cause: info.Err})
 		}
 		return nil
 	case <-t.ctx.Done():
--- a/internal/upstream/framing.go
+++ b/internal/upstream/framing.go
@@ -12,7 +12,8 @@
 	// ByChunks bodies end with an empty chunk.
 	ByChunks Framing = "chunks"
 	// ByClose bodies end with the connection. A body that was cut off by a regular
-	// close can't be told from a complete one.
+	// close, once the request was written, can't be told from a complete one (package
+	// httpcheck has the rule).
 	ByClose Framing = "close"
 )
 
