--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -1,11 +1,9 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -16,17 +14,12 @@
 	"cornelsaddle.example/cornelsaddle/core/buffers"
 	"cornelsaddle.example/cornelsaddle/core/directory"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/httpcheck"
 	"cornelsaddle.example/cornelsaddle/internal/membudget"
 	"cornelsaddle.example/cornelsaddle/internal/metrics"
 )
 
 const (
-	// maxInlineBody is the largest body, in bytes, that is written before the
-	// response is read. A larger one is written concurrently, as the endpoint may
-	// respond before it has read the body.
-	maxInlineBody = 16 << 10
-	// headerBuffer is the initial size of the buffer for a request's header, in bytes.
-	headerBuffer = 1 << 10
 	// maxInterim bounds the interim responses (1xx) to one request, and maxStray the
 	// responses to other requests that are skipped.
 	maxInterim = 16
@@ -66,6 +59,9 @@
 	// Match tells whether a response with the header belongs to this request; nil takes
 	// every response as its own.
 	Match func(http.Header) Match
+	// OnLinger is called by Response.Close if the endpoint still gets the rest of Body, which must
+	// not change until done is closed; nil for none.
+	OnLinger func(done <-chan struct{})
 }
 
 // Match tells whether a response belongs to a request.
@@ -103,8 +99,8 @@
 	request   *Request
 	conn      *conn
 	raw       *http.Response
-	// written receives the result of writing the request.
-	written chan error
+	// writing is the writing of the request.
+	writing *writing
 	// release stops the context from closing the connection. It returns false if
 	// the context has ended.
 	release func() bool
@@ -200,12 +196,7 @@
 	memory := t.cfg.Memory.Hold(buffers.Responses, func() { _ = c.Close() })
 	c.head.memory, c.head.taken = memory, 0
 	t.track(c, req)
-	written := make(chan error, 1)
-	if len(req.Body) <= maxInlineBody {
-		written <- writeRequest(c, req)
-	} else {
-		go func() { written <- writeRequest(c, req) }()
-	}
+	w := startWriting(c, req)
 	raw, match, err := readResponse(c, req) //nolint:bodyclose // Response.Close closes the body's connection or returns it to the pool
 	if err != nil {
 		release()
@@ -224,7 +215,7 @@
 	}
 	resp := &Response{
 		Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, Framing: framingOf(raw),
-		Memory: memory, transport: t, request: req, conn: c, raw: raw, written: written, release: release, identified: match == Own,
+		Memory: memory, transport: t, request: req, conn: c, raw: raw, writing: w, release: release, identified: match == Own,
 	}
 	if c.relayed != nil {
 		resp.Via, _ = c.relayed.Via()
@@ -276,35 +267,6 @@
 	t.cfg.Traffic.Add(req.Cause, metrics.Received, domain, c.received.Swap(0))
 }
 
-// writeRequest writes header and body, in one call unless the body is large.
-func writeRequest(c *conn, req *Request) error {
-	var b bytes.Buffer
-	large := len(req.Body) > maxInlineBody
-	if large {
-		b.Grow(headerBuffer)
-	} else {
-		b.Grow(headerBuffer + len(req.Body))
-	}
-	b.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
-	for name, values := range req.Header {
-		for _, v := range values {
-			b.WriteString(name + ": " + v + "\r\n")
-		}
-	}
-	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	if !large {
-		b.Write(req.Body)
-	}
-	_, err := c.Write(b.Bytes())
-	if err == nil && large {
-		_, err = c.Write(req.Body)
-	}
-	return errors.WithStack(err)
-}
-
 // readResponse returns the response to this request, Own or Unidentified. It skips
 // interim responses and those to other requests.
 func readResponse(c *conn, req *Request) (*http.Response, Match, error) {
@@ -320,7 +282,10 @@
 		if err != nil {
 			return nil, Other, errors.WithStack(err)
 		}
-		if raw.StatusCode < http.StatusOK {
+		if err := httpcheck.Status(raw.StatusCode); err != nil {
+			return nil, Other, err //nolint:wrapcheck // it has its stack
+		}
+		if httpcheck.IsInterim(raw.StatusCode) {
 			interim++
 			continue
 		}
@@ -351,7 +316,8 @@
 	return nil
 }
 
-// eofReader records that the body was read to its end.
+// eofReader records that the body was read to its end. The end of the connection is that of a body
+// only if the body is complete by it.
 type eofReader struct{ resp *Response }
 
 // Read implements io.Reader.
@@ -360,6 +326,11 @@
 	if err != nil {
 		err = gaveWay(r.resp.Memory, err)
 	}
+	if errors.Is(err, io.EOF) && r.resp.endsWithConnection() {
+		if failure := r.resp.writing.complete(r.resp.conn); failure != nil {
+			return n, failure
+		}
+	}
 	if errors.Is(err, io.EOF) {
 		r.resp.bodyEnded = true
 	}
@@ -368,7 +339,9 @@
 
 // Close ends the exchange. It returns the connection to the pool if request and
 // response were transferred completely, the response is known to be this request's,
-// and the endpoint keeps the connection open; otherwise it closes the connection.
+// and the endpoint keeps the connection open; otherwise it closes the connection. An endpoint
+// that has answered before it has read the request, and keeps the connection open, gets the rest
+// within lingerTimeout first.
 func (r *Response) Close() {
 	live := r.release() && r.Memory.Err() == nil
 	// From here on the holder can't give way, which would close a connection that is reused.
@@ -378,7 +351,11 @@
 	r.conn.onLost.Store(nil)
 	r.transport.count(r.request, r.conn)
 	keep := idleTimeout(r.raw)
-	if !live || r.conn.relayed != nil || !r.identified || !r.bodyEnded || keep == 0 || !r.requestWritten() || r.conn.r.Buffered() > 0 {
+	if live && r.bodyEnded && keep > 0 && !r.writing.ended() {
+		r.linger()
+		return
+	}
+	if !live || r.conn.relayed != nil || !r.identified || !r.bodyEnded || keep == 0 || !r.writing.succeeded() || r.conn.r.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
@@ -406,12 +383,7 @@
 // called concurrently with that read.
 func (r *Response) Abort() { _ = r.conn.Close() }
 
-// requestWritten reports whether the whole request has been written.
-func (r *Response) requestWritten() bool {
-	select {
-	case err := <-r.written:
-		return err == nil
-	default:
-		return false
-	}
+// endsWithConnection reports whether the end of the connection is that of the body.
+func (r *Response) endsWithConnection() bool {
+	return r.Framing == ByClose && r.raw.Body != http.NoBody
 }
