Calls of plain services go where they are expected to end first

The jobs of a plain service were counted: a sixth of the calls went to an endpoint five times slower although others had capacity, and a dear call counted as a cheap one. With LearnCosts the dispatcher observes served calls, places by expected completion and remaining work, holds a call for a better endpoint, and uses the same estimates for the wait, the refusal and a stopping VM. Slow endpoints without calls are probed, one call of a service at a time. Equal endpoints and equal calls are placed by count as before, and without LearnCosts nothing changes. Jobs carry route, method and body size.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -24,6 +24,9 @@
 	d.longHeld = false
 	d.fullService = ""
 	clear(d.heldPlain)
+	if d.costs != nil {
+		d.costs.decision++
+	}
 	var decisions []Decision
 	kept := d.queue[:0]
 	for _, q := range d.queue {
@@ -107,6 +110,9 @@
 	if d.lightClosed(now, job) {
 		return d.hold(now, job)
 	}
+	if pool := d.usualPool(now, job); pool != nil {
+		return d.decidePlain(now, job, pool)
+	}
 	pool, limited := d.candidates(now, job)
 	switch {
 	case len(pool) == 0 && limited:
@@ -189,9 +195,14 @@
 }
 
 func (d *Dispatcher) place(now time.Time, job *Job, p Placement) Decision {
+	return d.placeEstimated(now, job, p, jobCost{})
+}
+
+// placeEstimated is like place for a job of a plain service whose cost is known.
+func (d *Dispatcher) placeEstimated(now time.Time, job *Job, p Placement, cost jobCost) Decision {
 	d.countRequests(now, job, &p)
 	p.Limited = d.endpoints[p.Endpoint].limit != nil
-	d.delayPredictions(d.addPlaced(now, job, p))
+	d.delayPredictions(d.addPlaced(now, job, p, cost))
 	return Decision{Placement: &p}
 }
 
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -54,6 +54,12 @@
 	// predicted is when the first event is expected.
 	predicted time.Time
 	placedAt  time.Time
+	// cost is the expected time of a job of a plain service at an endpoint of usual speed; zero if
+	// it is not known. placedSince is placedAt as costs counts time, and ageUnknown is set if the
+	// job was adopted and placedAt is when that was.
+	cost        jobCost
+	placedSince time.Duration
+	ageUnknown  bool
 }
 
 // Dispatcher places the jobs of a group of endpoints and tracks them until they
@@ -90,6 +96,8 @@
 	// the dispatcher's processor time.
 	searches int64
 	scratch  scratch
+	// costs is nil without Config.LearnCosts.
+	costs *costs
 }
 
 // scratch holds the lists of one placement, which are kept from one to the next, as they
@@ -116,6 +124,7 @@
 		placed:    make(map[JobKey]*placedJob),
 		demands:   make(map[string]*demand),
 		heldPlain: make(map[string]int),
+		costs:     newCosts(cfg),
 	}
 }
 
@@ -171,13 +180,20 @@
 // queue. started is set if its first event has been reported. The request does not count
 // for the bounded rate of its endpoint: the other dispatcher has counted it.
 func (d *Dispatcher) Adopt(now time.Time, job Job, p Placement, started bool) {
+	d.AdoptPlaced(now, time.Time{}, job, p, started)
+}
+
+// AdoptPlaced is like Adopt for a job of which it is known when it was placed. Without that, the
+// time that it takes is no observation of its cost.
+func (d *Dispatcher) AdoptPlaced(now, placedAt time.Time, job Job, p Placement, started bool) {
 	if d.placed[job.Key()] != nil {
 		return
 	}
 	if i := d.queueIndex(job.Key()); i >= 0 {
 		d.queue = slices.Delete(d.queue, i, i+1)
 	}
-	pl := d.addPlaced(now, &job, p)
+	pl := d.addPlaced(now, &job, p, d.costOf(now, &job))
+	d.setPlacedAt(pl, placedAt)
 	if started {
 		d.markStarted(now, pl)
 		pl.startedAt = time.Time{}
@@ -231,6 +247,7 @@
 	switch {
 	case d.services[p.Service] == nil:
 		m.holding.add(now.Sub(p.placedAt))
+		d.observeCost(now, p)
 	case !p.startedAt.IsZero() && p.AnswerTokens > 0:
 		m.decoding.add(now.Sub(p.startedAt) / time.Duration(p.AnswerTokens))
 	}
@@ -285,8 +302,11 @@
 }
 
 // addPlaced records a placed job and adds its parts to its endpoints.
-func (d *Dispatcher) addPlaced(now time.Time, job *Job, p Placement) *placedJob {
+func (d *Dispatcher) addPlaced(now time.Time, job *Job, p Placement, cost jobCost) *placedJob {
 	pl := &placedJob{Job: *job, Placement: p, light: d.light(job), predicted: now.Add(p.Predicted), placedAt: now}
+	if d.costs != nil {
+		pl.cost, pl.placedSince = cost, d.costs.since(now)
+	}
 	d.placed[job.Key()] = pl
 	d.demandOf(job.Service).add(pl, d.services[job.Service])
 	for i, id := range p.endpoints() {
@@ -309,6 +329,7 @@
 		e.helped++
 	}
 	d.addToModel(now, e, pt)
+	d.recount(now, e)
 }
 
 // markStarted records that a job's prompt has been prefilled.
@@ -331,6 +352,7 @@
 			e.helped--
 		}
 		pt.release(now)
+		d.recount(now, e)
 	})
 }
 
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -72,6 +72,8 @@
 	limit *Limit
 	// bucket bounds the requests of an endpoint that is cold or has a limit.
 	bucket ratelimit.Bucket
+	// load is the expected work of the jobs here, of a plain service.
+	load plainLoad
 	// helperOnly is set, for the present decision, if the endpoint may get no request.
 	helperOnly bool
 }
@@ -114,6 +116,7 @@
 	}
 	for _, e := range d.endpoints {
 		d.setEngine(now, e)
+		d.recount(now, e)
 	}
 	for _, p := range d.placed {
 		d.reclassify(p)
@@ -231,6 +234,7 @@
 		e.Endpoint = spec
 		e.cool(spec.ColdUntil)
 		d.setEngine(now, e)
+		d.recount(now, e)
 		kept[spec.ID] = e
 		d.pools[spec.Service] = append(d.pools[spec.Service], e)
 	}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -22,6 +22,11 @@
 	Term int64
 	// Service is the pool that may serve the job.
 	Service string
+	// Route and Method are those of the request, and BodyBytes is the size of its body. Requests
+	// that agree in them are expected to cost about the same.
+	Route     string
+	Method    string
+	BodyBytes int
 	// Organisation is the organisation that sent the request; empty for none.
 	Organisation string
 	// Arrived is when the request had been received completely.
@@ -95,6 +100,10 @@
 	Predicted time.Duration
 	// Limited is set if the endpoint has named a limit on its requests.
 	Limited bool
+	// Expected is the expected time of a call of a plain service at the endpoint, and Evidence the
+	// number of recent requests on which it is based; zero if it was not estimated.
+	Expected time.Duration
+	Evidence float64
 }
 
 // endpoints returns the IDs of the endpoints that prefill the prompt, the
--- a/core/dispatch/plain.go
+++ b/core/dispatch/plain.go
@@ -23,6 +23,9 @@
 // a slot is free for it, by the mean holding time of the slots and the jobs that wait
 // before it, leaves too little of its time.
 func (d *Dispatcher) decidePlain(now time.Time, job *Job, pool []*endpoint) (Decision, bool) {
+	if cost := d.costOf(now, job); cost.Evidence > 0 {
+		return d.decideByCost(now, job, pool, cost)
+	}
 	var best *endpoint
 	slots := 0
 	for _, e := range pool {
--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -43,6 +43,8 @@
 	// second, and longValueRate their value per second.
 	longPrefillRate rate
 	longValueRate   rate
+	// pacesAt is when the paces of the endpoints were last read.
+	pacesAt time.Time
 	// emptySince is when the service lost its last endpoint, or a job first found it
 	// without any; zero while it has some.
 	emptySince time.Time
--- a/core/dispatch/stopping.go
+++ b/core/dispatch/stopping.go
@@ -16,7 +16,8 @@
 )
 
 // endsBeforeOwnerExits reports whether a job that is placed now, with its first event after
-// the predicted time, ends before its owner exits. While nothing is known of a plain service,
+// the predicted time, ends before its owner exits. For a plain service, predicted is the expected
+// time of the job, or zero if it was not estimated. While nothing is known of a plain service,
 // which has not served a job yet, its jobs are assumed to take half of the time to their deadlines.
 func (d *Dispatcher) endsBeforeOwnerExits(now time.Time, job *Job, predicted time.Duration) bool {
 	if !job.ownerExitsFirst() {
@@ -26,7 +27,9 @@
 		return !now.Add(predicted).After(d.exitCutoff(f, job))
 	}
 	needed := job.Deadline.Sub(now) / 2
-	if mean := d.demandOf(job.Service).holding.mean; mean > 0 {
+	if predicted > 0 {
+		needed = stopHoldings * predicted
+	} else if mean := d.demandOf(job.Service).holding.mean; mean > 0 {
 		needed = stopHoldings * mean
 	}
 	return !now.Add(needed).After(job.OwnerExit)
@@ -46,6 +49,9 @@
 // EndsInTime reports whether a job that another dispatcher has placed ends before its owner
 // exits.
 func (d *Dispatcher) EndsInTime(now time.Time, job Job, p Placement) bool {
+	if d.services[job.Service] == nil {
+		return d.endsBeforeOwnerExits(now, &job, p.Expected)
+	}
 	return d.endsBeforeOwnerExits(now, &job, p.Predicted)
 }
 
--- a/core/workcost/estimator.go
+++ b/core/workcost/estimator.go
@@ -64,16 +64,21 @@
 	LastSeen time.Time
 }
 
-// node is what is known of a kind at one level.
-type node struct {
+// Entry is what an Estimator knows of a kind at one level. Callers keep it to save the look-up of
+// the kind.
+type Entry struct {
 	key    key
 	cost   robustMean
-	parent *node
+	parent *Entry
 	group  *group
 	// uses is the number of recent observations, decayed to cost.updated, without a bound.
 	uses float64
 	// between is the mean absolute difference of the narrower kinds to this one, in log units.
 	between float64
+	// evicted is set once the kind is forgotten, and usedAt is the number of kinds that had been
+	// added when it was last marked as used.
+	evicted bool
+	usedAt  int
 	// all and own are the positions in the lists of all kinds and of those of the organisation.
 	all, own links
 }
@@ -101,18 +106,22 @@
 
 // Estimator learns costs and paces. It is not safe for concurrent use.
 type Estimator struct {
-	cfg           Config
-	kinds         map[key]*node
+	cfg Config
+	// epoch is the time since which other times are counted.
+	epoch         time.Time
+	kinds         map[key]*Entry
 	recent        list
 	organisations map[string]*list
 	groups        map[string]*group
 	paces         map[string]*pace
+	// added counts the kinds that were added.
+	added int
 }
 
 // New returns an Estimator that knows nothing.
 func New(cfg Config) *Estimator {
 	return &Estimator{
-		cfg: cfg, kinds: make(map[key]*node), organisations: make(map[string]*list),
+		cfg: cfg, kinds: make(map[key]*Entry), organisations: make(map[string]*list),
 		groups: make(map[string]*group), paces: make(map[string]*pace),
 	}
 }
@@ -120,40 +129,68 @@
 // Kinds returns the number of kinds of all levels that are remembered.
 func (s *Estimator) Kinds() int { return len(s.kinds) }
 
+// since returns the time since the first call.
+func (s *Estimator) since(now time.Time) time.Duration {
+	if s.epoch.IsZero() {
+		s.epoch = now
+	}
+	return now.Sub(s.epoch)
+}
+
 // Observe learns from a request that was served.
-func (s *Estimator) Observe(now time.Time, o Observation) {
+func (s *Estimator) Observe(now time.Time, o Observation) { s.ObserveEntry(now, nil, o) }
+
+// ObserveEntry is like Observe, with the entry that Find returned for the kind.
+func (s *Estimator) ObserveEntry(now time.Time, n *Entry, o Observation) {
 	if o.Took <= 0 {
 		return
 	}
-	n := s.node(key{Kind: o.Kind})
+	at := s.since(now)
+	if n == nil || n.evicted || n.key.level > 0 {
+		n = s.node(key{Kind: o.Kind})
+	} else {
+		s.use(n)
+	}
 	g := n.group
 	p := s.pace(o, g)
+	p.seen = now
+	for m := n; m != nil; m = m.parent {
+		m.advance(at, s.cfg.CostWindow)
+	}
 	value := math.Log(float64(o.Took)) - g.offset
-	if known := s.evident(now, n); known != nil {
+	slowness := p.effective(at, s.cfg.PaceWindow)
+	if known := n.evident(); known != nil {
 		// Kinds whose requests vary say little about the endpoint.
-		expected, _ := s.estimate(now, known)
+		expected, _ := s.estimate(at, known)
 		relative := known.cost.spread / usualSpread
-		slowness := p.effective(now, s.cfg.PaceWindow)
-		s.observePace(now, p, value-expected, 1/(1+relative*relative))
-		s.observeCost(now, n, value-slowness)
-	} else {
-		s.observeCost(now, n, value-p.effective(now, s.cfg.PaceWindow))
-		p.seen = now
+		s.observePace(at, p, value-expected, 1/(1+relative*relative))
 	}
+	s.observeCost(at, n, value-slowness)
 	g.sinceCentred++
-	if g.sinceCentred >= max(16, len(g.paces)) {
-		g.centre(now, s.cfg.PaceWindow)
+	if g.sinceCentred >= max(16, 2*len(g.paces)) {
+		g.centre(at, s.cfg.PaceWindow)
 	}
 }
 
+// advance decays the evidence to a time.
+func (n *Entry) advance(at, window time.Duration) {
+	if at <= n.cost.updated {
+		return
+	}
+	share := decay(at-n.cost.updated, window)
+	n.cost.evidence *= share
+	n.uses *= share
+	n.cost.updated = at
+}
+
 // usualSpread is the spread of a kind, in log units, whose requests count half for the pace of
 // their endpoints.
 const usualSpread = 0.5
 
 // evident returns the narrowest of the kind and the wider ones of which a request was observed
-// recently; nil for none.
-func (s *Estimator) evident(now time.Time, n *node) *node {
-	for n != nil && n.cost.decayed(now, s.cfg.CostWindow) < 1 {
+// recently; nil for none. Their evidence is up to date.
+func (n *Entry) evident() *Entry {
+	for n != nil && n.cost.evidence < 1 {
 		n = n.parent
 	}
 	return n
@@ -162,33 +199,32 @@
 // observeCost moves the kind and the wider ones. An organisation's requests count in the wider
 // kinds by the inverse of how many of them there were recently: each organisation moves them
 // about as much as any other, however many requests it sends.
-func (s *Estimator) observeCost(now time.Time, n *node, value float64) {
-	n.uses = n.uses*decay(now.Sub(n.cost.updated), s.cfg.CostWindow) + 1
+func (s *Estimator) observeCost(at time.Duration, n *Entry, value float64) {
+	n.uses++
 	weight := 1 / n.uses
-	n.cost.add(now, value, 1, s.cfg.MaxEvidence, s.cfg.CostWindow)
+	n.cost.add(at, value, 1, s.cfg.MaxEvidence, s.cfg.CostWindow)
 	for child := n; child.parent != nil; child = child.parent {
 		p := child.parent
-		p.cost.add(now, value, weight, s.cfg.MaxEvidence, s.cfg.CostWindow)
+		p.cost.add(at, value, weight, s.cfg.MaxEvidence, s.cfg.CostWindow)
 		p.between += spreadWeight * (math.Abs(child.cost.mean-p.cost.mean) - p.between)
 	}
 }
 
-func (s *Estimator) observePace(now time.Time, p *pace, value, weight float64) {
-	p.seen = now
-	if p.decayed(now, s.cfg.PaceWindow) < forgotten {
+func (s *Estimator) observePace(at time.Duration, p *pace, value, weight float64) {
+	if p.decayed(at, s.cfg.PaceWindow) < forgotten {
 		// An endpoint that nothing is known of is of usual speed until several requests say
 		// otherwise.
-		p.robustMean = robustMean{spread: initialSpread, evidence: 1, updated: now}
+		p.robustMean = robustMean{spread: initialSpread, evidence: 1, updated: at}
 	}
-	p.add(now, value, weight, s.cfg.MaxPaceEvidence, s.cfg.PaceWindow)
+	p.add(at, value, weight, s.cfg.MaxPaceEvidence, s.cfg.PaceWindow)
 }
 
 // paceShrinkage is the evidence with which half of an endpoint's pace counts.
 const paceShrinkage = 0.5
 
 // effective returns the pace in log units, which goes to 0 as its evidence decays.
-func (p *pace) effective(now time.Time, window time.Duration) float64 {
-	n := p.decayed(now, window)
+func (p *pace) effective(at, window time.Duration) float64 {
+	n := p.decayed(at, window)
 	if n < forgotten {
 		return 0
 	}
@@ -196,11 +232,11 @@
 }
 
 // centre moves what the paces of a service have in common to its offset.
-func (g *group) centre(now time.Time, window time.Duration) {
+func (g *group) centre(at, window time.Duration) {
 	g.sinceCentred = 0
 	values := make([]float64, 0, len(g.paces))
 	for _, p := range g.paces {
-		if p.decayed(now, window) >= paceShrinkage {
+		if p.decayed(at, window) >= paceShrinkage {
 			values = append(values, p.mean)
 		}
 	}
@@ -228,15 +264,15 @@
 // estimate returns the shrinkage estimate of a kind, in log units without the offset of its
 // service: it moves from that of the wider kind to that of this one by how much evidence this
 // one has, compared with how much its requests vary and how much such kinds differ.
-func (s *Estimator) estimate(now time.Time, n *node) (value, evidence float64) {
-	own := n.cost.decayed(now, s.cfg.CostWindow)
+func (s *Estimator) estimate(at time.Duration, n *Entry) (value, evidence float64) {
+	own := n.cost.decayed(at, s.cfg.CostWindow)
 	if own < forgotten {
 		own = 0
 	}
 	if n.parent == nil {
 		return n.cost.mean, own
 	}
-	wide, wideEvidence := s.estimate(now, n.parent)
+	wide, wideEvidence := s.estimate(at, n.parent)
 	if wideEvidence == 0 {
 		return n.cost.mean, own
 	}
@@ -248,12 +284,17 @@
 
 // Cost returns the expected cost of a kind. If the kind is not known, it is that of the
 // narrowest wider kind.
-func (s *Estimator) Cost(now time.Time, k Kind) Estimate {
-	n := s.known(key{Kind: k})
+func (s *Estimator) Cost(now time.Time, k Kind) Estimate { return s.EntryCost(now, s.Find(k)) }
+
+// Find returns the entry of the narrowest known kind; nil for none.
+func (s *Estimator) Find(k Kind) *Entry { return s.known(key{Kind: k}) }
+
+// EntryCost returns the expected cost of the kind of an entry; nothing for nil.
+func (s *Estimator) EntryCost(now time.Time, n *Entry) Estimate {
 	if n == nil {
 		return Estimate{}
 	}
-	value, evidence := s.estimate(now, n)
+	value, evidence := s.estimate(s.since(now), n)
 	if evidence == 0 {
 		return Estimate{}
 	}
@@ -273,13 +314,12 @@
 	if p == nil {
 		return Pace{Factor: 1}
 	}
-	return Pace{
-		Factor: math.Exp(p.effective(now, s.cfg.PaceWindow)), Evidence: p.decayed(now, s.cfg.PaceWindow), LastSeen: p.seen,
-	}
+	at := s.since(now)
+	return Pace{Factor: math.Exp(p.effective(at, s.cfg.PaceWindow)), Evidence: p.decayed(at, s.cfg.PaceWindow), LastSeen: p.seen}
 }
 
 // known returns the narrowest known kind.
-func (s *Estimator) known(k key) *node {
+func (s *Estimator) known(k key) *Entry {
 	for {
 		if n := s.kinds[k]; n != nil {
 			return n
@@ -291,25 +331,40 @@
 	}
 }
 
-// node returns the kind, which it adds if it is not known, and marks it and the wider ones as
-// used.
-func (s *Estimator) node(k key) *node {
+// node returns the kind, which it adds if it is not known, and marks it as used.
+func (s *Estimator) node(k key) *Entry {
 	n := s.kinds[k]
 	if n == nil {
 		n = s.addNode(k)
+		s.markUsed(n)
 	}
-	// The wider kinds are marked last, so that they are evicted after all narrower ones.
-	for m := n; m != nil; m = m.parent {
-		s.recent.toFront(m, func(m *node) *links { return &m.all })
+	s.use(n)
+	return n
+}
+
+// usePrecision is the part of all kinds that may be added until a kind that is used is marked again.
+const usePrecision = 16
+
+// use marks a kind and the wider ones as used, if kinds have been added since it was marked last.
+func (s *Estimator) use(n *Entry) {
+	if s.added-n.usedAt > s.cfg.MaxKindsPerOrganisation/usePrecision {
+		s.markUsed(n)
 	}
+}
+
+func (s *Estimator) markUsed(n *Entry) {
+	n.usedAt = s.added
 	if n.key.level == 0 {
-		s.organisations[k.Organisation].toFront(n, func(m *node) *links { return &m.own })
+		s.organisations[n.key.Organisation].toFront(n, ownLinks)
+	}
+	// The wider kinds are marked last, so that they are evicted after all narrower ones.
+	for ; n != nil; n = n.parent {
+		s.recent.toFront(n, allLinks)
 	}
-	return n
 }
 
-func (s *Estimator) addNode(k key) *node {
-	n := &node{key: k, cost: robustMean{spread: initialSpread}, between: initialSpread}
+func (s *Estimator) addNode(k key) *Entry {
+	n := &Entry{key: k, cost: robustMean{spread: initialSpread}, between: initialSpread}
 	if k.level < levels-1 {
 		n.parent = s.node(k.widen())
 		n.group = n.parent.group
@@ -327,10 +382,11 @@
 			s.evict(own.last)
 			own = s.organisation(k.Organisation)
 		}
-		own.pushFront(n, func(m *node) *links { return &m.own })
+		own.pushFront(n, ownLinks)
 	}
 	s.kinds[k] = n
-	s.recent.pushFront(n, func(m *node) *links { return &m.all })
+	s.added++
+	s.recent.pushFront(n, allLinks)
 	for len(s.kinds) > s.cfg.MaxKinds {
 		s.evict(s.recent.last)
 	}
@@ -344,9 +400,10 @@
 	return s.organisations[name]
 }
 
-func (s *Estimator) evict(n *node) {
+func (s *Estimator) evict(n *Entry) {
+	n.evicted = true
 	delete(s.kinds, n.key)
-	s.recent.remove(n, func(m *node) *links { return &m.all })
+	s.recent.remove(n, allLinks)
 	n.group.kinds--
 	if n.group.kinds == 0 && len(n.group.paces) == 0 {
 		delete(s.groups, n.key.Service)
@@ -355,7 +412,7 @@
 		return
 	}
 	own := s.organisations[n.key.Organisation]
-	own.remove(n, func(m *node) *links { return &m.own })
+	own.remove(n, ownLinks)
 	if own.length == 0 {
 		delete(s.organisations, n.key.Organisation)
 	}
--- a/core/workcost/list.go
+++ b/core/workcost/list.go
@@ -1,15 +1,18 @@
 package workcost
 
 // links are the neighbours of a kind in a list.
-type links struct{ previous, next *node }
+type links struct{ previous, next *Entry }
+
+func allLinks(n *Entry) *links { return &n.all }
+func ownLinks(n *Entry) *links { return &n.own }
 
 // list lists kinds, the most recently used one first.
 type list struct {
-	first, last *node
+	first, last *Entry
 	length      int
 }
 
-func (l *list) pushFront(n *node, of func(*node) *links) {
+func (l *list) pushFront(n *Entry, of func(*Entry) *links) {
 	*of(n) = links{next: l.first}
 	if l.first != nil {
 		of(l.first).previous = n
@@ -20,7 +23,7 @@
 	l.length++
 }
 
-func (l *list) remove(n *node, of func(*node) *links) {
+func (l *list) remove(n *Entry, of func(*Entry) *links) {
 	at := of(n)
 	if at.previous != nil {
 		of(at.previous).next = at.next
@@ -36,7 +39,7 @@
 	l.length--
 }
 
-func (l *list) toFront(n *node, of func(*node) *links) {
+func (l *list) toFront(n *Entry, of func(*Entry) *links) {
 	if l.first != n {
 		l.remove(n, of)
 		l.pushFront(n, of)
--- a/core/workcost/robust.go
+++ b/core/workcost/robust.go
@@ -27,17 +27,21 @@
 	mean float64
 	// spread is the mean absolute deviation of the clipped residuals.
 	spread float64
-	// evidence is the number of recent values, decayed to updated.
+	// evidence is the number of recent values, decayed to updated, a time since the first
+	// observation.
 	evidence float64
-	updated  time.Time
+	updated  time.Duration
 	// run counts the latest consecutive residuals that were clipped, negative for those below
 	// the mean.
 	run int
 }
 
 // decayed returns the evidence at a time, with the time constant window.
-func (m *robustMean) decayed(now time.Time, window time.Duration) float64 {
-	return m.evidence * decay(now.Sub(m.updated), window)
+func (m *robustMean) decayed(at, window time.Duration) float64 {
+	if at <= m.updated {
+		return m.evidence
+	}
+	return m.evidence * decay(at-m.updated, window)
 }
 
 // decay returns the share of evidence that is left after a time.
@@ -55,11 +59,9 @@
 
 // add counts a value with a weight of at most 1. limit bounds the evidence, and so the smallest
 // step.
-func (m *robustMean) add(now time.Time, value, weight, limit float64, window time.Duration) {
-	n := m.decayed(now, window)
-	if now.After(m.updated) {
-		m.updated = now
-	}
+func (m *robustMean) add(at time.Duration, value, weight, limit float64, window time.Duration) {
+	n := m.decayed(at, window)
+	m.updated = max(m.updated, at)
 	if n < forgotten {
 		*m = robustMean{mean: value, spread: initialSpread, evidence: max(weight, 2*forgotten), updated: m.updated}
 		return
@@ -90,10 +92,10 @@
 }
 
 // merge adds the evidence of another mean.
-func (m *robustMean) merge(now time.Time, other robustMean, limit float64, window time.Duration) {
-	n := m.decayed(now, window)
+func (m *robustMean) merge(at time.Duration, other robustMean, limit float64, window time.Duration) {
+	n := m.decayed(at, window)
 	if n < forgotten {
-		other.updated = now
+		other.updated = at
 		other.evidence = min(limit, other.evidence)
 		*m = other
 		return
@@ -101,5 +103,5 @@
 	share := other.evidence / (n + other.evidence)
 	m.mean += share * (other.mean - m.mean)
 	m.spread += share * (other.spread - m.spread)
-	m.evidence, m.updated = min(limit, n+other.evidence), now
+	m.evidence, m.updated = min(limit, n+other.evidence), at
 }
--- a/core/workcost/summary.go
+++ b/core/workcost/summary.go
@@ -51,9 +51,10 @@
 	if g == nil {
 		return Summary{}
 	}
+	at := s.since(now)
 	var sum Summary
 	for k, n := range s.kinds {
-		evidence := n.cost.decayed(now, s.cfg.CostWindow)
+		evidence := n.cost.decayed(at, s.cfg.CostWindow)
 		if k.Service != service || evidence < forgotten {
 			continue
 		}
@@ -87,6 +88,7 @@
 // Merge adds what another Estimator knows of a service. Entries beyond the bounds of a summary
 // and those that are out of range are ignored.
 func (s *Estimator) Merge(now time.Time, service string, sum Summary) {
+	at := s.since(now)
 	for _, k := range sum.Kinds[:min(len(sum.Kinds), MaxSummaryKinds)] {
 		id := key{k.Kind, k.Level}
 		if k.Kind.Service != service || k.Level >= levels || !id.valid() || !inRange(k.Evidence, forgotten, math.MaxFloat32) ||
@@ -94,7 +96,7 @@
 			continue
 		}
 		n := s.node(id)
-		n.cost.merge(now, robustMean{
+		n.cost.merge(at, robustMean{
 			mean: math.Log(float64(k.Mean)) - n.group.offset, spread: max(minSpread, min(maxSpread, k.Spread)),
 			evidence: min(k.Evidence, s.cfg.MaxEvidence),
 		}, s.cfg.MaxEvidence, s.cfg.CostWindow)
@@ -107,7 +109,7 @@
 		if known.service != service || known.incarnation != p.Incarnation {
 			continue
 		}
-		known.merge(now, robustMean{
+		known.merge(at, robustMean{
 			mean: math.Log(p.Factor), spread: initialSpread, evidence: min(p.Evidence, s.cfg.MaxPaceEvidence),
 		}, s.cfg.MaxPaceEvidence, s.cfg.PaceWindow)
 	}
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -68,6 +68,8 @@
 	decisions chan holderDecision
 	// placement is nil while the job is queued.
 	placement *dispatch.Placement
+	// placedAt is when the placement was received.
+	placedAt time.Time
 	// began is true once the first event of the response has arrived.
 	began bool
 	// suspicious is true if the holder has asked for the digest of the request.
@@ -270,7 +272,7 @@
 		return gateway.Placed{}, c.declineLate(j)
 	}
 	c.mu.Lock()
-	j.placement, j.suspicious = &placement, d.suspicious
+	j.placement, j.placedAt, j.suspicious = &placement, time.Now(), d.suspicious
 	update := jobUpdate{Job: j.ID, Adopted: c.encodeAdopted(j)}
 	c.mu.Unlock()
 	c.withdrawUnused(j, d.holder)
@@ -319,10 +321,13 @@
 // encodeAdopted encodes a placed job for another dispatcher. The caller must hold
 // the lock.
 func (c *Coordinator) encodeAdopted(j *job) *adoptedJob {
+	now := time.Now()
+	age := now.Sub(j.placedAt).Microseconds()
 	return &adoptedJob{
-		Job:       encodeJob(time.Now(), j.Job),
+		Job:       encodeJob(now, j.Job),
 		Placement: encodeDecision(dispatch.Decision{Placement: j.placement}),
 		Began:     j.began,
+		PlacedAge: &age,
 	}
 }
 
--- a/internal/coordination/fuzz_test.go
+++ b/internal/coordination/fuzz_test.go
@@ -16,7 +16,9 @@
 	f.Add([]byte(`{"id":"","s":"p","a":-9000000000000000000,"e":-9000000000000000000,"n":-5,"w":-5}`), []byte(`{"n":[{"j":"2","a":{"j":{"id":"2","s":"s","n":900000},"p":{"j":"3","e":"e0","h":["e0","e1","e1"],"m":[1,-2,3,4]}}}]}`))
 	f.Add([]byte(`{"id":"1","s":"s","a":9000000000000000000,"e":9000000000000000000,"n":9000000000000000000,"w":9000000000000000000}`), []byte(`{"n":[{"j":"1","a":{"p":{}}},{}]}`))
 	f.Fuzz(func(_ *testing.T, job, update []byte) {
-		l := NewLocalDispatcher(dispatch.DefaultConfig(), quarantine.DefaultConfig())
+		cfg := dispatch.DefaultConfig()
+		cfg.LearnCosts = len(job)%2 == 0
+		l := NewLocalDispatcher(cfg, quarantine.DefaultConfig())
 		defer l.pollTimer.Stop()
 		l.onDecisions = func([]dispatch.Decision) {}
 		l.SetServices([]dispatch.Service{{Name: "p"}, {Name: "s", Engine: &engine.CostModel{
--- a/internal/coordination/local.go
+++ b/internal/coordination/local.go
@@ -154,7 +154,7 @@
 		return
 	}
 	job := a.Job.job(now, owner)
-	l.dispatcher.Adopt(now, job, *placement, a.Began)
+	l.dispatcher.AdoptPlaced(now, a.placedAt(now), job, *placement, a.Began)
 	l.track(now, job, *placement)
 	if a.Began {
 		l.tracker.Began(now, job.Key())
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -1,11 +1,13 @@
 package coordination
 
 import (
+	"math"
 	"time"
 
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/core/quarantine"
 	"cornelsaddle.example/cornelsaddle/core/ratelimit"
+	"cornelsaddle.example/cornelsaddle/core/workcost"
 	"cornelsaddle.example/cornelsaddle/internal/peer"
 )
 
@@ -40,15 +42,24 @@
 	Exclude []string `json:"x,omitempty"`
 	// Parts is unknown to earlier builds, which don't withhold prompts.
 	Parts []string `json:"c,omitempty"`
+	// Route, Method and BodyBytes are those of calls of plain services. They are unknown to earlier
+	// builds, which count the jobs.
+	Route     string `json:"r,omitempty"`
+	Method    string `json:"m,omitempty"`
+	BodyBytes int    `json:"z,omitempty"`
 }
 
 func encodeJob(now time.Time, j dispatch.Job) jobMessage {
-	return jobMessage{
+	m := jobMessage{
 		ID: j.ID, Term: j.Term, Service: j.Service, Organisation: j.Organisation,
 		Age: now.Sub(j.Arrived).Microseconds(), Due: encodeTime(now, j.Due),
 		Deadline: j.Deadline.Sub(now).Microseconds(), OwnerExit: encodeTime(now, j.OwnerExit), FirstBy: encodeTime(now, j.FirstEventBy),
 		Gap: j.MaxGap.Microseconds(), Priority: j.Priority, Prompt: j.PromptTokens, Answer: j.AnswerTokens, Avoid: j.Avoid, Exclude: j.Exclude, Parts: j.Parts,
 	}
+	if j.PromptTokens == 0 {
+		m.Route, m.Method, m.BodyBytes = j.Route, workcost.MethodClass(j.Method), j.BodyBytes
+	}
+	return m
 }
 
 func (m jobMessage) job(now time.Time, owner string) dispatch.Job {
@@ -57,6 +68,7 @@
 		Arrived: now.Add(-microseconds(m.Age)), Due: decodeTime(now, m.Due),
 		Deadline: now.Add(microseconds(m.Deadline)), OwnerExit: decodeTime(now, m.OwnerExit), FirstEventBy: decodeTime(now, m.FirstBy),
 		MaxGap: microseconds(m.Gap), Priority: m.Priority, PromptTokens: m.Prompt, AnswerTokens: m.Answer, Avoid: m.Avoid, Exclude: m.Exclude, Parts: m.Parts,
+		Route: m.Route, Method: m.Method, BodyBytes: max(0, m.BodyBytes),
 	}
 }
 
@@ -95,6 +107,10 @@
 	// Suspicious asks the job's owner for the digest of the request when it ends: the
 	// holder has evidence on requests that crash endpoints.
 	Suspicious bool `json:"u,omitempty"`
+	// Expected is the expected time of a call of a plain service, and Evidence that on which it
+	// is based; both are missing from holders of earlier builds.
+	Expected int64   `json:"x,omitempty"`
+	Evidence float64 `json:"n,omitempty"`
 }
 
 func encodeDecision(d dispatch.Decision) decisionMessage {
@@ -102,7 +118,10 @@
 		return decisionMessage{Job: d.Refusal.Job, Reason: string(d.Refusal.Reason), RetryAfter: d.Refusal.RetryAfter.Microseconds()}
 	}
 	p := d.Placement
-	return decisionMessage{Job: p.Job, Endpoint: p.Endpoint, Helpers: p.Helpers, Shares: p.Shares, Predicted: p.Predicted.Microseconds(), Limited: p.Limited}
+	return decisionMessage{
+		Job: p.Job, Endpoint: p.Endpoint, Helpers: p.Helpers, Shares: p.Shares, Predicted: p.Predicted.Microseconds(), Limited: p.Limited,
+		Expected: p.Expected.Microseconds(), Evidence: math.Round(p.Evidence*10) / 10,
+	}
 }
 
 // decided reports whether the message holds a decision.
@@ -116,6 +135,7 @@
 	}
 	return dispatch.Decision{Placement: &dispatch.Placement{
 		Job: m.Job, Endpoint: m.Endpoint, Helpers: m.Helpers, Shares: m.Shares, Predicted: microseconds(m.Predicted), Limited: m.Limited,
+		Expected: microseconds(m.Expected), Evidence: m.Evidence,
 	}}
 }
 
@@ -231,4 +251,17 @@
 	Job       jobMessage      `json:"j"`
 	Placement decisionMessage `json:"p"`
 	Began     bool            `json:"b,omitempty"`
+	// PlacedAge is the time since the placement, in microseconds; nil for VMs of earlier builds.
+	PlacedAge *int64 `json:"a,omitempty"`
+}
+
+// maxPlacedAge bounds the time since the placement of a job that is believed.
+const maxPlacedAge = time.Hour
+
+// placedAt returns when the job was placed; zero if that is not known.
+func (a *adoptedJob) placedAt(now time.Time) time.Time {
+	if a.PlacedAge == nil || *a.PlacedAge < 0 || *a.PlacedAge > maxPlacedAge.Microseconds() {
+		return time.Time{}
+	}
+	return now.Add(-microseconds(*a.PlacedAge))
 }
