A new holder learns the costs and paces that the VMs know

What a holder had learned was lost with it, and the next one counted the calls of plain services until it had observed enough itself.

--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -460,6 +460,7 @@
 		c.local.dropTerms(from.VM, *m.Reset)
 		c.local.addCrashes(m.Reset.Service, m.Crashes)
 		c.local.addLimits(m.Limits, from.VM)
+		c.local.addCosts(m.Reset.Service, m.Costs)
 	}
 	for _, u := range m.Updates {
 		c.local.applyUpdate(from.VM, u)
--- a/internal/coordination/holders.go
+++ b/internal/coordination/holders.go
@@ -176,6 +176,7 @@
 		Updates: updates,
 		Crashes: encodeCrashes(now, c.local.crashes(service)),
 		Limits:  encodeLimits(now, c.local.limits(service)),
+		Costs:   encodeCosts(c.local.costs(service)),
 	})
 }
 
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -155,6 +155,9 @@
 	Crashes []quarantine.CrashMessage `json:"c,omitempty"`
 	// Limits are those that the sender knows, of the same endpoints.
 	Limits []limitMessage `json:"l,omitempty"`
+	// Costs is what the sender has learned of that service; nil from VMs of earlier builds, and
+	// without LearnCosts.
+	Costs *costsMessage `json:"w,omitempty"`
 }
 
 // limitMessage is the limit of an endpoint as sent between VMs.
