Placements name their estimates, and their errors are counted

The log line of a placement had the prediction for prompts only, and nothing showed how far estimates are off.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -163,6 +163,10 @@
 	Waited time.Duration `log:"waited"`
 	// Predicted is the predicted time from the placement to the first event.
 	Predicted time.Duration `log:"predicted"`
+	// Expected is the expected time of a call of a plain service, and Evidence the number of recent
+	// requests on which it is based; zero if it was not estimated.
+	Expected time.Duration `log:"expected"`
+	Evidence float64       `log:"evidence"`
 	// Limited is set if the endpoint has named a limit on its requests.
 	Limited bool `log:"limited"`
 	// Digest identifies what the caller asks for.
@@ -171,7 +175,7 @@
 
 // Def implements Event.
 func (RequestPlaced) Def() Def {
-	return Def{710, "request_placed", log.InfoLevel, "A request is sent to the endpoint chosen by holder; helpers prefill parts of its prompt, and predicted is the time to first event on which the choice is based. limited is set if the endpoint has named a limit on its requests, which the placement counts for. digest is the same for requests with the same method, host, URI, organisation and body."}
+	return Def{710, "request_placed", log.InfoLevel, "A request is sent to the endpoint chosen by holder; helpers prefill parts of its prompt, and predicted is the time to first event on which the choice is based. expected is the expected time of a call of a plain service, and evidence the number of recent requests it is learned from; both are 0 if calls are counted. limited is set if the endpoint has named a limit on its requests, which the placement counts for. digest is the same for requests with the same method, host, URI, organisation and body."}
 }
 
 // RequestRefused is emitted when a request is assigned no endpoint.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,6 +32,9 @@
 	// sent is the time at which the attempt began, and began that of its first event; zero if
 	// there was none.
 	sent, began time.Time
+	// expected is the expected time of a call of a plain service, and predicted that until the first
+	// event of a prompt's answer; zero if they were not estimated.
+	expected, predicted time.Duration
 }
 
 // openedAttempt is an attempt whose endpoint has begun to respond.
@@ -75,6 +78,7 @@
 	}
 	defer o.release()
 	result := x.relayAndClose(ctx, o)
+	x.recordPredictionError(result)
 	x.reportEnd(o.job, o.entry, result)
 	return x.finishAttempt(ctx, o.entry, result)
 }
@@ -152,13 +156,25 @@
 // beginAttempt counts and logs an attempt that is about to be sent.
 func (x *exchange) beginAttempt(job *dispatch.Job, placed Placed, entry directory.Entry) {
 	x.attempts++
-	x.attemptState = attemptState{number: x.attempts, endpoint: entry.ID, sent: time.Now()}
+	x.attemptState = attemptState{number: x.attempts, endpoint: entry.ID, sent: time.Now(), expected: placed.Expected, predicted: placed.Predicted}
 	if x.attempts == 1 {
 		x.gateway.cfg.Metrics.Queueing(x.organisation, x.route.Name, time.Since(x.arrived))
 	}
 	x.gateway.cfg.Log.Emit(event.RequestPlaced{
 		Request: x.call.ID, Attempt: x.number, Endpoint: entry.ID, Helpers: strings.Join(placed.Helpers, ","),
 		Prompt: job.PromptTokens, Parts: strings.Join(x.call.PromptParts, ","), Holder: placed.Holder, Waited: time.Since(x.arrived), Predicted: placed.Predicted,
-		Limited: placed.Limited, Digest: x.requestDigest,
+		Expected: placed.Expected, Evidence: placed.Evidence, Limited: placed.Limited, Digest: x.requestDigest,
 	})
 }
+
+// recordPredictionError records by how much the estimate was off on which a served attempt's placement
+// was based.
+func (x *exchange) recordPredictionError(result attemptResult) {
+	switch {
+	case result.outcome != dispatch.Served:
+	case x.expected > 0:
+		x.gateway.cfg.Metrics.PredictionError(x.organisation, x.route.Name, time.Since(x.sent)-x.expected)
+	case x.predicted > 0 && !x.began.IsZero():
+		x.gateway.cfg.Metrics.PredictionError(x.organisation, x.route.Name, x.began.Sub(x.sent)-x.predicted)
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -30,6 +30,8 @@
 	kindFirstToken kind = "first_token"
 	kindBetween    kind = "between_tokens"
 	kindQueueing   kind = "queueing"
+	// kindPrediction is the error of the estimate on which a placement is based.
+	kindPrediction kind = "prediction_error"
 )
 
 const failuresPrefix = "failures."
@@ -42,6 +44,7 @@
 	firstToken *Histogram
 	between    *Histogram
 	queueing   *Histogram
+	prediction *Histogram
 }
 
 // Metrics holds the metrics of a process. It is safe for concurrent use.
@@ -75,6 +78,11 @@
 	m.series(organisation, class).queueing.Record(d)
 }
 
+// PredictionError records by how much a placement's estimate was off, in either direction.
+func (m *Metrics) PredictionError(organisation, class string, d time.Duration) {
+	m.series(organisation, class).prediction.Record(d.Abs())
+}
+
 // Failed increments the failure counter of the error code.
 func (m *Metrics) Failed(code string) {
 	m.Counter(failuresPrefix + code).Inc(1)
@@ -123,6 +131,7 @@
 		firstToken: histogram(kindFirstToken),
 		between:    histogram(kindBetween),
 		queueing:   histogram(kindQueueing),
+		prediction: histogram(kindPrediction),
 	}
 }
 
--- a/internal/metrics/prometheus.go
+++ b/internal/metrics/prometheus.go
@@ -21,6 +21,7 @@
 	helpFirstToken = "Time from a request's arrival to its first token."
 	helpBetween    = "Time between two tokens of an answer."
 	helpQueueing   = "Time from a request's arrival until it was first sent to an endpoint."
+	helpPrediction = "Difference of the time of a call, or to the first event of an answer, to the estimate of its placement."
 	helpFailures   = "Failures by code."
 	failuresMetric = namespace + "failures_total"
 )
@@ -42,6 +43,7 @@
 	m.writeHistograms(b, detail, kindFirstToken, helpFirstToken, func(s *series) *Histogram { return s.firstToken })
 	m.writeHistograms(b, detail, kindBetween, helpBetween, func(s *series) *Histogram { return s.between })
 	m.writeHistograms(b, detail, kindQueueing, helpQueueing, func(s *series) *Histogram { return s.queueing })
+	m.writeHistograms(b, detail, kindPrediction, helpPrediction, func(s *series) *Histogram { return s.prediction })
 	m.writeRegistered(b)
 	return errors.WithStack(b.Flush())
 }
