Engines that are slow are predicted to be slow

An engine that becomes five times slower kept the predictions of a usual one until its prompts were overdue.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -26,6 +26,7 @@
 	clear(d.heldPlain)
 	if d.costs != nil {
 		d.costs.decision++
+		d.refreshSteps(now)
 	}
 	var decisions []Decision
 	kept := d.queue[:0]
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -60,6 +60,8 @@
 	cost        jobCost
 	placedSince time.Duration
 	ageUnknown  bool
+	// engineStep is the step of the receiver's pace on which the prediction is based.
+	engineStep int
 }
 
 // Dispatcher places the jobs of a group of endpoints and tracks them until they
@@ -203,6 +205,7 @@
 // FirstEvent records a placed job's first event.
 func (d *Dispatcher) FirstEvent(now time.Time, key JobKey) {
 	if p := d.placed[key]; p != nil && !p.started {
+		d.observeFirstEvent(now, p)
 		d.markStarted(now, p)
 	}
 }
@@ -306,6 +309,9 @@
 	pl := &placedJob{Job: *job, Placement: p, light: d.light(job), predicted: now.Add(p.Predicted), placedAt: now}
 	if d.costs != nil {
 		pl.cost, pl.placedSince = cost, d.costs.since(now)
+		if e := d.endpoints[p.Endpoint]; e != nil {
+			pl.engineStep = e.slowStep
+		}
 	}
 	d.placed[job.Key()] = pl
 	d.demandOf(job.Service).add(pl, d.services[job.Service])
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -74,6 +74,8 @@
 	bucket ratelimit.Bucket
 	// load is the expected work of the jobs here, of a plain service.
 	load plainLoad
+	// slowStep is the step of an engine's pace by which its cost model is scaled; zero is as 1.
+	slowStep int
 	// helperOnly is set, for the present decision, if the endpoint may get no request.
 	helperOnly bool
 }
@@ -142,7 +144,7 @@
 // setEngine applies the cost model of the endpoint's service. If it has
 // changed, the parts move to a new model, in which pending prefills start over.
 func (d *Dispatcher) setEngine(now time.Time, e *endpoint) {
-	f := d.services[e.Service]
+	f := d.engineOf(e)
 	if f == e.engine || f != nil && e.engine != nil && *f == *e.engine {
 		return
 	}
--- a/core/dispatch/learned.go
+++ b/core/dispatch/learned.go
@@ -41,6 +41,10 @@
 	*workcost.Estimator
 	// epoch is the time since which other times are counted.
 	epoch time.Time
+	// slow has the IDs of the engines with a step of their pace above 1, and stepsAt is when they
+	// were last read.
+	slow    map[string]bool
+	stepsAt time.Time
 	// decision counts the calls of Decide; the plans of earlier ones don't hold.
 	decision int64
 }
@@ -49,7 +53,7 @@
 	if !cfg.LearnCosts {
 		return nil
 	}
-	return &costs{Estimator: workcost.New(workcost.DefaultConfig())}
+	return &costs{Estimator: workcost.New(workcost.DefaultConfig()), slow: make(map[string]bool)}
 }
 
 // since returns the time since the epoch, which is the first time that is asked for.
@@ -398,7 +402,11 @@
 
 // setPlacedAt sets when an adopted job was placed, as far as that is known.
 func (d *Dispatcher) setPlacedAt(p *placedJob, at time.Time) {
-	if d.costs == nil || d.services[p.Service] != nil {
+	if d.costs == nil {
+		return
+	}
+	if d.services[p.Service] != nil {
+		p.ageUnknown = at.IsZero() || p.placedAt.Sub(at) > maxAdoptionAge
 		return
 	}
 	p.ageUnknown = at.IsZero()
@@ -414,7 +422,7 @@
 
 // Costs returns what this dispatcher has learned of a service, for another one.
 func (d *Dispatcher) Costs(now time.Time, service string) workcost.Summary {
-	if d.costs == nil || d.services[service] != nil {
+	if d.costs == nil {
 		return workcost.Summary{}
 	}
 	return d.costs.Summary(now, service)
@@ -422,9 +430,14 @@
 
 // AddCosts adds what another dispatcher has learned of a service.
 func (d *Dispatcher) AddCosts(now time.Time, service string, sum workcost.Summary) {
-	if d.costs == nil || d.services[service] != nil {
+	if d.costs == nil {
 		return
 	}
 	d.costs.Merge(now, service, sum)
 	d.demandOf(service).pacesAt = time.Time{}
+	if d.services[service] != nil {
+		for _, e := range d.pools[service] {
+			d.setStep(now, e)
+		}
+	}
 }
--- a/core/dispatch/sim_test.go
+++ b/core/dispatch/sim_test.go
@@ -126,6 +126,8 @@
 	// leastRequests bypasses the dispatcher: each prompt is sent on arrival to
 	// the engine with the fewest requests.
 	leastRequests bool
+	// slowdown returns how many times slower an engine is at a time in ms; nil for never.
+	slowdown func(ms float64, id string) float64
 }
 
 func newSim(seed uint64, cfg Config, engines int) *sim {
@@ -322,6 +324,9 @@
 		e.prefilled = append(e.prefilled, p)
 		e.prefillQueue = e.prefillQueue[1:]
 	}
+	if s.slowdown != nil {
+		ms *= s.slowdown(s.now, e.id)
+	}
 	e.endMs = s.now + ms*e.slowdown
 }
 
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -201,6 +201,8 @@
 	// pinned is the endpoint that every job gets; empty for the first in order
 	// that the job need not avoid.
 	pinned string
+	// expected is the expected time of each placement.
+	expected time.Duration
 	// allowance is the number of retries that the budget allows.
 	allowance float64
 	server    net.Listener
@@ -257,7 +259,7 @@
 	}
 	for _, id := range w.order {
 		if !slices.Contains(job.Avoid, id) && !slices.Contains(job.Exclude, id) {
-			return Placed{Placement: dispatch.Placement{Job: job.ID, Endpoint: id}, Holder: "test"}, ctx.Err()
+			return Placed{Placement: dispatch.Placement{Job: job.ID, Endpoint: id, Expected: w.expected}, Holder: "test"}, ctx.Err()
 		}
 	}
 	return Placed{}, &RefusedError{Refusal: dispatch.Refusal{Job: job.ID, Reason: dispatch.ReasonNoEndpoint}, Holder: "test"}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/core/shutdown"
+	"cornelsaddle.example/cornelsaddle/internal/metrics"
 )
 
 // TestProxiesBytesUnchanged checks that URI, headers and bodies reach the
@@ -134,6 +135,29 @@
 	require.Zero(t, w.jobs[1].FirstEventBy)
 }
 
+// TestPlacementReceivesTheKind checks that a job names what its cost depends on, and that the error of
+// the estimate of a served call is counted; a failed call says nothing of it.
+func TestPlacementReceivesTheKind(t *testing.T) {
+	e := newEndpoint(t, respondWith("200 OK", ownHeader, "x"))
+	cut := newEndpoint(t, func(_ int, _ *http.Request, _ []byte, c net.Conn) { reset(c) })
+	for _, c := range []struct {
+		at      *endpoint
+		counted int64
+	}{{e, 1}, {cut, 0}} {
+		w := newHarness(t, c.at)
+		w.expected = time.Hour
+		w.call(t, "PUT", "/once/", "body", nil)
+		job, route := w.jobs[0], w.table.Route("h", "/once/").Name
+		require.Equal(t, []any{route, "PUT", 4}, []any{job.Route, job.Method, job.BodyBytes})
+		h, ok := w.gateway.cfg.Metrics.Registry.Get("prediction_error_us.org." + route).(*metrics.Histogram)
+		require.True(t, ok)
+		require.Equal(t, c.counted, h.Count())
+		if c.counted > 0 {
+			require.InDelta(t, time.Hour.Microseconds(), h.Max(), 60e6)
+		}
+	}
+}
+
 // TestReusedAddress sends to an address at which another endpoint now listens:
 // the request names the intended endpoint, so the other one rejects it, and the
 // request is retried elsewhere.
