--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -75,6 +75,10 @@
 	limit *Limit
 	// bucket bounds the requests of an endpoint that is cold or has a limit.
 	bucket ratelimit.Bucket
+	// load is the expected work of the jobs here, of a plain service.
+	load plainLoad
+	// slowStep is the step of an engine's pace by which its cost model is scaled; zero is as 1.
+	slowStep int
 	// helperOnly is set, for the present decision, if the endpoint may get no request.
 	helperOnly bool
 }
@@ -118,6 +122,7 @@
 	}
 	for _, e := range d.endpoints {
 		d.setEngine(now, e)
+		d.recount(now, e)
 	}
 	for _, p := range d.placed {
 		d.reclassify(p)
@@ -143,7 +148,7 @@
 // setEngine applies the cost model of the endpoint's service. If it has
 // changed, the parts move to a new model, in which pending prefills start over.
 func (d *Dispatcher) setEngine(now time.Time, e *endpoint) {
-	f := d.services[e.Service]
+	f := d.engineOf(e)
 	if f == e.engine || f != nil && e.engine != nil && *f == *e.engine {
 		return
 	}
@@ -238,6 +243,7 @@
 		e.Endpoint = spec
 		e.cool(spec.ColdUntil)
 		d.setEngine(now, e)
+		d.recount(now, e)
 		kept[spec.ID] = e
 		d.pools[spec.Service] = append(d.pools[spec.Service], e)
 	}
