Queued jobs are ordered and refused by the work of their organisations

One organisation with many requests delayed all others: the queue counts jobs, not whose they are.

With FairShares, each placement counts its work (prefill and decode time, or mean holding time) for its organisation. Within a rank and aged priority, jobs of organisations over their share go behind the others; long prompts within their share also go before short ones over it, as long as the short ones are served at least as often. Jobs whose turn comes too late by the work held before them are refused at once, with return times at the rate at which their organisation is served. Without FairShares nothing changes; the turns of services with bounded rates use the same order, and their fair turns are counted as before.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -27,13 +27,19 @@
 	var decisions []Decision
 	kept := d.queue[:0]
 	for _, q := range d.queue {
-		if now.Before(q.recheckAt) {
+		if now.Before(q.recheckAt) || d.yields(q) {
 			d.longHeld = d.longHeld || q.rank == rankLong
 			d.turnsOf(q.Service).held++
+			if d.cfg.FairShares {
+				d.shares[q.Service].hold(now, q)
+			}
 			kept = append(kept, q)
 			continue
 		}
 		decision, decided := d.decide(now, q)
+		if !decided {
+			decision, decided = d.holdByShare(now, q)
+		}
 		if !decided {
 			if q.rank > rankLightLate {
 				q.recheckAt = now.Add(recheck)
@@ -41,6 +47,9 @@
 			kept = append(kept, q)
 			continue
 		}
+		if decision.Refusal != nil {
+			d.explainRefusal(now, q, decision.Refusal)
+		}
 		decision.Owner = q.Owner
 		decisions = append(decisions, decision)
 	}
@@ -191,7 +200,9 @@
 func (d *Dispatcher) place(now time.Time, job *Job, p Placement) Decision {
 	d.countRequests(now, job, &p)
 	p.Limited = d.endpoints[p.Endpoint].limit != nil
-	d.delayPredictions(d.addPlaced(now, job, p))
+	placed := d.addPlaced(now, job, p)
+	d.countWork(now, placed)
+	d.delayPredictions(placed)
 	return Decision{Placement: &p}
 }
 
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -30,6 +30,13 @@
 	older int
 	// heldForTurn is set once the job has been held for its turn.
 	heldForTurn bool
+	// work is the job's expected work, and over the work above its allowance that its
+	// organisation will have received when the job's turn comes, as of the last call of
+	// orderByShares.
+	work, over time.Duration
+	// heldByShare is set once the job has been held for its share, and yielded if it has been
+	// held for another job without having been tried.
+	heldByShare, yielded bool
 }
 
 // setOwnerExit sets when the job's owner exits. If that changes, the job is decided anew.
@@ -54,6 +61,9 @@
 	// predicted is when the first event is expected.
 	predicted time.Time
 	placedAt  time.Time
+	// work is the work of the job that was counted, at countedAt; zero for none.
+	work      time.Duration
+	countedAt time.Time
 }
 
 // Dispatcher places the jobs of a group of endpoints and tracks them until they
@@ -70,6 +80,8 @@
 	deputy map[string]bool
 	// turns has the state of services whose jobs wait for their turns.
 	turns map[string]*turns
+	// shares has the state of fair queueing by service.
+	shares map[string]*shares
 	// pools lists the endpoints of each service, as sortPool sorts them.
 	pools map[string][]*endpoint
 	queue []*queuedJob
@@ -112,6 +124,7 @@
 		limits:    make(map[string]*Limit),
 		deputy:    make(map[string]bool),
 		turns:     make(map[string]*turns),
+		shares:    make(map[string]*shares),
 		pools:     make(map[string][]*endpoint),
 		placed:    make(map[JobKey]*placedJob),
 		demands:   make(map[string]*demand),
@@ -130,6 +143,7 @@
 		return
 	}
 	d.recordArrival(now, &job)
+	d.countArrival(now, &job)
 	d.queue = append(d.queue, &queuedJob{Job: job})
 }
 
@@ -207,6 +221,9 @@
 	if outcome == Served {
 		d.recordDuration(now, p)
 	}
+	if outcome == Rejected {
+		d.uncountWork(p)
+	}
 	if blamed == "" {
 		blamed = p.Endpoint
 	}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -118,6 +118,9 @@
 	// ReasonLimited means that the endpoints take too few requests for the job to get its
 	// turn in time.
 	ReasonLimited Reason = "endpoints_limited"
+	// ReasonOverShare means that the job can't be answered in time, and that its organisation
+	// has received more than its share of the service's work.
+	ReasonOverShare Reason = "organisation_over_share"
 	// ReasonWithheld means that a part of the prompt crashes endpoints.
 	ReasonWithheld Reason = "part_withheld"
 	// ReasonRequestWithheld means that the request itself crashes endpoints.
@@ -132,6 +135,9 @@
 	// RetryAfter is the minimum time before a retry; zero if a retry would fail
 	// too.
 	RetryAfter time.Duration
+	// Received is the part of the service's recent work that the job's organisation has
+	// received, and Share the part that it is due; zero unless that is the reason.
+	Received, Share float64
 }
 
 // Decision is either a Placement or a Refusal.
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -25,6 +25,7 @@
 			cmp.Compare(a.prefillPerValue, b.prefillPerValue),
 		)
 	})
+	d.orderByShares(now)
 	d.orderTurns(now)
 }
 
