--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -34,6 +34,8 @@
 	// organisation will have received when the job's turn comes, as of the last call of
 	// orderByShares.
 	work, over time.Duration
+	// place is the rank at which the job is sorted with fair shares.
+	place int
 	// heldByShare is set once the job has been held for its share, and yielded if it has been
 	// held for another job without having been tried.
 	heldByShare, yielded bool
--- a/core/dispatch/shares.go
+++ b/core/dispatch/shares.go
@@ -14,8 +14,10 @@
 	// unknownHolding is the work of a call of a plain service that has not served any yet.
 	unknownHolding = 50 * time.Millisecond
 	// urgentMargin is the share of jobs by which a more urgent kind must have been served more often
-	// than a less urgent one that goes before it: the latter's waiting jobs count as not served.
-	urgentMargin = 0.03
+	// than a less urgent one that goes before it: the waiting jobs of the latter count as not
+	// served, though most will be. With 0.03 the simulation served short prompts 5 in 100
+	// less often than those of 45,000 tokens.
+	urgentMargin = 0.25
 	// maxReturns is the number of organisations of a service for which the time of the next
 	// return is kept; those in the past are dropped above it.
 	maxReturns = 256
@@ -45,6 +47,8 @@
 	// longPriority is the lowest aged priority of the waiting long prompts within their shares;
 	// -1 while they don't go before short ones of organisations over their shares.
 	longPriority int
+	// urgentKind is the least urgent kind of the waiting short prompts.
+	urgentKind int
 	// urgentServed is the least served share of the kinds of waiting short prompts, and longServed
 	// the largest one of those of waiting long prompts within their shares.
 	urgentServed, longServed float64
@@ -58,15 +62,17 @@
 // kind counts the jobs of one urgency that have arrived and those that were placed.
 type kind struct{ arrived, placed rate }
 
-// kindOf returns the kind of a job: the power-of-two band, in ms, of the time to its goal.
-func (s *shares) kindOf(j *Job) *kind {
+// kindIndex returns the kind of a job: the power-of-two band, in ms, of the time to its goal.
+func kindIndex(j *Job) int {
 	until := j.Due
 	if until.IsZero() {
 		until = j.Deadline
 	}
-	return &s.kinds[min(bits.Len64(uint64(max(0, until.Sub(j.Arrived).Milliseconds()))), maxKinds-1)]
+	return min(bits.Len64(uint64(max(0, until.Sub(j.Arrived).Milliseconds()))), maxKinds-1)
 }
 
+func (s *shares) kindOf(j *Job) *kind { return &s.kinds[kindIndex(j)] }
+
 // served returns the share of the jobs of the kind that were placed lately; nearly one for few jobs.
 func (k *kind) served(now time.Time) float64 {
 	least := 1 / fairshare.Window.Seconds()
@@ -169,7 +175,7 @@
 	slices.SortStableFunc(d.queue, func(a, b *queuedJob) int {
 		return cmp.Or(
 			cmp.Compare(boolRank(d.behindLong(a)), boolRank(d.behindLong(b))),
-			cmp.Compare(a.rank, b.rank),
+			cmp.Compare(a.place, b.place),
 			cmp.Compare(a.agedPriority, b.agedPriority),
 			cmp.Compare(a.over, b.over),
 			cmp.Compare(a.prefillPerValue, b.prefillPerValue),
@@ -186,18 +192,27 @@
 // setLongPriorities decides, for each service, whether long prompts of organisations within their
 // shares go before the jobs of those over them: as long as the more urgent kinds that wait
 // have been served at least as often. Otherwise short prompts of one organisation fill the
-// slots of all engines, and no long prompt of another one is served.
+// slots of all engines, and no long prompt of another one is served. Long prompts that are as
+// urgent as waiting short ones always do, as the largest of their kind.
 func (d *Dispatcher) setLongPriorities(now time.Time) {
 	for _, s := range d.shares {
-		s.longPriority, s.urgentServed, s.longServed = -1, 1, 0
+		s.longPriority, s.urgentServed, s.longServed, s.urgentKind = -1, 1, 0, 0
+	}
+	for _, q := range d.queue {
+		if s := d.shares[q.Service]; q.rank <= rankLightLate && d.services[q.Service] != nil {
+			s.urgentServed = min(s.urgentServed, s.kindOf(&q.Job).served(now))
+			s.urgentKind = max(s.urgentKind, kindIndex(&q.Job))
+		}
 	}
 	for _, q := range d.queue {
 		s := d.shares[q.Service]
+		q.place = q.rank
 		switch {
-		case d.services[q.Service] == nil:
-		case q.rank <= rankLightLate:
-			s.urgentServed = min(s.urgentServed, s.kindOf(&q.Job).served(now))
-		case q.over == 0:
+		case q.rank <= rankLightLate || q.over > 0:
+		case kindIndex(&q.Job) <= s.urgentKind:
+			// A large prompt of an urgent kind.
+			q.place = rankLight
+		default:
 			s.longServed = max(s.longServed, s.kindOf(&q.Job).served(now))
 			s.longPriority = max(s.longPriority, q.agedPriority)
 		}
@@ -274,15 +289,15 @@
 	return wait
 }
 
-// yields reports whether a long prompt that is over its share is held until one before it, which is
-// not due for its recheck, has been tried. Otherwise new prompts of a large organisation would
-// take each engine that becomes free between two rechecks. It yields once in a row.
+// yields reports whether a job that is over its share is held until a long prompt before it, which is
+// not due for its recheck, has been tried. Otherwise the jobs of a large organisation would take
+// each slot that becomes free between two rechecks. A job yields once in a row.
 func (d *Dispatcher) yields(q *queuedJob) bool {
-	if !d.cfg.FairShares || q.rank <= rankLightLate {
+	if !d.cfg.FairShares || q.over == 0 {
 		return false
 	}
 	p := d.shares[q.Service].pending
-	if q.yielded || p == nil || p.rank != q.rank || p.agedPriority != q.agedPriority || p.over >= q.over {
+	if q.yielded || p == nil || p.over >= q.over || p.place != q.place && !d.behindLong(q) {
 		q.yielded = false
 		return false
 	}
@@ -306,8 +321,12 @@
 	}
 	s := d.shares[q.Service]
 	latest := d.latestShare(&q.Job)
-	if q.heldByShare {
-		latest = latest.Add(latest.Sub(q.Arrived) / turnTolerance)
+	switch margin := latest.Sub(q.Arrived) / turnTolerance; {
+	case q.heldByShare:
+		latest = latest.Add(margin)
+	case q.over > 0 && d.services[q.Service] == nil:
+		// The calls of other organisations that will arrive go before this one.
+		latest = latest.Add(-margin)
 	}
 	if now.Add(s.wait(now, q)).After(latest) {
 		return refuseTooLate(&q.Job, refusalRetryAfter), true
