VMs pass the work of their organisations to a new holder

What a holder has counted was lost with it, so that an organisation over its share started anew after each change.

Each VM counts the work of its own requests, whoever places them, and sends the 64 largest organisations with the reset to a new holder (updateMessage.Shares). The larger of the known and the stated work counts, so that a summary that comes twice counts once; without the field only what the receiver has counted holds. A refusal carries the organisation's part of the work and its share; event 711 and a counter by organisation, at most 64 of them, show it.

After the loss of a holder its successor knows the work of both other VMs (test of three VMs).

--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -112,6 +112,7 @@
 		stopping: make(chan struct{}),
 		announce: announce,
 	}
+	local.vm = vm
 	local.onDecisions = c.handleDecisions
 	local.onFindings = c.handleFindings
 	local.onLimitChange = c.logLimitChange
@@ -455,6 +456,7 @@
 		c.local.dropTerms(from.VM, *m.Reset)
 		c.local.addCrashes(m.Reset.Service, m.Crashes)
 		c.local.addLimits(m.Limits, from.VM)
+		c.local.addShares(m.Reset.Service, from.VM, m.Shares)
 	}
 	for _, u := range m.Updates {
 		c.local.applyUpdate(from.VM, u)
--- a/internal/coordination/holders.go
+++ b/internal/coordination/holders.go
@@ -161,7 +161,7 @@
 }
 
 // transferJobs sends all placed jobs of the service to its new holder, with the crashes and
-// limits of its endpoints. The caller must hold the lock.
+// limits of its endpoints, and the work of this VM's requests. The caller must hold the lock.
 func (c *Coordinator) transferJobs(service string, to Member) {
 	var updates []jobUpdate
 	for _, j := range c.jobs {
@@ -176,6 +176,7 @@
 		Updates: updates,
 		Crashes: encodeCrashes(now, c.local.crashes(service)),
 		Limits:  encodeLimits(now, c.local.limits(service)),
+		Shares:  c.local.shares(service),
 	})
 }
 
--- a/internal/coordination/local.go
+++ b/internal/coordination/local.go
@@ -17,6 +17,8 @@
 // holds, and keeps a local view of the other services. It refuses the jobs whose prompts
 // have a part that crashes endpoints. It is safe for concurrent use.
 type LocalDispatcher struct {
+	// vm is this VM.
+	vm         string
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	tracker    *quarantine.Tracker
@@ -155,6 +157,9 @@
 	}
 	job := a.Job.job(now, owner)
 	l.dispatcher.Adopt(now, job, *placement, a.Began)
+	if owner == l.vm {
+		l.dispatcher.CountAdopted(now, job.Key())
+	}
 	l.track(now, job, *placement)
 	if a.Began {
 		l.tracker.Began(now, job.Key())
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -95,11 +95,17 @@
 	// Suspicious asks the job's owner for the digest of the request when it ends: the
 	// holder has evidence on requests that crash endpoints.
 	Suspicious bool `json:"u,omitempty"`
+	// Received and Share are those of the refusal; zero for a holder of an earlier build.
+	Received float64 `json:"q,omitempty"`
+	Share    float64 `json:"y,omitempty"`
 }
 
 func encodeDecision(d dispatch.Decision) decisionMessage {
 	if d.Refusal != nil {
-		return decisionMessage{Job: d.Refusal.Job, Reason: string(d.Refusal.Reason), RetryAfter: d.Refusal.RetryAfter.Microseconds()}
+		return decisionMessage{
+			Job: d.Refusal.Job, Reason: string(d.Refusal.Reason), RetryAfter: d.Refusal.RetryAfter.Microseconds(),
+			Received: d.Refusal.Received, Share: d.Refusal.Share,
+		}
 	}
 	p := d.Placement
 	return decisionMessage{Job: p.Job, Endpoint: p.Endpoint, Helpers: p.Helpers, Shares: p.Shares, Predicted: p.Predicted.Microseconds(), Limited: p.Limited}
@@ -112,6 +118,7 @@
 	if m.Reason != "" {
 		return dispatch.Decision{Refusal: &dispatch.Refusal{
 			Job: m.Job, Reason: dispatch.Reason(m.Reason), RetryAfter: microseconds(m.RetryAfter),
+			Received: m.Received, Share: m.Share,
 		}}
 	}
 	return dispatch.Decision{Placement: &dispatch.Placement{
@@ -135,6 +142,10 @@
 	Crashes []quarantine.CrashMessage `json:"c,omitempty"`
 	// Limits are those that the sender knows, of the same endpoints.
 	Limits []limitMessage `json:"l,omitempty"`
+	// Shares is the work that the requests of the sender have received from the service by
+	// organisation, the largest first. Without it, as from an earlier build, only what the
+	// receiver has counted of them itself is known.
+	Shares []shareMessage `json:"h,omitempty"`
 }
 
 // limitMessage is the limit of an endpoint as sent between VMs.
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -185,11 +185,16 @@
 	Holder     string        `log:"holder"`
 	Waited     time.Duration `log:"waited"`
 	RetryAfter time.Duration `log:"retry_after"`
+	// Organisation has received the part Received of the service's recent work, and is due the
+	// part Share; all empty unless that is the reason.
+	Organisation string  `log:"organisation"`
+	Received     float64 `log:"received"`
+	Share        float64 `log:"share"`
 }
 
 // Def implements Event.
 func (RequestRefused) Def() Def {
-	return Def{711, "request_refused", log.InfoLevel, "The placement of a request was refused by holder; part is the part of its prompt that crashes endpoints, digest that of the request if it does so itself, if that is the reason."}
+	return Def{711, "request_refused", log.InfoLevel, "The placement of a request was refused by holder; part is the part of its prompt that crashes endpoints, digest that of the request if it does so itself, if that is the reason. received is the part of the service's recent work that the organisation has received, and share the part that it is due, if it has received more and that is the reason."}
 }
 
 // SendEnded is emitted when an attempt at an endpoint did not serve the request.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -246,6 +246,7 @@
 		x.gateway.cfg.Log.Emit(event.RequestRefused{
 			Request: x.call.ID, Reason: string(refused.Reason), Holder: refused.Holder,
 			Waited: time.Since(x.arrived), RetryAfter: retryAfter,
+			Organisation: x.overShare(refused), Received: refused.Received, Share: refused.Share,
 		})
 	}
 	x.giveUp(ctx, retryAfter)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,6 +129,10 @@
 	// retryBudgets maps services to their retry budgets.
 	retryBudgets map[string]*retry.Window
 
+	// overShare counts the requests that were refused as their organisations were over their
+	// shares.
+	overShare organisationCounters
+
 	requests gometrics.Counter
 	resends  gometrics.Counter
 	// closeFramed counts the responses that end with their connection.
