--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -31,7 +31,7 @@
 			d.longHeld = d.longHeld || q.rank == rankLong
 			d.turnsOf(q.Service).held++
 			if d.cfg.FairShares {
-				d.shares[q.Service].hold(now, q)
+				q.shares.hold(now, q)
 			}
 			kept = append(kept, q)
 			continue
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -36,6 +36,10 @@
 	work, over time.Duration
 	// place is the rank at which the job is sorted with fair shares.
 	place int
+	// shares is the state of the job's service, and behindLong is set if the job goes behind the
+	// long prompts of organisations within their shares.
+	shares     *shares
+	behindLong bool
 	// heldByShare is set once the job has been held for its share, and yielded if it has been
 	// held for another job without having been tried.
 	heldByShare, yielded bool
--- a/core/dispatch/shares.go
+++ b/core/dispatch/shares.go
@@ -33,17 +33,18 @@
 	kinds [maxKinds]kind
 
 	// The rest holds for one call of Decide. waiting are the organisations with queued jobs,
-	// total is the work that all have received and share the part of it that each active
-	// organisation is due. capacity is the work that the endpoints do in a second.
-	waiting  []string
-	total    time.Duration
-	share    time.Duration
-	active   int
-	capacity float64
-	// queued is the work of the queued jobs by organisation that have been passed so far, held
-	// is that of the jobs that are held, and heldBy the same by organisation.
-	queued, heldBy map[string]time.Duration
-	held           time.Duration
+	// total is the work that all have received, and allowance the part of it above which an
+	// organisation counts as over its share. capacity is the work that the endpoints do in a second.
+	waiting   []string
+	total     time.Duration
+	allowance time.Duration
+	active    int
+	capacity  float64
+	// queued is the work by organisation that was received or is that of queued jobs passed so far,
+	// held is that of the jobs that are held, and heldBy the same by organisation.
+	queued map[string]*time.Duration
+	heldBy map[string]time.Duration
+	held   time.Duration
 	// longPriority is the lowest aged priority of the waiting long prompts within their shares;
 	// -1 while they don't go before short ones of organisations over their shares.
 	longPriority int
@@ -84,7 +85,7 @@
 	if s == nil {
 		s = &shares{
 			ledger: fairshare.New(), returnAt: make(map[string]time.Time),
-			queued: make(map[string]time.Duration), heldBy: make(map[string]time.Duration),
+			queued: make(map[string]*time.Duration), heldBy: make(map[string]time.Duration),
 		}
 		d.shares[service] = s
 	}
@@ -167,14 +168,17 @@
 	}
 	d.startShares(now)
 	for _, q := range d.queue {
-		s := d.shares[q.Service]
-		q.over = max(0, s.ledger.Received(now, q.Organisation)+s.queued[q.Organisation]-s.allowance())
-		s.queued[q.Organisation] += q.work
+		tag := q.shares.queued[q.Organisation]
+		q.over = max(0, *tag-q.shares.allowance)
+		*tag += q.work
 	}
 	d.setLongPriorities(now)
+	for _, q := range d.queue {
+		q.behindLong = q.goesBehindLong()
+	}
 	slices.SortStableFunc(d.queue, func(a, b *queuedJob) int {
 		return cmp.Or(
-			cmp.Compare(boolRank(d.behindLong(a)), boolRank(d.behindLong(b))),
+			cmp.Compare(boolRank(a.behindLong), boolRank(b.behindLong)),
 			cmp.Compare(a.place, b.place),
 			cmp.Compare(a.agedPriority, b.agedPriority),
 			cmp.Compare(a.over, b.over),
@@ -183,12 +187,6 @@
 	})
 }
 
-// allowance returns the work above which an organisation counts as over its share: nearly
-// twice the share among many, as that of one prompt of 220,000 tokens is most of a share.
-func (s *shares) allowance() time.Duration {
-	return time.Duration(float64(s.share) * (2 - 1/float64(s.active)))
-}
-
 // setLongPriorities decides, for each service, whether long prompts of organisations within their
 // shares go before the jobs of those over them: as long as the more urgent kinds that wait
 // have been served at least as often. Otherwise short prompts of one organisation fill the
@@ -199,13 +197,13 @@
 		s.longPriority, s.urgentServed, s.longServed, s.urgentKind = -1, 1, 0, 0
 	}
 	for _, q := range d.queue {
-		if s := d.shares[q.Service]; q.rank <= rankLightLate && d.services[q.Service] != nil {
+		if s := q.shares; q.rank <= rankLightLate && d.services[q.Service] != nil {
 			s.urgentServed = min(s.urgentServed, s.kindOf(&q.Job).served(now))
 			s.urgentKind = max(s.urgentKind, kindIndex(&q.Job))
 		}
 	}
 	for _, q := range d.queue {
-		s := d.shares[q.Service]
+		s := q.shares
 		q.place = q.rank
 		switch {
 		case q.rank <= rankLightLate || q.over > 0:
@@ -224,10 +222,10 @@
 	}
 }
 
-// behindLong reports whether a job goes behind the long prompts of organisations within their
+// goesBehindLong reports whether a job goes behind the long prompts of organisations within their
 // shares, also if these are of a later rank. It doesn't if its priority is higher.
-func (d *Dispatcher) behindLong(q *queuedJob) bool {
-	p := d.shares[q.Service].longPriority
+func (q *queuedJob) goesBehindLong() bool {
+	p := q.shares.longPriority
 	return q.over > 0 && p >= 0 && q.agedPriority >= p
 }
 
@@ -239,10 +237,15 @@
 		clear(s.heldBy)
 	}
 	for _, q := range d.queue {
-		s := d.sharesOf(q.Service)
-		q.work = d.work(&q.Job)
-		if _, seen := s.queued[q.Organisation]; !seen {
-			s.queued[q.Organisation] = 0
+		if q.shares == nil {
+			q.shares = d.sharesOf(q.Service)
+		}
+		if q.work == 0 || d.services[q.Service] == nil {
+			q.work = d.work(&q.Job)
+		}
+		if s := q.shares; s.queued[q.Organisation] == nil {
+			received := s.ledger.Received(now, q.Organisation)
+			s.queued[q.Organisation] = &received
 			s.waiting = append(s.waiting, q.Organisation)
 		}
 	}
@@ -251,7 +254,8 @@
 			continue
 		}
 		s.total, s.active = s.ledger.Total(now), s.ledger.Active(s.waiting)
-		s.share = s.total / time.Duration(s.active)
+		// Nearly twice the share among many, as one prompt of 220,000 tokens is most of a share.
+		s.allowance = time.Duration(s.total.Seconds() / float64(s.active) * (2 - 1/float64(s.active)) * float64(time.Second))
 		s.capacity = d.capacity(service)
 	}
 }
@@ -296,8 +300,8 @@
 	if !d.cfg.FairShares || q.over == 0 {
 		return false
 	}
-	p := d.shares[q.Service].pending
-	if q.yielded || p == nil || p.over >= q.over || p.place != q.place && !d.behindLong(q) {
+	p := q.shares.pending
+	if q.yielded || p == nil || p.over >= q.over || p.place != q.place && !q.behindLong {
 		q.yielded = false
 		return false
 	}
@@ -319,7 +323,7 @@
 	if !d.cfg.FairShares {
 		return Decision{}, false
 	}
-	s := d.shares[q.Service]
+	s := q.shares
 	latest := d.latestShare(&q.Job)
 	switch margin := latest.Sub(q.Arrived) / turnTolerance; {
 	case q.heldByShare:
@@ -352,7 +356,7 @@
 	if !d.cfg.FairShares || r.Reason != ReasonTooLate {
 		return
 	}
-	s := d.shares[q.Service]
+	s := q.shares
 	if q.over > 0 {
 		r.Reason = ReasonOverShare
 		if s.total > 0 {
--- a/core/dispatch/shares_test.go
+++ b/core/dispatch/shares_test.go
@@ -32,10 +32,6 @@
 	waits    []time.Duration
 }
 
-func (r shareResult) share(organisation string) float64 {
-	return float64(r.served[organisation]) / float64(r.sent[organisation])
-}
-
 const shareLoadLength = 12 * time.Second
 
 func (l shareLoad) dispatcher(now time.Time) *Dispatcher {
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -16,8 +16,9 @@
 func (l *LocalDispatcher) shares(service string) []shareMessage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var list []shareMessage
-	for _, s := range l.dispatcher.Shares(time.Now(), service, l.vm) {
+	known := l.dispatcher.Shares(time.Now(), service, l.vm)
+	list := make([]shareMessage, 0, len(known))
+	for _, s := range known {
 		list = append(list, shareMessage{s.Organisation, s.Received.Microseconds()})
 	}
 	return list
