--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -31,13 +31,19 @@
 	var decisions []Decision
 	kept := d.queue[:0]
 	for _, q := range d.queue {
-		if now.Before(q.recheckAt) {
+		if now.Before(q.recheckAt) || d.yields(q) {
 			d.longHeld = d.longHeld || q.rank == rankLong
 			d.turnsOf(q.Service).held++
+			if d.cfg.FairShares {
+				q.shares.hold(now, q)
+			}
 			kept = append(kept, q)
 			continue
 		}
 		decision, decided := d.decide(now, q)
+		if !decided {
+			decision, decided = d.holdByShare(now, q)
+		}
 		if !decided {
 			if q.rank > rankLightLate {
 				q.recheckAt = now.Add(recheck)
@@ -45,6 +51,9 @@
 			kept = append(kept, q)
 			continue
 		}
+		if decision.Refusal != nil {
+			d.explainRefusal(now, q, decision.Refusal)
+		}
 		decision.Owner = q.Owner
 		decisions = append(decisions, decision)
 	}
@@ -203,7 +212,9 @@
 func (d *Dispatcher) placeEstimated(now time.Time, job *Job, p Placement, cost jobCost) Decision {
 	d.countRequests(now, job, &p)
 	p.Limited = d.endpoints[p.Endpoint].limit != nil
-	d.delayPredictions(d.addPlaced(now, job, p, cost))
+	placed := d.addPlaced(now, job, p, cost)
+	d.countWork(now, placed)
+	d.delayPredictions(placed)
 	return Decision{Placement: &p}
 }
 
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -30,6 +30,19 @@
 	older int
 	// heldForTurn is set once the job has been held for its turn.
 	heldForTurn bool
+	// work is the job's expected work, and over the work above its allowance that its
+	// organisation will have received when the job's turn comes, as of the last call of
+	// orderByShares.
+	work, over time.Duration
+	// place is the rank at which the job is sorted with fair shares.
+	place int
+	// shares is the state of the job's service, and behindLong is set if the job goes behind the
+	// long prompts of organisations within their shares.
+	shares     *shares
+	behindLong bool
+	// heldByShare is set once the job has been held for its share, and yielded if it has been
+	// held for another job without having been tried.
+	heldByShare, yielded bool
 }
 
 // setOwnerExit sets when the job's owner exits. If that changes, the job is decided anew.
@@ -62,6 +75,9 @@
 	ageUnknown  bool
 	// engineStep is the step of the receiver's pace on which the prediction is based.
 	engineStep int
+	// work is the work of the job that was counted, at countedAt; zero for none.
+	work      time.Duration
+	countedAt time.Time
 }
 
 // Dispatcher places the jobs of a group of endpoints and tracks them until they
@@ -79,6 +95,8 @@
 	deputy map[string]bool
 	// turns has the state of services whose jobs wait for their turns.
 	turns map[string]*turns
+	// shares has the state of fair queueing by service.
+	shares map[string]*shares
 	// pools lists the endpoints of each service, as sortPool sorts them.
 	pools map[string][]*endpoint
 	queue []*queuedJob
@@ -123,6 +141,7 @@
 		limits:    make(map[string]*Limit),
 		deputy:    make(map[string]bool),
 		turns:     make(map[string]*turns),
+		shares:    make(map[string]*shares),
 		pools:     make(map[string][]*endpoint),
 		placed:    make(map[JobKey]*placedJob),
 		demands:   make(map[string]*demand),
@@ -142,6 +161,7 @@
 		return
 	}
 	d.recordArrival(now, &job)
+	d.countArrival(now, &job)
 	d.queue = append(d.queue, &queuedJob{Job: job})
 }
 
@@ -227,6 +247,9 @@
 	if outcome == Served {
 		d.recordDuration(now, p)
 	}
+	if outcome == Rejected {
+		d.uncountWork(p)
+	}
 	if blamed == "" {
 		blamed = p.Endpoint
 	}
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -114,6 +114,7 @@
 		stopping: make(chan struct{}),
 		announce: announce,
 	}
+	local.vm = vm
 	local.onDecisions = c.handleDecisions
 	local.onFindings = c.handleFindings
 	local.onLimitChange = c.logLimitChange
@@ -461,6 +462,7 @@
 		c.local.addCrashes(m.Reset.Service, m.Crashes)
 		c.local.addLimits(m.Limits, from.VM)
 		c.local.addCosts(m.Reset.Service, m.Costs)
+		c.local.addShares(m.Reset.Service, from.VM, m.Shares)
 	}
 	for _, u := range m.Updates {
 		c.local.applyUpdate(from.VM, u)
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -111,11 +111,17 @@
 	// is based; both are missing from holders of earlier builds.
 	Expected int64   `json:"x,omitempty"`
 	Evidence float64 `json:"n,omitempty"`
+	// Received and Share are those of the refusal; zero for a holder of an earlier build.
+	Received float64 `json:"q,omitempty"`
+	Share    float64 `json:"y,omitempty"`
 }
 
 func encodeDecision(d dispatch.Decision) decisionMessage {
 	if d.Refusal != nil {
-		return decisionMessage{Job: d.Refusal.Job, Reason: string(d.Refusal.Reason), RetryAfter: d.Refusal.RetryAfter.Microseconds()}
+		return decisionMessage{
+			Job: d.Refusal.Job, Reason: string(d.Refusal.Reason), RetryAfter: d.Refusal.RetryAfter.Microseconds(),
+			Received: d.Refusal.Received, Share: d.Refusal.Share,
+		}
 	}
 	p := d.Placement
 	return decisionMessage{
@@ -131,6 +137,7 @@
 	if m.Reason != "" {
 		return dispatch.Decision{Refusal: &dispatch.Refusal{
 			Job: m.Job, Reason: dispatch.Reason(m.Reason), RetryAfter: microseconds(m.RetryAfter),
+			Received: m.Received, Share: m.Share,
 		}}
 	}
 	return dispatch.Decision{Placement: &dispatch.Placement{
@@ -158,6 +165,10 @@
 	// Costs is what the sender has learned of that service; nil from VMs of earlier builds, and
 	// without LearnCosts.
 	Costs *costsMessage `json:"w,omitempty"`
+	// Shares is the work that the requests of the sender have received from the service by
+	// organisation, the largest first. Without it, as from an earlier build, only what the
+	// receiver has counted of them itself is known.
+	Shares []shareMessage `json:"h,omitempty"`
 }
 
 // limitMessage is the limit of an endpoint as sent between VMs.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,6 +136,10 @@
 	hedges map[string]*hedging.Guard
 	usual  map[string]*hedging.Usual
 
+	// overShare counts the requests that were refused as their organisations were over their
+	// shares.
+	overShare organisationCounters
+
 	requests gometrics.Counter
 	resends  gometrics.Counter
 	// hedgesSent counts the hedged requests, hedgesWon those that were answered before the first
