--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -340,8 +340,8 @@
 // Close ends the exchange. It returns the connection to the pool if request and
 // response were transferred completely, the response is known to be this request's,
 // and the endpoint keeps the connection open; otherwise it closes the connection. An endpoint
-// that has answered before it has read the request, and keeps the connection open, gets the rest
-// within lingerTimeout first.
+// that has answered before it has read the request, other than with an error, and keeps the
+// connection open, gets the rest within lingerTimeout first.
 func (r *Response) Close() {
 	live := r.release() && r.Memory.Err() == nil
 	// From here on the holder can't give way, which would close a connection that is reused.
@@ -351,7 +351,7 @@
 	r.conn.onLost.Store(nil)
 	r.transport.count(r.request, r.conn)
 	keep := idleTimeout(r.raw)
-	if live && r.bodyEnded && keep > 0 && !r.writing.ended() {
+	if live && r.bodyEnded && keep > 0 && r.Status < http.StatusBadRequest && !r.writing.ended() {
 		r.linger()
 		return
 	}
