Adopted jobs don't count as served ones of their kind

A VM that adopts its own jobs has not seen them arrive, so that all kinds would count as served more often than they arrived once it becomes the holder.

Only placements from the queue count for a kind.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -201,7 +201,7 @@
 	d.countRequests(now, job, &p)
 	p.Limited = d.endpoints[p.Endpoint].limit != nil
 	placed := d.addPlaced(now, job, p)
-	d.countWork(now, placed)
+	d.countPlacement(now, placed)
 	d.delayPredictions(placed)
 	return Decision{Placement: &p}
 }
--- a/core/dispatch/shares.go
+++ b/core/dispatch/shares.go
@@ -113,9 +113,7 @@
 		return
 	}
 	p.work, p.countedAt = d.work(&p.Job), now
-	s := d.sharesOf(p.Service)
-	s.ledger.Add(now, p.Owner, p.Organisation, p.work)
-	s.kindOf(&p.Job).placed.add(now, fairshare.Window, 1)
+	d.sharesOf(p.Service).ledger.Add(now, p.Owner, p.Organisation, p.work)
 }
 
 // uncountWork takes back the work of a job that did not run.
@@ -125,6 +123,14 @@
 	}
 }
 
+// countPlacement counts a queued job that is placed, with its work.
+func (d *Dispatcher) countPlacement(now time.Time, p *placedJob) {
+	if d.cfg.FairShares {
+		d.countWork(now, p)
+		d.sharesOf(p.Service).kindOf(&p.Job).placed.add(now, fairshare.Window, 1)
+	}
+}
+
 // countArrival counts a job that is submitted.
 func (d *Dispatcher) countArrival(now time.Time, j *Job) {
 	if d.cfg.FairShares {
--- a/internal/coordination/fuzz_test.go
+++ b/internal/coordination/fuzz_test.go
@@ -12,11 +12,13 @@
 // FuzzMessages hands whatever another VM may send to a dispatcher with an engine and a
 // plain service.
 func FuzzMessages(f *testing.F) {
-	f.Add([]byte(`{"id":"1","s":"s","a":10,"d":1000,"e":5000000,"f":2000,"n":5000,"w":400,"v":["e0"],"x":["e1"]}`), []byte(`{"r":{"s":"s","t":1},"n":[{"j":"1","b":true},{"j":"1","f":true,"o":9,"l":"x"}]}`))
+	f.Add([]byte(`{"id":"1","s":"s","a":10,"d":1000,"e":5000000,"f":2000,"n":5000,"w":400,"v":["e0"],"x":["e1"]}`), []byte(`{"r":{"s":"s","t":1},"n":[{"j":"1","b":true},{"j":"1","f":true,"o":9,"l":"x"}],"h":[{"o":"large","w":9000000000000000000},{"w":-5}]}`))
 	f.Add([]byte(`{"id":"","s":"p","a":-9000000000000000000,"e":-9000000000000000000,"n":-5,"w":-5}`), []byte(`{"n":[{"j":"2","a":{"j":{"id":"2","s":"s","n":900000},"p":{"j":"3","e":"e0","h":["e0","e1","e1"],"m":[1,-2,3,4]}}}]}`))
 	f.Add([]byte(`{"id":"1","s":"s","a":9000000000000000000,"e":9000000000000000000,"n":9000000000000000000,"w":9000000000000000000}`), []byte(`{"n":[{"j":"1","a":{"p":{}}},{}]}`))
 	f.Fuzz(func(_ *testing.T, job, update []byte) {
-		l := NewLocalDispatcher(dispatch.DefaultConfig(), quarantine.DefaultConfig())
+		cfg := dispatch.DefaultConfig()
+		cfg.FairShares = true
+		l := NewLocalDispatcher(cfg, quarantine.DefaultConfig())
 		defer l.pollTimer.Stop()
 		l.onDecisions = func([]dispatch.Decision) {}
 		l.SetServices([]dispatch.Service{{Name: "p"}, {Name: "s", Engine: &engine.CostModel{
@@ -33,6 +35,7 @@
 		}
 		if u.Reset != nil {
 			l.dropTerms("a", *u.Reset)
+			l.addShares(u.Reset.Service, "a", u.Shares)
 		}
 		for _, one := range u.Updates {
 			l.applyUpdate("a", one)
