--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -213,7 +213,7 @@
 	d.countRequests(now, job, &p)
 	p.Limited = d.endpoints[p.Endpoint].limit != nil
 	placed := d.addPlaced(now, job, p, cost)
-	d.countWork(now, placed)
+	d.countPlacement(now, placed)
 	d.delayPredictions(placed)
 	return Decision{Placement: &p}
 }
