Hedges of plain calls use the expected time of the placement

The delay before another endpoint is asked came from the times of the whole route at one VM, so that a heavy call on a route of light ones was overdue early. The placement knows the kind of the call and the pace of its endpoint: its estimate is used where there is one.

--- a/core/hedging/delay.go
+++ b/core/hedging/delay.go
@@ -27,6 +27,9 @@
 type Wait struct {
 	// Predicted is the predicted time to a prompt's first event; zero for other requests.
 	Predicted time.Duration
+	// Estimated is the expected time of a call by placement, which knows its kind and its endpoint;
+	// zero if it has no estimate.
+	Estimated time.Duration
 	// Usual is what is known of the route: the times of its calls in nanoseconds or, with a
 	// prediction, their ratios to it.
 	Usual Usual
@@ -54,6 +57,9 @@
 	if w.Predicted > 0 {
 		return scale(w.Predicted, min(max(w.Usual.Mean(), 1), maxRatio))
 	}
+	if w.Estimated > 0 {
+		return w.Estimated
+	}
 	return time.Duration(w.Usual.Mean())
 }
 
--- a/core/hedging/hedging_test.go
+++ b/core/hedging/hedging_test.go
@@ -33,16 +33,17 @@
 		wait  Wait
 		delay time.Duration
 	}{
-		"short prompt":                 {Wait{Predicted: 100 * ms, Goal: 250 * ms, Patience: 2 * time.Second}, 500 * ms},
-		"prompt of 45,000 tokens":      {Wait{Predicted: 500 * ms, Goal: 1500 * ms, Patience: 4 * time.Second}, 850 * ms},
-		"prompt of 260,000 tokens":     {Wait{Predicted: 1400 * ms, Goal: 4 * time.Second, Patience: 10 * time.Second}, 2200 * ms},
-		"prompt of 220,000 tokens":     {Wait{Predicted: 2500 * ms, Goal: 8 * time.Second, Patience: 10 * time.Second}, 4 * time.Second},
-		"prediction that is too early": {Wait{Predicted: 500 * ms, Usual: known(2), Goal: 1500 * ms, Patience: 4 * time.Second}, 1600 * ms},
-		"plain call":                   {Wait{Usual: call, Goal: 300 * ms, Patience: 2 * time.Second}, 500 * ms},
-		"plain call, unknown time":     {Wait{Goal: 300 * ms, Patience: 2 * time.Second}, 600 * ms},
-		"slow calls":                   {Wait{Usual: slow, Patience: 10 * time.Second}, 5 * time.Second},
-		"nothing known":                {Wait{Patience: 3 * time.Second}, 1500 * ms},
-		"caller without patience":      {Wait{Usual: call, Patience: 600 * ms}, 300 * ms},
+		"short prompt":                        {Wait{Predicted: 100 * ms, Goal: 250 * ms, Patience: 2 * time.Second}, 500 * ms},
+		"prompt of 45,000 tokens":             {Wait{Predicted: 500 * ms, Goal: 1500 * ms, Patience: 4 * time.Second}, 850 * ms},
+		"prompt of 260,000 tokens":            {Wait{Predicted: 1400 * ms, Goal: 4 * time.Second, Patience: 10 * time.Second}, 2200 * ms},
+		"prompt of 220,000 tokens":            {Wait{Predicted: 2500 * ms, Goal: 8 * time.Second, Patience: 10 * time.Second}, 4 * time.Second},
+		"prediction that is too early":        {Wait{Predicted: 500 * ms, Usual: known(2), Goal: 1500 * ms, Patience: 4 * time.Second}, 1600 * ms},
+		"plain call":                          {Wait{Usual: call, Goal: 300 * ms, Patience: 2 * time.Second}, 500 * ms},
+		"heavy call on a route of light ones": {Wait{Estimated: 400 * ms, Usual: call, Patience: 10 * time.Second}, 3200 * ms},
+		"plain call, unknown time":            {Wait{Goal: 300 * ms, Patience: 2 * time.Second}, 600 * ms},
+		"slow calls":                          {Wait{Usual: slow, Patience: 10 * time.Second}, 5 * time.Second},
+		"nothing known":                       {Wait{Patience: 3 * time.Second}, 1500 * ms},
+		"caller without patience":             {Wait{Usual: call, Patience: 600 * ms}, 300 * ms},
 	} {
 		t.Run(name, func(t *testing.T) {
 			delay, ok := test.wait.Delay()
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -62,7 +62,7 @@
 	if !g.cfg.HedgeSilent || x.standingBy || !x.route.Repeatable() || x.attempts-x.unsent >= x.route.MaxAttempts || g.stop.Load() != nil {
 		return nil
 	}
-	wait := hedging.Wait{Predicted: placed.Predicted, Usual: g.usualTimes(x.route), Patience: time.Until(x.deadline)}
+	wait := hedging.Wait{Predicted: placed.Predicted, Estimated: placed.Expected, Usual: g.usualTimes(x.route), Patience: time.Until(x.deadline)}
 	if x.route.Goal > 0 && !x.stream.headerSent.Load() {
 		wait.Goal = time.Until(x.arrived.Add(x.route.Goal))
 	}
