A VM whose first copy comes from a fresh source doesn't read the store

TestFollowerOfADarkWatcherStaysWithTheOther failed in 2 of 150 runs. A trace shows, in ms: 0.5 the watcher a answers the first read of c; 0.6 c begins to follow the store; 0.7 c waits for changes at a; 1.7 a loses power and row 3 is written; 1.8 the read of the store brings row 3 to c; 3.0 the test writes row 4, while c still waits for a, until 1,101 ms after the beginning of that wait.

The follower applied the first copy before it recorded that its source was fresh. In between awaitCopy ended, which looks each 2 ms, and followStore began to follow the store, though a fresh source was there. The source now counts as fresh before the first copy is applied, as followStore begins with that. TestRelayHandsOn failed by the same read of the store, 5 times in 300 s of runs.

The test took the arrival of row 3 for a proof that c had found the other source. It now waits until c waits for changes there, whatever brought the row; the bound for each change is the same.

--- a/internal/mirror/cluster_test.go
+++ b/internal/mirror/cluster_test.go
@@ -37,6 +37,8 @@
 	// can't be called.
 	peerReads map[[2]string]int
 	silent    map[string]bool
+	// polls counts the reads in progress by a VM of another one that may be held.
+	polls map[[2]string]int
 	// dark are the VMs that have lost power: calls to them get no answer, also those that
 	// are in progress.
 	dark map[string]bool
@@ -144,6 +146,10 @@
 	if f == nil {
 		return peer.Identity{}, errRejected
 	}
+	if request.WaitMs > 0 {
+		p.countPoll(address, 1)
+		defer p.countPoll(address, -1)
+	}
 	*answer = f.serve(ctx, request)
 	p.mu.Lock()
 	dark := p.dark[address]
@@ -154,6 +160,12 @@
 	return peer.Identity{VM: address}, ctx.Err()
 }
 
+func (p clusterPeers) countPoll(address string, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.polls[[2]string{p.vm, address}] += n
+}
+
 // clusterSources is one VM's selection of sources.
 type clusterSources struct {
 	*cluster
@@ -253,6 +265,7 @@
 		changed: make(chan struct{}), version: 1, followers: make(map[string]*Follower),
 		observers: make(map[string]*recorder), watchers: map[string]bool{"a": true}, storeReads: make(map[string]int),
 		relays: make(map[string]bool), peerReads: make(map[[2]string]int), silent: make(map[string]bool), dark: make(map[string]bool),
+		polls: make(map[[2]string]int),
 	}
 	for _, vm := range relays {
 		c.relays[vm] = true
--- a/internal/mirror/peers.go
+++ b/internal/mirror/peers.go
@@ -130,14 +130,26 @@
 
 // Pull reads the topic once, without waiting for changes, from a VM that may have
 // later rows.
-func (f *Follower) Pull(ctx context.Context, address string) { f.callPeer(ctx, address, 0) }
+func (f *Follower) Pull(ctx context.Context, address string) {
+	if m, ok := f.fetchPeer(ctx, address, 0); ok {
+		f.apply(m)
+	}
+}
 
 // readPeer makes one poll of a VM, which may hold it for the wait time, and reports whether
 // that VM is a fresh source.
 func (f *Follower) readPeer(ctx context.Context, address string, wait time.Duration) bool {
 	started := clock.Boot()
-	m, ok := f.callPeer(ctx, address, wait)
-	if !ok || m.Stale {
+	m, ok := f.fetchPeer(ctx, address, wait)
+	if !ok {
+		return false
+	}
+	if !m.Stale && f.Revision().Version == 0 {
+		// followStore begins as soon as there is a copy, and reads the store unless it knows of
+		// a fresh source by then.
+		f.setPeerFresh(true)
+	}
+	if !f.apply(m) || m.Stale {
 		return false
 	}
 	f.confirm(started - time.Duration(m.AgeMs)*time.Millisecond)
@@ -145,9 +157,9 @@
 	return true
 }
 
-// callPeer reads the topic from a VM, which may hold the call for the wait time, and
-// applies the rows. It returns false if the call failed or the VM has no copy.
-func (f *Follower) callPeer(ctx context.Context, address string, wait time.Duration) (pageMessage, bool) {
+// fetchPeer reads the topic from a VM, which may hold the call for the wait time. It returns
+// false if the call failed or the VM has no copy.
+func (f *Follower) fetchPeer(ctx context.Context, address string, wait time.Duration) (pageMessage, bool) {
 	ctx, cancel := context.WithTimeout(ctx, wait+peerPollMargin)
 	defer cancel()
 	var m pageMessage
@@ -162,7 +174,7 @@
 		f.log.Emit(event.RowsUnreadable{Topic: f.topic.String(), Address: address, Reason: err.Error()})
 		return m, false
 	}
-	return m, f.apply(m)
+	return m, true
 }
 
 // apply applies another VM's rows. It returns false if they are of an earlier epoch.
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -22,6 +22,13 @@
 	return c.peerReads[[2]string{from, at}]
 }
 
+// pollsAt reports whether a VM waits for changes at another one.
+func (c *cluster) pollsAt(from, at string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.polls[[2]string{from, at}] > 0
+}
+
 // newFollowedCluster is newCluster, once all VMs have a row and b and c follow others.
 func newFollowedCluster(t *testing.T, relays ...string) *cluster {
 	t.Helper()
@@ -146,6 +153,9 @@
 	c.mu.Unlock()
 	c.put(row("k", "2", 3))
 	require.Eventually(t, func() bool { return c.observers["c"].has("k", "2") }, 10*time.Second, time.Millisecond)
+	// The change alone doesn't show that c has found the other source: a read of the store that c
+	// began before it followed a VM brings it as well.
+	require.Eventually(t, func() bool { return c.pollsAt("c", "b") }, 10*time.Second, time.Millisecond)
 	before := c.reads("c", "a")
 	for version := int64(4); version < 8; version++ {
 		value := string(rune('0' + version))
