--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -129,3 +129,43 @@
 	require.InDelta(t, 15, placed, 5)
 	require.Zero(t, d.Queued())
 }
+
+// coldEngines is a service of engines that are cold for 3 s and then bear 15 requests a second.
+var coldEngines = Service{Name: "s", Engine: simCostModel(), Cold: Cold{For: 3 * time.Second, PerSecond: 15}}
+
+// TestHelpersCountForColdEngines guards against cold engines that get more requests than they
+// bear, as helpers with prompts of others: a part of a prompt was not counted, so that each long
+// prompt could take all cold engines.
+func TestHelpersCountForColdEngines(t *testing.T) {
+	d := New(DefaultConfig())
+	d.SetServices(start, []Service{coldEngines})
+	list := make([]Endpoint, 0, 6)
+	for i := range 6 {
+		e := Endpoint{ID: fmt.Sprint("e", i), Service: "s", Slots: 16}
+		if i > 0 {
+			e.ColdUntil = start.Add(coldEngines.Cold.For)
+		}
+		list = append(list, e)
+	}
+	d.SetEndpoints(start, list)
+	arrivals := make(map[string][]time.Time)
+	helped := 0
+	for i, now := 0, start; now.Before(start.Add(coldEngines.Cold.For)); i, now = i+1, now.Add(10*time.Millisecond) {
+		d.Submit(now, prompt(fmt.Sprint(i), 200000, now))
+		for _, decision := range d.Decide(now) {
+			p := decision.Placement
+			if p == nil {
+				continue
+			}
+			helped += len(p.Helpers)
+			for _, id := range p.endpoints() {
+				arrivals[id] = append(arrivals[id], now)
+			}
+			d.Finished(now, decision.Key(), Served, "")
+		}
+	}
+	require.Positive(t, helped)
+	for _, e := range list[1:] {
+		require.LessOrEqual(t, most(arrivals[e.ID]), int(coldEngines.Cold.PerSecond*coldOvershoot+coldSlack), e.ID)
+	}
+}
--- a/core/dispatch/limit.go
+++ b/core/dispatch/limit.go
@@ -182,12 +182,13 @@
 }
 
 // countRequests counts the requests that the endpoints of a placement get: that of the job,
-// and the reservations of the helpers that hold a share of the prompt.
+// the reservations of the helpers that hold a share of the prompt, and the parts of the prompt at
+// cold helpers. A part comes from another engine, so that it does not count for a limit.
 func (d *Dispatcher) countRequests(now time.Time, job *Job, p *Placement) {
-	for i, id := range p.endpoints()[:1+len(p.Shares)] {
+	for i, id := range p.endpoints() {
 		e := d.endpoints[id]
 		perSecond, bounded := d.boundedRate(now, e)
-		if !bounded || i > 0 && e.limit == nil {
+		if !bounded || i > len(p.Shares) && !e.cold(now, d.cold[e.Service]) {
 			continue
 		}
 		e.bucket.Take(now, perSecond)
