Endpoints that come back to an empty service are cold

With the only failure domain of a service evacuated, its endpoints counted as warm as soon as that was taken back: only an endpoint that joined others at that moment was cold by that. The first list of a service that the VM reads is the only one now whose endpoints are not cold by being listed.

--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -169,3 +169,18 @@
 		require.LessOrEqual(t, most(arrivals[e.ID]), int(coldEngines.Cold.PerSecond*coldOvershoot+coldSlack), e.ID)
 	}
 }
+
+// TestEndpointsThatComeBackToAnEmptyServiceAreCold evacuates the only failure domain of a service
+// and takes that back. Its endpoints were warm again at once, as they joined no others.
+func TestEndpointsThatComeBackToAnEmptyServiceAreCold(t *testing.T) {
+	d := New(DefaultConfig())
+	d.SetServices(start, []Service{coldService})
+	d.SetEndpoints(start, plainEndpoints("a", "b"))
+	d.SetEndpoints(start.Add(time.Second), nil)
+	now := start.Add(2 * time.Second)
+	d.SetEndpoints(now, plainEndpoints("a", "b"))
+	placed := serveFor(d, now, coldService.Cold.For)
+	for _, id := range []string{"a", "b"} {
+		require.LessOrEqual(t, most(placed[id]), int(coldService.Cold.PerSecond*coldOvershoot+coldSlack), id)
+	}
+}
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -212,19 +212,18 @@
 
 // SetEndpoints replaces the endpoints that may get work. Jobs at endpoints that
 // are no longer listed stay placed until they finish, and count again if their
-// endpoints are listed again. Endpoints that join others of their service, or come back,
-// count as cold.
+// endpoints are listed again. Endpoints count as cold that join a service that has, or had
+// before, others.
 func (d *Dispatcher) SetEndpoints(now time.Time, list []Endpoint) {
 	kept := make(map[string]*endpoint, len(list))
 	added := make(map[string]*endpoint)
-	previous := d.pools
 	d.pools = make(map[string][]*endpoint)
 	for _, spec := range list {
 		e := d.endpoints[spec.ID]
 		if e == nil {
 			e = &endpoint{}
 			added[spec.ID] = e
-			if len(previous[spec.Service]) > 0 {
+			if d.demandOf(spec.Service).listed {
 				e.cool(now.Add(d.cold[spec.Service].For))
 			}
 		}
@@ -240,7 +239,8 @@
 		d.sortPool(service)
 	}
 	for service := range d.pools {
-		d.demandOf(service).emptySince = time.Time{}
+		m := d.demandOf(service)
+		m.emptySince, m.listed = time.Time{}, true
 	}
 	for service, m := range d.demands {
 		if len(d.pools[service]) == 0 && m.emptySince.IsZero() {
--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -46,6 +46,8 @@
 	// emptySince is when the service lost its last endpoint, or a job first found it
 	// without any; zero while it has some.
 	emptySince time.Time
+	// listed is set once the service has had an endpoint.
+	listed bool
 	// holding is the time for which jobs hold a slot of a plain service, and decoding the
 	// time in which engines decode an answer, for each token of the longest answer that its
 	// caller takes.
