The next incarnation of an endpoint is cold

An endpoint that started again before its row was removed is listed with its next incarnation in the place of the last one. It was cold only if that row stated it, and got 151 calls in a second otherwise. A change of the incarnation now makes an endpoint cold for the service's time.

--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -184,3 +184,20 @@
 		require.LessOrEqual(t, most(placed[id]), int(coldService.Cold.PerSecond*coldOvershoot+coldSlack), id)
 	}
 }
+
+// TestNextIncarnationIsCold lets an endpoint start again so soon that the registry lists its next
+// incarnation in the place of the last one, and without the time for which it is cold.
+func TestNextIncarnationIsCold(t *testing.T) {
+	d := New(DefaultConfig())
+	d.SetServices(start, []Service{coldService})
+	list := plainEndpoints("a", "b", "c")
+	list[0].Started = 1
+	d.SetEndpoints(start, list)
+	list[0].Started = 2
+	now := start.Add(time.Second)
+	d.SetEndpoints(now, list)
+	placed := serveFor(d, now, coldService.Cold.For)
+	limit := int(coldService.Cold.PerSecond*coldOvershoot + coldSlack)
+	require.LessOrEqual(t, most(placed["a"]), limit)
+	require.Greater(t, most(placed["b"]), limit, "it goes on as before")
+}
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -213,19 +213,21 @@
 // SetEndpoints replaces the endpoints that may get work. Jobs at endpoints that
 // are no longer listed stay placed until they finish, and count again if their
 // endpoints are listed again. Endpoints count as cold that join a service that has, or had
-// before, others.
+// before, others, and those of which another incarnation is listed.
 func (d *Dispatcher) SetEndpoints(now time.Time, list []Endpoint) {
 	kept := make(map[string]*endpoint, len(list))
 	added := make(map[string]*endpoint)
 	d.pools = make(map[string][]*endpoint)
 	for _, spec := range list {
 		e := d.endpoints[spec.ID]
+		starts := e != nil && e.Started != spec.Started
 		if e == nil {
 			e = &endpoint{}
 			added[spec.ID] = e
-			if d.demandOf(spec.Service).listed {
-				e.cool(now.Add(d.cold[spec.Service].For))
-			}
+			starts = d.demandOf(spec.Service).listed
+		}
+		if starts {
+			e.cool(now.Add(d.cold[spec.Service].For))
 		}
 		e.Endpoint = spec
 		e.cool(spec.ColdUntil)
