An endpoint that comes back gets no burst of requests

A cold endpoint may get a quarter of a second's requests at once, and one that was unlisted and listed again, as by an evacuation that is taken back and declared again, got that each time: 41 requests in a second, where it may get 27. It now begins without a turn.

--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -201,3 +201,22 @@
 	require.LessOrEqual(t, most(placed["a"]), limit)
 	require.Greater(t, most(placed["b"]), limit, "it goes on as before")
 }
+
+// TestEndpointThatComesBackOftenStaysWithinItsBound lets an endpoint be unlisted and listed again
+// several times in a second, as with an evacuation that is taken back and declared again. Each
+// time it got another burst.
+func TestEndpointThatComesBackOftenStaysWithinItsBound(t *testing.T) {
+	d := New(DefaultConfig())
+	d.SetServices(start, []Service{coldService})
+	d.SetEndpoints(start, plainEndpoints("a", "b", "c"))
+	var arrivals []time.Time
+	now := start.Add(time.Second)
+	for range 12 {
+		d.SetEndpoints(now, plainEndpoints("a", "b"))
+		d.SetEndpoints(now.Add(time.Millisecond), plainEndpoints("a", "b", "c"))
+		arrivals = append(arrivals, serveFor(d, now.Add(time.Millisecond), 150*time.Millisecond)["c"]...)
+		now = now.Add(160 * time.Millisecond)
+	}
+	require.LessOrEqual(t, most(arrivals), int(coldService.Cold.PerSecond*coldOvershoot+coldSlack))
+	require.Greater(t, len(arrivals), 8, "it gets what it bears")
+}
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -228,6 +228,8 @@
 		}
 		if starts {
 			e.cool(now.Add(d.cold[spec.Service].For))
+			// An endpoint that comes back several times in a second gets no burst each time.
+			e.bucket.Empty(now)
 		}
 		e.Endpoint = spec
 		e.cool(spec.ColdUntil)
