--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -220,3 +220,39 @@
 	require.LessOrEqual(t, most(arrivals), int(coldService.Cold.PerSecond*coldOvershoot+coldSlack))
 	require.Greater(t, len(arrivals), 8, "it gets what it bears")
 }
+
+// TestColdBoundHoldsOverChangesOfTheHolder moves the placement of a service in quick succession
+// over several dispatchers, as when many VMs are lost, while an evacuation is taken back and one
+// endpoint states that it is cold again. Some of the dispatchers have never looked up the holder.
+func TestColdBoundHoldsOverChangesOfTheHolder(t *testing.T) {
+	const holders = 8
+	var list []*Dispatcher
+	for range holders {
+		d := New(DefaultConfig())
+		d.SetServices(start, []Service{coldService})
+		d.SetEndpoints(start, plainEndpoints("a", "b", "c"))
+		list = append(list, d)
+	}
+	now := start.Add(time.Second)
+	back := plainEndpoints("a", "b", "c")
+	back[0].ColdUntil = now.Add(coldService.Cold.For)
+	arrivals := make(map[string][]time.Time)
+	for i, d := range list {
+		for _, d := range list {
+			d.SetEndpoints(now, plainEndpoints("a", "b"))
+			d.SetEndpoints(now, back)
+			if i > 0 && i%2 == 0 {
+				d.SetHolder(now, "p", false)
+			}
+		}
+		d.SetHolder(now, "p", true)
+		for id, times := range serveFor(d, now, 200*time.Millisecond) {
+			arrivals[id] = append(arrivals[id], times...)
+		}
+		now = now.Add(200 * time.Millisecond)
+	}
+	limit := int(coldService.Cold.PerSecond*coldOvershoot + coldSlack)
+	require.LessOrEqual(t, most(arrivals["a"]), limit)
+	require.LessOrEqual(t, most(arrivals["c"]), limit)
+	require.Greater(t, len(arrivals["c"]), 8, "it gets what it bears")
+}
