A VM that learns that it is the holder grants no burst

SetHolder empties the turns of a service's endpoints when the holder changes, but the first time a VM looked up a service and was its holder that did not count as a change. With several VMs lost one after the other, each next one gave a cold endpoint another burst: 36 requests in a second, where it may get 27. The first known holder now counts as a change.

--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -223,8 +223,18 @@
 
 // TestColdBoundHoldsOverChangesOfTheHolder moves the placement of a service in quick succession
 // over several dispatchers, as when many VMs are lost, while an evacuation is taken back and one
-// endpoint states that it is cold again. Some of the dispatchers have never looked up the holder.
+// endpoint states that it is cold again. Dispatchers that have never known the holder let no burst
+// through either.
 func TestColdBoundHoldsOverChangesOfTheHolder(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		testChangesOfTheHolder(t, known)
+	}
+}
+
+// testChangesOfTheHolder is TestColdBoundHoldsOverChangesOfTheHolder, where known tells whether
+// the dispatchers know the holder before they become it.
+func testChangesOfTheHolder(t *testing.T, known bool) {
+	t.Helper()
 	const holders = 8
 	var list []*Dispatcher
 	for range holders {
@@ -239,9 +249,11 @@
 	arrivals := make(map[string][]time.Time)
 	for i, d := range list {
 		for _, d := range list {
-			d.SetEndpoints(now, plainEndpoints("a", "b"))
+			if i%2 == 0 {
+				d.SetEndpoints(now, plainEndpoints("a", "b"))
+			}
 			d.SetEndpoints(now, back)
-			if i > 0 && i%2 == 0 {
+			if known {
 				d.SetHolder(now, "p", false)
 			}
 		}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -66,7 +66,8 @@
 	// limits has the limits that endpoints have named, by their IDs, also while they are
 	// not listed.
 	limits map[string]*Limit
-	// deputy is set for the services that another VM is the holder of.
+	// deputy has the services of which the holder is known, and is set for those that another
+	// VM is the holder of.
 	deputy map[string]bool
 	// turns has the state of services whose jobs wait for their turns.
 	turns map[string]*turns
--- a/core/dispatch/limit.go
+++ b/core/dispatch/limit.go
@@ -115,7 +115,7 @@
 // SetHolder records whether this dispatcher's VM is the holder of the service. A new holder
 // does not know how many requests the last one has just placed, and grants none at once.
 func (d *Dispatcher) SetHolder(now time.Time, service string, holder bool) {
-	if d.deputy[service] == !holder {
+	if deputy, known := d.deputy[service]; known && deputy == !holder {
 		return
 	}
 	d.deputy[service] = !holder
