An endpoint that states the same cold time again is cold again

A VM that got two rows of an endpoint with the same cold_left_ms, without the one between that tells that it is warm, published nothing for the second: the entries were equal. The endpoint then got the requests of a warm one for as long as it was cold. A VM misses rows in between whenever its copy is brought up to date, as after an outage of the store. A row that states a cold time is always published.

--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -188,7 +188,8 @@
 	if e.ColdFor > 0 {
 		r.coldUntil[e.ID] = time.Now().Add(e.ColdFor)
 	}
-	return known != e
+	// The same time for which an endpoint is cold, written again, ends later.
+	return known != e || e.ColdFor > 0
 }
 
 // decode decodes a row, and logs an endpoint that is new or has changed; the lock
