--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -143,3 +143,14 @@
 	}
 	return nil
 }
+
+// checkHelpers returns an UnavailableError if the failure domain of a helper of the prompt has been
+// evacuated since the placement: the receiver would send it a part.
+func (x *exchange) checkHelpers(helpers map[string]string) error {
+	for id := range helpers {
+		if _, availability := x.gateway.cfg.Directory.Lookup(id); availability == directory.Evacuated {
+			return errors.WithStack(&UnavailableError{Endpoint: id, Availability: availability})
+		}
+	}
+	return nil
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -46,11 +46,14 @@
 // checkBeforeSending returns the last check of a request, immediately before its first byte. Beside a
 // silent response that takes the retry: a search often finds no endpoint, or reaches none.
 func (x *exchange) checkBeforeSending(entry directory.Entry) func() error {
-	standingBy := x.standingBy
+	standingBy, helpers := x.standingBy, x.helperAddresses
 	return func() error {
 		if err := x.checkPermission(entry); err != nil {
 			return err
 		}
+		if err := x.checkHelpers(helpers); err != nil {
+			return err
+		}
 		if standingBy && !x.gateway.takeRetry(x.service) {
 			return errors.WithStack(&RetriesExhaustedError{x.service})
 		}
