--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -268,3 +268,31 @@
 	require.LessOrEqual(t, most(arrivals["c"]), limit)
 	require.Greater(t, len(arrivals["c"]), 8, "it gets what it bears")
 }
+
+// TestEvacuationWhileCallsWaitForColdEndpoints evacuates a domain while calls wait for turns of its cold
+// endpoint. None of them goes there any more; they go to another domain that is listed by then.
+func TestEvacuationWhileCallsWaitForColdEndpoints(t *testing.T) {
+	d := New(DefaultConfig())
+	d.SetServices(start, []Service{coldService})
+	list := plainEndpoints("a")
+	list[0].ColdUntil = start.Add(time.Minute)
+	d.SetEndpoints(start, list)
+	const calls = 12
+	for i := range calls {
+		d.Submit(start, Job{ID: fmt.Sprint(i), Service: "p", Arrived: start, Deadline: start.Add(3 * time.Second)})
+	}
+	placed := len(d.Decide(start))
+	require.Positive(t, placed)
+	require.Equal(t, calls-placed, d.Queued())
+	d.SetEndpoints(start, nil)
+	now := start.Add(200 * time.Millisecond)
+	require.Empty(t, d.Decide(now))
+	d.SetEndpoints(now, plainEndpoints("b"))
+	for ; d.Queued() > 0; now = now.Add(20 * time.Millisecond) {
+		for _, decision := range d.Decide(now) {
+			require.NotNil(t, decision.Placement)
+			require.Equal(t, "b", decision.Placement.Endpoint)
+			d.Finished(now, decision.Key(), Served, "")
+		}
+	}
+}
--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
 	"github.com/stretchr/testify/require"
 
 	"cornelsaddle.example/cornelsaddle/core/directory"
@@ -95,3 +99,140 @@
 	require.Eventually(t, func() bool { return availability(a, "i-1") == directory.Available }, 5*time.Second, time.Millisecond)
 	require.Equal(t, directory.Available, availability(a, "i-2"))
 }
+
+// evacuationBound is the time after the acknowledgement of an evacuation from which on no request may
+// reach the endpoints of the domain.
+const evacuationBound = 5 * time.Second
+
+// startVMsOf starts VMs that know each other, and returns the holder of the service "s" and the
+// others.
+func startVMsOf(t *testing.T, store provider.Store, names ...string) (holder *VM, others []*VM) {
+	t.Helper()
+	var (
+		vms   []*VM
+		seeds []string
+	)
+	for _, name := range names {
+		v := startVM(t, name, store, seeds...)
+		vms, seeds = append(vms, v), append(seeds, v.settings.Peers)
+	}
+	first := rendezvous.New(names, xxhash.Sum64String).Lookup("s")
+	for _, v := range vms {
+		awaitStatus(t, v.settings.Balancer, "/readyz", http.StatusOK)
+		require.Eventually(t, func() bool { return len(v.members.service.Live()) == len(vms) }, 20*time.Second, 10*time.Millisecond)
+		if v.settings.VM == first {
+			holder = v
+		} else {
+			others = append(others, v)
+		}
+	}
+	return holder, others
+}
+
+// TestEvacuationHoldsOverAChangeOfTheHolder takes the holder of a service away just after the
+// operator's evacuation is acknowledged, under requests at the other VMs: the next holder and the
+// VMs that ask it may send nothing to the domain after the bound, and all requests after it are
+// served.
+func TestEvacuationHoldsOverAChangeOfTheHolder(t *testing.T) {
+	store := newMemoryStore()
+	store.putConfiguration(t, 1, "/a/")
+	evacuated, other := startLimitedEndpoint(t, ""), startLimitedEndpoint(t, "")
+	store.putEndpointIn(t, "i-1", evacuated.address, "d1")
+	store.putEndpointIn(t, "i-2", other.address, "d2")
+	holder, others := startVMsOf(t, store, "a", "b", "c")
+	sendEach(t, others, 20*time.Millisecond, time.Second)
+	require.NotEmpty(t, evacuated.arrived())
+
+	require.NoError(t, store.Put(t.Context(), provider.Configuration, "evacuate/d1", []byte("{}")))
+	acknowledged := time.Now()
+	holder.members.server.Close()
+	sendEach(t, others, 20*time.Millisecond, evacuationBound)
+	bound := acknowledged.Add(evacuationBound)
+	served := len(other.arrived())
+	statuses := sendEach(t, others, 20*time.Millisecond, time.Second)
+	require.Equal(t, map[int]int{http.StatusOK: 50}, statuses)
+	require.GreaterOrEqual(t, len(other.arrived())-served, 50)
+	times := evacuated.arrived()
+	last := times[len(times)-1]
+	t.Logf("last request to the domain %v after the acknowledgement", last.Sub(acknowledged))
+	require.True(t, last.Before(bound), "last request %v after the acknowledgement", last.Sub(acknowledged))
+}
+
+// TestVMThatStartsWithoutTheStoreKnowsEvacuations starts a VM during an evacuation while the store is
+// unavailable: it learns of the evacuation from another VM before it takes requests.
+func TestVMThatStartsWithoutTheStoreKnowsEvacuations(t *testing.T) {
+	store := newMemoryStore()
+	store.putConfiguration(t, 1, "/a/")
+	evacuated, other := startLimitedEndpoint(t, ""), startLimitedEndpoint(t, "")
+	store.putEndpointIn(t, "i-1", evacuated.address, "d1")
+	store.putEndpointIn(t, "i-2", other.address, "d2")
+	a := startVM(t, "a", store)
+	awaitStatus(t, a.settings.Balancer, "/readyz", http.StatusOK)
+	require.NoError(t, store.Put(t.Context(), provider.Configuration, "evacuate/d1", []byte("{}")))
+	require.Eventually(t, func() bool { return availability(a, "i-1") == directory.Evacuated }, evacuationBound, time.Millisecond)
+	store.setUnavailable(true)
+	b := startVM(t, "b", store, a.settings.Peers)
+	awaitStatus(t, b.settings.Balancer, "/readyz", http.StatusOK)
+	require.Equal(t, directory.Evacuated, availability(b, "i-1"))
+	statuses := sendEach(t, []*VM{a, b}, 10*time.Millisecond, time.Second)
+	require.Equal(t, map[int]int{http.StatusOK: 100}, statuses)
+	require.Empty(t, evacuated.arrived())
+}
+
+// startCutEndpoint starts an endpoint that closes the connection of each request, without an answer,
+// once cut is closed. It returns the number of requests that have arrived.
+func startCutEndpoint(t *testing.T, cut <-chan struct{}) (address string, arrived *atomic.Int64) {
+	t.Helper()
+	arrived = &atomic.Int64{}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		arrived.Add(1)
+		<-cut
+		panic(http.ErrAbortHandler)
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String(), arrived
+}
+
+// TestSecondAttemptAvoidsTheEvacuatedDomain evacuates a domain in which a request is in flight, and then
+// cuts it: it is sent again to another domain, and not at all if there is none.
+func TestSecondAttemptAvoidsTheEvacuatedDomain(t *testing.T) {
+	for _, another := range []bool{true, false} {
+		store := newMemoryStore()
+		store.putConfiguration(t, 1, "/a/")
+		cut := make(chan struct{})
+		address, arrived := startCutEndpoint(t, cut)
+		spare, arrivedAtSpare := startCutEndpoint(t, cut)
+		other, _ := startEndpoint(t, 0)
+		store.putEndpointIn(t, "i-2", other, "d2")
+		a := startVM(t, "a", store)
+		awaitStatus(t, a.settings.Balancer, "/readyz", http.StatusOK)
+		// The retry budget of a VM that has just started is a share of its requests.
+		statuses := sendEach(t, []*VM{a}, 5*time.Millisecond, 250*time.Millisecond)
+		require.Equal(t, map[int]int{http.StatusOK: 50}, statuses)
+		require.NoError(t, store.Remove(t.Context(), provider.Endpoints, "i-2"))
+		require.Eventually(t, func() bool { return availability(a, "i-2") == directory.Unlisted }, 5*time.Second, time.Millisecond)
+		store.putEndpointIn(t, "i-1", address, "d1")
+		require.Eventually(t, func() bool { return availability(a, "i-1") == directory.Available }, 5*time.Second, time.Millisecond)
+		result := make(chan int, 1)
+		go func() { result <- status(t, a.settings.Callers, "/a/x") }()
+		require.Eventually(t, func() bool { return arrived.Load() == 1 }, 5*time.Second, time.Millisecond)
+		// The domain has more endpoints than the one that fails.
+		store.putEndpointIn(t, "i-3", spare, "d1")
+		want := http.StatusOK
+		if another {
+			store.putEndpointIn(t, "i-2", other, "d2")
+			require.Eventually(t, func() bool { return availability(a, "i-2") == directory.Available }, evacuationBound, time.Millisecond)
+		} else {
+			want = http.StatusBadGateway
+		}
+		require.NoError(t, store.Put(t.Context(), provider.Configuration, "evacuate/d1", []byte("{}")))
+		require.Eventually(t, func() bool { return availability(a, "i-3") == directory.Evacuated }, evacuationBound, time.Millisecond)
+		close(cut)
+		require.Equal(t, want, <-result)
+		require.EqualValues(t, 1, arrived.Load())
+		require.Zero(t, arrivedAtSpare.Load())
+	}
+}
