Soak: a domain is evacuated and taken back, its endpoints cold before

A checker counts the requests to endpoints that state that they are cold, over all VMs: at most one and a half times what they bear and five more in any second.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -20,6 +20,7 @@
 	notRun       promise = "refused means not run"
 	leavingAlone promise = "no request to an endpoint that left"
 	evacuation   promise = "no request to an evacuated domain"
+	coldSpared   promise = "no more requests to a cold endpoint than it bears"
 	limitKept    promise = "no more requests to an endpoint than its limit"
 	crashStopped promise = "a request that crashes endpoints is stopped"
 	plannedStop  promise = "nothing cut by a planned stop"
@@ -29,7 +30,7 @@
 )
 
 // promises are all of them, in the order of the summary.
-var promises = []promise{wholeAnswer, atMostOnce, notRun, leavingAlone, evacuation, limitKept, crashStopped, plannedStop, neverBack, firstTries, recovery}
+var promises = []promise{wholeAnswer, atMostOnce, notRun, leavingAlone, evacuation, coldSpared, limitKept, crashStopped, plannedStop, neverBack, firstTries, recovery}
 
 // outcome is what a caller saw of one request.
 type outcome struct {
@@ -71,6 +72,7 @@
 	// excused are the times in which a VM was restarted, paused or cut off.
 	excused []span
 	limits  limitRecord
+	cold    coldRecord
 	crashes crashRecord
 	paths   pathRecord
 	// seen maps an incarnation of a VM to the latest configuration seen in force there.
@@ -100,7 +102,7 @@
 	return &checkers{
 		runs: make(map[string][]platformtest.Run), refused: make(map[string]bool), checked: make(map[promise]int),
 		left: make(map[string]time.Time), domains: make(map[string]string), evacuatedAt: make(map[string]time.Time),
-		seen: make(map[string]int), limits: newLimitRecord(), crashes: make(crashRecord),
+		seen: make(map[string]int), limits: newLimitRecord(), cold: newColdRecord(), crashes: make(crashRecord),
 	}
 }
 
@@ -131,6 +133,7 @@
 		c.violate(notRun, "%s ran after it was refused", r.Attempt)
 	}
 	c.limits.ran(r)
+	c.cold.ran(r)
 	c.crashes.ran(r)
 	c.checkUnwanted(leavingAlone, r, c.left, r.Endpoint)
 	c.checkUnwanted(evacuation, r, c.evacuatedAt, c.domains[r.Endpoint])
@@ -272,6 +275,7 @@
 	}
 	c.checked[plannedStop] += len(c.stops)
 	c.checkLimits()
+	c.checkCold()
 	c.checkCrashes()
 	c.checkPaths()
 	served := 0
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -45,6 +45,7 @@
 	faultEndpointLink  faultKind = "link to an endpoint"
 	faultLeave         faultKind = "endpoint leaves"
 	faultEvacuation    faultKind = "evacuation"
+	faultColdDomain    faultKind = "evacuation of cold endpoints"
 	faultConfiguration faultKind = "configuration"
 	faultProcess       faultKind = "process"
 	faultLimit         faultKind = "limit of an endpoint"
@@ -95,6 +96,9 @@
 		length := next.least + 200*time.Millisecond + f.upTo(maxFault)
 		f.log(next.kind, next.name, length)
 		f.w.checks.addDisturbance(span{next.vm, next.endpoint, time.Now(), time.Now().Add(length + settleTime)})
+		if next.kind == faultStore || next.kind == faultStoreLink {
+			f.w.checks.storeInTrouble(span{"", "", time.Now(), time.Now().Add(length + settleTime + rewriteDelay)})
+		}
 		next.begin()
 		f.wg.Go(func() {
 			time.Sleep(length)
@@ -113,7 +117,7 @@
 func (f *faults) draw() fault {
 	draws := []func() fault{
 		f.store, f.store, f.restore, f.restore, f.storeLink, f.storeLinks, f.peerLink, f.endpointFault, f.endpointFault, f.breakOff, f.endpointLink,
-		f.leave, f.evacuate, f.configure, f.configure, f.process, f.process, f.limit, f.crash, f.paths, f.paths, f.paths,
+		f.leave, f.evacuate, f.evacuateCold, f.configure, f.configure, f.process, f.process, f.limit, f.crash, f.paths, f.paths, f.paths,
 	}
 	return draws[f.random.IntN(len(draws))]()
 }
@@ -259,6 +263,15 @@
 	return fault{faultEvacuation, "evacuation begins or ends", f.w.evacuate, none, noVM, "", 0}
 }
 
+// evacuateCold evacuates a failure domain whose endpoints have just become cold, and takes that back,
+// with endpoints that are cold again.
+func (f *faults) evacuateCold() fault {
+	return fault{
+		faultColdDomain, "evacuation of cold endpoints",
+		func() { f.w.evacuateCold(true) }, func() { f.w.evacuateCold(false) }, noVM, "", 0,
+	}
+}
+
 // limit makes an endpoint name a limit in its responses, or takes that back. The limit stays
 // until the next such fault of the endpoint, or the end of the run.
 func (f *faults) limit() fault {
--- a/test/soak/mutation_test.go
+++ b/test/soak/mutation_test.go
@@ -40,6 +40,7 @@
 		{"internal/entry/registry.go", "if h.Leaving && r.markLeaving(i, sourceResponse) {", "if false {"},
 	},
 	evacuation:   {{"internal/entry/tables.go", "t.evacuate(domain, !row.Removed)", "_ = domain"}},
+	coldSpared:   {{"core/dispatch/limit.go", "if c := d.cold[e.Service]; e.cold(now, c) {", "if c := d.cold[e.Service]; false && e.cold(now, c) {"}},
 	limitKept:    {{"core/dispatch/limit.go", "return !bounded || e.bucket.Admits(now, perSecond)", "return true || !bounded || e.bucket.Admits(now, perSecond)"}},
 	crashStopped: {{"core/quarantine/request.go", "if requestWeight(cfg, crashes, digest, answered[digest]) >= needed*crashWeight {", "if requestWeight(cfg, crashes, digest, answered[digest]) < 0 {"}},
 	plannedStop: {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -77,6 +77,12 @@
 			c.evacuated(evacuableDomain, now.Add(-leavingBound-storeTrouble-time.Second))
 			c.ran(run("a", "/safe/x"))
 		}},
+		"too many while cold": {coldSpared, func(c *checkers) {
+			c.becameCold("i-1", now, now.Add(statedCold))
+			for i := range 40 {
+				c.ran(platformtest.Run{Endpoint: "i-1", Attempt: "vm-0/a", Path: "/safe/x", At: now.Add(coldTold + time.Duration(i)*50*time.Millisecond)})
+			}
+		}},
 		"above a limit": {limitKept, func(c *checkers) {
 			limited := platformtest.Run{Endpoint: "i-1", Attempt: "vm-0/a", Path: "/safe/x", Limit: 2, LimitedAt: now}
 			limited.At = now
@@ -147,6 +153,17 @@
 	c.ran(platformtest.Run{Endpoint: "i-1", Attempt: "c", Path: "/safe/x", At: now})
 	c.evacuationEnded(evacuableDomain)
 	c.ran(platformtest.Run{Endpoint: "i-1", Attempt: "d", Path: "/safe/x", At: now.Add(time.Hour)})
+	// As many requests as a cold endpoint bears, more while the VMs may not know that it is cold,
+	// and while a path is disturbed.
+	c.becameCold("i-5", now, now.Add(statedCold))
+	c.addDisturbance(span{"", "i-5", now.Add(4 * time.Second), now.Add(5 * time.Second)})
+	c.storeInTrouble(span{"", "", now.Add(3 * time.Second), now.Add(4 * time.Second)})
+	for i := range 600 {
+		at := now.Add(time.Duration(i) * 10 * time.Millisecond)
+		if i%15 == 0 || i < 140 || i > 300 && i < 500 {
+			c.ran(platformtest.Run{Endpoint: "i-5", Attempt: "vm-0/a", Path: "/safe/x", At: at})
+		}
+	}
 	// As many requests as a limit allows, more of a VM that has not been told, and of one that
 	// was paused.
 	limited := platformtest.Run{Endpoint: "i-1", Attempt: "vm-0/a", Path: "/safe/x", Limit: 2, LimitedAt: now, At: now}
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -39,9 +39,15 @@
 	// evacuableDomain is the failure domain of every second endpoint; the other ones are
 	// in that of the VMs.
 	evacuableDomain = "z-2"
-	grace           = 5 * time.Second
-	routeTimeout    = 4 * time.Second
-	readyTimeout    = 20 * time.Second
+	// coldFor is how long an endpoint is cold after its start, and coldPerSecond the requests a
+	// second that a cold one bears: less than it gets when it is warm.
+	coldFor       = time.Second
+	coldPerSecond = 4
+	// statedCold is how long an endpoint is cold that states so, from its row on.
+	statedCold   = 6 * time.Second
+	grace        = 5 * time.Second
+	routeTimeout = 4 * time.Second
+	readyTimeout = 20 * time.Second
 )
 
 // endpoint is an endpoint in this process, behind a proxy.
@@ -156,7 +162,7 @@
 // writeConfiguration writes a version of the configuration; the lock is held.
 func (w *world) writeConfiguration(version int) {
 	routes := []platformtest.Route{
-		{Prefix: "/once/", Kind: "non_idempotent", Service: service, Timeout: routeTimeout, MaxAttempts: 2},
+		{Prefix: "/once/", Kind: "non_idempotent", Service: service, Timeout: routeTimeout, MaxAttempts: 2, ColdFor: coldFor, ColdPerSecond: coldPerSecond},
 		{Prefix: "/safe/", Kind: "idempotent", Service: service, Timeout: routeTimeout, MaxAttempts: 3},
 		{Prefix: "/stream/", Kind: "streaming", Resumable: true, Service: service, Timeout: routeTimeout, MaxAttempts: 3},
 	}
@@ -225,7 +231,16 @@
 func (w *world) evacuate() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.evacuated = !w.evacuated
+	w.setEvacuated(!w.evacuated)
+}
+
+// setEvacuated writes whether the failure domain is evacuated, if that is another state; the lock is
+// held.
+func (w *world) setEvacuated(evacuated bool) {
+	if w.evacuated == evacuated {
+		return
+	}
+	w.evacuated = evacuated
 	w.writeEvacuation()
 	if w.evacuated {
 		w.checks.evacuated(evacuableDomain, time.Now())
@@ -234,6 +249,22 @@
 	}
 }
 
+// evacuateCold lets the endpoints of a failure domain become cold, and then evacuates it or takes that
+// back.
+func (w *world) evacuateCold(evacuated bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	for _, e := range w.endpoints {
+		if e.listed && e.Domain == evacuableDomain {
+			e.ColdUntil = now.Add(statedCold)
+			w.list(e, "ready")
+			w.checks.becameCold(e.ID, now, e.ColdUntil)
+		}
+	}
+	w.setEvacuated(evacuated)
+}
+
 // writeEvacuation writes whether the failure domain is evacuated; the lock is held.
 func (w *world) writeEvacuation() {
 	row := platformtest.EvacuationKey(evacuableDomain)
