--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -209,9 +209,10 @@
 	d := New(DefaultConfig())
 	d.SetServices(start, []Service{coldService})
 	d.SetEndpoints(start, plainEndpoints("a", "b", "c"))
-	var arrivals []time.Time
+	const times = 12
+	arrivals := make([]time.Time, 0, times)
 	now := start.Add(time.Second)
-	for range 12 {
+	for range times {
 		d.SetEndpoints(now, plainEndpoints("a", "b"))
 		d.SetEndpoints(now.Add(time.Millisecond), plainEndpoints("a", "b", "c"))
 		arrivals = append(arrivals, serveFor(d, now.Add(time.Millisecond), 150*time.Millisecond)["c"]...)
@@ -236,7 +237,7 @@
 func testChangesOfTheHolder(t *testing.T, known bool) {
 	t.Helper()
 	const holders = 8
-	var list []*Dispatcher
+	list := make([]*Dispatcher, 0, holders)
 	for range holders {
 		d := New(DefaultConfig())
 		d.SetServices(start, []Service{coldService})
--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -108,10 +108,7 @@
 // others.
 func startVMsOf(t *testing.T, store provider.Store, names ...string) (holder *VM, others []*VM) {
 	t.Helper()
-	var (
-		vms   []*VM
-		seeds []string
-	)
+	vms, seeds := make([]*VM, 0, len(names)), make([]string, 0, len(names))
 	for _, name := range names {
 		v := startVM(t, name, store, seeds...)
 		vms, seeds = append(vms, v), append(seeds, v.settings.Peers)
