TestRelayHandsOn waits until the relay is the source

The test took two reads of the relay for a proof that c follows it. If the relay was no fresh source yet when c asked it first, c goes by the watcher for standbyTime (5 s), and the test failed with 7 or 8 reads of the watcher: once in 107 runs. It now waits until c waits for changes at the relay; what it requires from then on is the same.

--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -58,7 +58,8 @@
 	c := newCluster(t, "b")
 	c.put(row("k", "1", 2))
 	c.awaitAll(t, "k", "1")
-	require.Eventually(t, func() bool { return c.follows("b") && c.follows("c") && c.reads("c", "b") > 1 }, 10*time.Second, time.Millisecond)
+	// If the relay was no fresh source yet when c asked it first, c goes by the watcher for standbyTime.
+	require.Eventually(t, func() bool { return c.follows("b") && c.follows("c") && c.pollsAt("c", "b") }, 10*time.Second, time.Millisecond)
 	c.mu.Lock()
 	c.peerReads = make(map[[2]string]int)
 	c.storeReads = make(map[string]int)
