--- a/core/dispatch/learned.go
+++ b/core/dispatch/learned.go
@@ -146,13 +146,16 @@
 	if !m.pacesAt.IsZero() && now.Sub(m.pacesAt) < paceInterval {
 		return
 	}
-	m.pacesAt = now
+	m.pacesAt, m.slow = now, m.slow[:0]
 	for _, e := range d.pools[service] {
 		before := e.load.pace
 		d.readPace(now, e)
 		if e.load.pace != before {
 			d.recount(now, e)
 		}
+		if e.load.pace > 1 {
+			m.slow = append(m.slow, e)
+		}
 	}
 }
 
@@ -270,7 +273,7 @@
 	}
 	pool := d.pools[job.Service]
 	for _, e := range pool {
-		if e.limit != nil || now.Before(e.coldUntil) || now.Before(e.backoffUntil) {
+		if e.limit != nil || e.failures > 0 && now.Before(e.backoffUntil) || !e.coldUntil.IsZero() && now.Before(e.coldUntil) {
 			return nil
 		}
 	}
@@ -320,13 +323,19 @@
 		return nil, math.MaxInt64
 	}
 	var best *endpoint
-	var least float64
+	var least time.Duration
 	for _, e := range pool {
 		if !e.free() || d.paceOf(at, e) > lowest*(1+completionTolerance) {
 			continue
 		}
-		work := float64(e.remaining(at)) / float64(max(1, e.Slots))
-		if best == nil || work < least || work == least && e.occupancy() < best.occupancy() {
+		work := e.remaining(at)
+		if best == nil {
+			best, least = e, work
+			continue
+		}
+		// The work for each slot is compared, without a division.
+		here, there := work*time.Duration(max(1, best.Slots)), least*time.Duration(max(1, e.Slots))
+		if here < there || here == there && e.occupancy() < best.occupancy() {
 			best, least = e, work
 		}
 	}
@@ -384,16 +393,13 @@
 		due = d.refusalTime(job)
 	}
 	var best *endpoint
-	for _, e := range pool {
-		if e.load.pace <= 1 {
-			continue
-		}
+	for _, e := range d.demandOf(job.Service).slow {
 		if e.received > 0 && e.load.probing {
 			return nil
 		}
 		takes := time.Duration(probeMargin * e.load.pace * float64(cost.Mean))
 		if e.received == 0 && now.Sub(e.load.seenAt) >= probeInterval && !now.Add(takes).After(due) &&
-			(best == nil || e.load.seenAt.Before(best.load.seenAt)) {
+			(best == nil || e.load.seenAt.Before(best.load.seenAt)) && slices.Contains(pool, e) {
 			best = e
 		}
 	}
--- a/core/dispatch/rate.go
+++ b/core/dispatch/rate.go
@@ -45,6 +45,8 @@
 	longValueRate   rate
 	// pacesAt is when the paces of the endpoints were last read.
 	pacesAt time.Time
+	// slow has the endpoints that were slow then.
+	slow []*endpoint
 	// emptySince is when the service lost its last endpoint, or a job first found it
 	// without any; zero while it has some.
 	emptySince time.Time
