Add cornelsaddlectl check for configuration folders

check reports what validate refuses, entries that can never match and limits that contradict each other. The example vltavske has one finding: its limit on tokens is over the sum of its engines' prefill rates.

--- /dev/null
+++ b/cmd/cornelsaddlectl/check_test.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cornelsaddle.example/cornelsaddle/core/findings"
+)
+
+// runCaptured runs a command and returns its exit code, standard output and standard error.
+func runCaptured(t *testing.T, args ...string) (code int, out, errOut string) {
+	t.Helper()
+	stdout, stderr := os.Stdout, os.Stderr
+	defer func() { os.Stdout, os.Stderr = stdout, stderr }()
+	read := func(target **os.File) func() string {
+		f, err := os.Create(filepath.Join(t.TempDir(), "output"))
+		require.NoError(t, err)
+		*target = f
+		return func() string {
+			defer f.Close()
+			_, err := f.Seek(0, io.SeekStart)
+			require.NoError(t, err)
+			data, err := io.ReadAll(f)
+			require.NoError(t, err)
+			return string(data)
+		}
+	}
+	readOut, readErr := read(&os.Stdout), read(&os.Stderr)
+	code = run(args)
+	return code, readOut(), readErr()
+}
+
+// folderWith returns a copy of the quick-start example with one more file.
+func folderWith(t *testing.T, name, text string) string {
+	t.Helper()
+	dir := t.TempDir()
+	require.NoError(t, os.CopyFS(dir, os.DirFS("../../examples/quickstart")))
+	require.NoError(t, os.WriteFile(filepath.Join(dir, name), []byte(text), resultMode))
+	return dir
+}
+
+// TestCheckOfExamples guards against rules that report sound configurations. The limits of
+// vltavske add up to more than its engines can prefill, which is a finding by rule.
+func TestCheckOfExamples(t *testing.T) {
+	for _, name := range []string{"kivukoni", "quickstart"} {
+		code, out, errOut := runCaptured(t, "check", "../../examples/"+name)
+		require.Equal(t, exitDone, code, "%s: %s%s", name, out, errOut)
+		require.Equal(t, "no findings\n", out)
+	}
+	code, out, _ := runCaptured(t, "check", "../../examples/vltavske")
+	require.Equal(t, exitFailed, code)
+	require.Equal(t, "contradiction: 50-limits.json: /limits/tokens_per_second: the limit, 330000, is over the sum of the endpoints' prefill rates, 263000\n", out)
+	code, out, _ = runCaptured(t, "check", "-json", "../../examples/quickstart")
+	require.Equal(t, exitDone, code)
+	require.Contains(t, out, `"findings":[]`, "a reader of the JSON output needs a list, also an empty one")
+}
+
+// TestCheckReportsFindings guards against findings that don't fail the command, and against
+// output without the place.
+func TestCheckReportsFindings(t *testing.T) {
+	dir := folderWith(t, "90-more.json", `{"organisations":{"gilders":{"key_digests":[],"weight":1,"services":[]}}}`)
+	code, out, errOut := runCaptured(t, "check", dir)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, out, "never_matches: 90-more.json: /organisations/gilders/services: ")
+	require.Contains(t, errOut, "findings: 2")
+
+	code, out, _ = runCaptured(t, "check", "-json", dir)
+	require.Equal(t, exitFailed, code)
+	var result checkResult
+	require.NoError(t, json.Unmarshal([]byte(out), &result))
+	require.Len(t, result.Findings, 2)
+
+	dir = folderWith(t, "90-more.json", `{"limits":{"retries":2}}`)
+	code, out, _ = runCaptured(t, "check", "-json", dir)
+	require.Equal(t, exitFailed, code)
+	require.NoError(t, json.Unmarshal([]byte(out), &result))
+	require.Equal(t, findings.Invalid, result.Findings[0].Kind)
+	require.Equal(t, "/limits/retries", result.Findings[0].Pointer)
+}
+
+// TestCheckOfUnreadablePaths guards against a path that can't be read being taken for a
+// configuration with missing fields.
+func TestCheckOfUnreadablePaths(t *testing.T) {
+	empty := t.TempDir()
+	missing := filepath.Join(empty, "none")
+	for path, text := range map[string]string{empty: "no configuration files", missing: "no such file or directory"} {
+		code, _, errOut := runCaptured(t, "check", path)
+		require.Equal(t, exitFailed, code)
+		require.Contains(t, errOut, path)
+		require.Contains(t, errOut, text)
+		code, out, _ := runCaptured(t, "check", "-json", path)
+		require.Equal(t, exitFailed, code)
+		var f failure
+		require.NoError(t, json.Unmarshal([]byte(out), &f))
+		require.Contains(t, f.Error, text)
+	}
+	code, _, _ := runCaptured(t, "check")
+	require.Equal(t, exitUsage, code)
+}
--- a/cmd/cornelsaddlectl/main.go
+++ b/cmd/cornelsaddlectl/main.go
@@ -29,6 +29,7 @@
 func commands() []command {
 	return []command{
 		{"validate", "check a configuration folder", validate},
+		{"check", "look for faults in a configuration before it is sent", check},
 		{"apply", "merge a folder into the configuration and put it in force", apply},
 		{"fetch", "write the files of a configuration version into a folder", fetch},
 		{"status", "show VMs and the configuration versions that they have in force", status},
--- a/core/configuration/references.go
+++ b/core/configuration/references.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"strconv"
+
+	"cornelsaddle.example/cornelsaddle/core/findings"
 )
 
 // Field names in JSON pointers.
@@ -16,6 +18,8 @@
 	partClasses       = "length_classes"
 	partLimits        = "limits"
 	partMaxTokens     = "max_tokens"
+	partMaxTimeout    = "max_timeout_ms"
+	partTokenRate     = "tokens_per_second"
 )
 
 // checker collects the violations in a document.
@@ -40,7 +44,7 @@
 }
 
 func (c *checker) add(expected string, parts ...string) {
-	c.violations = append(c.violations, Violation{c.origins.file(parts), pointer(parts...), expected})
+	c.violations = append(c.violations, Violation{c.origins.file(parts), findings.Pointer(parts...), expected})
 }
 
 func (c *checker) organisations() {
@@ -79,7 +83,7 @@
 		sum += c.doc.Organisations[name].TokensPerSecond
 	}
 	if sum > total {
-		c.add(fmt.Sprintf("expected at least the sum of the organisations' limits, %g, got %g", sum, total), partLimits, "tokens_per_second")
+		c.add(fmt.Sprintf("expected at least the sum of the organisations' limits, %g, got %g", sum, total), partLimits, partTokenRate)
 	}
 }
 
--- a/core/configuration/validate.go
+++ b/core/configuration/validate.go
@@ -12,6 +12,8 @@
 	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
+
+	"cornelsaddle.example/cornelsaddle/core/findings"
 )
 
 //go:embed schema.json
@@ -101,7 +103,7 @@
 
 func describe(failed *jsonschema.ValidationError, origin *origins) []Violation {
 	at := func(parts []string, expected string) Violation {
-		return Violation{origin.file(parts), pointer(parts...), expected}
+		return Violation{origin.file(parts), findings.Pointer(parts...), expected}
 	}
 	within := func(name string) []string {
 		return append(append([]string(nil), failed.InstanceLocation...), name)
--- a/core/configuration/violation.go
+++ b/core/configuration/violation.go
@@ -32,17 +32,6 @@
 	return strings.Join(lines, "\n")
 }
 
-// pointer joins the parts into a JSON pointer (RFC 6901).
-func pointer(parts ...string) string {
-	var b strings.Builder
-	escape := strings.NewReplacer("~", "~0", "/", "~1")
-	for _, p := range parts {
-		b.WriteByte('/')
-		b.WriteString(escape.Replace(p))
-	}
-	return b.String()
-}
-
 // origins finds the file that set a value. It holds the names and decoded
 // contents of the files, in the order in which they are merged.
 type origins struct {
