--- a/cmd/cornelsaddlectl/check_test.go
+++ b/cmd/cornelsaddlectl/check_test.go
@@ -6,10 +6,12 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"cornelsaddle.example/cornelsaddle/core/findings"
+	"cornelsaddle.example/cornelsaddle/platform/platformtest"
 )
 
 // runCaptured runs a command and returns its exit code, standard output and standard error.
@@ -102,3 +104,37 @@
 	code, _, _ := runCaptured(t, "check")
 	require.Equal(t, exitUsage, code)
 }
+
+// documentFile writes a configuration document with one route of the service and returns its
+// path.
+func documentFile(t *testing.T, r platformtest.Route) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "document")
+	data := platformtest.Configuration(3, "h.example", []platformtest.Route{r}, []string{"k"})
+	require.NoError(t, os.WriteFile(path, data, resultMode))
+	return path
+}
+
+// TestCheckOfDocuments guards against a document being read as a folder's file, and against a
+// retry budget that is not compared.
+func TestCheckOfDocuments(t *testing.T) {
+	path := documentFile(t, platformtest.Route{Prefix: "/a/", Kind: "idempotent", Service: "s", Timeout: time.Second, MaxAttempts: 102})
+	code, out, errOut := runCaptured(t, "check", path)
+	require.Equal(t, exitDone, code, out+errOut)
+	settings := filepath.Join(t.TempDir(), "settings")
+	data := platformtest.Settings("vm", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4", nil, time.Second)
+	require.NoError(t, os.WriteFile(settings, data, resultMode))
+	code, out, _ = runCaptured(t, "check", "-settings", settings, path)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, out, "contradiction: "+path+": /routes/0/max_attempts: ")
+
+	code, out, _ = runCaptured(t, "check", "../../examples/quickstart/20-services.json")
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, out, "/services: expected a list", "a file of a folder is no document")
+
+	code, _, _ = runCaptured(t, "check", "-settings", settings, "../../examples/quickstart")
+	require.Equal(t, exitUsage, code)
+	code, _, errOut = runCaptured(t, "check", "-settings", settings+"x", path)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, errOut, "no such file or directory")
+}
--- a/core/retry/share.go
+++ b/core/retry/share.go
@@ -26,6 +26,15 @@
 	Allowance float64
 }
 
+// maxAttempts bounds the result of MaxAttempts, so that any allowance can be converted.
+const maxAttempts = 1 << 30
+
+// MaxAttempts returns the largest number of endpoints to which the bounds, over all VMs, let a
+// request be sent if no other one is made in its window.
+func (b Bounds) MaxAttempts() int {
+	return 1 + int(min(maxAttempts, max(0, b.Ratio+b.Allowance)))
+}
+
 // Share returns one VM's share of the bounds, given the number of live VMs in
 // its membership view and the time since its start.
 func (b Bounds) Share(vms int, age time.Duration) Bounds {
--- a/core/retry/share_test.go
+++ b/core/retry/share_test.go
@@ -50,3 +50,20 @@
 	require.Equal(t, 5, p.Observe(now.Add(forgetTime+time.Second), 5))
 	require.Equal(t, 6, p.Observe(now.Add(forgetTime+2*time.Second), 6))
 }
+
+// TestMaxAttemptsIsWhatAWindowGrants guards against a bound that differs from the number of
+// retries that a window with the same bounds lets its only request make.
+func TestMaxAttemptsIsWhatAWindowGrants(t *testing.T) {
+	for _, b := range []Bounds{{}, {0.2, 0}, {0.5, 0.5}, {0.2, 3}, {1, 2.5}} {
+		w := NewWindow(time.Second, b.Ratio, b.Allowance)
+		now := time.Now()
+		w.RecordRequest(now)
+		attempts := 1
+		for w.Take(now) {
+			attempts++
+		}
+		require.Equal(t, attempts, b.MaxAttempts(), "%+v", b)
+	}
+	require.Equal(t, 1, Bounds{Allowance: -5}.MaxAttempts())
+	require.Positive(t, Bounds{Allowance: 1e300}.MaxAttempts())
+}
