Compare a checked configuration with the version in force

Folders and documents are compared by meaning, with a path or with the store. A document whose version is not higher than the one in force is a finding, as VMs ignore it.

--- a/cmd/cornelsaddlectl/check.go
+++ b/cmd/cornelsaddlectl/check.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 
@@ -10,6 +11,7 @@
 	"cornelsaddle.example/cornelsaddle/core/findings"
 	"cornelsaddle.example/cornelsaddle/core/routing"
 	"cornelsaddle.example/cornelsaddle/internal/confapply"
+	store "cornelsaddle.example/cornelsaddle/internal/platform"
 	"cornelsaddle.example/cornelsaddle/platform"
 )
 
@@ -18,6 +20,8 @@
 	// Check returns the deployment that the document holds, whether it could be decoded, and
 	// the findings, without the name of the file. maxAttempts is as in routing.Check.
 	Check(data []byte, maxAttempts int) (d routing.Deployment, valid bool, list []findings.Finding)
+	// InForce returns the document that the store at the address holds.
+	InForce(ctx context.Context, address string) ([]byte, error)
 }
 
 // documents is the form of the documents that the gateway reads.
@@ -26,6 +30,10 @@
 // checkResult is the output of check.
 type checkResult struct {
 	Findings []findings.Finding `json:"findings"`
+	// Differences is nil if there was nothing to compare with, or the configuration is invalid.
+	Differences []findings.Difference `json:"differences,omitzero"`
+	// Error tells what could not be read; the findings are those made without it.
+	Error string `json:"error,omitempty"`
 }
 
 // emptyFolderError reports a folder without configuration files.
@@ -33,48 +41,108 @@
 
 func (e *emptyFolderError) Error() string { return e.dir + ": no configuration files (*.json)" }
 
+// invalidBaseError reports that the version to compare with can't be decoded.
+type invalidBaseError struct {
+	source  string
+	finding findings.Finding
+}
+
+func (e *invalidBaseError) Error() string {
+	e.finding.File = e.source
+	return "the version to compare with can't be decoded: " + e.finding.String()
+}
+
+// checker holds the flags of check.
+type checker struct {
+	*invocation
+	settings, against, store *string
+	version                  *int64
+}
+
 // check looks for faults in a configuration without sending it.
 func check(args []string) int {
-	c := newInvocation("check", "check [-settings FILE] [-json] DIR|FILE")
-	settings := c.String("settings", "", "settings file of the gateway, whose retry budget is compared with the routes of the document FILE")
+	c := checker{invocation: newInvocation("check", "check [-against PATH | -platform IP:PORT [-version N]] [-settings FILE] [-json] DIR|FILE")}
+	c.settings = c.String("settings", "", "settings file of the gateway, whose retry budget is compared with the routes of the document FILE")
+	c.against = c.String("against", "", "folder or document of the version in force, to compare with")
+	c.store = c.String("platform", "", "address of the platform, IP:PORT, whose version in force is compared with")
+	c.version = c.Int64("version", 0, "version of the folder on the platform to compare with; 0 for the newest")
 	rest, code := c.parse(args, 1)
 	if code >= 0 {
 		return code
 	}
 	info, err := os.Stat(rest[0])
 	if err != nil {
-		return c.fail(errors.WithStack(err))
+		return c.report(checkResult{}, errors.WithStack(err))
 	}
-	if info.IsDir() && *settings != "" {
-		return c.usageError("-settings is for a document, and %s is a folder", rest[0])
+	if reason := c.misuse(info.IsDir()); reason != "" {
+		return c.usageError("%s", reason)
 	}
 	var result checkResult
 	if info.IsDir() {
-		result, err = checkFolder(rest[0])
+		result, err = c.checkFolder(rest[0])
 	} else {
-		result, err = checkDocument(rest[0], *settings)
+		result, err = c.checkDocument(rest[0])
 	}
-	if err != nil {
-		return c.fail(err)
+	return c.report(result, err)
+}
+
+// misuse returns what is wrong with the flags, or an empty text.
+func (c *checker) misuse(folder bool) string {
+	switch {
+	case *c.against != "" && *c.store != "":
+		return "-against and -platform exclude each other"
+	case *c.version != 0 && (*c.store == "" || !folder):
+		return "-version requires -platform and a folder"
+	case *c.settings != "" && folder:
+		return "-settings requires a document"
 	}
-	return c.reportFindings(result)
+	return ""
 }
 
-func checkFolder(dir string) (checkResult, error) {
+func (c *checker) checkFolder(dir string) (checkResult, error) {
 	files, err := readFolder(dir)
 	if err != nil {
 		return checkResult{}, err
 	}
-	_, list, err := configuration.Check(files)
-	return checkResult{Findings: list}, err
+	doc, list, err := configuration.Check(files)
+	result := checkResult{Findings: list}
+	if err != nil || doc == nil || *c.against == "" && *c.store == "" {
+		return result, err
+	}
+	base, err := c.baseFolder()
+	if err != nil {
+		return result, err
+	}
+	// An accepted version may break rules that were added since.
+	data, err := configuration.Merge(base)
+	if err != nil {
+		return result, errors.Wrap(err, "the version to compare with")
+	}
+	before, err := configuration.Decode(data)
+	if err != nil {
+		return result, errors.Wrap(err, "the version to compare with")
+	}
+	result.Differences, err = configuration.Differences(before, doc)
+	return result, err
 }
 
-// checkDocument checks a document and, if the path of a settings file is given, compares it
-// with that.
-func checkDocument(path, settings string) (checkResult, error) {
+// baseFolder returns the files of the version to compare with.
+func (c *checker) baseFolder() ([]configuration.File, error) {
+	if *c.against != "" {
+		return readFolder(*c.against)
+	}
+	client := store.New(*c.store, platformTimeout)
+	defer client.Close()
+	files, err := readVersion(client, c.version)
+	return files, errors.Wrap(err, "store at "+*c.store)
+}
+
+// checkDocument checks a document and compares it with the retry budget and the version in
+// force, as far as the flags name them.
+func (c *checker) checkDocument(path string) (checkResult, error) {
 	maxAttempts := 0
-	if settings != "" {
-		s, err := platform.LoadSettings(settings)
+	if *c.settings != "" {
+		s, err := platform.LoadSettings(*c.settings)
 		if err != nil {
 			return checkResult{}, err
 		}
@@ -84,11 +152,46 @@
 	if err != nil {
 		return checkResult{}, errors.WithStack(err)
 	}
-	_, _, list := documents.Check(data, maxAttempts)
-	for i := range list {
-		list[i].File = path
+	after, valid, list := documents.Check(data, maxAttempts)
+	result := checkResult{Findings: list}
+	if valid && (*c.against != "" || *c.store != "") {
+		err = c.compareDocument(&result, after)
 	}
-	return checkResult{Findings: list}, nil
+	for i := range result.Findings {
+		result.Findings[i].File = path
+	}
+	return result, err
+}
+
+// compareDocument adds the differences from the version in force to the result, and a finding if
+// VMs would ignore the deployment because its version is not higher.
+func (c *checker) compareDocument(result *checkResult, after routing.Deployment) error {
+	source := *c.against
+	var data []byte
+	var err error
+	if source != "" {
+		data, err = os.ReadFile(source)
+	} else {
+		source = "store at " + *c.store
+		ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+		defer cancel()
+		data, err = documents.InForce(ctx, *c.store)
+	}
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	before, valid, list := documents.Check(data, 0)
+	if !valid {
+		return errors.WithStack(&invalidBaseError{source, list[0]})
+	}
+	result.Differences, err = routing.Differences(before, after)
+	if len(result.Differences) > 0 && after.Version <= before.Version {
+		result.Findings = append(result.Findings, findings.Finding{
+			Kind: findings.Invalid, Pointer: findings.Pointer("version"),
+			Text: fmt.Sprintf("VMs ignore version %d, as version %d is in force", after.Version, before.Version),
+		})
+	}
+	return err
 }
 
 // readFolder reads a configuration folder, which must not be empty: a mistyped path would
@@ -101,24 +204,44 @@
 	return files, err
 }
 
-// reportFindings prints the result and returns exitFailed if there are findings.
-func (c *invocation) reportFindings(r checkResult) int {
-	if *c.json {
+// report prints the result and returns exitFailed if there are findings or an error.
+func (c *checker) report(r checkResult, err error) int {
+	switch {
+	case *c.json:
+		if err != nil {
+			r.Error = err.Error()
+		}
 		if r.Findings == nil {
 			r.Findings = []findings.Finding{}
 		}
 		c.print(r)
-	} else {
-		for _, f := range r.Findings {
-			fmt.Printf("%s: %s\n", f.Kind, f)
-		}
+	case err == nil || len(r.Findings) > 0:
+		r.print()
+	}
+	if len(r.Findings) > 0 {
+		fmt.Fprintf(os.Stderr, "cornelsaddlectl check: findings: %d\n", len(r.Findings))
+	}
+	if err != nil && !*c.json {
+		return c.fail(err)
+	}
+	if err != nil || len(r.Findings) > 0 {
+		return exitFailed
+	}
+	return exitDone
+}
+
+// print writes the result as text.
+func (r checkResult) print() {
+	for _, f := range r.Findings {
+		fmt.Printf("%s: %s\n", f.Kind, f)
 	}
 	if len(r.Findings) == 0 {
-		if !*c.json {
-			fmt.Println("no findings")
-		}
-		return exitDone
+		fmt.Println("no findings")
+	}
+	for _, d := range r.Differences {
+		fmt.Println(d)
+	}
+	if r.Differences != nil && len(r.Differences) == 0 {
+		fmt.Println("no differences")
 	}
-	fmt.Fprintf(os.Stderr, "cornelsaddlectl check: findings: %d\n", len(r.Findings))
-	return exitFailed
 }
--- a/cmd/cornelsaddlectl/check_test.go
+++ b/cmd/cornelsaddlectl/check_test.go
@@ -3,15 +3,20 @@
 import (
 	"encoding/json"
 	"io"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"cornelsaddle.example/cornelsaddle/core/findings"
+	"cornelsaddle.example/cornelsaddle/internal/confapply"
+	store "cornelsaddle.example/cornelsaddle/internal/platform"
 	"cornelsaddle.example/cornelsaddle/platform/platformtest"
+	standin "cornelsaddle.example/cornelsaddle/standin/platform"
 )
 
 // runCaptured runs a command and returns its exit code, standard output and standard error.
@@ -97,9 +102,9 @@
 		require.Contains(t, errOut, text)
 		code, out, _ := runCaptured(t, "check", "-json", path)
 		require.Equal(t, exitFailed, code)
-		var f failure
-		require.NoError(t, json.Unmarshal([]byte(out), &f))
-		require.Contains(t, f.Error, text)
+		var r checkResult
+		require.NoError(t, json.Unmarshal([]byte(out), &r))
+		require.Contains(t, r.Error, text)
 	}
 	code, _, _ := runCaptured(t, "check")
 	require.Equal(t, exitUsage, code)
@@ -138,3 +143,101 @@
 	require.Equal(t, exitFailed, code)
 	require.Contains(t, errOut, "no such file or directory")
 }
+
+// TestCheckComparesFolders guards against differences that are lost, that are those of the text,
+// or that fail the command, and against a store that can't be read being passed over.
+func TestCheckComparesFolders(t *testing.T) {
+	const inForce = "../../examples/quickstart"
+	same := folderWith(t, "90-more.json", `{"limits":{}}`)
+	changed := folderWith(t, "90-more.json", `{"services":{"scribe-pool":{"max_timeout_ms":77000}}}`)
+	server, err := standin.Start(standin.Config{Address: "127.0.0.1:0"})
+	require.NoError(t, err)
+	defer server.Close()
+	client := store.New(server.Addr(), time.Second)
+	defer client.Close()
+
+	code, _, errOut := runCaptured(t, "check", "-platform", server.Addr(), same)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, errOut, "store at "+server.Addr())
+	require.Contains(t, errOut, "no configuration has been applied yet")
+
+	files, err := confapply.ReadFolder(inForce)
+	require.NoError(t, err)
+	_, err = confapply.Apply(client, files, 0)
+	require.NoError(t, err)
+	for _, base := range [][]string{{"-against", inForce}, {"-platform", server.Addr()}, {"-platform", server.Addr(), "-version", "1"}} {
+		code, out, errOut := runCaptured(t, append(append([]string{"check"}, base...), same)...)
+		require.Equal(t, exitDone, code, errOut)
+		require.Equal(t, "no findings\nno differences\n", out)
+		code, out, errOut = runCaptured(t, append(append([]string{"check"}, base...), changed)...)
+		require.Equal(t, exitDone, code, errOut)
+		require.Regexp(t, `^no findings\nchanged: /services/scribe-pool/max_timeout_ms: \d+ -> 77000\n$`, out)
+	}
+	code, out, _ := runCaptured(t, "check", "-json", "-against", inForce, same)
+	require.Equal(t, exitDone, code)
+	require.Equal(t, `{"findings":[],"differences":[]}`+"\n", out)
+
+	code, _, errOut = runCaptured(t, "check", "-platform", server.Addr(), "-version", "2", same)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, errOut, "version 2 does not exist")
+	faulty := folderWith(t, "90-more.json", `{"organisations":{"gilders":{"key_digests":[],"weight":1,"services":["scribe-pool"]}}}`)
+	code, out, errOut = runCaptured(t, "check", "-against", filepath.Join(same, "none"), faulty)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, out, "never_matches: ", "the findings are those made without what can't be read")
+	require.Contains(t, errOut, "no such file or directory")
+	for _, args := range [][]string{{"-version", "1"}, {"-against", inForce, "-platform", server.Addr()}} {
+		code, _, _ = runCaptured(t, append(append([]string{"check"}, args...), same)...)
+		require.Equal(t, exitUsage, code)
+	}
+}
+
+// TestCheckComparesDocuments guards against the same for documents, and against a changed
+// document whose version VMs would ignore.
+func TestCheckComparesDocuments(t *testing.T) {
+	route := platformtest.Route{Prefix: "/a/", Kind: "idempotent", Service: "s", Timeout: time.Second}
+	inForce := documentFile(t, route)
+	route.Timeout = time.Minute
+	changed := documentFile(t, route)
+	rows := platformtest.NewStore(1)
+	server := httptest.NewServer(rows)
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+
+	code, _, errOut := runCaptured(t, "check", "-platform", address, changed)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, errOut, "the store at "+address+" holds no configuration")
+
+	data, err := os.ReadFile(inForce)
+	require.NoError(t, err)
+	rows.Put(platformtest.TableOperator, "config", data)
+	for _, base := range [][]string{{"-against", inForce}, {"-platform", address}} {
+		code, out, errOut := runCaptured(t, append(append([]string{"check"}, base...), inForce)...)
+		require.Equal(t, exitDone, code, errOut)
+		require.Equal(t, "no findings\nno differences\n", out)
+		code, out, _ = runCaptured(t, append(append([]string{"check"}, base...), changed)...)
+		require.Equal(t, exitFailed, code)
+		require.Equal(t, "invalid: "+changed+": /version: VMs ignore version 3, as version 3 is in force\n"+
+			`changed: /routes/r0/timeout: "1s" -> "1m0s"`+"\n", out)
+	}
+	broken := filepath.Join(t.TempDir(), "broken")
+	require.NoError(t, os.WriteFile(broken, []byte(`{"routes":7}`), resultMode))
+	code, out, _ := runCaptured(t, "check", "-json", "-against", broken, changed)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, out, "/routes: expected a list")
+	require.NotContains(t, out, "differences")
+}
+
+// TestCheckOfAStoreThatIsDown guards against an unreachable store being taken for one without a
+// configuration.
+func TestCheckOfAStoreThatIsDown(t *testing.T) {
+	address, err := platformtest.FreeAddress()
+	require.NoError(t, err)
+	document := documentFile(t, platformtest.Route{Prefix: "/a/", Kind: "idempotent", Service: "s", Timeout: time.Second})
+	for path, reason := range map[string]string{"../../examples/quickstart": "no connection", document: "connection refused"} {
+		code, out, errOut := runCaptured(t, "check", "-platform", address, path)
+		require.Equal(t, exitFailed, code)
+		require.Empty(t, out)
+		require.Contains(t, errOut, "store at "+address+": ")
+		require.Contains(t, errOut, reason)
+	}
+}
--- a/core/routing/check.go
+++ b/core/routing/check.go
@@ -104,20 +104,26 @@
 		c.add(findings.NeverMatches, place, "the prefix %q doesn't begin with a slash, as all paths do", r.Prefix)
 		return
 	}
-	path := r.Prefix
-	if path == "" {
-		path = "/"
-	}
 	// The table compares hosts without the port. A colon stays only within an IPv6 address.
 	if strings.Contains(r.Host, ":") && !strings.HasPrefix(r.Host, "[") {
 		c.add(findings.NeverMatches, place, "no request has the host %q: it is compared without a port", r.Host)
 		return
 	}
-	if other := c.table.Route(r.Host+":80", path); other != r {
+	if other := c.table.routeInsteadOf(r); other != r {
 		c.add(findings.NeverMatches, place, "route %q gets all requests to host %q and prefix %q", other.Name, r.Host, r.Prefix)
 	}
 }
 
+// routeInsteadOf returns the route that gets the requests to the host and the prefix of r, which
+// is r itself unless another one has both.
+func (t *Table) routeInsteadOf(r *Route) *Route {
+	path := r.Prefix
+	if path == "" {
+		path = "/"
+	}
+	return t.Route(r.Host+":80", path)
+}
+
 func (c *checker) shares(i int, r *Route) {
 	if len(r.Shares) == 0 {
 		c.add(findings.Invalid, Place{PartRoutes, i, FieldNone, NoIndex}, "the route has no service")
