--- a/cmd/cornelsaddlectl/check.go
+++ b/cmd/cornelsaddlectl/check.go
@@ -18,10 +18,13 @@
 // documentChecker checks the configuration document of the users' platform.
 type documentChecker interface {
 	// Check returns the deployment that the document holds, whether it could be decoded, and
-	// the findings, without the name of the file. maxAttempts is as in routing.Check.
-	Check(data []byte, maxAttempts int) (d routing.Deployment, valid bool, list []findings.Finding)
+	// the findings, without the name of the file.
+	Check(data []byte, env routing.Environment) (d routing.Deployment, valid bool, list []findings.Finding)
 	// InForce returns the document that the store at the address holds.
 	InForce(ctx context.Context, address string) ([]byte, error)
+	// Endpoints returns the number of endpoints by service that get new work, from the
+	// registry in the store at the address.
+	Endpoints(ctx context.Context, address string) (map[string]int, error)
 }
 
 // documents is the form of the documents that the gateway reads.
@@ -64,7 +67,7 @@
 	c := checker{invocation: newInvocation("check", "check [-against PATH | -platform IP:PORT [-version N]] [-settings FILE] [-json] DIR|FILE")}
 	c.settings = c.String("settings", "", "settings file of the gateway, whose retry budget is compared with the routes of the document FILE")
 	c.against = c.String("against", "", "folder or document of the version in force, to compare with")
-	c.store = c.String("platform", "", "address of the platform, IP:PORT, whose version in force is compared with")
+	c.store = c.String("platform", "", "address of the platform, IP:PORT, whose version in force and, for a document, endpoints are compared with")
 	c.version = c.Int64("version", 0, "version of the folder on the platform to compare with; 0 for the newest")
 	rest, code := c.parse(args, 1)
 	if code >= 0 {
@@ -137,24 +140,30 @@
 	return files, errors.Wrap(err, "store at "+*c.store)
 }
 
-// checkDocument checks a document and compares it with the retry budget and the version in
-// force, as far as the flags name them.
+// checkDocument checks a document and compares it with the retry budget, the endpoints and the
+// version in force, as far as the flags name them.
 func (c *checker) checkDocument(path string) (checkResult, error) {
-	maxAttempts := 0
+	var env routing.Environment
 	if *c.settings != "" {
 		s, err := platform.LoadSettings(*c.settings)
 		if err != nil {
 			return checkResult{}, err
 		}
-		maxAttempts = s.Retries.MaxAttempts()
+		env.MaxAttempts = s.Retries.MaxAttempts()
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return checkResult{}, errors.WithStack(err)
 	}
-	after, valid, list := documents.Check(data, maxAttempts)
+	var storeErr error
+	if *c.store != "" {
+		ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+		defer cancel()
+		env.Endpoints, storeErr = documents.Endpoints(ctx, *c.store)
+	}
+	after, valid, list := documents.Check(data, env)
 	result := checkResult{Findings: list}
-	if valid && (*c.against != "" || *c.store != "") {
+	if err = storeErr; err == nil && valid && (*c.against != "" || *c.store != "") {
 		err = c.compareDocument(&result, after)
 	}
 	for i := range result.Findings {
@@ -180,7 +189,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	before, valid, list := documents.Check(data, 0)
+	before, valid, list := documents.Check(data, routing.Environment{})
 	if !valid {
 		return errors.WithStack(&invalidBaseError{source, list[0]})
 	}
--- a/cmd/cornelsaddlectl/check_test.go
+++ b/cmd/cornelsaddlectl/check_test.go
@@ -210,6 +210,10 @@
 	data, err := os.ReadFile(inForce)
 	require.NoError(t, err)
 	rows.Put(platformtest.TableOperator, "config", data)
+	code, out, _ := runCaptured(t, "check", "-platform", address, inForce)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, out, "never_matches: "+inForce+": /services/0: ", "the registry lists no endpoint")
+	rows.Put(platformtest.TableEndpoints, "e", []byte(`{"service":"s","address":"127.0.0.1:1","slots":1,"state":"ready"}`))
 	for _, base := range [][]string{{"-against", inForce}, {"-platform", address}} {
 		code, out, errOut := runCaptured(t, append(append([]string{"check"}, base...), inForce)...)
 		require.Equal(t, exitDone, code, errOut)
@@ -221,7 +225,7 @@
 	}
 	broken := filepath.Join(t.TempDir(), "broken")
 	require.NoError(t, os.WriteFile(broken, []byte(`{"routes":7}`), resultMode))
-	code, out, _ := runCaptured(t, "check", "-json", "-against", broken, changed)
+	code, out, _ = runCaptured(t, "check", "-json", "-against", broken, changed)
 	require.Equal(t, exitFailed, code)
 	require.Contains(t, out, "/routes: expected a list")
 	require.NotContains(t, out, "differences")
--- a/core/routing/check.go
+++ b/core/routing/check.go
@@ -57,11 +57,19 @@
 	Text  string
 }
 
+// Environment is what a deployment is checked against besides itself.
+type Environment struct {
+	// MaxAttempts is the largest number of endpoints to which the retry budget lets one
+	// request be sent; zero if it is unknown.
+	MaxAttempts int
+	// Endpoints is the number of endpoints by service; nil if it is unknown.
+	Endpoints map[string]int
+}
+
 // Check looks for values that can't be used, entries that no request can reach and limits
-// that contradict each other. maxAttempts is the largest number of endpoints to which the
-// retry budget lets one request be sent; zero if it is unknown.
-func Check(d Deployment, maxAttempts int) []Finding {
-	c := &checker{table: NewTable(d), deployment: d, maxAttempts: maxAttempts}
+// that contradict each other.
+func Check(d Deployment, env Environment) []Finding {
+	c := &checker{table: NewTable(d), deployment: d, env: env}
 	c.routes()
 	c.services()
 	c.organisations()
@@ -69,10 +77,10 @@
 }
 
 type checker struct {
-	table       *Table
-	deployment  Deployment
-	maxAttempts int
-	findings    []Finding
+	table      *Table
+	deployment Deployment
+	env        Environment
+	findings   []Finding
 }
 
 func (c *checker) add(kind findings.Kind, place Place, format string, args ...any) {
@@ -169,8 +177,8 @@
 			c.add(findings.Contradiction, at(FieldGap), "the target for gaps, %v, is over the timeout, %v", r.Gap, r.Timeout)
 		}
 	}
-	if c.maxAttempts > 0 && r.MaxAttempts > c.maxAttempts {
-		c.add(findings.Contradiction, at(FieldMaxAttempts), "the retry budget lets a request be sent to %d endpoints at most, and the route to %d", c.maxAttempts, r.MaxAttempts)
+	if c.env.MaxAttempts > 0 && r.MaxAttempts > c.env.MaxAttempts {
+		c.add(findings.Contradiction, at(FieldMaxAttempts), "the retry budget lets a request be sent to %d endpoints at most, and the route to %d", c.env.MaxAttempts, r.MaxAttempts)
 	}
 }
 
@@ -188,6 +196,8 @@
 			c.add(findings.NeverMatches, Place{PartServices, i, FieldName, NoIndex}, "a later service has the name %q as well and replaces this one", s.Name)
 		case !used[s.Name]:
 			c.add(findings.NeverMatches, Place{PartServices, i, FieldNone, NoIndex}, "no route leads to service %q", s.Name)
+		case c.env.Endpoints != nil && c.env.Endpoints[s.Name] == 0:
+			c.add(findings.NeverMatches, Place{PartServices, i, FieldNone, NoIndex}, "service %q has no endpoint that gets new work", s.Name)
 		}
 		if s.Engine != nil && !s.Engine.Valid() {
 			c.add(findings.Invalid, Place{PartServices, i, FieldEngine, NoIndex}, "the cost parameters are not usable: the service counts as a plain one")
--- a/core/routing/check_test.go
+++ b/core/routing/check_test.go
@@ -24,7 +24,8 @@
 // TestCheck guards against a rule that reports nothing, the wrong place, or more than its own
 // finding.
 func TestCheck(t *testing.T) {
-	require.Empty(t, Check(soundDeployment(), 3))
+	env := Environment{MaxAttempts: 3, Endpoints: map[string]int{"s": 1, "p": 2}}
+	require.Empty(t, Check(soundDeployment(), env))
 	const none = NoIndex
 	for name, tc := range map[string]struct {
 		change func(d *Deployment)
@@ -77,7 +78,7 @@
 		t.Run(name, func(t *testing.T) {
 			d := soundDeployment()
 			tc.change(&d)
-			list := Check(d, 3)
+			list := Check(d, env)
 			require.Len(t, list, 1, "%v", list)
 			require.Equal(t, tc.kind, list[0].Kind)
 			require.Equal(t, tc.place, list[0].Place)
@@ -86,14 +87,24 @@
 	}
 }
 
+// TestCheckOfEndpoints guards against a service without endpoints that isn't found, and against
+// findings where the endpoints are unknown.
+func TestCheckOfEndpoints(t *testing.T) {
+	list := Check(soundDeployment(), Environment{Endpoints: map[string]int{"s": 1}})
+	require.Len(t, list, 1)
+	require.Equal(t, findings.NeverMatches, list[0].Kind)
+	require.Equal(t, Place{PartServices, 1, FieldNone, NoIndex}, list[0].Place)
+	require.Empty(t, Check(soundDeployment(), Environment{}))
+}
+
 // TestCheckOfHosts guards against findings for hosts that requests do select, and against none
 // for a host with a port, which is cut off before the comparison.
 func TestCheckOfHosts(t *testing.T) {
 	d := soundDeployment()
 	d.Routes[1].Host = "[::1]"
-	require.Empty(t, Check(d, 0))
+	require.Empty(t, Check(d, Environment{}))
 	d.Routes[1].Host = "h.example:8080"
-	list := Check(d, 0)
+	list := Check(d, Environment{})
 	require.Len(t, list, 1)
 	require.Equal(t, Place{PartRoutes, 1, FieldPrefix, NoIndex}, list[0].Place)
 }
