--- a/core/configuration/meaning.go
+++ b/core/configuration/meaning.go
@@ -8,7 +8,8 @@
 )
 
 // Differences returns the values in which two documents differ in their meaning. The order of
-// sets, and whether a default is written, make no difference.
+// sets, and whether zeros and the defaults that this package defines are written, make no
+// difference.
 func Differences(before, after *Document) ([]findings.Difference, error) {
 	return findings.Compare(before.normal(), after.normal())
 }
