Benchmark placement with near engines

Cause: BenchmarkPlace has no failure domains, and so does not measure the preference.

Change: BenchmarkPlaceNear places prompts at 64 engines without and with it; slices of the tests are allocated at once.

--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -107,3 +107,26 @@
 		}
 	}
 }
+
+// BenchmarkPlaceNear measures the placement of a prompt without and with the preference for the
+// failure domain of its owner.
+func BenchmarkPlaceNear(b *testing.B) {
+	for _, tokens := range []int{5000, 150000} {
+		for _, penalty := range []float64{0, NearRemotePenalty} {
+			b.Run(fmt.Sprintf("tokens=%d/near=%t", tokens, penalty > 0), func(b *testing.B) {
+				d, now := loadedDispatcher(64)
+				d.cfg.RemotePenalty = penalty
+				for i, e := range d.pools["s"] {
+					e.Domain = domainName(i % 3)
+				}
+				j := prompt("x", tokens, now)
+				j.Domain = domainName(1)
+				for b.Loop() {
+					d.Submit(now, j)
+					d.Decide(now)
+					d.Finished(now, testKey("x"), Abandoned, "")
+				}
+			})
+		}
+	}
+}
--- a/core/dispatch/near_test.go
+++ b/core/dispatch/near_test.go
@@ -200,12 +200,13 @@
 // TestEnginesKeptFreeAreSpread guards against engines for short prompts that are all of one failure
 // domain, because the IDs of a domain are alike: the prompts of the others could not stay in theirs.
 func TestEnginesKeptFreeAreSpread(t *testing.T) {
-	var list []Endpoint
-	for _, id := range []string{"x1", "x2", "x3", "y1", "y2", "z1"} {
+	ids := []string{"x1", "x2", "x3", "y1", "y2", "z1"}
+	list := make([]Endpoint, 0, len(ids))
+	for _, id := range ids {
 		list = append(list, Endpoint{ID: id, Service: "s", Domain: id[:1], Slots: 16})
 	}
 	d := nearDispatcher(list)
-	var order []string
+	order := make([]string, 0, len(ids))
 	for _, e := range d.pools["s"] {
 		order = append(order, e.ID)
 	}
@@ -267,7 +268,7 @@
 		w := newDispatched(learn)
 		d := w.vms[w.holder]
 		d.cfg.RemotePenalty = penalty
-		var list []Endpoint
+		list := make([]Endpoint, 0, 6)
 		for e := range 6 {
 			list = append(list, Endpoint{ID: fmt.Sprint("e", e), Service: "p", Domain: domainName(e / 2), Slots: simSlots})
 		}
