Enable the preference for near endpoints with the contract health

Cause: the dispatcher can prefer endpoints in the failure domain of a request's owner, but is not told of domains.

Change: Settings.Placement.PreferNear (contract health, prefer_near in the log line of the loaded settings) sets RemotePenalty. The registry passes the domains of endpoints on, the gateway sends its own with each job, as an optional field that builds before it leave out: their jobs have no preference.

--- a/cmd/cornelsaddle/gateway.go
+++ b/cmd/cornelsaddle/gateway.go
@@ -152,5 +152,6 @@
 		Path: path, MemoryMB: s.Limits.MemoryMB, Cores: s.Limits.Cores, Descriptors: s.Limits.MaxDescriptors,
 		Grace: s.Grace, RepeatRatio: s.Retries.Ratio, RepeatAllowance: s.Retries.Allowance,
 		LearnCosts: s.Placement.LearnCosts, FairShares: s.Placement.FairShares, HedgeSilent: s.Placement.HedgeSilent,
+		PreferNear: s.Placement.PreferNear,
 	}
 }
--- a/internal/coordination/coordinator_test.go
+++ b/internal/coordination/coordinator_test.go
@@ -267,7 +267,7 @@
 func TestMessageRoundTrip(t *testing.T) {
 	now := time.Unix(1000, 0)
 	j := dispatch.Job{
-		ID: "1", Owner: "a", Term: 5, Service: "s", Organisation: "o", Arrived: now.Add(-time.Second), Due: now.Add(time.Second),
+		ID: "1", Owner: "a", Term: 5, Domain: "x", Service: "s", Organisation: "o", Arrived: now.Add(-time.Second), Due: now.Add(time.Second),
 		Deadline: now.Add(2 * time.Second), FirstEventBy: now.Add(1500 * time.Millisecond), MaxGap: time.Millisecond, Priority: 2, PromptTokens: 3, AnswerTokens: 4, Avoid: []string{"e"}, Exclude: []string{"f"},
 	}
 	require.Equal(t, j, encodeJob(now, j).job(now, "a"))
--- a/internal/coordination/costs_test.go
+++ b/internal/coordination/costs_test.go
@@ -91,3 +91,18 @@
 	j.PromptTokens = 5
 	require.Empty(t, encodeJob(now, j).Route)
 }
+
+// TestJobOfAnEarlierBuildHasNoDomain guards against a job that is refused or preferred somewhere because
+// its owner, of an earlier build, sends no failure domain, and against bytes for one that is not known.
+func TestJobOfAnEarlierBuildHasNoDomain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var earlier jobMessage
+	require.NoError(t, json.Unmarshal([]byte(`{"id":"1","s":"s","a":0,"e":1000000,"n":500}`), &earlier))
+	require.Empty(t, earlier.job(now, "a").Domain)
+	j := dispatch.Job{ID: "1", Owner: "a", Service: "s", Arrived: now, Deadline: now.Add(time.Second), PromptTokens: 500}
+	without, err := json.Marshal(encodeJob(now, j))
+	require.NoError(t, err)
+	require.NotContains(t, string(without), `"y"`)
+	j.Domain = "x"
+	require.Equal(t, "x", encodeJob(now, j).job(now, "a").Domain)
+}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -47,6 +47,8 @@
 	Route     string `json:"r,omitempty"`
 	Method    string `json:"m,omitempty"`
 	BodyBytes int    `json:"z,omitempty"`
+	// Domain is unknown to earlier builds, whose jobs have no preference.
+	Domain string `json:"y,omitempty"`
 }
 
 func encodeJob(now time.Time, j dispatch.Job) jobMessage {
@@ -55,6 +57,7 @@
 		Age: now.Sub(j.Arrived).Microseconds(), Due: encodeTime(now, j.Due),
 		Deadline: j.Deadline.Sub(now).Microseconds(), OwnerExit: encodeTime(now, j.OwnerExit), FirstBy: encodeTime(now, j.FirstEventBy),
 		Gap: j.MaxGap.Microseconds(), Priority: j.Priority, Prompt: j.PromptTokens, Answer: j.AnswerTokens, Avoid: j.Avoid, Exclude: j.Exclude, Parts: j.Parts,
+		Domain: j.Domain,
 	}
 	if j.PromptTokens == 0 {
 		m.Route, m.Method, m.BodyBytes = j.Route, workcost.MethodClass(j.Method), j.BodyBytes
@@ -68,7 +71,7 @@
 		Arrived: now.Add(-microseconds(m.Age)), Due: decodeTime(now, m.Due),
 		Deadline: now.Add(microseconds(m.Deadline)), OwnerExit: decodeTime(now, m.OwnerExit), FirstEventBy: decodeTime(now, m.FirstBy),
 		MaxGap: microseconds(m.Gap), Priority: m.Priority, PromptTokens: m.Prompt, AnswerTokens: m.Answer, Avoid: m.Avoid, Exclude: m.Exclude, Parts: m.Parts,
-		Route: m.Route, Method: m.Method, BodyBytes: max(0, m.BodyBytes),
+		Route: m.Route, Method: m.Method, BodyBytes: max(0, m.BodyBytes), Domain: m.Domain,
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -188,6 +188,9 @@
 		func() *coordination.LocalDispatcher {
 			cfg := dispatch.DefaultConfig()
 			cfg.LearnCosts, cfg.FairShares = v.settings.Placement.LearnCosts, v.settings.Placement.FairShares
+			if v.settings.Placement.PreferNear {
+				cfg.RemotePenalty = dispatch.NearRemotePenalty
+			}
 			return coordination.NewLocalDispatcher(cfg, quarantine.DefaultConfig())
 		},
 		v.newCoordinator,
@@ -259,6 +262,7 @@
 func (v *VM) newGateway(c *coordination.Coordinator, r *registry, t *tables, u *upstream.Transport, reserver *ticket.Reserver, f *freshness, m *metrics.Metrics) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		VM:             v.settings.VM,
+		FailureDomain:  v.settings.FailureDomain,
 		Tables:         t,
 		Directory:      r,
 		Freshness:      f,
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -276,7 +276,7 @@
 	})
 	list := make([]dispatch.Endpoint, 0, len(usable))
 	for _, e := range usable {
-		list = append(list, dispatch.Endpoint{ID: e.ID, Service: e.Service, Started: e.Started, Slots: e.Slots, ColdUntil: r.coldUntil[e.ID]})
+		list = append(list, dispatch.Endpoint{ID: e.ID, Service: e.Service, Domain: e.Domain, Started: e.Started, Slots: e.Slots, ColdUntil: r.coldUntil[e.ID]})
 	}
 	r.sink.SetEndpoints(list)
 }
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -126,10 +126,11 @@
 	Grace           time.Duration `log:"grace"`
 	RepeatRatio     float64       `log:"repeat_ratio"`
 	RepeatAllowance float64       `log:"repeat_allowance"`
-	// LearnCosts, FairShares and HedgeSilent are the enabled parts of placement.
+	// LearnCosts, FairShares, HedgeSilent and PreferNear are the enabled parts of placement.
 	LearnCosts  bool `log:"learn_costs"`
 	FairShares  bool `log:"fair_shares"`
 	HedgeSilent bool `log:"hedge_silent"`
+	PreferNear  bool `log:"prefer_near"`
 }
 
 // Def implements Event.
--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -53,6 +53,8 @@
 	FairShares bool
 	// HedgeSilent allows to ask a second endpoint beside one that doesn't begin to respond.
 	HedgeSilent bool
+	// PreferNear prefers endpoints in the VM's failure domain where that costs the caller little.
+	PreferNear bool
 }
 
 // Limits has the resource limits of the VM.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -206,6 +206,7 @@
 	job := dispatch.Job{
 		ID:           x.gateway.jobID(x.call.ID),
 		Owner:        x.gateway.cfg.VM,
+		Domain:       x.gateway.cfg.FailureDomain,
 		Service:      x.service,
 		Route:        x.route.Name,
 		Method:       x.r.Method,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,14 +89,16 @@
 // Config has the dependencies of a Gateway.
 type Config struct {
 	// VM is the name of this VM.
-	VM        string
-	Tables    Tables
-	Directory Directory
-	Freshness Freshness
-	Placer    Placer
-	Headers   provider.HeaderTranslator
-	Transport *upstream.Transport
-	Tickets   *ticket.Reserver
+	VM string
+	// FailureDomain is the one of this VM; empty if it is not known.
+	FailureDomain string
+	Tables        Tables
+	Directory     Directory
+	Freshness     Freshness
+	Placer        Placer
+	Headers       provider.HeaderTranslator
+	Transport     *upstream.Transport
+	Tickets       *ticket.Reserver
 	// Memory is that for the bodies of requests and for what is retained of responses; nil for
 	// no limit.
 	Memory  *membudget.Budget
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -124,6 +124,15 @@
 	require.Zero(t, w.jobs[1].Priority)
 }
 
+// TestPlacementReceivesTheDomain guards against requests without a preference, because the VM's failure
+// domain is not passed on.
+func TestPlacementReceivesTheDomain(t *testing.T) {
+	w := newHarness(t, newEndpoint(t, respondWith("200 OK", ownHeader, "x")))
+	w.gateway.cfg.FailureDomain = "x"
+	w.call(t, "GET", "/safe/", "", nil)
+	require.Equal(t, "x", w.jobs[0].Domain)
+}
+
 // TestPlacementReceivesFirstEventDeadline checks that the job's FirstBy follows
 // from the route's Patience, and is zero for a route without one.
 func TestPlacementReceivesFirstEventDeadline(t *testing.T) {
