--- a/core/workcost/kind.go
+++ b/core/workcost/kind.go
@@ -1,9 +1,6 @@
 package workcost
 
-import (
-	"math/bits"
-	"net/http"
-)
+import "math/bits"
 
 // Kind identifies requests that are expected to cost the same.
 type Kind struct {
@@ -25,7 +22,7 @@
 // MethodClass returns the method as it occurs in a Kind.
 func MethodClass(method string) string {
 	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions, "":
+	case "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "":
 		return method
 	}
 	return otherMethod
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -38,10 +38,11 @@
 	// maxRelayAge is how long ago the copy of a relay may have been known to be up to date
 	// for the relay to count as a fresh source: it may have tried one source in vain.
 	maxRelayAge = 1500 * time.Millisecond
-	// minBackoff and MaxBackoff bound the back-off between two reads while the store
-	// fails; random jitter of up to minBackoff is added. MaxBackoff holds for the watchers and
-	// for VMs without a copy; Sources may state a longer one for others.
+	// minBackoff is the shortest back-off between two reads while the store fails; random jitter
+	// of up to minBackoff is added.
 	minBackoff = 50 * time.Millisecond
+	// MaxBackoff is the longest one for the watchers and for VMs without a copy; Sources may
+	// state a longer one for others.
 	MaxBackoff = 500 * time.Millisecond
 	// idleInterval is the interval at which an idle source checks whether it is
 	// needed.
