Names in workcost and fairshare say what they bound

A reader took 'forgotten' for a flag, 'organisation' for a name and 'usualSpread' for a typical value. The comment of the reordering interval named the wrong quantity, and that of Pace the inverse of its factor. The list of an organisation's kinds was created in two places.

--- a/core/fairshare/ledger.go
+++ b/core/fairshare/ledger.go
@@ -19,10 +19,10 @@
 	// sweepInterval is the time between two removals of organisations that have received
 	// nearly nothing.
 	sweepInterval = Window
-	// forgottenWork is the work below which an organisation is removed, and forgottenShare
+	// negligibleWork is the work below which an organisation is removed, and negligibleShare
 	// the part of the mean of all. Either way it is as if it had received none.
-	forgottenWork  = time.Millisecond
-	forgottenShare = 0.01
+	negligibleWork  = time.Millisecond
+	negligibleShare = 0.01
 )
 
 // account identifies the work of one organisation's requests at one entry VM.
@@ -85,7 +85,7 @@
 	growth := l.growth(now)
 	var list []Share
 	for a, work := range l.accounts {
-		if received := time.Duration(work / growth); a.owner == owner && received >= forgottenWork {
+		if received := time.Duration(work / growth); a.owner == owner && received >= negligibleWork {
 			list = append(list, Share{a.organisation, received})
 		}
 	}
@@ -122,8 +122,8 @@
 	l.sum += work - old
 }
 
-// growth is the factor by which work that is received at a time counts for more than at the
-// epoch.
+// growth returns the factor by which work that is received at a time counts for more than work at
+// the epoch.
 func (l *Ledger) growth(at time.Time) float64 {
 	if l.epoch.IsZero() {
 		l.epoch = at
@@ -138,7 +138,7 @@
 		return
 	}
 	growth := l.growth(now)
-	least := max(float64(forgottenWork)*growth, forgottenShare*l.sum/float64(max(1, len(l.totals))))
+	least := max(float64(negligibleWork)*growth, negligibleShare*l.sum/float64(max(1, len(l.totals))))
 	for a, work := range l.accounts {
 		if l.totals[a.organisation] < least {
 			delete(l.accounts, a)
--- a/core/workcost/estimator.go
+++ b/core/workcost/estimator.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// forgotten is the evidence below which what was learned is not used any more.
-const forgotten = 0.05
+// negligibleEvidence is the evidence below which what was learned is not used any more.
+const negligibleEvidence = 0.05
 
 // Config holds the limits and time constants of an Estimator.
 type Config struct {
@@ -54,7 +54,7 @@
 	Evidence float64
 }
 
-// Pace is the speed of an endpoint relative to the median of its service's endpoints.
+// Pace is the time that an endpoint takes relative to the median of its service's endpoints.
 type Pace struct {
 	// Factor is 1 for the usual speed, and 5 for an endpoint that takes five times as long.
 	Factor float64
@@ -75,7 +75,7 @@
 	uses float64
 	// between is the mean absolute difference of the narrower kinds to this one, in log units.
 	between float64
-	// evicted is set once the kind is forgotten, and usedAt is the number of kinds that had been
+	// evicted is set once the kind is not remembered any more, and usedAt is the number of kinds that had been
 	// added when it was last marked as used.
 	evicted bool
 	usedAt  int
@@ -147,7 +147,7 @@
 	}
 	at := s.since(now)
 	if n == nil || n.evicted || n.key.level > 0 {
-		n = s.node(key{Kind: o.Kind})
+		n = s.entry(key{Kind: o.Kind})
 	} else {
 		s.use(n)
 	}
@@ -159,10 +159,10 @@
 	}
 	value := math.Log(float64(o.Took)) - g.offset
 	slowness := p.effective(at, s.cfg.PaceWindow)
-	if known := n.evident(); known != nil {
+	if known := n.withEvidence(); known != nil {
 		// Kinds whose requests vary say little about the endpoint.
 		expected, _ := s.estimate(at, known)
-		relative := known.cost.spread / usualSpread
+		relative := known.cost.spread / halfWeightSpread
 		s.observePace(at, p, value-expected, 1/(1+relative*relative))
 	}
 	s.observeCost(at, n, value-slowness)
@@ -183,13 +183,13 @@
 	n.cost.updated = at
 }
 
-// usualSpread is the spread of a kind, in log units, whose requests count half for the pace of
-// their endpoints.
-const usualSpread = 0.5
+// halfWeightSpread is the spread of a kind, in log units, at which its requests count half for the
+// pace of their endpoints.
+const halfWeightSpread = 0.5
 
-// evident returns the narrowest of the kind and the wider ones of which a request was observed
+// withEvidence returns the narrowest of the kind and the wider ones of which a request was observed
 // recently; nil for none. Their evidence is up to date.
-func (n *Entry) evident() *Entry {
+func (n *Entry) withEvidence() *Entry {
 	for n != nil && n.cost.evidence < 1 {
 		n = n.parent
 	}
@@ -211,8 +211,8 @@
 }
 
 func (s *Estimator) observePace(at time.Duration, p *pace, value, weight float64) {
-	if p.decayed(at, s.cfg.PaceWindow) < forgotten {
-		// An endpoint that nothing is known of is of usual speed until several requests say
+	if p.decayed(at, s.cfg.PaceWindow) < negligibleEvidence {
+		// An endpoint without evidence is taken to be of usual speed until several requests say
 		// otherwise.
 		p.robustMean = robustMean{spread: initialSpread, evidence: 1, updated: at}
 	}
@@ -225,7 +225,7 @@
 // effective returns the pace in log units, which goes to 0 as its evidence decays.
 func (p *pace) effective(at, window time.Duration) float64 {
 	n := p.decayed(at, window)
-	if n < forgotten {
+	if n < negligibleEvidence {
 		return 0
 	}
 	return p.mean * n / (n + paceShrinkage)
@@ -256,9 +256,9 @@
 	// minShrinkage and maxShrinkage bound the evidence with which a kind and the wider one
 	// count half each.
 	minShrinkage, maxShrinkage = 0.02, 4
-	// sameKinds is the difference between kinds, in log units, below which they are taken for
+	// minKindDifference is the difference between kinds, in log units, below which they are taken for
 	// one.
-	sameKinds = 0.05
+	minKindDifference = 0.05
 )
 
 // estimate returns the shrinkage estimate of a kind, in log units without the offset of its
@@ -266,7 +266,7 @@
 // one has, compared with how much its requests vary and how much such kinds differ.
 func (s *Estimator) estimate(at time.Duration, n *Entry) (value, evidence float64) {
 	own := n.cost.decayed(at, s.cfg.CostWindow)
-	if own < forgotten {
+	if own < negligibleEvidence {
 		own = 0
 	}
 	if n.parent == nil {
@@ -276,7 +276,7 @@
 	if wideEvidence == 0 {
 		return n.cost.mean, own
 	}
-	ratio := n.cost.spread / max(sameKinds, n.parent.between)
+	ratio := n.cost.spread / max(minKindDifference, n.parent.between)
 	shrinkage := max(minShrinkage, min(maxShrinkage, ratio*ratio))
 	share := own / (own + shrinkage)
 	return wide + share*(n.cost.mean-wide), max(own, wideEvidence)
@@ -331,23 +331,24 @@
 	}
 }
 
-// node returns the kind, which it adds if it is not known, and marks it as used.
-func (s *Estimator) node(k key) *Entry {
+// entry returns the entry of a kind, which it adds if it is not known, and marks it as used.
+func (s *Estimator) entry(k key) *Entry {
 	n := s.kinds[k]
 	if n == nil {
-		n = s.addNode(k)
+		n = s.addEntry(k)
 		s.markUsed(n)
 	}
 	s.use(n)
 	return n
 }
 
-// usePrecision is the part of all kinds that may be added until a kind that is used is marked again.
-const usePrecision = 16
+// reorderDivisor divides MaxKindsPerOrganisation: a kind in use is moved to the front again only after
+// more than the quotient of kinds have been added, which saves most of the list operations.
+const reorderDivisor = 16
 
 // use marks a kind and the wider ones as used, if kinds have been added since it was marked last.
 func (s *Estimator) use(n *Entry) {
-	if s.added-n.usedAt > s.cfg.MaxKindsPerOrganisation/usePrecision {
+	if s.added-n.usedAt > s.cfg.MaxKindsPerOrganisation/reorderDivisor {
 		s.markUsed(n)
 	}
 }
@@ -363,24 +364,21 @@
 	}
 }
 
-func (s *Estimator) addNode(k key) *Entry {
+func (s *Estimator) addEntry(k key) *Entry {
 	n := &Entry{key: k, cost: robustMean{spread: initialSpread}, between: initialSpread}
 	if k.level < levels-1 {
-		n.parent = s.node(k.widen())
+		n.parent = s.entry(k.widen())
 		n.group = n.parent.group
 	} else {
 		n.group = s.groupOf(k.Service)
 	}
 	n.group.kinds++
 	if k.level == 0 {
-		own := s.organisations[k.Organisation]
-		if own == nil {
-			own = &list{}
-			s.organisations[k.Organisation] = own
-		}
+		own := s.kindsOf(k.Organisation)
 		if own.length >= s.cfg.MaxKindsPerOrganisation {
 			s.evict(own.last)
-			own = s.organisation(k.Organisation)
+			// evict removes the list if it is empty.
+			own = s.kindsOf(k.Organisation)
 		}
 		own.pushFront(n, ownLinks)
 	}
@@ -393,11 +391,14 @@
 	return n
 }
 
-func (s *Estimator) organisation(name string) *list {
-	if s.organisations[name] == nil {
-		s.organisations[name] = &list{}
+// kindsOf returns the list of an organisation's kinds, which it adds if there is none.
+func (s *Estimator) kindsOf(organisation string) *list {
+	own := s.organisations[organisation]
+	if own == nil {
+		own = &list{}
+		s.organisations[organisation] = own
 	}
-	return s.organisations[name]
+	return own
 }
 
 func (s *Estimator) evict(n *Entry) {
@@ -431,7 +432,7 @@
 func (s *Estimator) pace(o Observation, g *group) *pace {
 	p := s.paces[o.Endpoint]
 	if p != nil && p.group != g {
-		s.forget(p)
+		s.removePaces(p)
 		p = nil
 	}
 	if p == nil {
@@ -448,7 +449,7 @@
 	return p
 }
 
-// evictPace forgets the endpoints that were not observed for longest, an eighth of all.
+// evictPace removes the paces of the endpoints that were not observed for longest, an eighth of all.
 func (s *Estimator) evictPace() {
 	all := make([]*pace, 0, len(s.paces))
 	for _, p := range s.paces {
@@ -457,10 +458,11 @@
 	slices.SortFunc(all, func(a, b *pace) int {
 		return cmp.Or(a.seen.Compare(b.seen), cmp.Compare(a.endpoint, b.endpoint))
 	})
-	s.forget(all[:max(1, len(all)/8)]...)
+	s.removePaces(all[:max(1, len(all)/8)]...)
 }
 
-func (s *Estimator) forget(paces ...*pace) {
+// removePaces removes the paces, and groups that are empty without them.
+func (s *Estimator) removePaces(paces ...*pace) {
 	changed := make(map[*group]string)
 	for _, p := range paces {
 		delete(s.paces, p.endpoint)
--- a/core/workcost/robust.go
+++ b/core/workcost/robust.go
@@ -27,8 +27,8 @@
 	mean float64
 	// spread is the mean absolute deviation of the clipped residuals.
 	spread float64
-	// evidence is the number of recent values, decayed to updated, a time since the first
-	// observation.
+	// evidence is the number of recent values, decayed to updated, which is a time since the
+	// estimator's epoch.
 	evidence float64
 	updated  time.Duration
 	// run counts the latest consecutive residuals that were clipped, negative for those below
@@ -62,8 +62,8 @@
 func (m *robustMean) add(at time.Duration, value, weight, limit float64, window time.Duration) {
 	n := m.decayed(at, window)
 	m.updated = max(m.updated, at)
-	if n < forgotten {
-		*m = robustMean{mean: value, spread: initialSpread, evidence: max(weight, 2*forgotten), updated: m.updated}
+	if n < negligibleEvidence {
+		*m = robustMean{mean: value, spread: initialSpread, evidence: max(weight, 2*negligibleEvidence), updated: m.updated}
 		return
 	}
 	residual := value - m.mean
@@ -94,7 +94,7 @@
 // merge adds the evidence of another mean.
 func (m *robustMean) merge(at time.Duration, other robustMean, limit float64, window time.Duration) {
 	n := m.decayed(at, window)
-	if n < forgotten {
+	if n < negligibleEvidence {
 		other.updated = at
 		other.evidence = min(limit, other.evidence)
 		*m = other
--- a/core/workcost/summary.go
+++ b/core/workcost/summary.go
@@ -12,9 +12,9 @@
 	MaxSummaryKinds = 64
 	// MaxSummaryPaces bounds the paces of a Summary.
 	MaxSummaryPaces = 64
-	// usualPace is the difference to 1 below which the factor of an endpoint's pace is left out
+	// minPaceDifference is the difference to 1 below which the factor of an endpoint's pace is left out
 	// of a summary.
-	usualPace = 0.1
+	minPaceDifference = 0.1
 )
 
 // KindSummary is the cost of a kind at one level.
@@ -55,7 +55,7 @@
 	var sum Summary
 	for k, n := range s.kinds {
 		evidence := n.cost.decayed(at, s.cfg.CostWindow)
-		if k.Service != service || evidence < forgotten {
+		if k.Service != service || evidence < negligibleEvidence {
 			continue
 		}
 		sum.Kinds = append(sum.Kinds, KindSummary{
@@ -72,7 +72,7 @@
 	sum.Kinds = sum.Kinds[:min(len(sum.Kinds), MaxSummaryKinds)]
 	for _, p := range g.paces {
 		pace := s.Pace(now, p.endpoint)
-		if pace.Evidence >= forgotten && math.Abs(pace.Factor-1) > usualPace {
+		if pace.Evidence >= negligibleEvidence && math.Abs(pace.Factor-1) > minPaceDifference {
 			sum.Paces = append(sum.Paces, PaceSummary{p.endpoint, p.incarnation, math.Exp(p.mean), pace.Evidence})
 		}
 	}
@@ -91,18 +91,18 @@
 	at := s.since(now)
 	for _, k := range sum.Kinds[:min(len(sum.Kinds), MaxSummaryKinds)] {
 		id := key{k.Kind, k.Level}
-		if k.Kind.Service != service || k.Level >= levels || !id.valid() || !inRange(k.Evidence, forgotten, math.MaxFloat32) ||
+		if k.Kind.Service != service || k.Level >= levels || !id.valid() || !inRange(k.Evidence, negligibleEvidence, math.MaxFloat32) ||
 			!inRange(k.Spread, 0, math.MaxFloat32) || !inRange(float64(k.Mean), 1, float64(time.Hour)) {
 			continue
 		}
-		n := s.node(id)
+		n := s.entry(id)
 		n.cost.merge(at, robustMean{
 			mean: math.Log(float64(k.Mean)) - n.group.offset, spread: max(minSpread, min(maxSpread, k.Spread)),
 			evidence: min(k.Evidence, s.cfg.MaxEvidence),
 		}, s.cfg.MaxEvidence, s.cfg.CostWindow)
 	}
 	for _, p := range sum.Paces[:min(len(sum.Paces), MaxSummaryPaces)] {
-		if !inRange(p.Factor, 0.01, 100) || !inRange(p.Evidence, forgotten, math.MaxFloat32) {
+		if !inRange(p.Factor, 0.01, 100) || !inRange(p.Evidence, negligibleEvidence, math.MaxFloat32) {
 			continue
 		}
 		known := s.pace(Observation{Kind: Kind{Service: service}, Endpoint: p.Endpoint, Incarnation: p.Incarnation}, s.groupOf(service))
