--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -133,9 +133,8 @@
 // coldEngines is a service of engines that are cold for 3 s and then bear 15 requests a second.
 var coldEngines = Service{Name: "s", Engine: simCostModel(), Cold: Cold{For: 3 * time.Second, PerSecond: 15}}
 
-// TestHelpersCountForColdEngines guards against cold engines that get more requests than they
-// bear, as helpers with prompts of others: a part of a prompt was not counted, so that each long
-// prompt could take all cold engines.
+// TestHelpersCountForColdEngines guards against parts of prompts that are not counted for the helpers:
+// cold engines would get more than they bear, as each long prompt could take all of them.
 func TestHelpersCountForColdEngines(t *testing.T) {
 	d := New(DefaultConfig())
 	d.SetServices(start, []Service{coldEngines})
@@ -170,8 +169,8 @@
 	}
 }
 
-// TestEndpointsThatComeBackToAnEmptyServiceAreCold evacuates the only failure domain of a service
-// and takes that back. Its endpoints were warm again at once, as they joined no others.
+// TestEndpointsThatComeBackToAnEmptyServiceAreCold guards against endpoints that are warm at once after
+// an evacuation of the only failure domain of a service is taken back, as they join no others.
 func TestEndpointsThatComeBackToAnEmptyServiceAreCold(t *testing.T) {
 	d := New(DefaultConfig())
 	d.SetServices(start, []Service{coldService})
@@ -185,8 +184,9 @@
 	}
 }
 
-// TestNextIncarnationIsCold lets an endpoint start again so soon that the registry lists its next
-// incarnation in the place of the last one, and without the time for which it is cold.
+// TestNextIncarnationIsCold guards against a warm endpoint that has started again so soon that the
+// registry lists its next incarnation in the place of the last one, and without the time for which it is
+// cold.
 func TestNextIncarnationIsCold(t *testing.T) {
 	d := New(DefaultConfig())
 	d.SetServices(start, []Service{coldService})
@@ -202,9 +202,9 @@
 	require.Greater(t, most(placed["b"]), limit, "it goes on as before")
 }
 
-// TestEndpointThatComesBackOftenStaysWithinItsBound lets an endpoint be unlisted and listed again
-// several times in a second, as with an evacuation that is taken back and declared again. Each
-// time it got another burst.
+// TestEndpointThatComesBackOftenStaysWithinItsBound guards against another burst each time an endpoint
+// is unlisted and listed again, several times in a second, as with an evacuation that is taken back and
+// declared again.
 func TestEndpointThatComesBackOftenStaysWithinItsBound(t *testing.T) {
 	d := New(DefaultConfig())
 	d.SetServices(start, []Service{coldService})
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -26,7 +26,7 @@
 	clear(d.heldPlain)
 	if d.costs != nil {
 		d.costs.decision++
-		d.refreshSteps(now)
+		d.refreshModelScales(now)
 	}
 	var decisions []Decision
 	kept := d.queue[:0]
@@ -120,7 +120,7 @@
 	if d.lightClosed(now, job) {
 		return d.hold(now, job)
 	}
-	if pool := d.usualPool(now, job); pool != nil {
+	if pool := d.unrestrictedPool(now, job); pool != nil {
 		return d.decidePlain(now, job, pool)
 	}
 	pool, limited := d.candidates(now, job)
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -34,8 +34,8 @@
 	// organisation will have received when the job's turn comes, as of the last call of
 	// orderByShares.
 	work, over time.Duration
-	// place is the rank at which the job is sorted with fair shares.
-	place int
+	// sortRank is the rank at which the job is sorted with fair shares.
+	sortRank int
 	// shares is the state of the job's service, and behindLong is set if the job goes behind the
 	// long prompts of organisations within their shares.
 	shares     *shares
@@ -73,8 +73,8 @@
 	cost        jobCost
 	placedSince time.Duration
 	ageUnknown  bool
-	// engineStep is the step of the receiver's pace on which the prediction is based.
-	engineStep int
+	// modelScale is that of the receiver when the prediction was made.
+	modelScale int
 	// work is the work of the job that was counted, at countedAt; zero for none.
 	work      time.Duration
 	countedAt time.Time
@@ -337,7 +337,7 @@
 	if d.costs != nil {
 		pl.cost, pl.placedSince = cost, d.costs.since(now)
 		if e := d.endpoints[p.Endpoint]; e != nil {
-			pl.engineStep = e.slowStep
+			pl.modelScale = e.modelScale
 		}
 	}
 	d.placed[job.Key()] = pl
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -79,8 +79,8 @@
 	bucket ratelimit.Bucket
 	// load is the expected work of the jobs here, of a plain service.
 	load plainLoad
-	// slowStep is the step of an engine's pace by which its cost model is scaled; zero is as 1.
-	slowStep int
+	// modelScale is the factor by which an engine's cost model is scaled for its pace; zero is as 1.
+	modelScale int
 	// helperOnly is set, for the present decision, if the endpoint may get no request.
 	helperOnly bool
 }
--- a/core/dispatch/engine_pace_test.go
+++ b/core/dispatch/engine_pace_test.go
@@ -85,6 +85,6 @@
 	}
 	s.d.AddCosts(s.start, "s", old.d.Costs(old.start, "s"))
 	require.Equal(t, map[string]bool{"e003": true}, s.d.costs.slow)
-	require.InDelta(t, slowStep*simCostModel().StepMs, s.d.endpoints["e003"].engine.StepMs, 1e-9)
+	require.InDelta(t, slowModelScale*simCostModel().StepMs, s.d.endpoints["e003"].engine.StepMs, 1e-9)
 	require.InDelta(t, simCostModel().StepMs, s.d.endpoints["e004"].engine.StepMs, 1e-9)
 }
--- a/core/dispatch/learned.go
+++ b/core/dispatch/learned.go
@@ -24,9 +24,9 @@
 	holdGain            = 2 * time.Millisecond
 	// overdueFactor is the number of expected times after which a job counts as overdue.
 	overdueFactor = 2
-	// leastRemaining is the part of its expected time that a job is assumed to have left until
-	// it ends.
-	leastRemaining = 8
+	// remainingDivisor divides the expected time of a job: it is assumed to have at least the
+	// quotient left until it ends.
+	remainingDivisor = 8
 	// paceInterval is the time after which the paces of a service are read again.
 	paceInterval = 50 * time.Millisecond
 	// probeInterval is the time between two requests to a slow endpoint that is not used
@@ -41,10 +41,10 @@
 	*workcost.Estimator
 	// epoch is the time since which other times are counted.
 	epoch time.Time
-	// slow has the IDs of the engines with a step of their pace above 1, and stepsAt is when they
-	// were last read.
-	slow    map[string]bool
-	stepsAt time.Time
+	// slow has the IDs of the engines whose cost model is scaled, and scalesReadAt is when their
+	// paces were last read.
+	slow         map[string]bool
+	scalesReadAt time.Time
 	// decision counts the calls of Decide; the plans of earlier ones don't hold.
 	decision int64
 }
@@ -128,8 +128,8 @@
 	e.load.seenAt = now
 }
 
-// readPace sets the pace of an endpoint.
-func (d *Dispatcher) readPace(now time.Time, e *endpoint) {
+// updatePace copies the learned pace of an endpoint to its load; one within paceBand counts as 1.
+func (d *Dispatcher) updatePace(now time.Time, e *endpoint) {
 	pace := d.costs.Pace(now, e.ID)
 	e.load.pace = pace.Factor
 	if pace.Factor < paceBand && pace.Factor > 1/paceBand {
@@ -149,7 +149,7 @@
 	m.pacesAt, m.slow = now, m.slow[:0]
 	for _, e := range d.pools[service] {
 		before := e.load.pace
-		d.readPace(now, e)
+		d.updatePace(now, e)
 		if e.load.pace != before {
 			d.recount(now, e)
 		}
@@ -159,14 +159,14 @@
 	}
 }
 
-// recount sums up the work of the jobs at an endpoint of a plain service.
+// recount sums up the expected work of the jobs at an endpoint of a plain service.
 func (d *Dispatcher) recount(now time.Time, e *endpoint) {
 	if d.costs == nil || e.engine != nil {
 		return
 	}
 	l := &e.load
 	if l.pace == 0 {
-		d.readPace(now, e)
+		d.updatePace(now, e)
 	}
 	l.work, l.placed, l.least, l.most, l.overdueAt, l.planned = 0, 0, math.MaxInt64, 0, math.MaxInt64, 0
 	l.probing = l.probing && len(e.parts) > 0
@@ -189,7 +189,7 @@
 func (e *endpoint) remaining(at time.Duration) time.Duration {
 	l := &e.load
 	if at < l.overdueAt {
-		return max(l.work-(time.Duration(len(e.parts))*at-l.placed), l.work/leastRemaining)
+		return max(l.work-(time.Duration(len(e.parts))*at-l.placed), l.work/remainingDivisor)
 	}
 	sum := time.Duration(0)
 	for _, p := range e.parts {
@@ -202,7 +202,7 @@
 // is taken to have as much left as it has exceeded that.
 func (l *plainLoad) remainingOf(at time.Duration, p *placedJob) time.Duration {
 	expected, age := l.expected(p.cost.Mean), at-p.placedSince
-	return max(expected-age, expected/leastRemaining, age-expected)
+	return max(expected-age, expected/remainingDivisor, age-expected)
 }
 
 // paceOf returns the pace of an endpoint, also as its overdue jobs show it if they are at least two
@@ -215,6 +215,7 @@
 	return d.overduePace(at, e)
 }
 
+// overduePace is paceOf for an endpoint with an overdue job.
 func (d *Dispatcher) overduePace(at time.Duration, e *endpoint) float64 {
 	pace, seenSince := e.load.pace, d.costs.since(e.load.seenAt)
 	slowest, second, overdue := 0.0, 0.0, 0
@@ -265,9 +266,9 @@
 	return d.placeByCost(now, job, best, cost)
 }
 
-// usualPool returns all endpoints of a plain service if each of them may get the job, which is the
-// usual case; otherwise nil. It makes up for the time that the choice by cost takes.
-func (d *Dispatcher) usualPool(now time.Time, job *Job) []*endpoint {
+// unrestrictedPool returns all endpoints of a plain service if each of them may get the job, which is
+// the usual case; otherwise nil. It saves building the list of candidates.
+func (d *Dispatcher) unrestrictedPool(now time.Time, job *Job) []*endpoint {
 	if d.costs == nil || !job.unrestricted() || d.services[job.Service] != nil {
 		return nil
 	}
@@ -450,7 +451,7 @@
 	d.demandOf(service).pacesAt = time.Time{}
 	if d.services[service] != nil {
 		for _, e := range d.pools[service] {
-			d.setStep(now, e)
+			d.updateModelScale(now, e)
 		}
 	}
 }
--- a/core/dispatch/plain.go
+++ b/core/dispatch/plain.go
@@ -18,11 +18,10 @@
 }
 
 // decidePlain places the job at the endpoint with the lowest occupancy, of equal ones in its owner's
-// failure domain, or refuses it if it
-// might not end there before its owner exits. While all are
-// full the job is held, until its refusal time. It is refused at once if the time until
-// a slot is free for it, by the mean holding time of the slots and the jobs that wait
-// before it, leaves too little of its time.
+// failure domain, or refuses it if it might not end there before its owner exits. While all are full
+// the job is held, until its refusal time. It is refused at once if the time until a slot is free for
+// it, by the mean holding time of the slots and the jobs that wait before it, leaves too little of its
+// time. If there is an estimate of its cost, decideByCost decides instead.
 func (d *Dispatcher) decidePlain(now time.Time, job *Job, pool []*endpoint) (Decision, bool) {
 	if cost := d.costOf(now, job); cost.Evidence > 0 {
 		return d.decideByCost(now, job, pool, cost)
--- a/core/dispatch/plain_sim_test.go
+++ b/core/dispatch/plain_sim_test.go
@@ -400,7 +400,7 @@
 	}
 }
 
-// requireNeverWorse checks that in no window fewer calls are on time than with today's placement by
+// requireNeverWorse checks that in no window fewer calls are on time than with placement by count by
 // more than 1 in 100, and that more are from 5 s after the start and after a change on.
 func requireNeverWorse(t *testing.T, today, learned wayResult, change time.Duration) {
 	t.Helper()
--- a/core/dispatch/shares.go
+++ b/core/dispatch/shares.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// unknownHolding is the work of a call of a plain service that has not served any yet.
-	unknownHolding = 50 * time.Millisecond
-	// urgentMargin is the share of jobs by which a more urgent kind must have been served more often
+	// defaultHolding is the work of a call of a plain service that has not served any yet.
+	defaultHolding = 50 * time.Millisecond
+	// urgentMargin is the share of jobs by which a more urgent band must have been served more often
 	// than a less urgent one that goes before it: the waiting jobs of the latter count as not
-	// served, though most will be. With 0.03 the simulation served short prompts 5 in 100
-	// less often than those of 45,000 tokens.
+	// served, though most will be. With a margin of 0.03, short prompts are served less often than
+	// those of 45,000 tokens.
 	urgentMargin = 0.25
 	// maxReturns is the number of organisations of a service for which the time of the next
 	// return is kept; those in the past are dropped above it.
@@ -29,8 +29,8 @@
 	// returnAt is when the next refused caller of an organisation is told to come back.
 	returnAt map[string]time.Time
 
-	// kinds has the placed and the refused jobs by kind.
-	kinds [maxKinds]kind
+	// bands counts the jobs by urgencyBand.
+	bands [urgencyBands]bandCounts
 
 	// The rest holds for one call of Decide. waiting are the organisations with queued jobs,
 	// total is the work that all have received, and allowance the part of it above which an
@@ -48,36 +48,38 @@
 	// longPriority is the lowest aged priority of the waiting long prompts within their shares;
 	// -1 while they don't go before short ones of organisations over their shares.
 	longPriority int
-	// urgentKind is the least urgent kind of the waiting short prompts.
-	urgentKind int
-	// urgentServed is the least served share of the kinds of waiting short prompts, and longServed
+	// urgentBand is the least urgent band of the waiting short prompts.
+	urgentBand int
+	// urgentServed is the least served share of the bands of waiting short prompts, and longServed
 	// the largest one of those of waiting long prompts within their shares.
 	urgentServed, longServed float64
 	// pending is the job closest to the front that is not due for its recheck.
 	pending *queuedJob
 }
 
-// maxKinds is the number of kinds of jobs of a service, by urgency.
-const maxKinds = 24
+// urgencyBands is the number of bands by which the jobs of a service are counted; urgencyBand returns
+// that of a job.
+const urgencyBands = 24
 
-// kind counts the jobs of one urgency that have arrived and those that were placed.
-type kind struct{ arrived, placed rate }
+// bandCounts has the rates of the jobs of one band that arrive and of those that are placed.
+type bandCounts struct{ arrived, placed rate }
 
-// kindIndex returns the kind of a job: the power-of-two band, in ms, of the time to its goal.
-func kindIndex(j *Job) int {
+// urgencyBand returns the power-of-two band, in ms, of the time from a job's arrival to its goal, or to
+// its deadline if it has no goal. A lower band is more urgent.
+func urgencyBand(j *Job) int {
 	until := j.Due
 	if until.IsZero() {
 		until = j.Deadline
 	}
-	return min(bits.Len64(uint64(max(0, until.Sub(j.Arrived).Milliseconds()))), maxKinds-1)
+	return min(bits.Len64(uint64(max(0, until.Sub(j.Arrived).Milliseconds()))), urgencyBands-1)
 }
 
-func (s *shares) kindOf(j *Job) *kind { return &s.kinds[kindIndex(j)] }
+func (s *shares) bandOf(j *Job) *bandCounts { return &s.bands[urgencyBand(j)] }
 
-// served returns the share of the jobs of the kind that were placed lately; nearly one for few jobs.
-func (k *kind) served(now time.Time) float64 {
+// served returns the share of the jobs of the band that were placed lately; nearly one for few jobs.
+func (b *bandCounts) served(now time.Time) float64 {
 	least := 1 / fairshare.Window.Seconds()
-	return (k.placed.current(now, fairshare.Window) + least) / (k.arrived.current(now, fairshare.Window) + least)
+	return (b.placed.current(now, fairshare.Window) + least) / (b.arrived.current(now, fairshare.Window) + least)
 }
 
 func (d *Dispatcher) sharesOf(service string) *shares {
@@ -101,7 +103,7 @@
 		if mean := d.demandOf(j.Service).holding.mean; mean > 0 {
 			return mean
 		}
-		return unknownHolding
+		return defaultHolding
 	}
 	decodeMs := float64(f.Events(j.AnswerTokens)) * f.PassMs(f.Slots, 0) / float64(max(1, f.Slots))
 	return engine.Duration(f.PrefillMs(j.PromptTokens, 1) + decodeMs)
@@ -127,14 +129,14 @@
 func (d *Dispatcher) countPlacement(now time.Time, p *placedJob) {
 	if d.cfg.FairShares {
 		d.countWork(now, p)
-		d.sharesOf(p.Service).kindOf(&p.Job).placed.add(now, fairshare.Window, 1)
+		d.sharesOf(p.Service).bandOf(&p.Job).placed.add(now, fairshare.Window, 1)
 	}
 }
 
 // countArrival counts a job that is submitted.
 func (d *Dispatcher) countArrival(now time.Time, j *Job) {
 	if d.cfg.FairShares {
-		d.sharesOf(j.Service).kindOf(j).arrived.add(now, fairshare.Window, 1)
+		d.sharesOf(j.Service).bandOf(j).arrived.add(now, fairshare.Window, 1)
 	}
 }
 
@@ -185,7 +187,7 @@
 	slices.SortStableFunc(d.queue, func(a, b *queuedJob) int {
 		return cmp.Or(
 			cmp.Compare(boolRank(a.behindLong), boolRank(b.behindLong)),
-			cmp.Compare(a.place, b.place),
+			cmp.Compare(a.sortRank, b.sortRank),
 			cmp.Compare(a.agedPriority, b.agedPriority),
 			cmp.Compare(a.over, b.over),
 			cmp.Compare(a.prefillPerValue, b.prefillPerValue),
@@ -194,30 +196,30 @@
 }
 
 // setLongPriorities decides, for each service, whether long prompts of organisations within their
-// shares go before the jobs of those over them: as long as the more urgent kinds that wait
+// shares go before the jobs of those over them: as long as the more urgent bands that wait
 // have been served at least as often. Otherwise short prompts of one organisation fill the
 // slots of all engines, and no long prompt of another one is served. Long prompts that are as
-// urgent as waiting short ones always do, as the largest of their kind.
+// urgent as waiting short ones always do, as the largest of their band.
 func (d *Dispatcher) setLongPriorities(now time.Time) {
 	for _, s := range d.shares {
-		s.longPriority, s.urgentServed, s.longServed, s.urgentKind = -1, 1, 0, 0
+		s.longPriority, s.urgentServed, s.longServed, s.urgentBand = -1, 1, 0, 0
 	}
 	for _, q := range d.queue {
 		if s := q.shares; q.rank <= rankLightLate && d.services[q.Service] != nil {
-			s.urgentServed = min(s.urgentServed, s.kindOf(&q.Job).served(now))
-			s.urgentKind = max(s.urgentKind, kindIndex(&q.Job))
+			s.urgentServed = min(s.urgentServed, s.bandOf(&q.Job).served(now))
+			s.urgentBand = max(s.urgentBand, urgencyBand(&q.Job))
 		}
 	}
 	for _, q := range d.queue {
 		s := q.shares
-		q.place = q.rank
+		q.sortRank = q.rank
 		switch {
 		case q.rank <= rankLightLate || q.over > 0:
-		case kindIndex(&q.Job) <= s.urgentKind:
-			// A large prompt of an urgent kind.
-			q.place = rankLight
+		case urgencyBand(&q.Job) <= s.urgentBand:
+			// A large prompt of an urgent band.
+			q.sortRank = rankLight
 		default:
-			s.longServed = max(s.longServed, s.kindOf(&q.Job).served(now))
+			s.longServed = max(s.longServed, s.bandOf(&q.Job).served(now))
 			s.longPriority = max(s.longPriority, q.agedPriority)
 		}
 	}
@@ -307,7 +309,7 @@
 		return false
 	}
 	p := q.shares.pending
-	if q.yielded || p == nil || p.over >= q.over || p.place != q.place && !q.behindLong {
+	if q.yielded || p == nil || p.over >= q.over || p.sortRank != q.sortRank && !q.behindLong {
 		q.yielded = false
 		return false
 	}
--- a/core/dispatch/shares_test.go
+++ b/core/dispatch/shares_test.go
@@ -240,10 +240,10 @@
 	require.GreaterOrEqual(t, fair.work, 0.95*unfair.work, "the large one gets the rest")
 }
 
-// TestUrgentKindsComeFirst guards, with prompts of all lengths in the same load, against long prompts of
+// TestUrgentBandsComeFirst guards, with prompts of all lengths in the same load, against long prompts of
 // the nine that starve behind short ones of the large organisation, and against short prompts that
 // are served less than longer ones.
-func TestUrgentKindsComeFirst(t *testing.T) {
+func TestUrgentBandsComeFirst(t *testing.T) {
 	unfair, fair := simulateShares(3, false, simKinds(), 0.2, 10), simulateShares(3, true, simKinds(), 0.2, 10)
 	for _, name := range []string{"nine", "nine/medium", "nine/long"} {
 		require.Greater(t, fair.share(name), unfair.share(name), name)
@@ -289,7 +289,7 @@
 	j.Organisation = "a"
 	submitAndPlace(t, d, start, j)
 	d.CountAdopted(start, testKey("1"))
-	require.Equal(t, []fairshare.Share{{Organisation: "a", Received: unknownHolding}}, d.Shares(start, "p", "vm"))
+	require.Equal(t, []fairshare.Share{{Organisation: "a", Received: defaultHolding}}, d.Shares(start, "p", "vm"))
 	d.Finished(at(10), testKey("1"), Rejected, "")
 	require.Empty(t, d.Shares(at(10), "p", "vm"))
 }
--- a/core/dispatch/silent.go
+++ b/core/dispatch/silent.go
@@ -7,8 +7,8 @@
 const silentAfter = 400 * time.Millisecond
 
 // recordAbandoned marks the receiver of a job as silent if the job was given up long after its answer
-// should have begun. The work that it leaves behind says nothing any more, so that an endpoint that
-// hangs looks idle, and would get as many jobs again as it has slots.
+// should have begun. Without that, an endpoint that hangs would look idle once its jobs were given up,
+// and get as many jobs again as it has slots.
 func (d *Dispatcher) recordAbandoned(now time.Time, p *placedJob, e *endpoint) {
 	if !d.cfg.LearnCosts || p.started || len(p.Helpers) > 0 {
 		return
@@ -23,6 +23,6 @@
 	}
 }
 
-// awaitsProbe reports whether the endpoint fell silent and has a job that will show whether it
-// answers again.
+// awaitsProbe reports whether the endpoint is silent and has a job that will show whether it answers
+// again.
 func (e *endpoint) awaitsProbe() bool { return e.silent && e.received > 0 }
--- a/core/dispatch/silent_test.go
+++ b/core/dispatch/silent_test.go
@@ -23,9 +23,9 @@
 	return placed
 }
 
-// TestSilentEndpointGetsOneJobAtATime lets an engine hang under a steady load of short prompts, whose
-// callers leave after two seconds. What they leave behind made it look idle, and it got as many again
-// as it had slots, each two seconds.
+// TestSilentEndpointGetsOneJobAtATime guards against an engine that hangs and looks idle, as its callers
+// leave, so that it gets as many prompts again as it has slots. The load is a steady one of short
+// prompts, whose callers leave after two seconds.
 func TestSilentEndpointGetsOneJobAtATime(t *testing.T) {
 	d := fleet(4, 0)
 	d.cfg.LearnCosts = true
@@ -60,8 +60,8 @@
 	require.Greater(t, len(placed[hanging]), 1, "it answers again")
 }
 
-// TestEarlyLeaversSayNothingOfTheirEndpoint lets callers leave before their answers were due, or just
-// after that: the engine stays in use.
+// TestEarlyLeaversSayNothingOfTheirEndpoint guards against an engine that counts as silent because callers
+// leave before their answers are due, or just after that.
 func TestEarlyLeaversSayNothingOfTheirEndpoint(t *testing.T) {
 	for _, afterMs := range []float64{10, 300} {
 		d := fleet(1, 0)
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -152,9 +152,9 @@
 	require.Empty(t, b.Crashes("s"))
 }
 
-// TestWithheldRequestsLeaveTheEvidenceOnTheirPart lets prompts with a part crash endpoints, each of
-// which comes again until it is withheld by itself. Each such verdict took its crashes from the
-// evidence on the part, so that the part was found only after eighteen engines were lost.
+// TestWithheldRequestsLeaveTheEvidenceOnTheirPart guards against verdicts on requests that take their
+// crashes from the evidence on a part which they share, so that many more engines are lost before the
+// part is withheld. Each prompt comes again until it is withheld by itself.
 func TestWithheldRequestsLeaveTheEvidenceOnTheirPart(t *testing.T) {
 	b := newBench()
 	crashes := 0
@@ -179,8 +179,8 @@
 	t.Fatal("the part was not found")
 }
 
-// TestCrashesOfAWithheldRequestCountForItsPart lets a request that is withheld crash endpoints, as it
-// was in flight there: the crashes tell of its part, and of no other request.
+// TestCrashesOfAWithheldRequestCountForItsPart guards against crashes by a withheld request, which was in
+// flight there, that are lost as evidence on its part, or count against other requests.
 func TestCrashesOfAWithheldRequestCountForItsPart(t *testing.T) {
 	b := newBench()
 	b.list.Decide(b.now, Finding{Service: "s", Subject: Subject{Digest: "own1"}})
