Statistics and high quantile in core/hedging

'Usual' and 'Rare' did not say that they are a robust mean and a high quantile. Methods of Guard that record did not all have Record in their names, and Refuses returned a reason. The comment of the map by route left out prompts.

--- a/core/hedging/delay.go
+++ b/core/hedging/delay.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// floor is the shortest delay that the expected time alone gives. The slowest usual answers
+	// minDelay is the shortest delay that the expected time alone gives. The slowest usual answers
 	// of short calls take 450 ms.
-	floor = 500 * time.Millisecond
+	minDelay = 500 * time.Millisecond
 	// promptFactor and callFactor are the multiples of the expected time after which a response
 	// is overdue. A call's time varies more than that of a predicted prompt: one in a hundred
 	// takes five times as long.
@@ -13,10 +13,10 @@
 	// leastPrompt and leastCall are the multiples of the expected time within which no response is
 	// overdue, also where the goal or the caller leaves little time.
 	leastPrompt, leastCall = 1.5, 4
-	// rareCall is the multiple of a call's rare time within which none is overdue: calls of few kinds
-	// take nearly the same time each.
-	rareCall = 1.25
-	// promptMargin is added to that for prompts.
+	// callMargin is the multiple of the high quantile of call times within which no call is overdue: calls
+	// of few kinds take nearly the same time each.
+	callMargin = 1.25
+	// promptMargin is added to the least delay of prompts.
 	promptMargin = 100 * time.Millisecond
 	// maxRatio bounds the learned ratios of the times to their predictions: beyond it the service is
 	// slow, which Guard handles.
@@ -30,9 +30,9 @@
 	// Estimated is the expected time of a call by placement, which knows its kind and its endpoint;
 	// zero if it has no estimate.
 	Estimated time.Duration
-	// Usual is what is known of the route: the times of its calls in nanoseconds or, with a
+	// Observed is what is known of the route: the times of its calls in nanoseconds or, with a
 	// prediction, their ratios to it.
-	Usual Usual
+	Observed Statistics
 	// Goal is the time left in which the answer would be on time; zero or less for none.
 	Goal time.Duration
 	// Patience is the time left until the caller disconnects.
@@ -43,8 +43,8 @@
 // returns false if that would not serve the request before its caller disconnects.
 func (w *Wait) Delay() (time.Duration, bool) {
 	overdue, least := w.overdue()
-	delay := max(overdue, floor)
-	if half := w.Goal / 2; half >= floor {
+	delay := max(overdue, minDelay)
+	if half := w.Goal / 2; half >= minDelay {
 		delay = min(delay, half)
 	}
 	delay = max(min(delay, w.Patience/2), least)
@@ -55,12 +55,12 @@
 // corrected by the usual ratio where that makes it later.
 func (w *Wait) Expected() time.Duration {
 	if w.Predicted > 0 {
-		return scale(w.Predicted, min(max(w.Usual.Mean(), 1), maxRatio))
+		return scale(w.Predicted, min(max(w.Observed.Mean(), 1), maxRatio))
 	}
 	if w.Estimated > 0 {
 		return w.Estimated
 	}
-	return time.Duration(w.Usual.Mean())
+	return time.Duration(w.Observed.Mean())
 }
 
 // overdue returns the time after which the response is overdue, and the least time after which
@@ -69,10 +69,10 @@
 	expected := w.Expected()
 	switch {
 	case w.Predicted > 0:
-		rare := scale(w.Predicted, min(w.Usual.Rare(), maxRatio))
-		return promptFactor * expected, max(scale(expected, leastPrompt), rare) + promptMargin
+		high := scale(w.Predicted, min(w.Observed.HighQuantile(), maxRatio))
+		return promptFactor * expected, max(scale(expected, leastPrompt), high) + promptMargin
 	case expected > 0:
-		return callFactor * expected, max(leastCall*expected, time.Duration(rareCall*w.Usual.Rare()))
+		return callFactor * expected, max(leastCall*expected, time.Duration(callMargin*w.Observed.HighQuantile()))
 	case w.Goal > 0:
 		return 2 * w.Goal, 0
 	}
--- a/core/hedging/guard.go
+++ b/core/hedging/guard.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	// ratio is the largest fraction of a service's requests that is hedged within the window.
-	ratio = 0.1
-	// allowance is the number of hedges in a window beyond that. A VM among 130 gets 8 requests
-	// in 10 s, of which a tenth would allow no hedge at all. The retry budget bounds the sum of
-	// all VMs.
-	allowance = 1
+	// hedgeRatio is the largest fraction of a service's requests that is hedged within the window.
+	hedgeRatio = 0.1
+	// hedgeAllowance is the number of hedges in a window beyond that: one of many VMs gets so few
+	// requests in a window (8 in 10 s among 130 VMs) that a tenth of them allows none. The retry budget
+	// bounds the sum of all VMs.
+	hedgeAllowance = 1
 	// overdueWeight is the weight of one response in the share of overdue ones, and maxOverdue
 	// the share above which no hedges are sent: 17 consecutive overdue responses reach it. With one
 	// endpoint of six slow, the share stays below it, and so it does where an endpoint's requests
@@ -42,20 +42,20 @@
 
 // NewGuard returns a Guard with the length of the window in which hedges are counted.
 func NewGuard(window time.Duration) *Guard {
-	return &Guard{window: retry.NewWindow(window, ratio, allowance)}
+	return &Guard{window: retry.NewWindow(window, hedgeRatio, hedgeAllowance)}
 }
 
 // RecordRequest records a request to the service.
 func (g *Guard) RecordRequest(now time.Time) { g.window.RecordRequest(now) }
 
-// Overdue records a response that is overdue, and InTime one that has begun before.
-func (g *Guard) Overdue() { g.overdue += overdueWeight * (1 - g.overdue) }
+// RecordOverdue records a response that is overdue.
+func (g *Guard) RecordOverdue() { g.overdue += overdueWeight * (1 - g.overdue) }
 
-// InTime records a response that has begun in time.
-func (g *Guard) InTime() { g.overdue -= overdueWeight * g.overdue }
+// RecordInTime records a response that has begun before it was overdue.
+func (g *Guard) RecordInTime() { g.overdue -= overdueWeight * g.overdue }
 
-// Refuses returns why a request may not be hedged now; empty if it may.
-func (g *Guard) Refuses(now time.Time) Reason {
+// RefusalReason returns why a request may not be hedged now; empty if it may.
+func (g *Guard) RefusalReason(now time.Time) Reason {
 	switch {
 	case g.overdue > maxOverdue:
 		return ReasonSlow
@@ -65,11 +65,11 @@
 	return ""
 }
 
-// Begin begins a search for another endpoint, unless it returns why there may be none. Searches that
-// wait for their placement count as hedges, so that they don't fill the queue of a service. One that
-// has sent its hedge counts twice until it ends, which is short.
+// Begin begins a search for another endpoint, unless it returns why there may be none. Searches under
+// way count as hedges, so that those which wait for their placement don't fill the queue of a service.
+// A search that has sent its hedge counts twice until it ends, soon after.
 func (g *Guard) Begin(now time.Time) Reason {
-	if why := g.Refuses(now); why != "" {
+	if why := g.RefusalReason(now); why != "" {
 		return why
 	}
 	if g.window.Left(now) < float64(g.searching+1) {
@@ -82,5 +82,5 @@
 // End ends a search.
 func (g *Guard) End() { g.searching-- }
 
-// Take counts a hedge that is about to be sent.
+// Take records a hedge that is about to be sent.
 func (g *Guard) Take(now time.Time) { g.window.Take(now) }
--- a/core/hedging/hedging_test.go
+++ b/core/hedging/hedging_test.go
@@ -18,7 +18,7 @@
 const ms = time.Millisecond
 
 // known returns what is known after many observations of the same value.
-func known(value float64) (u Usual) {
+func known(value float64) (u Statistics) {
 	for range meanEvidence {
 		u.Observe(value)
 	}
@@ -37,19 +37,19 @@
 		"prompt of 45,000 tokens":             {Wait{Predicted: 500 * ms, Goal: 1500 * ms, Patience: 4 * time.Second}, 850 * ms},
 		"prompt of 260,000 tokens":            {Wait{Predicted: 1400 * ms, Goal: 4 * time.Second, Patience: 10 * time.Second}, 2200 * ms},
 		"prompt of 220,000 tokens":            {Wait{Predicted: 2500 * ms, Goal: 8 * time.Second, Patience: 10 * time.Second}, 4 * time.Second},
-		"prediction that is too early":        {Wait{Predicted: 500 * ms, Usual: known(2), Goal: 1500 * ms, Patience: 4 * time.Second}, 1600 * ms},
-		"plain call":                          {Wait{Usual: call, Goal: 300 * ms, Patience: 2 * time.Second}, 500 * ms},
-		"heavy call on a route of light ones": {Wait{Estimated: 400 * ms, Usual: call, Patience: 10 * time.Second}, 3200 * ms},
+		"prediction that is too early":        {Wait{Predicted: 500 * ms, Observed: known(2), Goal: 1500 * ms, Patience: 4 * time.Second}, 1600 * ms},
+		"plain call":                          {Wait{Observed: call, Goal: 300 * ms, Patience: 2 * time.Second}, 500 * ms},
+		"heavy call on a route of light ones": {Wait{Estimated: 400 * ms, Observed: call, Patience: 10 * time.Second}, 3200 * ms},
 		"plain call, unknown time":            {Wait{Goal: 300 * ms, Patience: 2 * time.Second}, 600 * ms},
-		"slow calls":                          {Wait{Usual: slow, Patience: 10 * time.Second}, 5 * time.Second},
+		"slow calls":                          {Wait{Observed: slow, Patience: 10 * time.Second}, 5 * time.Second},
 		"nothing known":                       {Wait{Patience: 3 * time.Second}, 1500 * ms},
-		"caller without patience":             {Wait{Usual: call, Patience: 600 * ms}, 300 * ms},
+		"caller without patience":             {Wait{Observed: call, Patience: 600 * ms}, 300 * ms},
 	} {
 		t.Run(name, func(t *testing.T) {
 			delay, ok := test.wait.Delay()
 			require.True(t, ok)
 			require.InDelta(t, test.delay, delay, float64(ms))
-			if test.wait.Goal >= 1500*ms && test.wait.Usual.Mean() <= 1 {
+			if test.wait.Goal >= 1500*ms && test.wait.Observed.Mean() <= 1 {
 				require.Less(t, delay+test.wait.Predicted, test.wait.Goal)
 			}
 		})
@@ -94,9 +94,9 @@
 				overdue++
 			}
 			if wait.Predicted > 0 {
-				wait.Usual.Observe(float64(took) / float64(wait.Predicted))
+				wait.Observed.Observe(float64(took) / float64(wait.Predicted))
 			} else {
-				wait.Usual.Observe(float64(took))
+				wait.Observed.Observe(float64(took))
 			}
 		}
 		t.Logf("%s: %d of 10,000 overdue", name, overdue)
@@ -107,7 +107,7 @@
 // TestMeanFollows guards against a mean that one call in a hundred distorts, and against one that
 // does not follow a change.
 func TestMeanFollows(t *testing.T) {
-	var u Usual
+	var u Statistics
 	for range meanEvidence - 1 {
 		u.Observe(60)
 		require.Zero(t, u.Mean())
@@ -141,7 +141,7 @@
 			if after < 0 {
 				g.RecordRequest(now)
 				requests = append(requests, now)
-			} else if g.Refuses(now) == "" {
+			} else if g.RefusalReason(now) == "" {
 				g.Take(now)
 				hedges = append(hedges, now)
 				// The window has intervals of a second.
@@ -185,30 +185,30 @@
 	g, now, rng := NewGuard(10*time.Second), time.Unix(1000, 0), rand.New(rand.NewPCG(1, 1))
 	fresh := *g
 	for range 17 {
-		fresh.Overdue()
+		fresh.RecordOverdue()
 	}
-	require.Equal(t, ReasonSlow, fresh.Refuses(now))
+	require.Equal(t, ReasonSlow, fresh.RefusalReason(now))
 	refused := 0
 	for range 6000 {
 		g.RecordRequest(now)
 		if rng.IntN(6) == 0 {
-			g.Overdue()
+			g.RecordOverdue()
 		} else {
-			g.InTime()
+			g.RecordInTime()
 		}
-		if g.Refuses(now) != "" {
+		if g.RefusalReason(now) != "" {
 			refused++
 		}
 	}
 	require.Less(t, refused, 60, "with one endpoint of six slow")
 	after := 0
-	for ; g.Refuses(now) == ""; after++ {
-		g.Overdue()
+	for ; g.RefusalReason(now) == ""; after++ {
+		g.RecordOverdue()
 	}
 	require.LessOrEqual(t, after, 17, "with all endpoints slow")
-	require.Equal(t, ReasonSlow, g.Refuses(now))
+	require.Equal(t, ReasonSlow, g.RefusalReason(now))
 	for range 4 {
-		g.InTime()
+		g.RecordInTime()
 	}
-	require.Empty(t, g.Refuses(now))
+	require.Empty(t, g.RefusalReason(now))
 }
--- a/core/hedging/statistics.go
+++ b/core/hedging/statistics.go
@@ -8,47 +8,48 @@
 	// maxStretch bounds an observation as a multiple of the mean, so that the one call in a
 	// hundred that takes five times as long moves it little.
 	maxStretch = 2
-	// rareShare is the share of observations beyond the rare value, and rareStep the part by
-	// which one of them raises it. 0.1 follows a twentyfold spread of calls within 31 of them.
-	rareShare = 0.005
-	rareStep  = 0.1
+	// tailShare is the share of observations above the high quantile, and quantileStep the part by
+	// which one of them raises it. With 0.1, a twentyfold spread is followed within 31 of them.
+	tailShare    = 0.005
+	quantileStep = 0.1
 )
 
-// Usual is what is learned of times, or of their ratios to predictions. It is not safe for
-// concurrent use.
-type Usual struct {
-	mean, rare float64
+// Statistics has a robust mean and a high quantile of times, or of their ratios to predictions. It is
+// not safe for concurrent use.
+type Statistics struct {
+	mean, high float64
 	count      int
 }
 
 // Observe records one value.
-func (u *Usual) Observe(value float64) {
+func (u *Statistics) Observe(value float64) {
 	u.count++
 	if u.count == 1 {
-		u.mean, u.rare = value, value
+		u.mean, u.high = value, value
 		return
 	}
 	u.mean += max(meanWeight, 1/float64(u.count)) * (min(value, maxStretch*u.mean) - u.mean)
-	if value > u.rare {
-		u.rare *= 1 + rareStep
+	if value > u.high {
+		u.high *= 1 + quantileStep
 	} else {
-		u.rare *= 1 - rareStep*rareShare
+		u.high *= 1 - quantileStep*tailShare
 	}
 }
 
 // Mean returns a robust mean, which follows changes though single large values count little; zero
 // while there is too little evidence.
-func (u *Usual) Mean() float64 {
+func (u *Statistics) Mean() float64 {
 	if u.count < meanEvidence {
 		return 0
 	}
 	return u.mean
 }
 
-// Rare returns the value that few observations exceed; zero while there is too little evidence.
-func (u *Usual) Rare() float64 {
+// HighQuantile returns the value that about one observation in 200 exceeds; zero while there is too
+// little evidence.
+func (u *Statistics) HighQuantile() float64 {
 	if u.count < meanEvidence {
 		return 0
 	}
-	return u.rare
+	return u.high
 }
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -96,8 +96,8 @@
 		return false, "may have run"
 	case x.stream.headerSent.Load() && x.stream.position.LastID == "":
 		return false, "no event ID to resume from"
-	case x.refusesHedge() != "":
-		return false, x.refusesHedge()
+	case x.hedgeRefusal() != "":
+		return false, x.hedgeRefusal()
 	case !x.hasRetry(result):
 		return false, whyBudget
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,10 +133,10 @@
 	mu sync.Mutex
 	// retryBudgets maps services to their retry budgets.
 	retryBudgets map[string]*retry.Window
-	// hedges maps services to the bounds of their hedges, and usual routes to the times to the
-	// responses of their plain calls.
-	hedges map[string]*hedging.Guard
-	usual  map[string]*hedging.Usual
+	// hedges maps services to the bounds of their hedges, and responses maps routes to
+	// the times to their responses or, for predicted prompts, the ratios of those to the predictions.
+	hedges    map[string]*hedging.Guard
+	responses map[string]*hedging.Statistics
 
 	// overShare counts the requests that were refused as their organisations were over their
 	// shares.
@@ -164,7 +164,7 @@
 		retryBudgets:  make(map[string]*retry.Window),
 		requests:      cfg.Metrics.Counter("gateway.requests"),
 		hedges:        make(map[string]*hedging.Guard),
-		usual:         make(map[string]*hedging.Usual),
+		responses:     make(map[string]*hedging.Statistics),
 		resends:       cfg.Metrics.Counter("gateway.resends"),
 		hedgesSent:    cfg.Metrics.Counter("gateway.hedges"),
 		hedgesWon:     cfg.Metrics.Counter("gateway.hedges_won"),
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -17,8 +17,8 @@
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
 
-// hedge is what is known of an attempt beside which another endpoint is asked if its own does not
-// begin to respond.
+// hedge describes when another endpoint is asked beside the one of an attempt, which has not begun to
+// respond.
 type hedge struct {
 	// delay is the time from sent, when the attempt began, to the search for another endpoint.
 	delay time.Duration
@@ -29,7 +29,7 @@
 	endpoint string
 	// overdue is set when the delay has passed.
 	overdue bool
-	// refused is why no other endpoint was asked at the last search; empty if one was.
+	// refused is why the last search asked no other endpoint; empty if one was.
 	refused string
 }
 
@@ -62,7 +62,7 @@
 	if !g.cfg.HedgeSilent || x.standingBy || !x.route.Repeatable() || x.attempts-x.unsent >= x.route.MaxAttempts || g.stop.Load() != nil {
 		return nil
 	}
-	wait := hedging.Wait{Predicted: placed.Predicted, Estimated: placed.Expected, Usual: g.usualTimes(x.route), Patience: time.Until(x.deadline)}
+	wait := hedging.Wait{Predicted: placed.Predicted, Estimated: placed.Expected, Observed: g.responseTimes(x.route), Patience: time.Until(x.deadline)}
 	if x.route.Goal > 0 && !x.stream.headerSent.Load() {
 		wait.Goal = time.Until(x.arrived.Add(x.route.Goal))
 	}
@@ -138,22 +138,22 @@
 	return x.finishAttempt(ctx, o.entry, result)
 }
 
-// refusesHedge returns why the search under way may not send a hedged request now; empty if it may or
+// hedgeRefusal returns why the search under way may not send a hedged request now; empty if it may or
 // if it is not one for a hedge.
-func (x *exchange) refusesHedge() string {
+func (x *exchange) hedgeRefusal() string {
 	switch {
 	case x.hedge == nil:
 		return ""
 	case x.gateway.stop.Load() != nil:
 		return "VM stops"
 	}
-	return x.gateway.refusesHedge(x.service)
+	return x.gateway.hedgeRefusal(x.service)
 }
 
 // takeHedge takes a hedged request from the retry budget and from the limit on hedges. It is called
 // immediately before the first byte is sent.
 func (x *exchange) takeHedge(entry directory.Entry, h *hedge) error {
-	why := x.refusesHedge()
+	why := x.hedgeRefusal()
 	if why == "" {
 		why = x.gateway.takeHedge(x.service)
 	}
@@ -175,7 +175,7 @@
 	h.overdue = true
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.guard(service).Overdue()
+	g.guard(service).RecordOverdue()
 }
 
 // recordInTime records that the endpoint has begun to respond, unless that was overdue.
@@ -185,7 +185,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.guard(service).InTime()
+	g.guard(service).RecordInTime()
 }
 
 // guard returns the bounds of the service's hedges. The caller holds mu.
@@ -214,10 +214,11 @@
 	}
 }
 
-func (g *Gateway) refusesHedge(service string) string {
+// hedgeRefusal returns why the service's requests may not be hedged now; empty if they may.
+func (g *Gateway) hedgeRefusal(service string) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return string(g.guard(service).Refuses(time.Now()))
+	return string(g.guard(service).RefusalReason(time.Now()))
 }
 
 // takeHedge takes a hedge from the service's retry budget and from its limit on hedges. It returns
@@ -227,7 +228,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	guard := g.guard(service)
-	if why := guard.Refuses(now); why != "" {
+	if why := guard.RefusalReason(now); why != "" {
 		return string(why)
 	}
 	if !g.budget(service).Take(now) {
@@ -239,14 +240,14 @@
 	return ""
 }
 
-// usualTimes returns what is known of the times to the begin of a response on the route.
-func (g *Gateway) usualTimes(route *routing.Route) hedging.Usual {
+// responseTimes returns what is known of the times in which endpoints begin to respond on the route.
+func (g *Gateway) responseTimes(route *routing.Route) hedging.Statistics {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if m := g.usual[route.Name]; m != nil {
+	if m := g.responses[route.Name]; m != nil {
 		return *m
 	}
-	return hedging.Usual{}
+	return hedging.Statistics{}
 }
 
 // recordBegin records that an attempt's endpoint has begun to respond, with the header or, for a
@@ -267,10 +268,10 @@
 	}
 	x.gateway.mu.Lock()
 	defer x.gateway.mu.Unlock()
-	m := x.gateway.usual[x.route.Name]
+	m := x.gateway.responses[x.route.Name]
 	if m == nil {
-		m = &hedging.Usual{}
-		x.gateway.usual[x.route.Name] = m
+		m = &hedging.Statistics{}
+		x.gateway.responses[x.route.Name] = m
 	}
 	m.Observe(took)
 }
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -250,7 +250,7 @@
 
 func makeSlow(w *harness) {
 	for range 20 {
-		w.gateway.guard("s").Overdue()
+		w.gateway.guard("s").RecordOverdue()
 	}
 }
 
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -28,8 +28,8 @@
 
 // standby opens another way to an answer while the endpoint of an attempt is silent: before the header
 // of its response and the first event of a stream, where the attempt is hedged, or between the events
-// of a stream. The attempt goes on
-// if its endpoint does: it is given up only when another endpoint has begun to answer.
+// of a stream. The attempt goes on if its endpoint does: it is given up only when another endpoint has
+// begun to answer.
 //
 // While the handler's goroutine waits for the response, between start and stop, the standby's
 // goroutine alone uses the exchange.
