--- a/core/configuration/differences.go
+++ b/core/configuration/differences.go
@@ -11,18 +11,18 @@
 // sets, and whether zeros and the defaults that this package defines are written, make no
 // difference.
 func Differences(before, after *Document) ([]findings.Difference, error) {
-	return findings.Compare(before.normal(), after.normal())
+	return findings.Compare(before.normalized(), after.normalized())
 }
 
-// normal returns a copy of the document in which equal meanings have equal values.
-func (d *Document) normal() Document {
+// normalized returns a copy of the document in which equal meanings have equal values.
+func (d *Document) normalized() Document {
 	n := *d
 	if len(n.LengthClasses) == 0 {
 		n.LengthClasses = DefaultLengthClasses()
 	}
 	n.Organisations = maps.Clone(n.Organisations)
 	for name, o := range n.Organisations {
-		o.KeyDigests, o.Services = set(o.KeyDigests), set(o.Services)
+		o.KeyDigests, o.Services = sortedSet(o.KeyDigests), sortedSet(o.Services)
 		n.Organisations[name] = o
 	}
 	n.Services = maps.Clone(n.Services)
@@ -32,7 +32,7 @@
 		}
 		if s.Deploy != nil {
 			deploy := *s.Deploy
-			deploy.Adapters = set(deploy.Adapters)
+			deploy.Adapters = sortedSet(deploy.Adapters)
 			s.Deploy = &deploy
 		}
 		n.Services[name] = s
@@ -40,8 +40,8 @@
 	return n
 }
 
-// set returns the elements in order and without repetitions. It is never nil, so that an empty
+// sortedSet returns the elements in order and without repetitions. It is never nil, so that an empty
 // list and a missing one are equal.
-func set(list []string) []string {
+func sortedSet(list []string) []string {
 	return slices.Compact(append([]string{}, slices.Sorted(slices.Values(list))...))
 }
--- a/core/findings/difference.go
+++ b/core/findings/difference.go
@@ -44,19 +44,19 @@
 // Compare returns the differences between the JSON encodings of two values, in the order of
 // their pointers. Lists are compared as a whole. The result is not nil if there is no error.
 func Compare(before, after any) ([]Difference, error) {
-	b, err := tree(before)
+	b, err := decoded(before)
 	if err != nil {
 		return nil, err
 	}
-	a, err := tree(after)
+	a, err := decoded(after)
 	if err != nil {
 		return nil, err
 	}
 	return compare(b, a, nil, []Difference{})
 }
 
-// tree returns the value as decoded from its encoding. Numbers keep their digits.
-func tree(v any) (any, error) {
+// decoded returns the value as decoded from its JSON encoding. Numbers keep their digits.
+func decoded(v any) (any, error) {
 	data, err := json.Marshal(v)
 	if err != nil {
 		return nil, errors.WithStack(err)
--- a/core/routing/differences.go
+++ b/core/routing/differences.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"cornelsaddle.example/cornelsaddle/core/findings"
 )
@@ -15,18 +14,18 @@
 // services and organisations are compared by name, so that their order makes no difference, nor
 // does the scale of a route's weights. The versions are not compared.
 func Differences(before, after Deployment) ([]findings.Difference, error) {
-	return findings.Compare(meaningOf(before), meaningOf(after))
+	return findings.Compare(normalize(before), normalize(after))
 }
 
-// meaning has equal values for deployments that serve requests in the same way.
-type meaning struct {
-	Routes        map[string]routeMeaning        `json:"routes"`
-	Services      map[string]serviceMeaning      `json:"services"`
-	Organisations map[string]organisationMeaning `json:"organisations"`
-	Limits        limitsMeaning                  `json:"limits"`
+// normalizedDeployment has equal values for deployments that serve requests in the same way.
+type normalizedDeployment struct {
+	Routes        map[string]normalizedRoute        `json:"routes"`
+	Services      map[string]normalizedService      `json:"services"`
+	Organisations map[string]normalizedOrganisation `json:"organisations"`
+	Limits        normalizedLimits                  `json:"limits"`
 }
 
-type routeMeaning struct {
+type normalizedRoute struct {
 	Host   string `json:"host"`
 	Prefix string `json:"prefix"`
 	// Selected reports whether the route gets the requests to its host and prefix.
@@ -44,15 +43,15 @@
 	Prompts     bool           `json:"prompts"`
 }
 
-type serviceMeaning struct {
+type normalizedService struct {
 	// Engine is nil for a plain service and for one whose cost parameters are not usable.
-	Engine        *engineMeaning `json:"engine,omitempty"`
-	ColdFor       string         `json:"cold_for"`
-	ColdPerSecond float64        `json:"cold_per_second"`
+	Engine        *normalizedEngine `json:"engine,omitempty"`
+	ColdFor       string            `json:"cold_for"`
+	ColdPerSecond float64           `json:"cold_per_second"`
 }
 
-// engineMeaning has the fields of engine.CostModel.
-type engineMeaning struct {
+// normalizedEngine has the fields of engine.CostModel.
+type normalizedEngine struct {
 	Slots              int     `json:"slots"`
 	MemoryTokens       int     `json:"memory_tokens"`
 	Stride             int     `json:"stride"`
@@ -64,57 +63,58 @@
 	PairsPerMillionMs  float64 `json:"pairs_per_million_ms"`
 }
 
-type organisationMeaning struct {
+type normalizedOrganisation struct {
 	// Keys are the first digits of the keys' digests: the keys are secret.
 	Keys     []string `json:"key_digests"`
 	Priority *int     `json:"priority,omitempty"`
 }
 
-type limitsMeaning struct {
+type normalizedLimits struct {
 	MaxHeaderBytes int    `json:"max_header_bytes"`
 	MaxBodyBytes   int    `json:"max_body_bytes"`
 	HeaderTimeout  string `json:"header_timeout"`
 	IdleTimeout    string `json:"idle_timeout"`
 }
 
-func meaningOf(d Deployment) meaning {
+// normalize returns the deployment in a form that is equal for equal meanings.
+func normalize(d Deployment) normalizedDeployment {
 	table := NewTable(d)
-	m := meaning{
-		Routes:        make(map[string]routeMeaning),
-		Services:      make(map[string]serviceMeaning),
-		Organisations: make(map[string]organisationMeaning),
-		Limits: limitsMeaning{
+	m := normalizedDeployment{
+		Routes:        make(map[string]normalizedRoute),
+		Services:      make(map[string]normalizedService),
+		Organisations: make(map[string]normalizedOrganisation),
+		Limits: normalizedLimits{
 			MaxHeaderBytes: d.Limits.MaxHeaderBytes, MaxBodyBytes: d.Limits.MaxBodyBytes,
-			HeaderTimeout: text(d.Limits.HeaderTimeout), IdleTimeout: text(d.Limits.IdleTimeout),
+			HeaderTimeout: d.Limits.HeaderTimeout.String(), IdleTimeout: d.Limits.IdleTimeout.String(),
 		},
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
-		m.Routes[freeName(m.Routes, r.Name)] = routeMeaning{
+		m.Routes[uniqueName(m.Routes, r.Name)] = normalizedRoute{
 			Host: strings.ToLower(r.Host), Prefix: r.Prefix, Selected: table.routeInsteadOf(r) == r, Kind: r.Kind.String(),
-			Timeout: text(r.Timeout), Goal: text(r.Goal), Gap: text(r.Gap), Priority: r.Priority, Shares: r.weights(),
+			Timeout: r.Timeout.String(), Goal: r.Goal.String(), Gap: r.Gap.String(), Priority: r.Priority, Shares: r.weights(),
 			MaxAttempts: r.MaxAttempts, Public: r.Public, Resumable: r.Kind == Streaming && r.Resumable, Prompts: r.Prompts,
 		}
 	}
 	for i := range d.Services {
 		// A later service of the same name replaces an earlier one, as in the table.
 		s := &d.Services[i]
-		service := serviceMeaning{ColdFor: text(s.ColdFor), ColdPerSecond: s.ColdPerSecond}
+		service := normalizedService{ColdFor: s.ColdFor.String(), ColdPerSecond: s.ColdPerSecond}
 		if s.Engine != nil && s.Engine.Valid() {
-			e := engineMeaning(*s.Engine)
+			e := normalizedEngine(*s.Engine)
 			service.Engine = &e
 		}
 		m.Services[s.Name] = service
 	}
 	for i := range d.Organisations {
 		o := &d.Organisations[i]
-		m.Organisations[freeName(m.Organisations, o.Name)] = organisationMeaning{Keys: table.keyDigests(o), Priority: o.priority()}
+		m.Organisations[uniqueName(m.Organisations, o.Name)] = normalizedOrganisation{Keys: table.keyDigests(o), Priority: o.priority()}
 	}
 	return m
 }
 
-// freeName returns the name, with a number if the map has an entry of the name.
-func freeName[V any](m map[string]V, name string) string {
+// uniqueName returns the name, with a number appended if the map has an entry of that name.
+func uniqueName[V any](m map[string]V, name string) string {
 	free := name
 	for n := 2; ; n++ {
 		if _, taken := m[free]; !taken {
@@ -124,9 +124,6 @@
 	}
 }
 
-// text returns the duration as people write it.
-func text(d time.Duration) string { return d.String() }
-
 // weights returns the weights by service, divided by their greatest common divisor and without
 // those that are 0. If one is negative or all are 0, they remain as they are.
 func (r *Route) weights() map[string]int {
