--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -222,8 +222,8 @@
 	require.Greater(t, len(arrivals), 8, "it gets what it bears")
 }
 
-// TestColdBoundHoldsOverChangesOfTheHolder moves the placement of a service in quick succession
-// over several dispatchers, as when many VMs are lost, while an evacuation is taken back and one
+// TestColdBoundHoldsOverChangesOfTheHolder guards against another burst at a cold endpoint with each
+// change of the holder. It moves the placement of a service in quick succession over several dispatchers, as when many VMs are lost, while an evacuation is taken back and one
 // endpoint states that it is cold again. Dispatchers that have never known the holder let no burst
 // through either.
 func TestColdBoundHoldsOverChangesOfTheHolder(t *testing.T) {
@@ -270,8 +270,8 @@
 	require.Greater(t, len(arrivals["c"]), 8, "it gets what it bears")
 }
 
-// TestEvacuationWhileCallsWaitForColdEndpoints evacuates a domain while calls wait for turns of its cold
-// endpoint. None of them goes there any more; they go to another domain that is listed by then.
+// TestEvacuationWhileCallsWaitForColdEndpoints guards against calls that wait for turns of a cold endpoint
+// and still go there after its domain has been evacuated. They go to another domain that is listed by then.
 func TestEvacuationWhileCallsWaitForColdEndpoints(t *testing.T) {
 	d := New(DefaultConfig())
 	d.SetServices(start, []Service{coldService})
--- a/core/dispatch/engine_pace_test.go
+++ b/core/dispatch/engine_pace_test.go
@@ -10,7 +10,7 @@
 )
 
 // runPaces simulates prompts at 18 engines with and without learned paces.
-func runPaces(seed uint64, load float64, slowdown func(ms float64, id string) float64) (today, learned *sim) {
+func runPaces(seed uint64, load float64, slowdown func(ms float64, id string) float64) (unscaled, learned *sim) {
 	sims := make([]*sim, 0, 2)
 	for _, learn := range []bool{false, true} {
 		cfg := DefaultConfig()
@@ -29,9 +29,9 @@
 func TestEvenEnginesAreUsedAsBefore(t *testing.T) {
 	for seed := range uint64(3) {
 		for _, load := range []float64{0.5, 1} {
-			today, learned := runPaces(seed, load, nil)
+			unscaled, learned := runPaces(seed, load, nil)
 			require.Empty(t, learned.d.costs.slow)
-			for i, j := range today.jobs {
+			for i, j := range unscaled.jobs {
 				require.Equal(t, [2]float64{j.firstMs, j.endMs}, [2]float64{learned.jobs[i].firstMs, learned.jobs[i].endMs}, j.id)
 			}
 		}
@@ -50,7 +50,7 @@
 		return 1
 	}
 	const seeds = 5
-	var today, learned simResult
+	var unscaled, learned simResult
 	for _, load := range []float64{0.4, 0.6, 0.8} {
 		var at [2]float64
 		for seed := range uint64(seeds) {
@@ -58,17 +58,17 @@
 			x, y := a.result(), b.result()
 			at[0] += x.value / seeds
 			at[1] += y.value / seeds
-			today.worstWindows += x.worstWindows / seeds / 3
+			unscaled.worstWindows += x.worstWindows / seeds / 3
 			learned.worstWindows += y.worstWindows / seeds / 3
 		}
-		t.Logf("load %.1f: value %.4f with today's predictions, %.4f with learned paces", load, at[0], at[1])
+		t.Logf("load %.1f: value %.4f with unscaled predictions, %.4f with learned paces", load, at[0], at[1])
 		require.GreaterOrEqual(t, at[1], at[0]-0.01, load)
-		today.value += at[0] / 3
+		unscaled.value += at[0] / 3
 		learned.value += at[1] / 3
 	}
-	t.Logf("all: value %.4f and %.4f, worst windows %.4f and %.4f", today.value, learned.value, today.worstWindows, learned.worstWindows)
-	require.Greater(t, learned.value, today.value)
-	require.GreaterOrEqual(t, learned.worstWindows, today.worstWindows-0.01)
+	t.Logf("all: value %.4f and %.4f, worst windows %.4f and %.4f", unscaled.value, learned.value, unscaled.worstWindows, learned.worstWindows)
+	require.Greater(t, learned.value, unscaled.value)
+	require.GreaterOrEqual(t, learned.worstWindows, unscaled.worstWindows-0.01)
 }
 
 // TestPacesOfEnginesAreMerged guards against a new holder that takes slow engines for usual ones.
--- a/core/dispatch/plain_sim_test.go
+++ b/core/dispatch/plain_sim_test.go
@@ -413,8 +413,8 @@
 	}
 }
 
-// TestWrongHints lets the sizes of bodies say little of the cost: they are off by a factor of up to
-// four in both directions, so that light and heavy calls share sizes.
+// TestWrongHints guards against estimates that trust the sizes of bodies where these say little of the
+// cost: they are off by a factor of up to four in both directions, so that light and heavy calls share sizes.
 func TestWrongHints(t *testing.T) {
 	today, learned, _ := compareWays(t, simSeeds, func(s *plainSim) { s.hintError = 2 })
 	requireNeverWorse(t, today, learned, 0)
--- a/core/workcost/estimator_test.go
+++ b/core/workcost/estimator_test.go
@@ -159,8 +159,8 @@
 	require.Zero(t, f.Cost(f.now, Kind{Service: "t"}))
 }
 
-// TestOrganisationCanNotDistortOthers lets one of ten organisations send 30 times as many
-// requests as all others together, which cost 50 times as much.
+// TestOrganisationCanNotDistortOthers guards against estimates of others that follow one organisation:
+// it sends 30 times as many requests as nine others together, which cost 50 times as much.
 func TestOrganisationCanNotDistortOthers(t *testing.T) {
 	f := newFeed(20)
 	for i := range 400 {
@@ -178,8 +178,8 @@
 	}
 }
 
-// TestMemoryIsBounded observes a million kinds of one organisation and of many, and endpoints
-// without end. The kinds of an organisation that sends few requests stay.
+// TestMemoryIsBounded guards against memory that grows with the kinds and endpoints, and against an
+// organisation with many kinds that evicts those of one that sends few requests.
 func TestMemoryIsBounded(t *testing.T) {
 	f := newFeed(1000)
 	cfg := DefaultConfig()
--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -155,8 +155,8 @@
 	require.True(t, last.Before(bound), "last request %v after the acknowledgement", last.Sub(acknowledged))
 }
 
-// TestVMThatStartsWithoutTheStoreKnowsEvacuations starts a VM during an evacuation while the store is
-// unavailable: it learns of the evacuation from another VM before it takes requests.
+// TestVMThatStartsWithoutTheStoreKnowsEvacuations guards against a VM that starts during an evacuation,
+// while the store is unavailable, and takes requests before it has learned of that from another VM.
 func TestVMThatStartsWithoutTheStoreKnowsEvacuations(t *testing.T) {
 	store := newMemoryStore()
 	store.putConfiguration(t, 1, "/a/")
@@ -193,8 +193,9 @@
 	return l.Addr().String(), arrived
 }
 
-// TestSecondAttemptAvoidsTheEvacuatedDomain evacuates a domain in which a request is in flight, and then
-// cuts it: it is sent again to another domain, and not at all if there is none.
+// TestSecondAttemptAvoidsTheEvacuatedDomain guards against second attempts that go to an evacuated domain.
+// The domain is evacuated while a request is in flight there, which is then cut: it is sent again to
+// another domain, and not at all if there is none.
 func TestSecondAttemptAvoidsTheEvacuatedDomain(t *testing.T) {
 	for _, another := range []bool{true, false} {
 		store := newMemoryStore()
--- a/internal/gateway/evacuated_helper_test.go
+++ b/internal/gateway/evacuated_helper_test.go
@@ -9,9 +9,9 @@
 	"cornelsaddle.example/cornelsaddle/core/directory"
 )
 
-// TestEvacuatedHelperIsCheckedBeforeTheFirstByte evacuates the failure domain of a helper between
-// the placement of a long prompt and its first byte, as while the request waits for a connection or
-// its VM is suspended. The receiver would have the helper prefill its part.
+// TestEvacuatedHelperIsCheckedBeforeTheFirstByte guards against a part of a long prompt that reaches a
+// helper in an evacuated failure domain. The domain is evacuated between the placement and the first
+// byte, as while the request waits for a connection or its VM is suspended.
 func TestEvacuatedHelperIsCheckedBeforeTheFirstByte(t *testing.T) {
 	w := newHarness(t, newEndpoint(t, respondWith("200 OK", ownHeader, "x")))
 	w.directory.Put(directory.Entry{ID: "helper", Service: "s", Address: "127.0.0.1:1", Slots: 4, Domain: "d2"})
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -91,7 +91,7 @@
 	standby.start()
 	o.resp, err = x.gateway.cfg.Transport.Send(own, req)
 	failure := err
-	if err == nil && !x.isAnswer(o.resp, x.gateway.cfg.Headers.DecodeResponse(o.resp.Status, o.resp.Header)) {
+	if err == nil && !x.beginsAnswer(o.resp) {
 		failure = errors.WithStack(&NoAnswerError{o.resp.Status})
 	}
 	if failure != nil {
@@ -103,6 +103,11 @@
 	return err //nolint:wrapcheck // it has its stack
 }
 
+// beginsAnswer is isAnswer for a response whose header was not decoded yet.
+func (x *exchange) beginsAnswer(resp *upstream.Response) bool {
+	return x.isAnswer(resp, x.gateway.cfg.Headers.DecodeResponse(resp.Status, resp.Header))
+}
+
 // isAnswer reports whether a response may be delivered, as far as its header tells.
 func (x *exchange) isAnswer(resp *upstream.Response, meta provider.ResponseHeader) bool {
 	switch {
@@ -256,7 +261,7 @@
 	if !x.gateway.cfg.HedgeSilent || !x.route.Repeatable() {
 		return
 	}
-	if !x.isAnswer(o.resp, x.gateway.cfg.Headers.DecodeResponse(o.resp.Status, o.resp.Header)) {
+	if !x.beginsAnswer(o.resp) {
 		return
 	}
 	took := float64(time.Since(x.sent))
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -117,7 +117,7 @@
 }
 
 // TestLostEventsAreServedByAnother guards against streams whose header arrives at once and whose
-// events are lost: they were asked for elsewhere only after most callers had left.
+// events are lost, and that are asked for elsewhere only after most callers have left.
 func TestLostEventsAreServedByAnother(t *testing.T) {
 	w, endpoints := newHedging(t, func(n int, r *http.Request, b []byte, c net.Conn) {
 		streamHead(c)
