Split checkFolder; comments of EndConn and of the soak test's record

What EndConn itself checks, and what it asks of its client, could not be told from its comment. 'coldTold' is the time until a change has reached all VMs.

--- a/cmd/cornelsaddlectl/check.go
+++ b/cmd/cornelsaddlectl/check.go
@@ -102,6 +102,7 @@
 	return ""
 }
 
+// checkFolder checks a folder and, if it is valid, compares it with the version that the flags name.
 func (c *checker) checkFolder(dir string) (checkResult, error) {
 	files, err := readFolder(dir)
 	if err != nil {
@@ -112,21 +113,27 @@
 	if err != nil || doc == nil || *c.against == "" && *c.store == "" {
 		return result, err
 	}
-	base, err := c.baseFolder()
+	before, err := c.baseDocument()
 	if err != nil {
 		return result, err
 	}
-	// An accepted version may break rules that were added since.
-	data, err := configuration.Merge(base)
+	result.Differences, err = configuration.Differences(before, doc)
+	return result, err
+}
+
+// baseDocument returns the merged document of the version to compare with. It is not validated, as an
+// accepted version may break rules that were added since.
+func (c *checker) baseDocument() (*configuration.Document, error) {
+	files, err := c.baseFolder()
 	if err != nil {
-		return result, errors.Wrap(err, "the version to compare with")
+		return nil, err
 	}
-	before, err := configuration.Decode(data)
+	data, err := configuration.Merge(files)
 	if err != nil {
-		return result, errors.Wrap(err, "the version to compare with")
+		return nil, errors.Wrap(err, "the version to compare with")
 	}
-	result.Differences, err = configuration.Differences(before, doc)
-	return result, err
+	doc, err := configuration.Decode(data)
+	return doc, errors.Wrap(err, "the version to compare with")
 }
 
 // baseFolder returns the files of the version to compare with.
--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -51,7 +51,7 @@
 	LearnCosts bool
 	// FairShares orders and refuses waiting requests by what their organisations have received.
 	FairShares bool
-	// HedgeSilent allows to ask a second endpoint beside one that doesn't begin to respond.
+	// HedgeSilent allows asking a second endpoint beside one that doesn't begin to respond.
 	HedgeSilent bool
 	// PreferNear prefers endpoints in the VM's failure domain where that costs the caller little.
 	PreferNear bool
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,7 +106,7 @@
 	Metrics *metrics.Metrics
 	// NewRetryBudget returns a new retry budget for a service.
 	NewRetryBudget func() *retry.Window
-	// HedgeSilent allows to ask another endpoint beside one that does not begin to respond.
+	// HedgeSilent allows asking another endpoint beside one that does not begin to respond.
 	HedgeSilent bool
 	// Random returns uniformly distributed random numbers from 0 to 1.
 	Random func() float64
--- a/internal/httpcheck/conn.go
+++ b/internal/httpcheck/conn.go
@@ -7,8 +7,9 @@
 	"github.com/pkg/errors"
 )
 
-// EndConn is a connection whose client reads the end of a response only once the request was written,
-// or learns of that otherwise (Trace).
+// EndConn is a connection at whose regular end it is checked that the other system has acknowledged all
+// that was written. Its client must read that end only after it has written the request, or know by
+// other means whether it has (Trace).
 type EndConn struct{ net.Conn }
 
 // NewEndConn returns an EndConn.
--- a/test/soak/check_cold.go
+++ b/test/soak/check_cold.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// coldTold is the time after which all VMs know that an endpoint is cold, if the store is not
+	// coldPropagation is the time after which all VMs know that an endpoint is cold, if the store is not
 	// in trouble.
-	coldTold = 1500 * time.Millisecond
+	coldPropagation = 1500 * time.Millisecond
 	// coldWindow is the span in which the requests to a cold endpoint are counted, and
 	// coldOvershoot and coldSlack bound them, as a multiple of what it bears and besides.
 	coldWindow    = time.Second
@@ -30,9 +30,10 @@
 	return coldRecord{periods: make(map[string][]span), runs: make(map[string][]platformtest.Run)}
 }
 
+// ran records a run if its endpoint is cold and all VMs know that.
 func (c *coldRecord) ran(r platformtest.Run) {
 	for _, s := range c.periods[r.Endpoint] {
-		if r.At.After(s.from.Add(coldTold)) && r.At.Before(s.to) {
+		if r.At.After(s.from.Add(coldPropagation)) && r.At.Before(s.to) {
 			c.runs[r.Endpoint] = append(c.runs[r.Endpoint], r)
 			return
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -80,7 +80,7 @@
 		"too many while cold": {coldSpared, func(c *checkers) {
 			c.becameCold("i-1", now, now.Add(statedCold))
 			for i := range 40 {
-				c.ran(platformtest.Run{Endpoint: "i-1", Attempt: "vm-0/a", Path: "/safe/x", At: now.Add(coldTold + time.Duration(i)*50*time.Millisecond)})
+				c.ran(platformtest.Run{Endpoint: "i-1", Attempt: "vm-0/a", Path: "/safe/x", At: now.Add(coldPropagation + time.Duration(i)*50*time.Millisecond)})
 			}
 		}},
 		"above a limit": {limitKept, func(c *checkers) {
