--- a/core/dispatch/plain_sim_test.go
+++ b/core/dispatch/plain_sim_test.go
@@ -400,7 +400,7 @@
 	}
 }
 
-// requireNeverWorse checks that in no window fewer calls are on time than with today's placement by
+// requireNeverWorse checks that in no window fewer calls are on time than with placement by count by
 // more than 1 in 100, and that more are from 5 s after the start and after a change on.
 func requireNeverWorse(t *testing.T, today, learned wayResult, change time.Duration) {
 	t.Helper()
@@ -413,8 +413,8 @@
 	}
 }
 
-// TestWrongHints lets the sizes of bodies say little of the cost: they are off by a factor of up to
-// four in both directions, so that light and heavy calls share sizes.
+// TestWrongHints guards against estimates that trust the sizes of bodies where these say little of the
+// cost: they are off by a factor of up to four in both directions, so that light and heavy calls share sizes.
 func TestWrongHints(t *testing.T) {
 	today, learned, _ := compareWays(t, simSeeds, func(s *plainSim) { s.hintError = 2 })
 	requireNeverWorse(t, today, learned, 0)
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -117,7 +117,7 @@
 }
 
 // TestLostEventsAreServedByAnother guards against streams whose header arrives at once and whose
-// events are lost: they were asked for elsewhere only after most callers had left.
+// events are lost, and that are asked for elsewhere only after most callers have left.
 func TestLostEventsAreServedByAnother(t *testing.T) {
 	w, endpoints := newHedging(t, func(n int, r *http.Request, b []byte, c net.Conn) {
 		streamHead(c)
@@ -250,7 +250,7 @@
 
 func makeSlow(w *harness) {
 	for range 20 {
-		w.gateway.guard("s").Overdue()
+		w.gateway.guard("s").RecordOverdue()
 	}
 }
 
