--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -83,6 +83,7 @@
 // mayRetry reports whether the request may be sent again, and if not, why. If
 // it may, the retry is taken from the service's budget.
 func (x *exchange) mayRetry(ctx context.Context, result attemptResult) (bool, string) {
+	hedgeRefusal := x.hedgeRefusal()
 	switch {
 	case x.gateway.exitingSoon():
 		return false, "VM exits"
@@ -96,8 +97,8 @@
 		return false, "may have run"
 	case x.stream.headerSent.Load() && x.stream.position.LastID == "":
 		return false, "no event ID to resume from"
-	case x.hedgeRefusal() != "":
-		return false, x.hedgeRefusal()
+	case hedgeRefusal != "":
+		return false, hedgeRefusal
 	case !x.hasRetry(result):
 		return false, whyBudget
 	}
