--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -93,6 +93,8 @@
 	storeAt string
 	checks  *checkers
 	vms     []*vm
+	// contracts are those in the settings of the VMs.
+	contracts []string
 	// version is the latest configuration version.
 	version atomic.Int64
 
@@ -125,6 +127,10 @@
 
 func newWorld(bin, dir string, seed uint64, checks *checkers) (*world, error) {
 	w := &world{bin: bin, dir: dir, store: platformtest.NewStore(seed), checks: checks}
+	if seed%2 == 1 {
+		// Every second seed runs with the parts of placement that contracts enable.
+		w.contracts = []string{"health", "pressure"}
+	}
 	var err error
 	if w.server, w.storeAt, err = serve(w.store); err != nil {
 		return nil, err
@@ -343,7 +349,7 @@
 		return nil, err
 	}
 	v.linksURL = "http://" + linksAt + "/?address="
-	settings := platformtest.Settings(name, v.callers, v.ready, v.peers.address(), v.store.address(), seeds, grace)
+	settings := platformtest.Settings(name, v.callers, v.ready, v.peers.address(), v.store.address(), seeds, grace, w.contracts...)
 	if err := os.WriteFile(v.file, settings, 0o600); err != nil {
 		return nil, errors.WithStack(err)
 	}
