--- a/core/configuration/differences.go
+++ b/core/configuration/differences.go
@@ -11,11 +11,11 @@
 // sets, and whether zeros and the defaults that this package defines are written, make no
 // difference.
 func Differences(before, after *Document) ([]findings.Difference, error) {
-	return findings.Compare(before.normalized(), after.normalized())
+	return findings.Compare(before.normalised(), after.normalised())
 }
 
-// normalized returns a copy of the document in which equal meanings have equal values.
-func (d *Document) normalized() Document {
+// normalised returns a copy of the document in which equal meanings have equal values.
+func (d *Document) normalised() Document {
 	n := *d
 	if len(n.LengthClasses) == 0 {
 		n.LengthClasses = DefaultLengthClasses()
--- a/core/routing/differences.go
+++ b/core/routing/differences.go
@@ -14,18 +14,18 @@
 // services and organisations are compared by name, so that their order makes no difference, nor
 // does the scale of a route's weights. The versions are not compared.
 func Differences(before, after Deployment) ([]findings.Difference, error) {
-	return findings.Compare(normalize(before), normalize(after))
+	return findings.Compare(normalise(before), normalise(after))
 }
 
-// normalizedDeployment has equal values for deployments that serve requests in the same way.
-type normalizedDeployment struct {
-	Routes        map[string]normalizedRoute        `json:"routes"`
-	Services      map[string]normalizedService      `json:"services"`
-	Organisations map[string]normalizedOrganisation `json:"organisations"`
-	Limits        normalizedLimits                  `json:"limits"`
+// normalisedDeployment has equal values for deployments that serve requests in the same way.
+type normalisedDeployment struct {
+	Routes        map[string]normalisedRoute        `json:"routes"`
+	Services      map[string]normalisedService      `json:"services"`
+	Organisations map[string]normalisedOrganisation `json:"organisations"`
+	Limits        normalisedLimits                  `json:"limits"`
 }
 
-type normalizedRoute struct {
+type normalisedRoute struct {
 	Host   string `json:"host"`
 	Prefix string `json:"prefix"`
 	// Selected reports whether the route gets the requests to its host and prefix.
@@ -43,15 +43,15 @@
 	Prompts     bool           `json:"prompts"`
 }
 
-type normalizedService struct {
+type normalisedService struct {
 	// Engine is nil for a plain service and for one whose cost parameters are not usable.
-	Engine        *normalizedEngine `json:"engine,omitempty"`
+	Engine        *normalisedEngine `json:"engine,omitempty"`
 	ColdFor       string            `json:"cold_for"`
 	ColdPerSecond float64           `json:"cold_per_second"`
 }
 
-// normalizedEngine has the fields of engine.CostModel.
-type normalizedEngine struct {
+// normalisedEngine has the fields of engine.CostModel.
+type normalisedEngine struct {
 	Slots              int     `json:"slots"`
 	MemoryTokens       int     `json:"memory_tokens"`
 	Stride             int     `json:"stride"`
@@ -63,34 +63,34 @@
 	PairsPerMillionMs  float64 `json:"pairs_per_million_ms"`
 }
 
-type normalizedOrganisation struct {
+type normalisedOrganisation struct {
 	// Keys are the first digits of the keys' digests: the keys are secret.
 	Keys     []string `json:"key_digests"`
 	Priority *int     `json:"priority,omitempty"`
 }
 
-type normalizedLimits struct {
+type normalisedLimits struct {
 	MaxHeaderBytes int    `json:"max_header_bytes"`
 	MaxBodyBytes   int    `json:"max_body_bytes"`
 	HeaderTimeout  string `json:"header_timeout"`
 	IdleTimeout    string `json:"idle_timeout"`
 }
 
-// normalize returns the deployment in a form that is equal for equal meanings.
-func normalize(d Deployment) normalizedDeployment {
+// normalise returns the deployment in a form that is equal for equal meanings.
+func normalise(d Deployment) normalisedDeployment {
 	table := NewTable(d)
-	m := normalizedDeployment{
-		Routes:        make(map[string]normalizedRoute),
-		Services:      make(map[string]normalizedService),
-		Organisations: make(map[string]normalizedOrganisation),
-		Limits: normalizedLimits{
+	m := normalisedDeployment{
+		Routes:        make(map[string]normalisedRoute),
+		Services:      make(map[string]normalisedService),
+		Organisations: make(map[string]normalisedOrganisation),
+		Limits: normalisedLimits{
 			MaxHeaderBytes: d.Limits.MaxHeaderBytes, MaxBodyBytes: d.Limits.MaxBodyBytes,
 			HeaderTimeout: d.Limits.HeaderTimeout.String(), IdleTimeout: d.Limits.IdleTimeout.String(),
 		},
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
-		m.Routes[uniqueName(m.Routes, r.Name)] = normalizedRoute{
+		m.Routes[uniqueName(m.Routes, r.Name)] = normalisedRoute{
 			Host: strings.ToLower(r.Host), Prefix: r.Prefix, Selected: table.routeInsteadOf(r) == r, Kind: r.Kind.String(),
 			Timeout: r.Timeout.String(), Goal: r.Goal.String(), Gap: r.Gap.String(), Priority: r.Priority, Shares: r.weights(),
 			MaxAttempts: r.MaxAttempts, Public: r.Public, Resumable: r.Kind == Streaming && r.Resumable, Prompts: r.Prompts,
@@ -99,16 +99,16 @@
 	for i := range d.Services {
 		// A later service of the same name replaces an earlier one, as in the table.
 		s := &d.Services[i]
-		service := normalizedService{ColdFor: s.ColdFor.String(), ColdPerSecond: s.ColdPerSecond}
+		service := normalisedService{ColdFor: s.ColdFor.String(), ColdPerSecond: s.ColdPerSecond}
 		if s.Engine != nil && s.Engine.Valid() {
-			e := normalizedEngine(*s.Engine)
+			e := normalisedEngine(*s.Engine)
 			service.Engine = &e
 		}
 		m.Services[s.Name] = service
 	}
 	for i := range d.Organisations {
 		o := &d.Organisations[i]
-		m.Organisations[uniqueName(m.Organisations, o.Name)] = normalizedOrganisation{Keys: table.keyDigests(o), Priority: o.priority()}
+		m.Organisations[uniqueName(m.Organisations, o.Name)] = normalisedOrganisation{Keys: table.keyDigests(o), Priority: o.priority()}
 	}
 	return m
 }
