--- a/core/dispatch/shares_test.go
+++ b/core/dispatch/shares_test.go
@@ -240,6 +240,14 @@
 	require.GreaterOrEqual(t, fair.work, 0.95*unfair.work, "the large one gets the rest")
 }
 
+// TestLargeOrganisationsPromptsOfAllLengths guards against prompts of all lengths of one organisation at
+// ten times its share that take what nine within theirs need.
+func TestLargeOrganisationsPromptsOfAllLengths(t *testing.T) {
+	alone := simulateShares(3, false, simKinds(), 0.2, 0)
+	fair := simulateShares(3, true, simKinds(), 0.2, 10)
+	require.GreaterOrEqual(t, fair.share("nine"), 0.98*alone.share("nine"))
+}
+
 // TestUrgentBandsComeFirst guards, with prompts of all lengths in the same load, against long prompts of
 // the nine that starve behind short ones of the large organisation, and against short prompts that
 // are served less than longer ones.
