A silent endpoint of a plain service gets one job at a time with learned costs too

Cause: the shortcut for services whose endpoints are all usable checked the back-off by itself, beside usable, which also knows endpoints that fell silent: after its back-off such an endpoint got as many calls as it has slots. Change: the shortcut asks usable, after the same cheap check that the endpoint failed at all.

The new test failed before: the silent endpoint got 2 of 4 calls, and gets 1 now.

--- a/core/dispatch/learned.go
+++ b/core/dispatch/learned.go
@@ -274,7 +274,7 @@
 	}
 	pool := d.pools[job.Service]
 	for _, e := range pool {
-		if e.limit != nil || e.failures > 0 && now.Before(e.backoffUntil) || !e.coldUntil.IsZero() && now.Before(e.coldUntil) {
+		if e.limit != nil || e.failures > 0 && !e.usable(now) || !e.coldUntil.IsZero() && now.Before(e.coldUntil) {
 			return nil
 		}
 	}
--- a/core/dispatch/silent_test.go
+++ b/core/dispatch/silent_test.go
@@ -60,6 +60,35 @@
 	require.Greater(t, len(placed[hanging]), 1, "it answers again")
 }
 
+// TestSilentEndpointOfAPlainServiceGetsOneJobAtATime guards against a choice by learned costs that takes
+// an endpoint for a usual one while it has the call that shows whether it answers again.
+func TestSilentEndpointOfAPlainServiceGetsOneJobAtATime(t *testing.T) {
+	d := fleet(0, 2)
+	d.cfg.LearnCosts = true
+	d.costs = newCosts(d.cfg)
+	for i := range 20 {
+		id, now := "past"+strconv.Itoa(i), at(float64(10*i))
+		submitAndPlace(t, d, now, call(id, now))
+		d.Finished(now.Add(5*time.Millisecond), testKey(id), Served, "")
+	}
+	const silent = "pa"
+	p := submitAndPlace(t, d, at(1000), call("lost", at(1000)))
+	require.Equal(t, silent, p.Endpoint)
+	d.Finished(at(2000), testKey("lost"), Abandoned, "")
+
+	now := at(2000).Add(d.cfg.FailureBackoff)
+	placed := make(map[string]int)
+	for i := range 4 {
+		d.Submit(now, call("next"+strconv.Itoa(i), now))
+	}
+	for _, decision := range d.Decide(now) {
+		if decision.Placement != nil {
+			placed[decision.Placement.Endpoint]++
+		}
+	}
+	require.Equal(t, 1, placed[silent])
+}
+
 // TestEarlyLeaversSayNothingOfTheirEndpoint guards against an engine that counts as silent because callers
 // leave before their answers are due, or just after that.
 func TestEarlyLeaversSayNothingOfTheirEndpoint(t *testing.T) {
