One function each for the latest start, the return time and the order of equal endpoints

The latest start of a held prompt stood in three places, the planned return of refused callers in two, and the choice by count compared occupancies beside precedes.

--- a/core/dispatch/near.go
+++ b/core/dispatch/near.go
@@ -16,7 +16,8 @@
 // nearer reports whether the first of two endpoints is near and the other one is not.
 func (d *Dispatcher) nearer(job *Job, a, b *endpoint) bool { return d.near(job, a) && !d.near(job, b) }
 
-// precedes reports whether the first of two endpoints with the same remaining work goes before the other.
+// precedes reports whether the first of two endpoints goes before the other by their occupancy or, if that
+// is the same, as the near one.
 func (d *Dispatcher) precedes(job *Job, a, b *endpoint) bool {
 	if a.occupancy() != b.occupancy() {
 		return a.occupancy() < b.occupancy()
--- a/core/dispatch/plain.go
+++ b/core/dispatch/plain.go
@@ -30,7 +30,7 @@
 	slots := 0
 	for _, e := range pool {
 		slots += max(1, e.Slots)
-		if best == nil || e.occupancy() < best.occupancy() || e.occupancy() == best.occupancy() && d.nearer(job, e, best) {
+		if best == nil || d.precedes(job, e, best) {
 			best = e
 		}
 	}
--- a/core/dispatch/prompt.go
+++ b/core/dispatch/prompt.go
@@ -112,13 +112,17 @@
 // hold keeps a job queued as long as it can still be answered in time, and
 // refuses it otherwise.
 func (d *Dispatcher) hold(now time.Time, job *Job) (Decision, bool) {
-	minWait := engine.Duration(d.minPrefillMs(job)) + d.cfg.QueueMargin
-	if now.Add(minWait).After(d.firstEventCutoff(job)) {
+	if now.After(d.latestStart(job)) {
 		return refuseTooLate(job, refusalRetryAfter), true
 	}
 	return Decision{}, false
 }
 
+// latestStart returns the time after which a held prompt can't begin by its first-event cutoff.
+func (d *Dispatcher) latestStart(job *Job) time.Time {
+	return d.firstEventCutoff(job).Add(-engine.Duration(d.minPrefillMs(job)) - d.cfg.QueueMargin)
+}
+
 // handleNoCapacity holds a job for which there are no free slots or memory, and
 // refuses one that is too large for its service.
 func (d *Dispatcher) handleNoCapacity(now time.Time, job *Job) (Decision, bool) {
--- a/core/dispatch/shares.go
+++ b/core/dispatch/shares.go
@@ -354,7 +354,7 @@
 	if d.services[job.Service] == nil {
 		return d.refusalTime(job)
 	}
-	return d.firstEventCutoff(job).Add(-engine.Duration(d.minPrefillMs(job)) - d.cfg.QueueMargin)
+	return d.latestStart(job)
 }
 
 // explainRefusal tells in the refusal of a job that comes too late whether its organisation is over
@@ -378,11 +378,7 @@
 // nextReturn returns the time after which the caller of a refused job is told to come back, not
 // before the given one.
 func (s *shares) nextReturn(now time.Time, q *queuedJob, after time.Duration) time.Duration {
-	earliest, latest := now.Add(after), now.Add(max(after, maxReturn))
-	at := s.returnAt[q.Organisation]
-	if at.Before(earliest) || at.After(latest) {
-		at = earliest
-	}
+	at := returnTime(now, s.returnAt[q.Organisation], after)
 	if len(s.returnAt) >= maxReturns {
 		for o, t := range s.returnAt {
 			if t.Before(now) || len(s.returnAt) >= 2*maxReturns {
--- a/core/dispatch/turns.go
+++ b/core/dispatch/turns.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"cornelsaddle.example/cornelsaddle/core/engine"
 	"cornelsaddle.example/cornelsaddle/core/ratelimit"
 )
 
@@ -176,6 +175,16 @@
 	return r
 }
 
+// returnTime returns when a refused caller is told to come back: at the planned time, unless that is
+// sooner than after the wait or later than maxReturn, and after the wait otherwise.
+func returnTime(now, planned time.Time, wait time.Duration) time.Time {
+	earliest, latest := now.Add(wait), now.Add(max(wait, maxReturn))
+	if planned.Before(earliest) || planned.After(latest) {
+		return earliest
+	}
+	return planned
+}
+
 // turnsOf returns the turns of a service.
 func (d *Dispatcher) turnsOf(service string) *turns {
 	t := d.turns[service]
@@ -196,10 +205,7 @@
 // nextReturn returns the time after which the caller of a job that is refused is told to
 // come back. Callers come back one by one, at the rate of the turns.
 func (t *turns) nextReturn(now time.Time, wait time.Duration) time.Duration {
-	earliest, latest := now.Add(wait), now.Add(max(wait, maxReturn))
-	if t.returnAt.Before(earliest) || t.returnAt.After(latest) {
-		t.returnAt = earliest
-	}
+	t.returnAt = returnTime(now, t.returnAt, wait)
 	after := t.returnAt.Sub(now)
 	t.returnAt = t.returnAt.Add(ratelimit.TimeOf(1, t.perSecond))
 	return max(after, refusalRetryAfter)
@@ -244,9 +250,5 @@
 	if d.services[job.Service] == nil {
 		return latest
 	}
-	needed := engine.Duration(d.minPrefillMs(job)) + d.cfg.QueueMargin
-	if cutoff := d.firstEventCutoff(job).Add(-needed); cutoff.Before(latest) {
-		return cutoff
-	}
-	return latest
+	return earlier(latest, d.latestStart(job))
 }
