The header of a response is decoded once, and a hedge asks its limit once before it is sent

With hedged requests enabled each response's header was decoded up to three times, and the limit on hedges was asked by the exchange and again by the gateway under the same lock. The decoded header stays with the attempt. No behaviour is meant to change: the package's tests pass with the race detector.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,8 +50,10 @@
 	predicted time.Duration
 	// hedges is set if the attempt was made beside one whose endpoint had not begun to respond.
 	hedges bool
-	// meta is what the header of the response says; nil while it was not recorded.
-	meta *provider.ResponseHeader
+	// meta is what the header of the response says; nil while it was not decoded. observed is set
+	// once that was recorded.
+	meta     *provider.ResponseHeader
+	observed bool
 	// buffer has the first events of a stream that replaces another one; nil if nothing of the
 	// body was read yet.
 	buffer *eventBuffer
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -13,7 +13,6 @@
 	"cornelsaddle.example/cornelsaddle/core/hedging"
 	"cornelsaddle.example/cornelsaddle/core/routing"
 	"cornelsaddle.example/cornelsaddle/internal/event"
-	"cornelsaddle.example/cornelsaddle/internal/provider"
 	"cornelsaddle.example/cornelsaddle/internal/upstream"
 )
 
@@ -91,7 +90,7 @@
 	standby.start()
 	o.resp, err = x.gateway.cfg.Transport.Send(own, req)
 	failure := err
-	if err == nil && !x.beginsAnswer(o.resp) {
+	if err == nil && !x.isAnswer(o) {
 		failure = errors.WithStack(&NoAnswerError{o.resp.Status})
 	}
 	if failure != nil {
@@ -103,13 +102,9 @@
 	return err //nolint:wrapcheck // it has its stack
 }
 
-// beginsAnswer is isAnswer for a response whose header was not decoded yet.
-func (x *exchange) beginsAnswer(resp *upstream.Response) bool {
-	return x.isAnswer(resp, x.gateway.cfg.Headers.DecodeResponse(resp.Status, resp.Header))
-}
-
-// isAnswer reports whether a response may be delivered, as far as its header tells.
-func (x *exchange) isAnswer(resp *upstream.Response, meta provider.ResponseHeader) bool {
+// isAnswer reports whether an attempt's response may be delivered, as far as its header tells.
+func (x *exchange) isAnswer(o *openedAttempt) bool {
+	resp, meta := o.resp, x.responseHeader(o)
 	switch {
 	case meta.NotRun || impliesNotRun(resp.Status) || resp.Status >= http.StatusInternalServerError:
 		return false
@@ -143,6 +138,9 @@
 	return x.finishAttempt(ctx, o.entry, result)
 }
 
+// whyStopping is why a VM that stops sends no hedged request.
+const whyStopping = "VM stops"
+
 // hedgeRefusal returns why the search under way may not send a hedged request now; empty if it may or
 // if it is not one for a hedge.
 func (x *exchange) hedgeRefusal() string {
@@ -150,7 +148,7 @@
 	case x.hedge == nil:
 		return ""
 	case x.gateway.stop.Load() != nil:
-		return "VM stops"
+		return whyStopping
 	}
 	return x.gateway.hedgeRefusal(x.service)
 }
@@ -158,8 +156,8 @@
 // takeHedge takes a hedged request from the retry budget and from the limit on hedges. It is called
 // immediately before the first byte is sent.
 func (x *exchange) takeHedge(entry directory.Entry, h *hedge) error {
-	why := x.hedgeRefusal()
-	if why == "" {
+	why := whyStopping
+	if x.gateway.stop.Load() == nil {
 		why = x.gateway.takeHedge(x.service)
 	}
 	if why != "" {
@@ -261,7 +259,7 @@
 	if !x.gateway.cfg.HedgeSilent || !x.route.Repeatable() {
 		return
 	}
-	if !x.beginsAnswer(o.resp) {
+	if !x.isAnswer(o) {
 		return
 	}
 	took := float64(time.Since(x.sent))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -115,20 +115,29 @@
 	return x.route.Kind == routing.Streaming && resp.Status == http.StatusOK && isEventStream(resp)
 }
 
+// responseHeader returns what the header of an attempt's response says, which is decoded once.
+func (x *exchange) responseHeader(o *openedAttempt) provider.ResponseHeader {
+	if o.meta == nil {
+		meta := x.gateway.cfg.Headers.DecodeResponse(o.resp.Status, o.resp.Header)
+		o.meta = &meta
+	}
+	return *o.meta
+}
+
 // observe records what the header of an attempt's response says, and returns it.
 func (x *exchange) observe(o *openedAttempt) provider.ResponseHeader {
-	if o.meta != nil {
-		return *o.meta
+	meta := x.responseHeader(o)
+	if o.observed {
+		return meta
 	}
+	o.observed = true
 	resp := o.resp
 	x.framing, x.via = resp.Framing, resp.Via
 	if resp.Framing == upstream.ByClose {
 		x.gateway.closeFramed.Inc(1)
 	}
-	meta := x.gateway.cfg.Headers.DecodeResponse(resp.Status, resp.Header)
 	x.gateway.cfg.Directory.Observed(o.entry.Incarnation(), meta)
 	resp.Observed(meta.RetryAfter, meta.Leaving)
-	o.meta = &meta
 	x.limit = limitText(meta)
 	if resp.Status != http.StatusMisdirectedRequest {
 		x.gateway.cfg.Placer.Answered(o.job, meta.Limit)
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -336,7 +336,7 @@
 			err: errors.WithStack(&NotResumedError{o.resp.Status}),
 		}
 	case x.hedge != nil && !x.streams(o.resp):
-		if !x.isAnswer(o.resp, meta) || !keep() {
+		if !x.isAnswer(o) || !keep() {
 			return attemptResult{outcome: dispatch.Failed, status: o.resp.Status, err: errors.WithStack(&NoAnswerError{o.resp.Status})}
 		}
 		return attemptResult{}
