The decoded value is read after it was decoded

Go leaves open whether a variable in a return statement is read before the call beside it, which sets it. Tests of the packages that compare configurations pass.

--- a/core/findings/difference.go
+++ b/core/findings/difference.go
@@ -64,7 +64,10 @@
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.UseNumber()
 	var out any
-	return out, errors.WithStack(dec.Decode(&out))
+	if err := dec.Decode(&out); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return out, nil
 }
 
 func compare(before, after any, at []string, list []Difference) ([]Difference, error) {
