Writes to a connection are ended in one place; an attempt's prediction is kept once

The gateway's transport and the relay both set a write deadline in the past, each in its own words, and the prediction of an attempt stood in the attempt and in its state.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,10 +44,8 @@
 	entry directory.Entry
 	grant *ticket.Grant
 	resp  *upstream.Response
-	// hedge is that of the attempt; nil for none. predicted is its predicted time to the first
-	// event; zero for none.
-	hedge     *hedge
-	predicted time.Duration
+	// hedge is that of the attempt; nil for none.
+	hedge *hedge
 	// hedges is set if the attempt was made beside one whose endpoint had not begun to respond.
 	hedges bool
 	// meta is what the header of the response says; nil while it was not decoded. observed is set
@@ -158,7 +156,7 @@
 	x.beginAttempt(&job, placed, entry)
 	req := x.endpointRequest(entry, x.helpers(placed, grant))
 	x.sentTo = append(x.sentTo, entry.Address)
-	o = &openedAttempt{job: job.ID, entry: entry, grant: grant, hedge: x.newHedge(placed), predicted: placed.Predicted}
+	o = &openedAttempt{job: job.ID, entry: entry, grant: grant, hedge: x.newHedge(placed)}
 	err = x.send(ctx, o, req)
 	if x.replacement != nil {
 		return nil, x.endReplaced(ctx, o, err)
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -263,8 +263,8 @@
 		return
 	}
 	took := float64(time.Since(x.sent))
-	if o.predicted > 0 {
-		took /= float64(o.predicted)
+	if x.predicted > 0 {
+		took /= float64(x.predicted)
 	}
 	if o.hedge != nil {
 		x.gateway.recordInTime(x.service, o.hedge)
--- a/internal/httpcheck/complete.go
+++ b/internal/httpcheck/complete.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -50,3 +51,7 @@
 	err = raw.Control(func(fd uintptr) { pending, failure = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
 	return err != nil || failure != nil || pending == 0
 }
+
+// EndWrites makes pending and later writes to the connection fail, by a write deadline in the past. So
+// it is known at once how much of a request had been written.
+func EndWrites(c net.Conn) { _ = c.SetWriteDeadline(time.Unix(1, 0)) }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -234,7 +234,7 @@
 // when its connection ended, and false if more of them were to be written (see package httpcheck). A
 // write that is pending is ended: one that has returned from the system may not have been counted yet.
 func (r *relayed) requestForwarded() (int64, bool) {
-	_ = r.conn.SetWriteDeadline(time.Unix(1, 0))
+	httpcheck.EndWrites(r.conn)
 	r.forwarding.Lock()
 	defer r.forwarding.Unlock()
 	return r.forwarded, !r.failed && httpcheck.Acknowledged(r.conn)
--- a/internal/upstream/writing.go
+++ b/internal/upstream/writing.go
@@ -64,7 +64,7 @@
 // (see package httpcheck), and an UnfinishedRequestError otherwise. A write that is pending is ended:
 // one that has returned from the system may not have been noticed yet.
 func (w *writing) complete(c *conn) error {
-	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	httpcheck.EndWrites(c)
 	<-w.done
 	switch {
 	case errors.Is(w.err, os.ErrDeadlineExceeded):
