--- a/review/cases2/crashing_test.go
+++ b/review/cases2/crashing_test.go
@@ -26,7 +26,6 @@
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]bool
-	crashes  int
 }
 
 // fatal decides whether a request crashes the runner that runs it.
@@ -91,7 +90,6 @@
 // crash ends the process, and starts it again under the ID that it had.
 func (e *engineRunner) crash(f *fatal, restart func() time.Duration) {
 	e.stop()
-	e.crashes++
 	time.AfterFunc(restart(), func() {
 		for range 50 {
 			l, err := net.Listen("tcp4", e.address)
@@ -187,6 +185,8 @@
 	sent, answered, overdue, unanswered int
 }
 
+// TestCrashingRequest sends requests each of which crashes three runners, one after the other, that start
+// again soon, and lookups to all gateways beside them.
 func TestCrashingRequest(t *testing.T) {
 	w := newWorld(t)
 	f := &fatal{left: make(map[string]int)}
