The observer of a copy is told of changes without the copy's lock; verdicts are announced apart

Cause: the copy of a topic called its observer with its lock held. The observer publishes endpoints to the dispatcher; a verdict that fell due in that step was announced in the same goroutine, and the membership's digest reads the copy, whose lock the goroutine held.

Change: the copy notifies its observer after the unlock, in order, under a lock of its own for delivery. The registry publishes endpoints in the same way, as the timer after an outage and an endpoint that leaves take the same way with its lock. Verdicts are announced by a goroutine of their own. So no lock that a reader of the copy or of the registry needs is held while other code is called.

--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -95,12 +95,14 @@
 	// exit is when this VM exits, and stopping is closed once that is known.
 	exit     time.Time
 	stopping chan struct{}
-	// announce tells the other VMs of a verdict of this VM.
-	announce func(quarantine.Verdict)
+	// announce tells the other VMs of a verdict of this VM, and announcements are those that
+	// it is yet to be called with.
+	announce      func(quarantine.Verdict)
+	announcements announcements
 }
 
 // New returns the Coordinator of the VM, and registers its methods with the mux. It calls
-// announce with each verdict on a part of prompts that the other VMs are to apply.
+// announce, in a goroutine of its own, with each verdict that the other VMs are to apply.
 func New(vm string, local *LocalDispatcher, peers Peers, mux *peer.Mux, log *event.Logger, announce func(quarantine.Verdict)) *Coordinator {
 	c := &Coordinator{
 		vm:      vm,
--- a/internal/coordination/quarantine.go
+++ b/internal/coordination/quarantine.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"slices"
+	"sync"
 	"time"
 
 	"cornelsaddle.example/cornelsaddle/core/quarantine"
@@ -29,11 +31,59 @@
 	v, evidence, added := c.local.decide(f)
 	if added {
 		c.logVerdict(v, c.vm, evidence)
-		c.announce(v)
+		c.announcements.add(v, c.announce)
 	}
 	return added
 }
 
+// announcements are the verdicts that are to be announced to the other VMs. They are announced
+// in a goroutine of its own: a verdict is also decided in steps of the dispatcher whose callers
+// hold locks, and the membership must not be entered with these. It is safe for concurrent use.
+type announcements struct {
+	mu sync.Mutex
+	// pending has the latest verdict on each subject.
+	pending []quarantine.Verdict
+	// running is set while a goroutine announces verdicts.
+	running bool
+}
+
+// add announces a verdict soon, by the function.
+func (a *announcements) add(v quarantine.Verdict, announce func(quarantine.Verdict)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pending = slices.DeleteFunc(a.pending, func(other quarantine.Verdict) bool {
+		return other.Service == v.Service && other.Subject == v.Subject
+	})
+	a.pending = append(a.pending, v)
+	if !a.running {
+		a.running = true
+		go a.run(announce)
+	}
+}
+
+func (a *announcements) run(announce func(quarantine.Verdict)) {
+	for {
+		v, ok := a.next()
+		if !ok {
+			return
+		}
+		announce(v)
+	}
+}
+
+// next returns the next verdict; without one, it marks the goroutine as ended and returns false.
+func (a *announcements) next() (quarantine.Verdict, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.pending) == 0 {
+		a.running = false
+		return quarantine.Verdict{}, false
+	}
+	v := a.pending[0]
+	a.pending = a.pending[1:]
+	return v, true
+}
+
 // Release takes back the verdict on a subject, for all VMs, and returns false if there is
 // none.
 func (c *Coordinator) Release(service string, subject quarantine.Subject) bool {
--- a/internal/coordination/quarantine_test.go
+++ b/internal/coordination/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -245,3 +246,54 @@
 	require.Eventually(t, func() bool { return len(holder.local.crashes("s")) == 2 }, 5*time.Second, time.Millisecond)
 	require.Equal(t, quarantine.Subject{Digest: crashingDigest}, findRequest(t, verdicts[holder.name], one).Subject)
 }
+
+// stopPolling keeps the VM's dispatcher from acting by itself: what is due is decided in the
+// next call.
+func (v *testVM) stopPolling() {
+	v.local.mu.Lock()
+	defer v.local.mu.Unlock()
+	v.local.pollPending = true
+	v.local.pollTimer.Stop()
+}
+
+// TestVerdictIsAnnouncedWithoutTheCallersLocks guards against a VM that hangs for good: a verdict
+// falls due in a call that lists endpoints, whose caller holds locks, and the announcement to the
+// other VMs needs one of them.
+func TestVerdictIsAnnouncedWithoutTheCallersLocks(t *testing.T) {
+	vms := startVMs(t, []string{"a"}, 6)
+	v := vms["a"]
+	var callersLock sync.Mutex
+	announced := make(chan quarantine.Verdict, 1)
+	v.announce = func(verdict quarantine.Verdict) {
+		callersLock.Lock()
+		defer callersLock.Unlock()
+		announced <- verdict
+	}
+	v.stopPolling()
+	cfg := quarantine.DefaultConfig()
+	for i := range cfg.Crashes {
+		v.crashes(t, "crash"+strconv.Itoa(i))
+	}
+	list := make([]dispatch.Endpoint, 0, 6)
+	for n := range 6 {
+		list = append(list, dispatch.Endpoint{ID: "e" + strconv.Itoa(n), Service: "s", Slots: 2})
+	}
+	listed := make(chan struct{})
+	go func() {
+		defer close(listed)
+		callersLock.Lock()
+		defer callersLock.Unlock()
+		v.local.SetEndpoints(list)
+	}()
+	select {
+	case <-listed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the call that lists endpoints hangs")
+	}
+	select {
+	case verdict := <-announced:
+		require.Equal(t, crashingPart, verdict.Subject.Part)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the verdict is not announced")
+	}
+}
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -42,6 +42,10 @@
 	// keepFor is how long endpoints are kept that a restored store has lost.
 	keepFor time.Duration
 
+	// publication is held from a change of the directory until the sink has the endpoints. It
+	// is locked before mu.
+	publication sync.Mutex
+	// mu is never held while the sink is called, which decides on requests that wait.
 	mu        sync.Mutex
 	directory *directory.Directory
 	// coldUntil has when the endpoints that stated to be cold will be warm, by ID.
@@ -101,28 +105,43 @@
 
 // setEvacuated stops the use of a failure domain's endpoints, or takes that back.
 func (r *registry) setEvacuated(domain string, evacuated bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.directory.SetEvacuated(domain, evacuated) {
-		return
-	}
-	if evacuated {
-		r.log.Emit(event.DomainEvacuated{Domain: domain})
-	} else {
-		r.log.Emit(event.EvacuationEnded{Domain: domain})
-	}
-	r.publish()
+	r.update(func() bool {
+		if !r.directory.SetEvacuated(domain, evacuated) {
+			return false
+		}
+		if evacuated {
+			r.log.Emit(event.DomainEvacuated{Domain: domain})
+		} else {
+			r.log.Emit(event.EvacuationEnded{Domain: domain})
+		}
+		return true
+	})
 }
 
 // markLeaving stops the use of an incarnation and reports whether its leaving is news.
 func (r *registry) markLeaving(i directory.Incarnation, source string) bool {
+	return r.update(func() bool {
+		if !r.directory.MarkLeaving(i) {
+			return false
+		}
+		r.log.Emit(event.EndpointLeaving{Endpoint: i.ID, Started: i.Started, Source: source})
+		return true
+	})
+}
+
+// update changes the directory, and passes the usable endpoints to the sink if change returns
+// true, which update then returns. change is called with the lock.
+func (r *registry) update(change func() bool) bool {
+	r.publication.Lock()
+	defer r.publication.Unlock()
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.directory.MarkLeaving(i) {
+	if !change() {
+		r.mu.Unlock()
 		return false
 	}
-	r.log.Emit(event.EndpointLeaving{Endpoint: i.ID, Started: i.Started, Source: source})
-	r.publish()
+	list := r.dispatchable()
+	r.mu.Unlock()
+	r.sink.SetEndpoints(list)
 	return true
 }
 
@@ -155,16 +174,14 @@
 
 // Changed implements mirror.Observer.
 func (r *registry) Changed(rows []provider.Row) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	publish := !r.listed
-	r.listed = true
-	for _, row := range rows {
-		publish = r.apply(row) || publish
-	}
-	if publish {
-		r.publish()
-	}
+	r.update(func() bool {
+		publish := !r.listed
+		r.listed = true
+		for _, row := range rows {
+			publish = r.apply(row) || publish
+		}
+		return publish
+	})
 }
 
 // apply applies one row to the directory and reports whether the endpoints must be
@@ -240,10 +257,10 @@
 }
 
 func (r *registry) expire() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.directory.Expire(time.Now())
-	r.publish()
+	r.update(func() bool {
+		r.directory.Expire(time.Now())
+		return true
+	})
 }
 
 // Supersedes implements mirror.Observer. An endpoint's row that may be from a backup
@@ -267,8 +284,8 @@
 // KeepFor implements mirror.Observer.
 func (r *registry) KeepFor() time.Duration { return r.keepFor }
 
-// publish passes the usable endpoints to the sink; the lock is held.
-func (r *registry) publish() {
+// dispatchable returns the endpoints that requests may be dispatched to; the lock is held.
+func (r *registry) dispatchable() []dispatch.Endpoint {
 	usable := r.directory.Usable()
 	maps.DeleteFunc(r.unreadable, func(i directory.Incarnation, _ bool) bool {
 		e, listed := r.directory.Entry(i.ID)
@@ -278,7 +295,7 @@
 	for _, e := range usable {
 		list = append(list, dispatch.Endpoint{ID: e.ID, Service: e.Service, Domain: e.Domain, Started: e.Started, Slots: e.Slots, ColdUntil: r.coldUntil[e.ID]})
 	}
-	r.sink.SetEndpoints(list)
+	return list
 }
 
 // ready reports whether the endpoints have been listed at least once.
--- a/internal/mirror/epoch.go
+++ b/internal/mirror/epoch.go
@@ -122,19 +122,19 @@
 // that were certainly written in the present epoch stay. keepFor is the time for
 // which the other VM keeps its rows.
 func (m *Mirror) applyKept(rows []provider.Row, epoch int64, keepFor time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.version == 0 || epoch != m.epoch {
-		return
-	}
-	var changedRows []provider.Row
-	for _, row := range rows {
-		if m.keep(row) {
-			changedRows = append(changedRows, row)
+	m.update(func() delta {
+		if m.version == 0 || epoch != m.epoch {
+			return delta{}
 		}
-	}
-	m.limitKeeping(keepFor)
-	m.pass(changedRows, false)
+		var d delta
+		for _, row := range rows {
+			if m.keep(row) {
+				d.rows = append(d.rows, row)
+			}
+		}
+		m.limitKeeping(keepFor)
+		return d
+	})
 }
 
 // limitKeeping sets the time until which rows are kept that another VM keeps for
@@ -176,22 +176,22 @@
 
 // releaseKept replaces the rows of earlier epochs by those that the store has, once
 // the time to keep them has passed. It returns the keys of those rows.
-func (m *Mirror) releaseKept(now time.Time) []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.keepUntil.IsZero() || now.Before(m.keepUntil) {
-		return nil
-	}
-	m.keepUntil = time.Time{}
-	keys := m.withheldKeys()
-	var changedRows []provider.Row
-	for _, key := range keys {
-		row := m.withheld[key]
-		if m.putRow(row) {
-			changedRows = append(changedRows, row)
+func (m *Mirror) releaseKept(now time.Time) (keys []string) {
+	m.update(func() delta {
+		if m.keepUntil.IsZero() || now.Before(m.keepUntil) {
+			return delta{}
 		}
-	}
-	clear(m.withheld)
-	m.pass(changedRows, false)
+		m.keepUntil = time.Time{}
+		keys = m.withheldKeys()
+		var d delta
+		for _, key := range keys {
+			row := m.withheld[key]
+			if m.putRow(row) {
+				d.rows = append(d.rows, row)
+			}
+		}
+		clear(m.withheld)
+		return d
+	})
 	return keys
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -14,8 +14,8 @@
 // earlier version must list the topic again.
 const maxTombstones = 1024
 
-// Observer receives the changes of a topic. Its methods are never called
-// concurrently.
+// Observer receives the changes of a topic. Changed, Outage and Restored are called one at a
+// time, in the order of the changes. They may read the copy, but must not change it.
 type Observer interface {
 	// Changed receives the rows that are new, changed or removed. The first call has
 	// all rows of the topic.
@@ -27,7 +27,8 @@
 	// Supersedes reports whether a row of the store's present epoch, which may be a
 	// tombstone, replaces the row or tombstone known from an earlier epoch. rewritten
 	// is true if the row was certainly written in the present epoch, and false if it
-	// may be what the backup held for its key.
+	// may be what the backup held for its key. It is called with the copy's lock, and must
+	// not use the copy, as KeepFor.
 	Supersedes(known, row provider.Row, rewritten bool) bool
 	// KeepFor is how long rows of an earlier epoch are kept that the store has lost
 	// or holds an older version of; zero means until they are superseded.
@@ -50,6 +51,11 @@
 type Mirror struct {
 	observer Observer
 
+	// delivery is held from a change of the copy until the observer has received it. It is
+	// locked before mu.
+	delivery sync.Mutex
+	// mu is never held while the observer is notified: what the observer does with a change
+	// may lead back to the copy.
 	mu   sync.Mutex
 	rows map[string]provider.Row
 	// tombstones are the removed rows, in the order in which they were removed.
@@ -75,7 +81,7 @@
 	// restored is when the store was last regained, recorded when the copy became
 	// fresh; zero for never.
 	restored time.Time
-	// changed is closed, and replaced, on each change and by wakeWaiters.
+	// changed is closed, and replaced, by wakeWaiters, once the observer has a change.
 	changed chan struct{}
 }
 
@@ -106,17 +112,48 @@
 	return provider.Revision{Epoch: m.epoch, Version: m.latest}
 }
 
+// delta is what a change of the copy means for the observer.
+type delta struct {
+	rows []provider.Row
+	// first is set for the first rows of the copy, which are passed on even if there are none.
+	first bool
+}
+
+// update changes the copy, and then passes the delta to the observer and wakes the waiters.
+// change is called with the lock.
+func (m *Mirror) update(change func() delta) {
+	m.delivery.Lock()
+	defer m.delivery.Unlock()
+	m.mu.Lock()
+	d := change()
+	m.mu.Unlock()
+	if len(d.rows) == 0 && !d.first {
+		return
+	}
+	m.observer.Changed(d.rows)
+	m.wakeWaiters()
+}
+
 // applyList applies a page with all rows of the topic as of its revision. Rows of the
 // copy that the page lacks are removed, unless they are of later versions. If the
 // page is of a later epoch, the copy enters that epoch, and keeps the rows that the
 // store may have lost. It returns false, and changes nothing, for a page of an
 // earlier epoch.
-func (m *Mirror) applyList(p provider.Page) (epochChange, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.version > 0 && p.Epoch < m.epoch {
-		return epochChange{}, false
-	}
+func (m *Mirror) applyList(p provider.Page) (change epochChange, ok bool) {
+	m.update(func() delta {
+		if m.version > 0 && p.Epoch < m.epoch {
+			return delta{}
+		}
+		ok = true
+		var d delta
+		d, change = m.putList(p)
+		return d
+	})
+	return change, ok
+}
+
+// putList applies a list that is not of an earlier epoch. The caller must hold the lock.
+func (m *Mirror) putList(p provider.Page) (delta, epochChange) {
 	present := make(map[string]bool, len(p.Rows))
 	for _, row := range p.Rows {
 		present[row.Key] = true
@@ -134,9 +171,9 @@
 	if p.Epoch > m.epoch {
 		change = m.enterEpoch(p)
 	}
-	m.applyRows(rows, p.Version)
+	d := m.putRows(rows, p.Version)
 	change.kept = m.withheldKeys()
-	return change, true
+	return d, change
 }
 
 // missing returns the tombstone of a row that a list lacks. The caller must hold the
@@ -152,53 +189,37 @@
 
 // applyChanges applies a page with the changes up to its version. It returns false,
 // and changes nothing, for a page of another epoch.
-func (m *Mirror) applyChanges(p provider.Page) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if p.Epoch != m.epoch {
-		return false
-	}
-	m.applyRows(p.Rows, p.Version)
-	return true
+func (m *Mirror) applyChanges(p provider.Page) (ok bool) {
+	m.update(func() delta {
+		if p.Epoch != m.epoch {
+			return delta{}
+		}
+		ok = true
+		return m.putRows(p.Rows, p.Version)
+	})
+	return ok
 }
 
-// applyRows applies the rows that are later than those of the copy, and passes them
-// to the observer. The caller must hold the lock.
-func (m *Mirror) applyRows(rows []provider.Row, version int64) {
-	first := m.version == 0
+// putRows stores the rows that are later than those of the copy. The caller must hold the
+// lock.
+func (m *Mirror) putRows(rows []provider.Row, version int64) delta {
+	d := delta{first: m.version == 0}
 	m.version = max(m.version, version)
-	var changedRows []provider.Row
 	for _, row := range rows {
 		if m.withhold(row) {
 			continue
 		}
 		if m.putRow(row) {
-			changedRows = append(changedRows, row)
+			d.rows = append(d.rows, row)
 		}
 	}
-	m.pass(changedRows, first)
-}
-
-// pass passes changed rows to the observer and wakes the waiters; first is true for
-// the first rows of the copy, which are passed on even if there are none. The caller
-// must hold the lock.
-func (m *Mirror) pass(rows []provider.Row, first bool) {
-	if len(rows) == 0 && !first {
-		return
-	}
-	m.observer.Changed(rows)
-	m.signal()
+	return d
 }
 
 // wakeWaiters ends all waits for changes.
 func (m *Mirror) wakeWaiters() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.signal()
-}
-
-// signal is like wakeWaiters. The caller must hold the lock.
-func (m *Mirror) signal() {
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
@@ -242,16 +263,26 @@
 // setStale records whether the copy is stale, and notifies the observer of a change.
 // restored is the time at which the store was regained.
 func (m *Mirror) setStale(stale bool, restored time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	switch {
-	case stale && !m.stale:
+	m.delivery.Lock()
+	defer m.delivery.Unlock()
+	switch changed := m.markStale(stale, restored); {
+	case changed && stale:
 		m.observer.Outage()
-	case !stale && m.stale:
-		m.restored = restored
+	case changed:
 		m.observer.Restored(restored)
 	}
+}
+
+// markStale records whether the copy is stale, and reports whether that is a change.
+func (m *Mirror) markStale(stale bool, restored time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	changed := stale != m.stale
 	m.stale = stale
+	if changed && !stale {
+		m.restored = restored
+	}
+	return changed
 }
 
 func (m *Mirror) isStale() bool {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -258,3 +258,117 @@
 	c.put(row("k", "2", 3))
 	c.awaitAll(t, "k", "2")
 }
+
+// callbackTimeout bounds a call that leads to an observer which reads the copy.
+const callbackTimeout = 10 * time.Second
+
+// within runs f, and fails the test if f has not returned in time.
+func within(t *testing.T, what string, f func()) {
+	t.Helper()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	select {
+	case <-done:
+	case <-time.After(callbackTimeout):
+		t.Fatalf("%s hangs", what)
+	}
+}
+
+// readingRecorder is a recorder that reads the copy whenever it is notified.
+type readingRecorder struct {
+	*recorder
+	copy *Mirror
+	// latest has the latest revision of the copy at each notification.
+	latest []provider.Revision
+}
+
+func (r *readingRecorder) read() {
+	r.copy.Revision()
+	r.copy.Kept()
+	r.copy.isStale()
+	r.copy.list()
+	r.latest = append(r.latest, r.copy.Latest())
+}
+
+func (r *readingRecorder) Changed(rows []provider.Row) {
+	r.recorder.Changed(rows)
+	r.read()
+}
+
+func (r *readingRecorder) Outage() {
+	r.recorder.Outage()
+	r.read()
+}
+
+func (r *readingRecorder) Restored(at time.Time) {
+	r.recorder.Restored(at)
+	r.read()
+}
+
+// TestObserverMayReadTheCopy guards against a VM that hangs for good: what an observer does with
+// a change may lead back to the copy, in the goroutine that applies the change.
+func TestObserverMayReadTheCopy(t *testing.T) {
+	r := &readingRecorder{recorder: newRecorder()}
+	r.copy = New(r)
+	within(t, "the first list", func() {
+		r.copy.applyList(provider.Page{Version: 10, Rows: []provider.Row{row("a", "1", 9), row("lost", "1", 8)}})
+	})
+	within(t, "the end of the outage", func() { r.copy.setStale(false, time.Now()) })
+	within(t, "a change", func() { r.copy.applyChanges(provider.Page{Version: 12, Rows: []provider.Row{row("a", "2", 12)}}) })
+	within(t, "an outage", func() { r.copy.setStale(true, time.Time{}) })
+	within(t, "a new epoch", func() {
+		r.copy.applyList(provider.Page{Epoch: 1, Version: 20, Rows: []provider.Row{{Key: "b", Value: []byte("1"), Epoch: 1, Version: 15}}})
+	})
+	within(t, "a row that another VM keeps", func() {
+		r.copy.applyKept([]provider.Row{row("c", "1", 11)}, 1, time.Second)
+	})
+	within(t, "the release of kept rows", func() { r.copy.releaseKept(time.Now().Add(time.Hour)) })
+	require.Len(t, r.latest, 7)
+	require.Equal(t, int64(9), r.latest[0].Version)
+	require.Equal(t, int64(12), r.latest[2].Version, "the copy has the change that the observer receives")
+	require.Equal(t, provider.Revision{Epoch: 1, Version: 20}, r.copy.Revision())
+}
+
+// blockingRecorder is a recorder whose first notification waits.
+type blockingRecorder struct {
+	*recorder
+	received, proceed chan struct{}
+	order             chan int64
+}
+
+func (r *blockingRecorder) Changed(rows []provider.Row) {
+	if rows[0].Version == 1 {
+		close(r.received)
+		<-r.proceed
+	}
+	r.recorder.Changed(rows)
+	r.order <- rows[0].Version
+}
+
+// TestChangesReachTheObserverInOrder guards against changes of two sources that overtake each
+// other on their way to the observer, and against a copy that counts as up to date while the
+// observer has not received a change.
+func TestChangesReachTheObserverInOrder(t *testing.T) {
+	r := &blockingRecorder{newRecorder(), make(chan struct{}), make(chan struct{}), make(chan int64, 2)}
+	m := New(r)
+	go m.applyList(provider.Page{Version: 1, Rows: []provider.Row{row("a", "1", 1)}})
+	<-r.received
+	applied := make(chan struct{})
+	go func() {
+		m.applyChanges(provider.Page{Version: 2, Rows: []provider.Row{row("a", "2", 2)}})
+		close(applied)
+	}()
+	within(t, "a read of the copy during a notification", func() { require.Equal(t, int64(1), m.Latest().Version) })
+	select {
+	case <-applied:
+		t.Fatal("a change was applied before the observer had the one before it")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(r.proceed)
+	within(t, "the second change", func() { <-applied })
+	require.Equal(t, []int64{1, 2}, []int64{<-r.order, <-r.order})
+	require.True(t, r.has("a", "2"))
+}
