Reports of a crash merge: the evidence doesn't grow with hand-overs, and what was cleared stays so

Cause: with each change of the holder all VMs send it the crashes that they know, and the suspects of a crash that was known were added again. Suspects that were cleared came back with a late report. The list that is encoded shared the suspects that an answer cleared in place, without the lock. Ages drifted with the time for which a message was queued, and weren't checked.

Change: reports merge by suspect, with the earliest times and the union of what was cleared since, which goes along in the message (earlier builds ignore it). Bounds on suspects, on the subjects of a service, and on what is believed of a message. The slices of a crash are replaced, never changed. A message says for how long it was held at its sender.

--- a/core/quarantine/config.go
+++ b/core/quarantine/config.go
@@ -25,8 +25,12 @@
 	Window time.Duration
 	// MaxAnswered bounds the subjects that are remembered as those of answered requests.
 	MaxAnswered int
-	// MaxCrashes bounds the crashes of a service that are remembered.
-	MaxCrashes int
+	// MaxCrashes bounds the crashes of a service that are remembered, MaxSuspects the suspects
+	// of a crash, and MaxSubjects the suspects of all crashes of a service, with their parts.
+	// The oldest crashes are forgotten first.
+	MaxCrashes  int
+	MaxSuspects int
+	MaxSubjects int
 	// Period is the time for which a subject is withheld at first. It doubles with each
 	// further verdict on the subject, up to MaxPeriod.
 	Period    time.Duration
@@ -52,6 +56,8 @@
 		Window:       10 * time.Minute,
 		MaxAnswered:  16384,
 		MaxCrashes:   64,
+		MaxSuspects:  maxSuspects,
+		MaxSubjects:  4096,
 		Period:       10 * time.Minute,
 		MaxPeriod:    6 * time.Hour,
 
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -7,30 +7,6 @@
 	"time"
 )
 
-// Suspect is a request that may have crashed its endpoint.
-type Suspect struct {
-	// Request is the ID of the prompt's last part, which identifies the prompt; empty for
-	// a request to a plain service.
-	Request string
-	// Parts are the IDs of the other parts that were not cleared.
-	Parts []string
-	// Digest is the digest of the request; empty if it was cleared.
-	Digest string
-	// Answered is set if the request was answered a while before.
-	Answered bool
-	// Began is set if its answer had begun.
-	Began bool
-	// PlacedAt is when the request was placed at the endpoint.
-	PlacedAt time.Time
-}
-
-// Crash is the crash of an endpoint with the requests that may be the cause.
-type Crash struct {
-	Endpoint string
-	At       time.Time
-	Suspects []Suspect
-}
-
 // Subject is what crashes endpoints: a part of prompts, or one request.
 type Subject struct {
 	// Part is the ID of the part; empty for a request.
@@ -42,6 +18,10 @@
 // None reports whether the subject is empty.
 func (s Subject) None() bool { return s == Subject{} }
 
+func (s Subject) compare(other Subject) int {
+	return cmp.Or(cmp.Compare(s.Part, other.Part), cmp.Compare(s.Digest, other.Digest))
+}
+
 // Of reports whether a request with the digest and the parts has the subject.
 func (s Subject) Of(digest string, parts []string) bool {
 	if s.Digest != "" {
@@ -68,7 +48,8 @@
 	suspected map[Subject]int
 }
 
-// Crashes returns the crashes of a service's endpoints that are not explained.
+// Crashes returns the crashes of a service's endpoints that are not explained. They don't change
+// with the evidence.
 func (t *Tracker) Crashes(service string) []Crash {
 	if e := t.evidence[service]; e != nil {
 		return slices.Clone(e.crashes)
@@ -90,23 +71,32 @@
 	return strings.Join(list, ", ")
 }
 
-// AddCrash adds a crash to the evidence on a service. It returns false for one that is
-// known already from the report of another VM, or has its cause among what is withheld and
-// tells nothing of the parts of a prompt.
+// AddCrash adds a crash to the evidence on a service, or merges it with what is known of the same
+// crash from the report of another VM. It returns false for a crash that was known, is older than
+// the window, or has its cause among what is withheld and tells nothing of the parts of a prompt.
 func (t *Tracker) AddCrash(now time.Time, service string, c Crash) bool {
 	e := t.evidence[service]
 	if e == nil {
 		e = &evidence{suspected: make(map[Subject]int)}
 		t.evidence[service] = e
 	}
-	e.forget(now.Add(-t.cfg.Window), t.cfg.MaxCrashes-1)
-	if t.explained(now, service, &c) || e.knows(c) {
+	oldest := now.Add(-t.cfg.Window)
+	if c.At.Before(oldest) || t.explained(now, service, &c) {
+		e.forget(oldest, t.cfg)
 		return false
 	}
-	i, _ := slices.BinarySearchFunc(e.crashes, c, func(a, b Crash) int { return a.At.Compare(b.At) })
-	e.crashes = slices.Insert(e.crashes, i, c)
-	e.recount()
-	return true
+	c.merge(Crash{Cleared: t.answeredSince(service, c)})
+	known := e.merge(c, t.cfg.MaxSuspects)
+	e.forget(oldest, t.cfg)
+	return !known
+}
+
+// answeredSince returns the suspected subjects of a crash that were answered after it.
+func (t *Tracker) answeredSince(service string, c Crash) []Subject {
+	return slices.DeleteFunc(c.subjects(), func(subject Subject) bool {
+		at, answered := t.answered.Peek(subjectKey{service, subject})
+		return !answered || !at.After(c.At)
+	})
 }
 
 // explained reports whether what is withheld explains the crash, so that it tells nothing
@@ -129,42 +119,65 @@
 // VMs, are the same one. An endpoint takes longer to be back.
 const sameCrash = time.Second
 
-// knows reports whether the crash is known already. If it is, its suspects are added.
-func (e *evidence) knows(c Crash) bool {
-	for i := range e.crashes {
-		known := &e.crashes[i]
-		if known.Endpoint == c.Endpoint && known.At.Sub(c.At).Abs() < sameCrash {
-			known.Suspects = append(known.Suspects, c.Suspects...)
-			e.recount()
-			return true
+// merge adds a crash, and reports whether it was known already. If it was, what both tell of it
+// counts.
+func (e *evidence) merge(c Crash, maxSuspects int) bool {
+	i := slices.IndexFunc(e.crashes, func(known Crash) bool {
+		return known.Endpoint == c.Endpoint && known.At.Sub(c.At).Abs() < sameCrash
+	})
+	known := i >= 0
+	if known {
+		e.count(e.crashes[i], -1)
+		e.crashes[i].merge(c)
+	} else {
+		i = len(e.crashes)
+		c.normalise()
+		e.crashes = append(e.crashes, c)
+	}
+	e.crashes[i].limit(maxSuspects)
+	e.count(e.crashes[i], 1)
+	slices.SortStableFunc(e.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	return known
+}
+
+// forget removes the crashes before the time, and the oldest ones above the limits.
+func (e *evidence) forget(before time.Time, cfg Config) {
+	subjects, keep := 0, 0
+	for _, c := range slices.Backward(e.crashes) {
+		subjects += c.size()
+		if c.At.Before(before) || keep == cfg.MaxCrashes || subjects > cfg.MaxSubjects {
+			break
 		}
+		keep++
 	}
-	return false
+	forgotten := len(e.crashes) - keep
+	for _, c := range e.crashes[:forgotten] {
+		e.count(c, -1)
+	}
+	e.crashes = slices.Delete(e.crashes, 0, forgotten)
 }
 
-// forget removes the crashes before the time, and the oldest ones above the limit.
-func (e *evidence) forget(before time.Time, limit int) {
-	n := len(e.crashes)
-	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return c.At.Before(before) })
-	if len(e.crashes) > limit {
-		e.crashes = slices.Delete(e.crashes, 0, len(e.crashes)-limit)
+// count adds the occurrences of each subject in a crash, times n.
+func (e *evidence) count(c Crash, n int) {
+	add := func(subject Subject) {
+		if e.suspected[subject] += n; e.suspected[subject] == 0 {
+			delete(e.suspected, subject)
+		}
 	}
-	if len(e.crashes) != n {
-		e.recount()
+	for _, s := range c.Suspects {
+		for _, part := range s.Parts {
+			add(Subject{Part: part})
+		}
+		if s.Digest != "" {
+			add(Subject{Digest: s.Digest})
+		}
 	}
 }
 
 func (e *evidence) recount() {
 	clear(e.suspected)
 	for _, c := range e.crashes {
-		for _, s := range c.Suspects {
-			for _, part := range s.Parts {
-				e.suspected[Subject{Part: part}]++
-			}
-			if s.Digest != "" {
-				e.suspected[Subject{Digest: s.Digest}]++
-			}
-		}
+		e.count(c, 1)
 	}
 }
 
@@ -175,13 +188,7 @@
 		return
 	}
 	for i := range e.crashes {
-		for k := range e.crashes[i].Suspects {
-			s := &e.crashes[i].Suspects[k]
-			if s.Digest == digest {
-				s.Digest = ""
-			}
-			s.Parts = slices.DeleteFunc(slices.Clone(s.Parts), func(part string) bool { return slices.Contains(parts, part) })
-		}
+		e.crashes[i].clear(digest, parts)
 	}
 	e.recount()
 }
@@ -199,34 +206,6 @@
 	e.recount()
 }
 
-// explain makes the parts of requests the only suspects of a crash, if one of the requests is a
-// suspect of it. It reports whether no suspect is left: a request may have no parts.
-func (c *Crash) explain(requests ...Subject) bool {
-	if !slices.ContainsFunc(requests, c.suspects) {
-		return false
-	}
-	c.Suspects = c.partsOf(requests...)
-	return len(c.Suspects) == 0
-}
-
-// partsOf returns the suspects of a crash that are one of the requests and have parts, without their
-// digests.
-func (c *Crash) partsOf(requests ...Subject) []Suspect {
-	var suspects []Suspect
-	for _, s := range c.Suspects {
-		known := slices.ContainsFunc(requests, func(r Subject) bool { return r.Of(s.Digest, s.Parts) })
-		if known && len(s.Parts) > 0 {
-			s.Digest = ""
-			suspects = append(suspects, s)
-		}
-	}
-	return suspects
-}
-
-func (c *Crash) suspects(subject Subject) bool {
-	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return subject.Of(s.Digest, s.Parts) })
-}
-
 // charge is the evidence against one part.
 type charge struct {
 	part string
@@ -262,6 +241,9 @@
 		if known.repeated(Subject{Part: part}) {
 			return part, true
 		}
+		if e.suspected[Subject{Part: part}] < cfg.Crashes {
+			continue
+		}
 		c := e.charge(part, cfg.Moment)
 		order := c.compare(heaviest)
 		if order == 0 {
--- a/core/quarantine/request.go
+++ b/core/quarantine/request.go
@@ -19,6 +19,9 @@
 			found = append(found, Finding{Subject: subject})
 			continue
 		}
+		if e.suspected[subject] < cfg.Crashes {
+			continue
+		}
 		crashes, needed := e.crashes, cfg.Crashes
 		if answered[digest] {
 			crashes, needed = withoutOthers(crashes, answered), needed+1
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -76,8 +76,8 @@
 	// crashedAt has the time of the latest crash of an endpoint.
 	crashedAt map[string]time.Time
 	evidence  map[string]*evidence
-	// answered has the subjects of requests that were answered.
-	answered *lru.Cache[subjectKey, struct{}]
+	// answered has when requests with a subject were last answered.
+	answered *lru.Cache[subjectKey, time.Time]
 	// expiredAt is when expired jobs were last removed.
 	expiredAt time.Time
 }
@@ -85,7 +85,7 @@
 // NewTracker returns a Tracker without jobs. The list has the verdicts on earlier
 // findings.
 func NewTracker(cfg Config, list *List) *Tracker {
-	answered, err := lru.New[subjectKey, struct{}](cfg.MaxAnswered)
+	answered, err := lru.New[subjectKey, time.Time](cfg.MaxAnswered)
 	if err != nil {
 		panic(err) // the limit is not positive
 	}
@@ -153,7 +153,7 @@
 	if end == Answered && !j.beganAt.IsZero() || t.survived(now, j) {
 		parts, _ = j.shared()
 	}
-	t.clear(j.Service, digest, parts)
+	t.clear(now, j.Service, digest, parts)
 	if subject, _ := t.list.Withheld(now, j.Service, digest, parts); !subject.None() {
 		return []Finding{{Service: j.Service, Subject: subject, Sound: true}}
 	}
@@ -180,12 +180,12 @@
 
 // clear records that a request with the digest and the parts was answered, and removes them
 // from the evidence. The digest may be empty.
-func (t *Tracker) clear(service, digest string, parts []string) {
+func (t *Tracker) clear(now time.Time, service, digest string, parts []string) {
 	if digest != "" {
-		t.answered.Add(subjectKey{service, Subject{Digest: digest}}, struct{}{})
+		t.answered.Add(subjectKey{service, Subject{Digest: digest}}, now)
 	}
 	for _, part := range parts {
-		t.answered.Add(subjectKey{service, Subject{Part: part}}, struct{}{})
+		t.answered.Add(subjectKey{service, Subject{Part: part}}, now)
 	}
 	if e := t.evidence[service]; e != nil {
 		e.clear(digest, parts)
@@ -277,7 +277,9 @@
 }
 
 // ClearRequest removes a request that was answered from the evidence.
-func (t *Tracker) ClearRequest(service, digest string) { t.clear(service, digest, nil) }
+func (t *Tracker) ClearRequest(now time.Time, service, digest string) {
+	t.clear(now, service, digest, nil)
+}
 
 // due returns the endpoints whose breakages are to be decided, in the order of their
 // IDs.
@@ -334,7 +336,7 @@
 	for _, j := range t.jobs {
 		if j.Service == service && t.survived(now, j) {
 			parts, _ := j.shared()
-			t.clear(service, "", parts)
+			t.clear(now, service, "", parts)
 		}
 	}
 }
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -461,8 +461,9 @@
 func (c *Coordinator) onNote(_ context.Context, from peer.Identity, m updateMessage) (struct{}, error) {
 	if m.Reset != nil {
 		c.local.dropTerms(from.VM, *m.Reset)
-		c.local.addCrashes(m.Reset.Service, m.Crashes)
-		c.local.addLimits(m.Limits, from.VM)
+		base := m.ageBase(time.Now())
+		c.local.addCrashes(m.Reset.Service, m.Crashes, base)
+		c.local.addLimits(m.Limits, from.VM, base)
 		c.local.addCosts(m.Reset.Service, m.Costs)
 		c.local.addShares(m.Reset.Service, from.VM, m.Shares)
 	}
--- a/internal/coordination/holders.go
+++ b/internal/coordination/holders.go
@@ -172,12 +172,13 @@
 	}
 	now := time.Now()
 	c.senderLocked(to).reset(updateMessage{
-		Reset:   &reset{service, c.term},
-		Updates: updates,
-		Crashes: encodeCrashes(now, c.local.crashes(service)),
-		Limits:  encodeLimits(now, c.local.limits(service)),
-		Costs:   encodeCosts(c.local.costs(service)),
-		Shares:  c.local.shares(service),
+		Reset:     &reset{service, c.term},
+		Updates:   updates,
+		Crashes:   encodeCrashes(now, c.local.crashes(service)),
+		Limits:    encodeLimits(now, c.local.limits(service)),
+		Costs:     encodeCosts(c.local.costs(service)),
+		Shares:    c.local.shares(service),
+		encodedAt: now,
 	})
 }
 
--- a/internal/coordination/limit.go
+++ b/internal/coordination/limit.go
@@ -29,8 +29,8 @@
 	return l.dispatcher.Limits(service)
 }
 
-// addLimits adds the limits that another VM knows.
-func (l *LocalDispatcher) addLimits(limits []limitMessage, from string) {
+// addLimits adds the limits that another VM knows, whose ages are relative to base.
+func (l *LocalDispatcher) addLimits(limits []limitMessage, from string, base time.Time) {
 	if len(limits) == 0 {
 		return
 	}
@@ -38,7 +38,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	for _, m := range limits {
-		if change, changed := l.dispatcher.AddLimit(now, m.limit(now)); changed {
+		if change, changed := l.dispatcher.AddLimit(now, m.limit(base)); changed {
 			l.onLimitChange(change, from)
 		}
 	}
--- a/internal/coordination/local_evidence.go
+++ b/internal/coordination/local_evidence.go
@@ -87,8 +87,8 @@
 	return l.tracker.Crashes(service)
 }
 
-// addCrashes adds the crashes that another VM has seen.
-func (l *LocalDispatcher) addCrashes(service string, crashes []quarantine.CrashMessage) {
+// addCrashes adds the crashes that another VM has seen, whose ages are relative to base.
+func (l *LocalDispatcher) addCrashes(service string, crashes []quarantine.CrashMessage, base time.Time) {
 	if len(crashes) == 0 {
 		return
 	}
@@ -96,7 +96,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	for _, m := range crashes {
-		l.tracker.AddCrash(now, service, m.Crash(now))
+		l.tracker.AddCrash(now, service, m.Crash(base))
 	}
 }
 
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -160,6 +160,11 @@
 	// Reset selects the jobs of the VM that are removed first; nil for none.
 	Reset   *reset      `json:"r,omitempty"`
 	Updates []jobUpdate `json:"n"`
+	// Held is the time from the encoding to the sending of the message, in microseconds, by which
+	// the ages of Crashes and Limits have grown. It is zero from VMs of earlier builds, and
+	// encodedAt is when the message was encoded; zero without Reset.
+	Held      int64 `json:"q,omitempty"`
+	encodedAt time.Time
 	// Crashes are those that the sender has seen, of the endpoints of the service that
 	// Reset names.
 	Crashes []quarantine.CrashMessage `json:"c,omitempty"`
@@ -183,6 +188,14 @@
 	Age int64 `json:"a"`
 }
 
+// maxHeld bounds the time for which a message was held that is believed.
+const maxHeld = time.Minute
+
+// ageBase returns the time to which the ages in the message are relative.
+func (m updateMessage) ageBase(now time.Time) time.Time {
+	return now.Add(-max(0, min(microseconds(m.Held), maxHeld)))
+}
+
 func encodeCrashes(now time.Time, crashes []quarantine.Crash) []quarantine.CrashMessage {
 	list := make([]quarantine.CrashMessage, 0, len(crashes))
 	for _, c := range crashes {
--- a/internal/coordination/quarantine_test.go
+++ b/internal/coordination/quarantine_test.go
@@ -297,3 +297,41 @@
 		t.Fatal("the verdict is not announced")
 	}
 }
+
+// TestEvidenceStaysTheSameOverHandOvers guards against planned stops that fill the memory and the
+// processor of the VMs: with each change of the holder, all VMs send it what they know of crashes.
+func TestEvidenceStaysTheSameOverHandOvers(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	vms := startVMs(t, names, 6)
+	for i, name := range names {
+		// The crashes have no common cause, so that there is no verdict that explains them.
+		end := dispatch.End{Outcome: dispatch.Failed, BrokenOff: true}
+		vms[name].ended(t, "crash"+strconv.Itoa(i), end, "part"+strconv.Itoa(i), "own"+strconv.Itoa(i))
+	}
+	holder := holderOf(vms)
+	suspects := func(v *testVM) int {
+		n := 0
+		for _, c := range v.local.crashes("s") {
+			n += len(c.Suspects)
+		}
+		return n
+	}
+	require.Eventually(t, func() bool { return suspects(holder) >= len(names) }, 5*time.Second, time.Millisecond)
+	const handOvers = 12
+	for i := range handOvers {
+		leaving := names[i%len(names)]
+		members := make([]Member, 0, len(names))
+		for n, name := range names {
+			members = append(members, Member{VM: name, Address: vms[name].server.Addr(), Incarnation: int64(n + 1), Leaving: name == leaving})
+		}
+		for _, v := range vms {
+			v.SetMembers(members)
+		}
+		for _, v := range vms {
+			v.awaitTransfer(context.Background(), v.holder("s"))
+		}
+	}
+	for _, v := range vms {
+		require.LessOrEqual(t, suspects(v), len(names), v.name)
+	}
+}
--- a/internal/coordination/sender.go
+++ b/internal/coordination/sender.go
@@ -152,6 +152,9 @@
 func (s *sender) send(m updateMessage) error {
 	ctx, cancel := context.WithTimeout(context.Background(), updateTimeout)
 	defer cancel()
+	if !m.encodedAt.IsZero() {
+		m.Held = time.Since(m.encodedAt).Microseconds()
+	}
 	_, err := s.peers.Call(ctx, s.to.Address, methodNote, m, &struct{}{})
 	return err
 }
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -207,7 +207,7 @@
 	for _, f := range findings {
 		if !f.Sound && g.answeredSince(f, since) {
 			g.mu.Lock()
-			g.evidence.ClearRequest(f.Service, f.Subject.Digest)
+			g.evidence.ClearRequest(time.Now(), f.Service, f.Subject.Digest)
 			g.mu.Unlock()
 			continue
 		}
