Learned costs: a hand-over adds no evidence that is known already

Cause: with each change of the holder all VMs send what they have learned, also what they had been told or observed as holders, and Merge added the evidence: 4 requests had an evidence of 24 after six changes, so that a changed cost is learned late.

Change: a summary has the evidence of its sender's own requests, and the receiver counts the share that is newer than what it knows of that VM's requests. Jobs carry their owner to the estimator.

TestTransfersAddNoEvidence holds that requests of several VMs still add up.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -83,7 +83,9 @@
 // Dispatcher places the jobs of a group of endpoints and tracks them until they
 // end. It is not safe for concurrent use.
 type Dispatcher struct {
-	cfg       Config
+	cfg Config
+	// vm is this dispatcher's VM; empty if it is not set.
+	vm        string
 	services  map[string]*engine.CostModel
 	cold      map[string]Cold
 	endpoints map[string]*endpoint
--- a/core/dispatch/engine_pace.go
+++ b/core/dispatch/engine_pace.go
@@ -39,6 +39,7 @@
 	ratio := float64(now.Sub(p.placedAt)+firstEventMargin) / float64(predicted)
 	d.costs.Observe(now, workcost.Observation{
 		Kind: workcost.Kind{Service: p.Service}, Endpoint: e.ID, Incarnation: e.Started, Took: time.Duration(ratio * float64(time.Second)),
+		VM: d.otherVM(p.Owner),
 	})
 	d.updateModelScale(now, e)
 }
--- a/core/dispatch/engine_pace_test.go
+++ b/core/dispatch/engine_pace_test.go
@@ -83,7 +83,7 @@
 		}
 		old.d.costs.Observe(old.start, o)
 	}
-	s.d.AddCosts(s.start, "s", old.d.Costs(old.start, "s"))
+	s.d.AddCosts(s.start, "s", "old", old.d.Costs(old.start, "s"))
 	require.Equal(t, map[string]bool{"e003": true}, s.d.costs.slow)
 	require.InDelta(t, slowModelScale*simCostModel().StepMs, s.d.endpoints["e003"].engine.StepMs, 1e-9)
 	require.InDelta(t, simCostModel().StepMs, s.d.endpoints["e004"].engine.StepMs, 1e-9)
--- a/core/dispatch/learned.go
+++ b/core/dispatch/learned.go
@@ -124,7 +124,7 @@
 	if e == nil {
 		return
 	}
-	d.costs.ObserveEntry(now, p.cost.entry, workcost.Observation{Kind: kindOf(&p.Job), Endpoint: e.ID, Incarnation: e.Started, Took: now.Sub(p.placedAt)})
+	d.costs.ObserveEntry(now, p.cost.entry, workcost.Observation{Kind: kindOf(&p.Job), Endpoint: e.ID, Incarnation: e.Started, Took: now.Sub(p.placedAt), VM: d.otherVM(p.Owner)})
 	e.load.seenAt = now
 }
 
@@ -434,7 +434,19 @@
 	}
 }
 
-// Costs returns what this dispatcher has learned of a service, for another one.
+// SetVM sets the VM of this dispatcher; without it, all jobs count as those of its VM.
+func (d *Dispatcher) SetVM(vm string) { d.vm = vm }
+
+// otherVM returns the owner of a job; empty if that is this dispatcher's VM.
+func (d *Dispatcher) otherVM(owner string) string {
+	if d.vm == "" || owner == d.vm {
+		return ""
+	}
+	return owner
+}
+
+// Costs returns what this dispatcher has learned of a service by the jobs of its VM, for another
+// one.
 func (d *Dispatcher) Costs(now time.Time, service string) workcost.Summary {
 	if d.costs == nil {
 		return workcost.Summary{}
@@ -442,12 +454,12 @@
 	return d.costs.Summary(now, service)
 }
 
-// AddCosts adds what another dispatcher has learned of a service.
-func (d *Dispatcher) AddCosts(now time.Time, service string, sum workcost.Summary) {
+// AddCosts adds what the dispatcher of another VM has learned of a service.
+func (d *Dispatcher) AddCosts(now time.Time, service, vm string, sum workcost.Summary) {
 	if d.costs == nil {
 		return
 	}
-	d.costs.Merge(now, service, sum)
+	d.costs.Merge(now, service, vm, sum)
 	d.demandOf(service).pacesAt = time.Time{}
 	if d.services[service] != nil {
 		for _, e := range d.pools[service] {
--- a/core/dispatch/learned_test.go
+++ b/core/dispatch/learned_test.go
@@ -212,7 +212,7 @@
 	cfg.LearnCosts = true
 	d := New(cfg)
 	d.SetEndpoints(now, []Endpoint{{ID: "e0", Service: "p", Slots: 2}, {ID: "e3", Service: "p", Slots: 2}})
-	d.AddCosts(now, "p", old.Costs(now, "p"))
+	d.AddCosts(now, "p", "old", old.Costs(now, "p"))
 	require.Equal(t, "e0", submitPlain(t, d, now, plainJob("1", now)).Endpoint)
 	p := submitPlain(t, d, now, plainJob("2", now))
 	require.Equal(t, "e0", p.Endpoint)
--- a/core/dispatch/plain_sim_test.go
+++ b/core/dispatch/plain_sim_test.go
@@ -196,6 +196,7 @@
 	}
 	for i := range 3 {
 		d := New(cfg)
+		d.SetVM(fmt.Sprint("vm", i))
 		d.SetServices(start, []Service{{Name: "p"}})
 		d.SetEndpoints(start, list)
 		w.vms[fmt.Sprint("vm", i)] = d
@@ -245,7 +246,7 @@
 	for _, q := range lost.queue {
 		d.Submit(now, q.Job)
 	}
-	d.AddCosts(now, "p", w.vms["vm2"].Costs(now, "p"))
+	d.AddCosts(now, "p", "vm2", w.vms["vm2"].Costs(now, "p"))
 }
 
 // oracle places each call, in the order of arrival, where it ends first; it knows how long each will
--- a/core/workcost/estimator.go
+++ b/core/workcost/estimator.go
@@ -43,6 +43,8 @@
 	Incarnation int64
 	// Took is the time from the placement to the end of the response.
 	Took time.Duration
+	// VM is the other VM whose request it was; empty for a request of this VM.
+	VM string
 }
 
 // Estimate is the expected time of a kind of request at an endpoint of usual speed.
@@ -73,6 +75,8 @@
 	group  *group
 	// uses is the number of recent observations, decayed to cost.updated, without a bound.
 	uses float64
+	// ownEvidence is that of this VM's own requests, decayed to cost.updated, without a bound.
+	ownEvidence float64
 	// between is the mean absolute difference of the narrower kinds to this one, in log units.
 	between float64
 	// evicted is set once the kind is not remembered any more, and usedAt is the number of kinds that had been
@@ -102,6 +106,8 @@
 	service     string
 	// seen is when a request of the endpoint was last observed.
 	seen time.Time
+	// ownEvidence is that of this VM's own requests, decayed to updated, without a bound.
+	ownEvidence float64
 }
 
 // Estimator learns costs and paces. It is not safe for concurrent use.
@@ -114,6 +120,8 @@
 	organisations map[string]*list
 	groups        map[string]*group
 	paces         map[string]*pace
+	// informed has up to when the requests of another VM to a service are known.
+	informed map[source]time.Duration
 	// added counts the kinds that were added.
 	added int
 }
@@ -122,7 +130,7 @@
 func New(cfg Config) *Estimator {
 	return &Estimator{
 		cfg: cfg, kinds: make(map[key]*Entry), organisations: make(map[string]*list),
-		groups: make(map[string]*group), paces: make(map[string]*pace),
+		groups: make(map[string]*group), paces: make(map[string]*pace), informed: make(map[source]time.Duration),
 	}
 }
 
@@ -146,6 +154,9 @@
 		return
 	}
 	at := s.since(now)
+	if o.VM != "" {
+		s.inform(at, source{o.Kind.Service, o.VM})
+	}
 	if n == nil || n.evicted || n.key.level > 0 {
 		n = s.entry(key{Kind: o.Kind})
 	} else {
@@ -163,9 +174,9 @@
 		// Kinds whose requests vary say little about the endpoint.
 		expected, _ := s.estimate(at, known)
 		relative := known.cost.spread / halfWeightSpread
-		s.observePace(at, p, value-expected, 1/(1+relative*relative))
+		s.observePace(at, p, value-expected, 1/(1+relative*relative), o.VM == "")
 	}
-	s.observeCost(at, n, value-slowness)
+	s.observeCost(at, n, value-slowness, o.VM == "")
 	g.sinceCentred++
 	if g.sinceCentred >= max(16, 2*len(g.paces)) {
 		g.centre(at, s.cfg.PaceWindow)
@@ -180,6 +191,7 @@
 	share := decay(at-n.cost.updated, window)
 	n.cost.evidence *= share
 	n.uses *= share
+	n.ownEvidence *= share
 	n.cost.updated = at
 }
 
@@ -199,26 +211,47 @@
 // observeCost moves the kind and the wider ones. An organisation's requests count in the wider
 // kinds by the inverse of how many of them there were recently: each organisation moves them
 // about as much as any other, however many requests it sends.
-func (s *Estimator) observeCost(at time.Duration, n *Entry, value float64) {
+func (s *Estimator) observeCost(at time.Duration, n *Entry, value float64, own bool) {
 	n.uses++
 	weight := 1 / n.uses
 	n.cost.add(at, value, 1, s.cfg.MaxEvidence, s.cfg.CostWindow)
+	if own {
+		n.ownEvidence++
+	}
 	for child := n; child.parent != nil; child = child.parent {
 		p := child.parent
 		p.cost.add(at, value, weight, s.cfg.MaxEvidence, s.cfg.CostWindow)
+		if own {
+			p.ownEvidence += weight
+		}
 		p.between += spreadWeight * (math.Abs(child.cost.mean-p.cost.mean) - p.between)
 	}
 }
 
-func (s *Estimator) observePace(at time.Duration, p *pace, value, weight float64) {
+func (s *Estimator) observePace(at time.Duration, p *pace, value, weight float64, own bool) {
+	p.advance(at, s.cfg.PaceWindow)
 	if p.decayed(at, s.cfg.PaceWindow) < negligibleEvidence {
 		// An endpoint without evidence is taken to be of usual speed until several requests say
 		// otherwise.
 		p.robustMean = robustMean{spread: initialSpread, evidence: 1, updated: at}
 	}
+	if own {
+		p.ownEvidence += weight
+	}
 	p.add(at, value, weight, s.cfg.MaxPaceEvidence, s.cfg.PaceWindow)
 }
 
+// advance decays the evidence to a time.
+func (p *pace) advance(at, window time.Duration) {
+	if at <= p.updated {
+		return
+	}
+	share := decay(at-p.updated, window)
+	p.evidence *= share
+	p.ownEvidence *= share
+	p.updated = at
+}
+
 // paceShrinkage is the evidence with which half of an endpoint's pace counts.
 const paceShrinkage = 0.5
 
@@ -444,7 +477,7 @@
 		g.paces = append(g.paces, p)
 	}
 	if o.Incarnation > p.incarnation {
-		p.robustMean, p.incarnation = robustMean{}, o.Incarnation
+		p.robustMean, p.ownEvidence, p.incarnation = robustMean{}, 0, o.Incarnation
 	}
 	return p
 }
--- a/core/workcost/estimator_test.go
+++ b/core/workcost/estimator_test.go
@@ -220,12 +220,66 @@
 	require.Len(t, sum.Paces, 1)
 	sum.Kinds = append([]KindSummary{{Kind: kind("o", 1), Level: 9, Mean: 1, Evidence: 1}, {Kind: kind("o", 1), Mean: -1, Evidence: math.NaN()}}, sum.Kinds[:60]...)
 	other := New(DefaultConfig())
-	other.Merge(f.now, "s", sum)
+	other.Merge(f.now, "s", "vm", sum)
 	require.InEpsilon(t, float64(20*ms), float64(other.Cost(f.now, kind("o", 1)).Mean), 0.3)
 	require.InEpsilon(t, float64(400*ms), float64(other.Cost(f.now, kind("o", 10)).Mean), 0.3)
 	require.InEpsilon(t, 5, other.Pace(f.now, "e1").Factor, 0.35)
 	// A summary that arrives twice changes nothing.
 	cost := other.Cost(f.now, kind("o", 1)).Mean
-	other.Merge(f.now, "s", sum)
+	other.Merge(f.now, "s", "vm", sum)
 	require.InEpsilon(t, float64(cost), float64(other.Cost(f.now, kind("o", 1)).Mean), 0.01)
 }
+
+// TestTransfersAddNoEvidence guards against estimates that get stiff: a summary that comes back, or
+// comes again, must not count the same requests again, and requests of several VMs must add up.
+func TestTransfersAddNoEvidence(t *testing.T) {
+	const requests = 4
+	k := kind("o", 1)
+	now := newFeed(1).now
+	observe := func(s *Estimator, vm string) {
+		for range requests {
+			s.Observe(now, Observation{Kind: k, Endpoint: "e1", Incarnation: 1, Took: 20 * ms, VM: vm})
+		}
+	}
+	// The VM a is the holder, and observes the requests of b as well.
+	a, b := New(DefaultConfig()), New(DefaultConfig())
+	observe(a, "b")
+	observe(b, "")
+	for range 6 {
+		a.Merge(now, "s", "b", b.Summary(now, "s"))
+		b.Merge(now, "s", "a", a.Summary(now, "s"))
+	}
+	require.LessOrEqual(t, a.Cost(now, k).Evidence, float64(requests))
+	require.LessOrEqual(t, b.Cost(now, k).Evidence, float64(requests))
+
+	// A new holder hears of the requests of each VM from that VM, however often.
+	c := New(DefaultConfig())
+	observe(c, "")
+	for range 3 {
+		c.Merge(now, "s", "a", a.Summary(now, "s"))
+		c.Merge(now, "s", "b", b.Summary(now, "s"))
+	}
+	require.InDelta(t, 2*requests, c.Cost(now, k).Evidence, 0.01)
+
+	// What b has served since then is news.
+	now = now.Add(DefaultConfig().CostWindow)
+	observe(b, "")
+	before := c.Cost(now, k).Evidence
+	c.Merge(now, "s", "b", b.Summary(now, "s"))
+	require.InDelta(t, before+requests, c.Cost(now, k).Evidence, 0.6*requests)
+	require.Greater(t, c.Cost(now, k).Evidence, before+1)
+}
+
+// TestSourcesAreBounded guards against a map that grows with the VMs that have ever been.
+func TestSourcesAreBounded(t *testing.T) {
+	s := New(DefaultConfig())
+	now := newFeed(1).now
+	for i := range 3 * maxInformed {
+		now = now.Add(ms)
+		s.Observe(now, Observation{Kind: kind("o", 1), Endpoint: "e1", Took: ms, VM: fmt.Sprint("vm", i)})
+		if i%maxInformed == maxInformed-1 {
+			now = now.Add(forgetInformed * DefaultConfig().CostWindow)
+		}
+	}
+	require.LessOrEqual(t, len(s.informed), 2*maxInformed)
+}
--- a/core/workcost/summary.go
+++ b/core/workcost/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -24,7 +25,7 @@
 	// organisation, size, method and route.
 	Level uint8
 	// Mean is the cost at usual speed, Spread the mean absolute deviation of its logarithm, and
-	// Evidence the number of recent requests.
+	// Evidence the number of recent requests of the VM that tells it.
 	Mean     time.Duration
 	Spread   float64
 	Evidence float64
@@ -45,7 +46,8 @@
 }
 
 // Summary returns what is known of a service: the wider kinds first, then those with the most
-// evidence, and the endpoints that differ most from the usual speed.
+// evidence, and the endpoints that differ most from the usual speed. The evidence is that of this
+// VM's own requests, as the other VMs tell of theirs themselves.
 func (s *Estimator) Summary(now time.Time, service string) Summary {
 	g := s.groups[service]
 	if g == nil {
@@ -54,7 +56,7 @@
 	at := s.since(now)
 	var sum Summary
 	for k, n := range s.kinds {
-		evidence := n.cost.decayed(at, s.cfg.CostWindow)
+		evidence := min(n.cost.evidence, n.ownEvidence) * decay(at-n.cost.updated, s.cfg.CostWindow)
 		if k.Service != service || evidence < negligibleEvidence {
 			continue
 		}
@@ -71,9 +73,9 @@
 	})
 	sum.Kinds = sum.Kinds[:min(len(sum.Kinds), MaxSummaryKinds)]
 	for _, p := range g.paces {
-		pace := s.Pace(now, p.endpoint)
-		if pace.Evidence >= negligibleEvidence && math.Abs(pace.Factor-1) > minPaceDifference {
-			sum.Paces = append(sum.Paces, PaceSummary{p.endpoint, p.incarnation, math.Exp(p.mean), pace.Evidence})
+		evidence := min(p.evidence, p.ownEvidence) * decay(at-p.updated, s.cfg.PaceWindow)
+		if evidence >= negligibleEvidence && math.Abs(s.Pace(now, p.endpoint).Factor-1) > minPaceDifference {
+			sum.Paces = append(sum.Paces, PaceSummary{p.endpoint, p.incarnation, math.Exp(p.mean), evidence})
 		}
 	}
 	slices.SortFunc(sum.Paces, func(a, b PaceSummary) int {
@@ -85,34 +87,73 @@
 	return sum
 }
 
-// Merge adds what another Estimator knows of a service. Entries beyond the bounds of a summary
-// and those that are out of range are ignored.
-func (s *Estimator) Merge(now time.Time, service string, sum Summary) {
+// source is a VM and the service that its requests are for.
+type source struct{ service, vm string }
+
+// forgetInformed is the number of time constants after which the evidence is gone that was known of a
+// source, and maxInformed the number of sources at which they are searched for such.
+const (
+	forgetInformed = 8
+	maxInformed    = 4096
+)
+
+// inform records that the requests of a source are known up to a time.
+func (s *Estimator) inform(at time.Duration, from source) {
+	if _, known := s.informed[from]; !known && len(s.informed) >= maxInformed {
+		maps.DeleteFunc(s.informed, func(_ source, since time.Duration) bool {
+			return at-since > forgetInformed*s.cfg.CostWindow
+		})
+	}
+	s.informed[from] = at
+}
+
+// news returns the share of a VM's evidence that is of requests since a time, if they come at an
+// even rate, for evidence that decays with the time constant window.
+func news(at, since, window time.Duration) float64 { return 1 - decay(at-since, window) }
+
+// Merge adds what another VM knows of a service by its own requests. Those that are known already count
+// only once: this VM has observed them as the holder of the service, or the VM has told of them
+// before. Entries beyond the bounds of a summary and those that are out of range are ignored.
+func (s *Estimator) Merge(now time.Time, service, vm string, sum Summary) {
 	at := s.since(now)
+	costNews, paceNews := 1.0, 1.0
+	if since, known := s.informed[source{service, vm}]; known {
+		costNews, paceNews = news(at, since, s.cfg.CostWindow), news(at, since, s.cfg.PaceWindow)
+	}
+	s.inform(at, source{service, vm})
 	for _, k := range sum.Kinds[:min(len(sum.Kinds), MaxSummaryKinds)] {
-		id := key{k.Kind, k.Level}
-		if k.Kind.Service != service || k.Level >= levels || !id.valid() || !inRange(k.Evidence, negligibleEvidence, math.MaxFloat32) ||
-			!inRange(k.Spread, 0, math.MaxFloat32) || !inRange(float64(k.Mean), 1, float64(time.Hour)) {
-			continue
-		}
-		n := s.entry(id)
-		n.cost.merge(at, robustMean{
-			mean: math.Log(float64(k.Mean)) - n.group.offset, spread: max(minSpread, min(maxSpread, k.Spread)),
-			evidence: min(k.Evidence, s.cfg.MaxEvidence),
-		}, s.cfg.MaxEvidence, s.cfg.CostWindow)
+		k.Evidence = costNews * min(k.Evidence, s.cfg.MaxEvidence)
+		s.mergeKind(at, service, k)
 	}
 	for _, p := range sum.Paces[:min(len(sum.Paces), MaxSummaryPaces)] {
-		if !inRange(p.Factor, 0.01, 100) || !inRange(p.Evidence, negligibleEvidence, math.MaxFloat32) {
-			continue
-		}
-		known := s.pace(Observation{Kind: Kind{Service: service}, Endpoint: p.Endpoint, Incarnation: p.Incarnation}, s.groupOf(service))
-		if known.service != service || known.incarnation != p.Incarnation {
-			continue
-		}
-		known.merge(at, robustMean{
-			mean: math.Log(p.Factor), spread: initialSpread, evidence: min(p.Evidence, s.cfg.MaxPaceEvidence),
-		}, s.cfg.MaxPaceEvidence, s.cfg.PaceWindow)
+		p.Evidence = paceNews * min(p.Evidence, s.cfg.MaxPaceEvidence)
+		s.mergePace(at, service, p)
+	}
+}
+
+func (s *Estimator) mergeKind(at time.Duration, service string, k KindSummary) {
+	id := key{k.Kind, k.Level}
+	if k.Kind.Service != service || k.Level >= levels || !id.valid() || !inRange(k.Evidence, negligibleEvidence, s.cfg.MaxEvidence) ||
+		!inRange(k.Spread, 0, math.MaxFloat32) || !inRange(float64(k.Mean), 1, float64(time.Hour)) {
+		return
+	}
+	n := s.entry(id)
+	n.advance(at, s.cfg.CostWindow)
+	n.cost.merge(at, robustMean{
+		mean: math.Log(float64(k.Mean)) - n.group.offset, spread: max(minSpread, min(maxSpread, k.Spread)), evidence: k.Evidence,
+	}, s.cfg.MaxEvidence, s.cfg.CostWindow)
+}
+
+func (s *Estimator) mergePace(at time.Duration, service string, p PaceSummary) {
+	if !inRange(p.Factor, 0.01, 100) || !inRange(p.Evidence, negligibleEvidence, s.cfg.MaxPaceEvidence) {
+		return
+	}
+	known := s.pace(Observation{Kind: Kind{Service: service}, Endpoint: p.Endpoint, Incarnation: p.Incarnation}, s.groupOf(service))
+	if known.service != service || known.incarnation != p.Incarnation {
+		return
 	}
+	known.advance(at, s.cfg.PaceWindow)
+	known.merge(at, robustMean{mean: math.Log(p.Factor), spread: initialSpread, evidence: p.Evidence}, s.cfg.MaxPaceEvidence, s.cfg.PaceWindow)
 }
 
 func inRange(x, least, most float64) bool { return x >= least && x <= most }
--- a/internal/coordination/coordinator.go
+++ b/internal/coordination/coordinator.go
@@ -116,7 +116,7 @@
 		stopping: make(chan struct{}),
 		announce: announce,
 	}
-	local.vm = vm
+	local.setVM(vm)
 	local.onDecisions = c.handleDecisions
 	local.onFindings = c.handleFindings
 	local.onLimitChange = c.logLimitChange
@@ -464,7 +464,7 @@
 		base := m.ageBase(time.Now())
 		c.local.addCrashes(m.Reset.Service, m.Crashes, base)
 		c.local.addLimits(m.Limits, from.VM, base)
-		c.local.addCosts(m.Reset.Service, m.Costs)
+		c.local.addCosts(m.Reset.Service, from.VM, m.Costs)
 		c.local.addShares(m.Reset.Service, from.VM, m.Shares)
 	}
 	for _, u := range m.Updates {
--- a/internal/coordination/costs.go
+++ b/internal/coordination/costs.go
@@ -76,7 +76,7 @@
 	return sum
 }
 
-// costs returns what this VM has learned of a service.
+// costs returns what this VM has learned of a service by its own requests.
 func (l *LocalDispatcher) costs(service string) workcost.Summary {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -84,9 +84,9 @@
 }
 
 // addCosts adds what another VM has learned of a service.
-func (l *LocalDispatcher) addCosts(service string, m *costsMessage) {
+func (l *LocalDispatcher) addCosts(service, from string, m *costsMessage) {
 	if m == nil {
 		return
 	}
-	l.handle(func(now time.Time, d *dispatch.Dispatcher) { d.AddCosts(now, service, m.summary(service)) })
+	l.handle(func(now time.Time, d *dispatch.Dispatcher) { d.AddCosts(now, service, from, m.summary(service)) })
 }
--- a/internal/coordination/fuzz_test.go
+++ b/internal/coordination/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/core/engine"
@@ -37,7 +38,8 @@
 		}
 		if u.Reset != nil {
 			l.dropTerms("a", *u.Reset)
-			l.addCosts(u.Reset.Service, u.Costs)
+			l.addCrashes(u.Reset.Service, u.Crashes, u.ageBase(time.Now()))
+			l.addCosts(u.Reset.Service, "a", u.Costs)
 			l.addShares(u.Reset.Service, "a", u.Shares)
 		}
 		for _, one := range u.Updates {
--- a/internal/coordination/local.go
+++ b/internal/coordination/local.go
@@ -52,6 +52,12 @@
 	return l
 }
 
+// setVM sets this VM; it is called before the first event.
+func (l *LocalDispatcher) setVM(vm string) {
+	l.vm = vm
+	l.dispatcher.SetVM(vm)
+}
+
 // SetServices replaces the services.
 func (l *LocalDispatcher) SetServices(services []dispatch.Service) {
 	l.handle(func(now time.Time, d *dispatch.Dispatcher) { d.SetServices(now, services) })
--- a/internal/coordination/quarantine_test.go
+++ b/internal/coordination/quarantine_test.go
@@ -319,14 +319,7 @@
 	require.Eventually(t, func() bool { return suspects(holder) >= len(names) }, 5*time.Second, time.Millisecond)
 	const handOvers = 12
 	for i := range handOvers {
-		leaving := names[i%len(names)]
-		members := make([]Member, 0, len(names))
-		for n, name := range names {
-			members = append(members, Member{VM: name, Address: vms[name].server.Addr(), Incarnation: int64(n + 1), Leaving: name == leaving})
-		}
-		for _, v := range vms {
-			v.SetMembers(members)
-		}
+		setLeaving(vms, vms[names[i%len(names)]], vms["a"], vms["b"], vms["c"])
 		for _, v := range vms {
 			v.awaitTransfer(context.Background(), v.holder("s"))
 		}
