A request is decided by the configuration in force when its body is whole

Cause: route, key and organisation were looked up when the head had come; then the body was read, and the request was placed, sent and run by what was looked up before.

Change: if the table has changed by the time the body is whole, route, key, organisation, priority and the body limit are looked up again, and a refusal says so before anything has run. A VM that was suspended while it read confirms its copy first. Nothing is charged before that. Admission has a file of its own. A request in flight isn't looked up again, nor is its second attempt.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"cornelsaddle.example/cornelsaddle/core/buffers"
 	"cornelsaddle.example/cornelsaddle/core/dispatch"
 	"cornelsaddle.example/cornelsaddle/core/routing"
 	"cornelsaddle.example/cornelsaddle/internal/clock"
@@ -91,92 +89,6 @@
 	replacement *openedAttempt
 }
 
-// admit resolves the request's route, organisation and service, and reads its
-// body. If the request is rejected, it sends the failure and returns false.
-func (x *exchange) admit() bool {
-	x.table = x.gateway.cfg.Tables.Current()
-	if x.table == nil {
-		x.fail(failNotReady, defaultRetryAfter)
-		return false
-	}
-	path, _, _ := strings.Cut(x.r.RequestURI, "?")
-	x.route = x.table.Route(x.r.Host, path)
-	if x.route == nil {
-		x.fail(failNoRoute, 0)
-		return false
-	}
-	if !x.authenticate() {
-		x.fail(failUnknownKey, 0)
-		return false
-	}
-	body, ok, err := x.readBody()
-	if usedUp(err) {
-		x.refuseMemory()
-		return false
-	}
-	if err != nil && x.gateway.exitingSoon() {
-		x.fail(failNotRun, defaultRetryAfter)
-		return false
-	}
-	if err != nil {
-		x.fail(failUnreadable, 0)
-		return false
-	}
-	if !ok {
-		x.fail(failTooLarge, 0)
-		return false
-	}
-	x.body = body
-	x.requestDigest = x.digest()
-	x.arrived = time.Now()
-	x.stopwatch = clock.Start()
-	x.deadline = x.arrived.Add(x.timeout())
-	x.service = x.route.PickService(x.gateway.cfg.Random())
-	x.gateway.countRequest(x.service)
-	return true
-}
-
-// readBody reads the request's body. It ends early if the VM is about to exit. ok is false if the
-// body exceeds the limit of the configuration; the error is a membudget.UsedUpError if there is no
-// memory for it, at once where its length is known.
-func (x *exchange) readBody() (body []byte, ok bool, err error) {
-	limit := x.table.Limits().MaxBodyBytes
-	switch {
-	case x.r.Body == nil || x.r.Body == http.NoBody:
-		return nil, true, nil
-	case limit > 0 && x.r.ContentLength > int64(limit):
-		return nil, false, nil
-	case !x.gateway.cfg.Memory.RequestFits(x.r.ContentLength):
-		return nil, true, errors.WithStack(&membudget.UsedUpError{Bytes: int(x.r.ContentLength)})
-	}
-	defer context.AfterFunc(x.gateway.exiting, func() {
-		// A connection that can't take a deadline is read to the end of the process.
-		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
-	})()
-	x.memory = x.gateway.cfg.Memory.Hold(buffers.Requests, nil)
-	b := bodyBuffer{memory: x.memory, take: x.memory.Grow}
-	ended, err := b.fill(x.r.Body, limit, x.r.ContentLength)
-	return b.bytes, ended || err != nil, err
-}
-
-// authenticate sets the organisation and the priority from the request's key. It
-// returns false if the route requires a key and the key is unknown.
-func (x *exchange) authenticate() bool {
-	x.priority = x.route.Priority
-	if !x.table.NeedsKey(x.route) {
-		return true
-	}
-	o := x.table.Organisation(x.call.Key)
-	if o == nil {
-		return false
-	}
-	x.organisation = o.Name
-	if o.HasPriority {
-		x.priority = o.Priority
-	}
-	return true
-}
-
 // timeout returns the shorter of the caller's and the route's timeout.
 func (x *exchange) timeout() time.Duration {
 	if x.call.Timeout > 0 && (x.route.Timeout <= 0 || x.call.Timeout < x.route.Timeout) {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -178,10 +178,12 @@
 // harness is a gateway with scripted endpoints. It implements the gateway's
 // dependencies and records their calls.
 type harness struct {
-	table     *routing.Table
-	directory *directory.Directory
-	order     []string
-	// mu guards the fields below and the directory.
+	// deployment is that of table, which setTable replaces.
+	deployment routing.Deployment
+	table      *routing.Table
+	directory  *directory.Directory
+	order      []string
+	// mu guards the fields below, the table and the directory.
 	mu       sync.Mutex
 	jobs     []dispatch.Job
 	outcomes []dispatch.Outcome
@@ -210,7 +212,18 @@
 }
 
 // Current implements Tables.
-func (w *harness) Current() *routing.Table { return w.table }
+func (w *harness) Current() *routing.Table {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.table
+}
+
+// setTable puts a table into force; nil for none.
+func (w *harness) setTable(table *routing.Table) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.table = table
+}
 
 // Lookup implements Directory.
 func (w *harness) Lookup(id string) (directory.Entry, directory.Availability) {
@@ -386,7 +399,7 @@
 		w.directory.Put(directory.Entry{ID: id, Service: "s", Address: e.listener.Addr().String(), Slots: 4})
 	}
 	shares := []routing.Share{{Service: "s", Weight: 1}}
-	w.table = routing.NewTable(routing.Deployment{
+	w.deployment = routing.Deployment{
 		Version: 1,
 		Routes: []routing.Route{
 			{Name: "once", Host: "h", Prefix: "/once/", Kind: routing.NonIdempotent, Timeout: 2 * time.Second, Shares: shares, MaxAttempts: 2},
@@ -407,7 +420,8 @@
 			{Name: "first", Keys: []string{"key of the first"}, Priority: 0, HasPriority: true},
 		},
 		Limits: limits,
-	})
+	}
+	w.table = routing.NewTable(w.deployment)
 	log, err := event.New(io.Discard, "json", "info", "vm")
 	require.NoError(t, err)
 	transport := upstream.New(upstream.Config{Memory: memory})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -51,7 +51,7 @@
 	require.Equal(t, 401, w.call(t, "GET", "/safe/", "", http.Header{hKey: {"wrong"}}).status)
 	require.Equal(t, 200, w.call(t, "GET", "/public/", "", http.Header{hKey: {"wrong"}}).status)
 	require.Equal(t, 413, w.call(t, "POST", "/safe/", strings.Repeat("x", 1<<20+1), nil).status)
-	w.table = nil
+	w.setTable(nil)
 	a := w.call(t, "GET", "/safe/", "", nil)
 	require.Equal(t, 503, a.status)
 	require.NotEmpty(t, a.header.Get("Retry-After"))
