A body has a time to arrive: a grace and a least rate, and 408 for those that fall short

Cause: there is a limit of time for a head and for an idle connection, and none for a body.

A timer checks the pace; a body that arrives at once costs that timer. Who falls short gets 408, not run, and the connection is closed. cornelsaddlectl check knows both, and their contradiction with the limit on bodies.

--- a/core/routing/check.go
+++ b/core/routing/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"cornelsaddle.example/cornelsaddle/core/findings"
 )
@@ -25,16 +26,19 @@
 	FieldEngine
 	FieldColdFor
 	FieldKeys
+	FieldBodyGrace
+	FieldBodyRate
 )
 
-// Part is one of the lists of a deployment.
+// Part is one of the lists of a deployment, or its limits.
 type Part uint8
 
-// The lists of a deployment.
+// The parts of a deployment.
 const (
 	PartRoutes Part = iota
 	PartServices
 	PartOrganisations
+	PartLimits
 )
 
 // NoIndex is the Index or Item of a Place that refers to a whole list.
@@ -73,6 +77,7 @@
 	c.routes()
 	c.services()
 	c.organisations()
+	c.bodyLimits()
 	return c.findings
 }
 
@@ -182,6 +187,25 @@
 	}
 }
 
+// maxBodyTime is the time from which a body that is as slow as the limits allow holds its connection for
+// longer than any caller waits.
+const maxBodyTime = 24 * time.Hour
+
+// bodyLimits checks the limits on the time that bodies take to arrive.
+func (c *checker) bodyLimits() {
+	l := c.deployment.Limits
+	at := func(f Field) Place { return Place{PartLimits, NoIndex, f, NoIndex} }
+	if l.BodyGrace < 0 {
+		c.add(findings.Invalid, at(FieldBodyGrace), "the time for a body is negative")
+	}
+	if l.BodyRate < 0 {
+		c.add(findings.Invalid, at(FieldBodyRate), "the rate of a body is negative")
+	}
+	if longest := l.BodyTime(int64(l.MaxBodyBytes)); longest > maxBodyTime {
+		c.add(findings.Contradiction, at(FieldBodyRate), "a body of %d bytes, as the limit on bodies allows, may take %v to arrive", l.MaxBodyBytes, longest.Round(time.Second))
+	}
+}
+
 func (c *checker) services() {
 	used := make(map[string]bool)
 	for _, r := range c.deployment.Routes {
--- a/core/routing/deployment.go
+++ b/core/routing/deployment.go
@@ -105,6 +105,29 @@
 	MaxBodyBytes   int
 	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
+	// BodyGrace is the time that each body has to arrive, and BodyRate the bytes per second that
+	// come to it for what has arrived; zero for DefaultBodyGrace and DefaultBodyRate.
+	BodyGrace time.Duration
+	BodyRate  int
+}
+
+// The defaults are far below what callers of slow lines need, and bound the time for which a caller
+// who sends next to nothing holds a connection.
+const (
+	DefaultBodyGrace = 30 * time.Second
+	DefaultBodyRate  = 1 << 10
+)
+
+// BodyTime returns the time within which more than the given bytes of a body must have arrived.
+func (l Limits) BodyTime(received int64) time.Duration {
+	grace, rate := l.BodyGrace, l.BodyRate
+	if grace <= 0 {
+		grace = DefaultBodyGrace
+	}
+	if rate <= 0 {
+		rate = DefaultBodyRate
+	}
+	return grace + time.Duration(float64(received)/float64(rate)*float64(time.Second))
 }
 
 // Deployment is one complete version of the configuration.
--- a/core/routing/differences.go
+++ b/core/routing/differences.go
@@ -74,6 +74,8 @@
 	MaxBodyBytes   int    `json:"max_body_bytes"`
 	HeaderTimeout  string `json:"header_timeout"`
 	IdleTimeout    string `json:"idle_timeout"`
+	BodyGrace      string `json:"body_grace"`
+	BodyRate       int    `json:"body_rate"`
 }
 
 // normalise returns the deployment in a form that is equal for equal meanings.
@@ -86,6 +88,7 @@
 		Limits: normalisedLimits{
 			MaxHeaderBytes: d.Limits.MaxHeaderBytes, MaxBodyBytes: d.Limits.MaxBodyBytes,
 			HeaderTimeout: d.Limits.HeaderTimeout.String(), IdleTimeout: d.Limits.IdleTimeout.String(),
+			BodyGrace: d.Limits.BodyGrace.String(), BodyRate: d.Limits.BodyRate,
 		},
 	}
 	for i := range d.Routes {
--- a/core/routing/differences_test.go
+++ b/core/routing/differences_test.go
@@ -43,6 +43,8 @@
 		"/services/s/cold_per_second":  func(d *Deployment) { d.Services[0].ColdPerSecond = 2 },
 		"/organisations/o/priority":    func(d *Deployment) { d.Organisations[0].HasPriority = true },
 		"/organisations/o/key_digests": func(d *Deployment) { d.Organisations[0].Keys = []string{"secret-key"} },
+		"/limits/body_grace":           func(d *Deployment) { d.Limits.BodyGrace = 1 },
+		"/limits/body_rate":            func(d *Deployment) { d.Limits.BodyRate = 1 },
 		"/limits/max_body_bytes":       func(d *Deployment) { d.Limits.MaxBodyBytes = 1 },
 	} {
 		before, after := soundDeployment(), soundDeployment()
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -84,6 +84,9 @@
 		x.refuseMemory()
 	case err != nil && x.gateway.exitingSoon():
 		x.fail(failNotRun, defaultRetryAfter)
+	case errors.Is(err, errTooSlow):
+		x.w.Header().Set("Connection", "close")
+		x.fail(failTooSlow, 0)
 	case err != nil:
 		x.fail(failUnreadable, 0)
 	case !ok:
@@ -95,7 +98,8 @@
 	return false
 }
 
-// readBody reads the request's body. It ends early if the VM is about to exit. ok is false if the
+// readBody reads the request's body. It ends early if the VM is about to exit, and with errTooSlow if
+// the body arrives more slowly than the limits allow. ok is false if the
 // body exceeds the limit of the configuration; the error is a membudget.UsedUpError if there is no
 // memory for it, at once where its length is known.
 func (x *exchange) readBody() (body []byte, ok bool, err error) {
@@ -114,7 +118,14 @@
 	})()
 	x.memory = x.gateway.cfg.Memory.Hold(buffers.Requests, nil)
 	b := bodyBuffer{memory: x.memory, take: x.memory.Grow}
-	ended, err := b.fill(x.r.Body, limit, x.r.ContentLength)
+	paced := newPacedBody(x.r.Body, x.table.Limits().BodyTime, func() {
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
+	})
+	ended, err := b.fill(paced, limit, x.r.ContentLength)
+	if paced.stop() {
+		// The interrupted connection can't be used any more, also if the body is whole.
+		return nil, true, errors.WithStack(errTooSlow)
+	}
 	return b.bytes, ended || err != nil, err
 }
 
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -15,6 +15,8 @@
 	failUnknownKey failureCode = "unknown_key"
 	failUnreadable failureCode = "unreadable"
 	failTooLarge   failureCode = "body_too_large"
+	// failTooSlow means that the body has arrived more slowly than the limits allow.
+	failTooSlow failureCode = "body_too_slow"
 	// failNotRun guarantees that the request has not run and will not.
 	failNotRun failureCode = "not_run"
 	// failTimeout and failEndpoint don't state whether the request ran.
@@ -42,6 +44,8 @@
 		return http.StatusBadRequest
 	case failTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case failTooSlow:
+		return http.StatusRequestTimeout
 	case failTimeout:
 		return http.StatusGatewayTimeout
 	case failEndpoint, failBrokenOff, failAbandoned, failPanicked:
