A process that hangs, or a stop that isn't finished in time, leaves its stacks in the log

Change: every 2 s a watchdog takes the locks that requests and readiness checks need. If that takes over 3.5 s, event 780 has the stacks of the goroutines (bounded), and 781 follows if it returns after all. Event 782 is the same for a stop that hasn't ended 50 ms after its planned end. docs/OPERATIONS.md leads to them.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -143,6 +143,8 @@
 	go e.runPeriodically(markSweepInterval, e.dropVerdicts)
 	go e.runPeriodically(memoryInterval, e.memory.settle)
 	go e.runPeriodically(retryShareInterval, func() { e.components.Gateway.SetRetryBounds(e.retryShare()) })
+	w := &watchdog{log: log, check: e.checkLocks, stuckAfter: stuckAfter, resumeTime: resumeTime}
+	go w.run(watchInterval, e.closed)
 	log.Emit(event.GatewayStarted{Callers: settings.Callers, Peers: settings.Peers, Metrics: settings.Metrics})
 	return e, nil
 }
@@ -350,6 +352,7 @@
 func (v *VM) Stop() {
 	grace := v.reloadable.Load().grace
 	plan := shutdown.NewPlan(time.Now(), grace)
+	defer v.watchStop(plan.Exit)()
 	v.log.Emit(event.GatewayStopping{InFlight: v.components.Gateway.InFlight(), Grace: grace})
 	close(v.stopping)
 	v.components.RelayServer.Stop()
--- a/internal/event/document.go
+++ b/internal/event/document.go
@@ -26,7 +26,7 @@
 		{500, 549, "Membership", membershipEvents},
 		{550, 599, "Peers", peersEvents},
 		{600, 649, "Tools", toolsEvents},
-		{700, 799, "Gateway", slices.Concat(gatewayEvents, gatewayStateEvents, memoryEvents, hedgingEvents, admissionEvents)},
+		{700, 799, "Gateway", slices.Concat(gatewayEvents, gatewayStateEvents, memoryEvents, hedgingEvents, admissionEvents, watchdogEvents)},
 	}
 }
 
