Soak: processes answer their readiness checks, end within their grace time and keep their memory

Change: three promises more, each with its checks, what it allows, and an edit of the gateway that breaks it. A stop is ended by a kill after the grace period, as the platform does.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -26,11 +26,14 @@
 	plannedStop  promise = "nothing cut by a planned stop"
 	neverBack    promise = "configuration never back"
 	firstTries   promise = "first tries served at a VM that is cut off"
+	responsive   promise = "each process answers its readiness check"
+	stopInTime   promise = "a planned stop ends within the grace period"
+	memoryKept   promise = "memory after the faults as before"
 	recovery     promise = "served again, and by the latest configuration, after the faults"
 )
 
 // promises are all of them, in the order of the summary.
-var promises = []promise{wholeAnswer, atMostOnce, notRun, leavingAlone, evacuation, coldSpared, limitKept, crashStopped, plannedStop, neverBack, firstTries, recovery}
+var promises = []promise{wholeAnswer, atMostOnce, notRun, leavingAlone, evacuation, coldSpared, limitKept, crashStopped, plannedStop, neverBack, firstTries, responsive, stopInTime, memoryKept, recovery}
 
 // outcome is what a caller saw of one request.
 type outcome struct {
@@ -75,6 +78,8 @@
 	cold    coldRecord
 	crashes crashRecord
 	paths   pathRecord
+	// processes is what is known of the VMs' processes.
+	processes processRecord
 	// seen maps an incarnation of a VM to the latest configuration seen in force there.
 	seen map[string]int
 	// faultsEnd is when the last fault has ended; zero before.
@@ -102,7 +107,7 @@
 	return &checkers{
 		runs: make(map[string][]platformtest.Run), refused: make(map[string]bool), checked: make(map[promise]int),
 		left: make(map[string]time.Time), domains: make(map[string]string), evacuatedAt: make(map[string]time.Time),
-		seen: make(map[string]int), limits: newLimitRecord(), cold: newColdRecord(), crashes: make(crashRecord),
+		seen: make(map[string]int), limits: newLimitRecord(), cold: newColdRecord(), crashes: make(crashRecord), processes: newProcessRecord(),
 	}
 }
 
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -311,14 +311,16 @@
 		return f.configure()
 	}
 	f.busy[v.name] = true
+	f.w.checks.disturbProcess(v.name)
 	f.w.checks.excuse(span{v.name, "", time.Now(), time.Now().Add(maxFault + settleTime)})
 	free := func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		delete(f.busy, v.name)
+		f.w.checks.processGoesOn(v.name, time.Now())
 	}
 	restart := func() {
-		<-v.exited
+		<-v.exit()
 		// A VM that can't be started is seen by the check of the recovery.
 		_ = v.start(f.w.bin, filepath.Join(f.w.dir, v.name+".log"))
 		free()
@@ -331,6 +333,6 @@
 	}
 	return fault{faultProcess, v.name + " stopped", func() {
 		f.w.checks.addStop(span{v.name, "", time.Now(), time.Now().Add(grace)})
-		v.signal(syscall.SIGTERM)
+		f.wg.Go(func() { f.w.stop(v) })
 	}, restart, noVM, "", 0}
 }
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -146,14 +146,17 @@
 			wg.Go(func() { w.runCaller(callers, v, fmt.Sprintf("c%d.%d", i, n)) })
 		}
 		wg.Go(func() { w.runProbe(callers, v, fmt.Sprintf("p%d", i)) })
+		wg.Go(func() { w.runReadiness(callers, v) })
 	}
 	sleep(ctx, warmUp)
+	w.recordMemory(checks.startedWith)
 	faulty, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
 	f.run(faulty)
 	sleep(ctx, recoveryDelay)
 	checks.endFaults(time.Now())
 	sleep(ctx, recoveryTime)
+	w.recordMemory(checks.endedWith)
 	stopCallers()
 	wg.Wait()
 	if ctx.Err() != nil {
--- a/test/soak/mutation_test.go
+++ b/test/soak/mutation_test.go
@@ -51,7 +51,14 @@
 		{"internal/entry/tables.go", "return t.versionOf(row) >= t.versionOf(known)", "return true"},
 	},
 	firstTries: {{"internal/upstream/ways.go", "if t.cfg.Relay == nil || req.Endpoint.ID == \"\" {\n\t\treturn t.openDirect", "if true {\n\t\treturn t.openDirect"}},
-	recovery:   {{"internal/mirror/follower.go", "sleep(ctx, retryDelay.NextBackOff()+rand.N(minBackoff))", "_ = rand.N(minBackoff)\n\t\t\treturn"}},
+	// A lock that requests and readiness checks need is never released.
+	responsive: {{"internal/entry/registry.go", "r.directory.Expire(time.Now())", "r.directory.Expire(time.Now())\n\t\tr.mu.Lock()"}},
+	stopInTime: {{"internal/entry/entry.go", "v.components.RelayServer.Drain(plan.Exit)", "time.Sleep(time.Hour)"}},
+	memoryKept: {
+		{"internal/gateway/failure.go", "type failureCode string", "type failureCode string\n\nvar leaked []string"},
+		{"internal/gateway/admit.go", "x.requestDigest = x.digest()", "x.requestDigest = x.digest()\n\tleaked = append(leaked, strings.Repeat(\"x\", 1<<19))"},
+	},
+	recovery: {{"internal/mirror/follower.go", "sleep(ctx, retryDelay.NextBackOff()+rand.N(minBackoff))", "_ = rand.N(minBackoff)\n\t\t\treturn"}},
 }
 
 // TestMutationsApply checks that each promise has a mutation, which the sources still
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -124,6 +124,16 @@
 				c.ended(other)
 			}
 		}},
+		"no answer to a readiness check": {responsive, func(c *checkers) {
+			c.disturbProcess("vm-0")
+			c.processGoesOn("vm-0", now.Add(-settleTime-time.Second))
+			c.askedReadiness("vm-0", now, false)
+		}},
+		"a stop that has to be killed": {stopInTime, func(c *checkers) { c.stopEnded("vm-0", false) }},
+		"memory that grows": {memoryKept, func(c *checkers) {
+			c.startedWith("vm-0", 30<<20)
+			c.endedWith("vm-0", 120<<20)
+		}},
 		"not by the latest configuration": {recovery, func(c *checkers) {
 			c.endFaults(now.Add(-time.Second))
 			c.probed("vm-0/1", 2, false, now)
@@ -197,6 +207,15 @@
 			c.ended(outcome{vm: vm, path: "/safe/x", sent: now.Add(time.Second), ended: now.Add(time.Second), status: http.StatusServiceUnavailable, complete: true})
 		}
 	}
+	// No answer while the process is paused or has just been started, and memory as at the start.
+	c.disturbProcess("vm-0")
+	c.askedReadiness("vm-0", now, false)
+	c.processGoesOn("vm-0", now)
+	c.askedReadiness("vm-0", now.Add(settleTime/2), false)
+	c.askedReadiness("vm-0", now.Add(2*settleTime), true)
+	c.stopEnded("vm-0", true)
+	c.startedWith("vm-0", 30<<20)
+	c.endedWith("vm-0", 60<<20)
 	c.probed("vm-0/1", 1, true, now)
 	c.probed("vm-0/1", 2, false, now)
 	c.probed("vm-0/2", 1, false, now)
