--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -45,7 +45,8 @@
 	// publication is held from a change of the directory until the sink has the endpoints. It
 	// is locked before mu.
 	publication sync.Mutex
-	// mu is never held while the sink is called, which decides on requests that wait.
+	// mu is never held while the sink is called, which decides on requests that wait. No other lock
+	// is taken while it is held: the membership looks up endpoints with its own lock.
 	mu        sync.Mutex
 	directory *directory.Directory
 	// coldUntil has when the endpoints that stated to be cold will be warm, by ID.
