--- a/internal/docpages/docpages.go
+++ b/internal/docpages/docpages.go
@@ -14,6 +14,7 @@
 	"cornelsaddle.example/cornelsaddle/core/errcode"
 	"cornelsaddle.example/cornelsaddle/core/statechart"
 	"cornelsaddle.example/cornelsaddle/internal/event"
+	"cornelsaddle.example/cornelsaddle/internal/gateway"
 	"cornelsaddle.example/cornelsaddle/internal/settings"
 )
 
@@ -33,7 +34,7 @@
 func Pages() ([]Page, error) {
 	pages := []Page{
 		{"EVENTS.md", event.Document()},
-		{"ERRORS.md", errcode.Document()},
+		{"ERRORS.md", errcode.Document() + gateway.FailuresDocument()},
 		{"operations/settings.md", settings.Document()},
 		{"operations/configuration.md", configuration.FieldReference()},
 	}
