As many crashes as a finding needs fit into the bound on the evidence of a service

Cause: a crash with 256 suspects of 64 parts each was larger than the bound of a service, so that it was forgotten at once, and a finding was impossible. Found while the diff was read.

Change: the suspects of one crash are bounded by the subjects too, so that three crashes always fit.

Evidence: TestEvidenceIsBounded, with 64 parts, fails before (0 crashes in place of 3 at least).

--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -62,6 +62,9 @@
 	return s, s.Digest != "" || len(s.Parts) > 0
 }
 
+// size returns the number of subjects of the suspect.
+func (s Suspect) size() int { return 1 + len(s.Parts) }
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
@@ -130,17 +133,26 @@
 }
 
 // limit bounds the suspects and what is cleared, each to the first ones in their order, which are
-// the same at all VMs that know the same reports.
-func (c *Crash) limit(most int) {
-	c.Suspects = slices.Clip(c.Suspects[:min(len(c.Suspects), most)])
-	c.Cleared = slices.Clip(c.Cleared[:min(len(c.Cleared), most)])
+// the same at all VMs that know the same reports. As many crashes as a finding needs fit into the
+// bound on the subjects of a service.
+func (c *Crash) limit(cfg Config) {
+	c.Cleared = slices.Clip(c.Cleared[:min(len(c.Cleared), cfg.MaxSuspects)])
+	n, subjects := 0, 1+len(c.Cleared)
+	for n < min(len(c.Suspects), cfg.MaxSuspects) {
+		subjects += c.Suspects[n].size()
+		if subjects > cfg.MaxSubjects/cfg.Crashes {
+			break
+		}
+		n++
+	}
+	c.Suspects = slices.Clip(c.Suspects[:n])
 }
 
 // size returns the number of subjects that the crash holds, and one for the crash.
 func (c *Crash) size() int {
 	n := 1 + len(c.Cleared)
 	for _, s := range c.Suspects {
-		n += 1 + len(s.Parts)
+		n += s.size()
 	}
 	return n
 }
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -86,7 +86,7 @@
 		return false
 	}
 	c.merge(Crash{Cleared: t.answeredSince(service, c)})
-	known := e.merge(c, t.cfg.MaxSuspects)
+	known := e.merge(c, t.cfg)
 	e.forget(oldest, t.cfg)
 	return !known
 }
@@ -121,7 +121,7 @@
 
 // merge adds a crash, and reports whether it was known already. If it was, what both tell of it
 // counts.
-func (e *evidence) merge(c Crash, maxSuspects int) bool {
+func (e *evidence) merge(c Crash, cfg Config) bool {
 	i := slices.IndexFunc(e.crashes, func(known Crash) bool {
 		return known.Endpoint == c.Endpoint && known.At.Sub(c.At).Abs() < sameCrash
 	})
@@ -134,7 +134,7 @@
 		c.normalise()
 		e.crashes = append(e.crashes, c)
 	}
-	e.crashes[i].limit(maxSuspects)
+	e.crashes[i].limit(cfg)
 	e.count(e.crashes[i], 1)
 	slices.SortStableFunc(e.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
 	return known
--- a/core/quarantine/merge_test.go
+++ b/core/quarantine/merge_test.go
@@ -129,18 +129,20 @@
 // TestEvidenceIsBounded guards against reports, also of faulty VMs, that fill the memory or the
 // messages between VMs.
 func TestEvidenceIsBounded(t *testing.T) {
-	b := newBench()
 	cfg := DefaultConfig()
-	fillEvidence(b.Tracker, 2*cfg.MaxCrashes, 2*cfg.MaxSuspects, 3)
-	e := b.evidence["s"]
-	subjects := 0
-	for _, c := range e.crashes {
-		require.LessOrEqual(t, len(c.Suspects), cfg.MaxSuspects)
-		subjects += c.size()
+	for _, parts := range []int{0, 3, maxParts} {
+		b := newBench()
+		fillEvidence(b.Tracker, 2*cfg.MaxCrashes, 2*cfg.MaxSuspects, parts)
+		e := b.evidence["s"]
+		subjects := 0
+		for _, c := range e.crashes {
+			require.LessOrEqual(t, len(c.Suspects), cfg.MaxSuspects)
+			subjects += c.size()
+		}
+		require.LessOrEqual(t, len(e.crashes), cfg.MaxCrashes)
+		require.LessOrEqual(t, subjects, cfg.MaxSubjects)
+		require.GreaterOrEqual(t, len(e.crashes), cfg.Crashes, "a finding must stay possible")
 	}
-	require.LessOrEqual(t, len(e.crashes), cfg.MaxCrashes)
-	require.LessOrEqual(t, subjects, cfg.MaxSubjects)
-	require.NotEmpty(t, e.crashes)
 	long := strings.Repeat("x", maxIDBytes+1)
 	c := CrashMessage{
 		Endpoint: "e", Age: math.MinInt64, ClearedParts: []string{long, "p"},
--- a/internal/coordination/quarantine.go
+++ b/internal/coordination/quarantine.go
@@ -37,7 +37,7 @@
 }
 
 // announcements are the verdicts that are to be announced to the other VMs. They are announced
-// in a goroutine of its own: a verdict is also decided in steps of the dispatcher whose callers
+// by a goroutine of their own: a verdict is also decided in steps of the dispatcher whose callers
 // hold locks, and the membership must not be entered with these. It is safe for concurrent use.
 type announcements struct {
 	mu sync.Mutex
