A VM that stops, or is left alone, keeps its share of the retry budget

Cause: a VM that has not read which VMs there are counts as just started, with next to no retries. That was computed from what it knows now and from a list that is read within 3 s of the start: a VM that stops knows of no other one if there are two, and the list may come later.

Change: it is remembered whether the VM has ever known another one, or has read a list, however late.

Evidence: TestLastVMKeepsItsShareOfRetries fails before (0.78 in place of 12.5).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -287,28 +287,34 @@
 }
 
 // retryShare returns this VM's share of the retry budget of all VMs. As long as it has not
-// read which VMs there are, it counts as just started.
+// learned which VMs there are, it counts as just started.
 func (v *VM) retryShare() retry.Bounds {
 	vms, age := v.listed.count(), time.Since(v.started)
 	if v.hasJoined() {
 		vms = max(vms, len(v.members.service.Live()))
 	}
-	if vms <= 1 && !v.listed.read() {
+	vms, known := v.population.observe(vms, v.listed.everRead())
+	if !known {
 		age = 0
 	}
-	return v.reloadable.Load().retries.Share(v.population.observe(vms), age)
+	return v.reloadable.Load().retries.Share(vms, age)
 }
 
 // population is a retry.Population that is safe for concurrent use.
 type population struct {
 	mu  sync.Mutex
 	vms retry.Population
+	// known is set once the VM has known another one, or has read the list of the VMs.
+	known bool
 }
 
-func (p *population) observe(vms int) int {
+// observe returns the number of VMs to assume, and whether this VM has ever learned which ones
+// there are: it may be the only one that is left, or be leaving itself.
+func (p *population) observe(vms int, listed bool) (count int, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.vms.Observe(time.Now(), vms)
+	p.known = p.known || listed || vms > 1
+	return p.vms.Observe(time.Now(), vms), p.known
 }
 
 // runPeriodically runs the task at each interval until Close.
--- a/internal/entry/listed.go
+++ b/internal/entry/listed.go
@@ -22,22 +22,32 @@
 
 	mu  sync.Mutex
 	vms []liveVM
+	// known is set once a list that was not empty was read, however late.
+	known bool
 }
 
 func newListedVMs() *listedVMs { return &listedVMs{started: time.Now()} }
 
 // set replaces the listed VMs, and reports whether they matter still.
 func (l *listedVMs) set(vms []liveVM) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.known = l.known || len(vms) > 0
 	if time.Since(l.started) > listTrust {
 		return false
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.vms = vms
 	return true
 }
 
-// read reports whether the list was read.
+// everRead reports whether the list was read, however late.
+func (l *listedVMs) everRead() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known
+}
+
+// read reports whether the list was read while it matters.
 func (l *listedVMs) read() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/entry/listed_test.go
+++ b/internal/entry/listed_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cornelsaddle.example/cornelsaddle/core/retry"
+	"cornelsaddle.example/cornelsaddle/internal/gateway/config"
 	"cornelsaddle.example/cornelsaddle/internal/provider"
 )
 
@@ -62,3 +64,29 @@
 	l.started = time.Now().Add(-listWait - time.Millisecond)
 	require.True(t, l.overdue())
 }
+
+// TestLastVMKeepsItsShareOfRetries guards against streams that are not resumed and requests that are
+// not sent again by a VM that stops, or is left alone: if it had read the list of the VMs late, or
+// not at all, it counted as just started once it knew of no other VM, with next to no retries.
+func TestLastVMKeepsItsShareOfRetries(t *testing.T) {
+	const allowance = 100
+	newVM := func() *VM {
+		listed := newListedVMs()
+		listed.started = time.Now().Add(-time.Minute)
+		v := &VM{listed: listed, started: listed.started, joined: make(chan struct{})}
+		v.reloadable.Store(&reloadableSettings{retries: config.Retries{Bounds: retry.Bounds{Ratio: 0.2, Allowance: allowance}}})
+		return v
+	}
+	starting := retry.Bounds{Ratio: 0.2, Allowance: allowance}.Share(1, 0)
+	usual := retry.Bounds{Ratio: 0.2, Allowance: allowance}.Share(2, time.Minute)
+
+	v := newVM()
+	require.Equal(t, starting, v.retryShare(), "it may be one of many")
+	require.False(t, v.listed.set([]liveVM{{"a", "a", "z"}}), "the list comes late")
+	require.Equal(t, usual, v.retryShare())
+
+	v = newVM()
+	_, known := v.population.observe(2, false)
+	require.True(t, known)
+	require.Equal(t, usual, v.retryShare(), "the other VM is gone, and this one has not just started")
+}
