--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -84,7 +84,7 @@
 		x.refuseMemory()
 	case err != nil && x.gateway.exitingSoon():
 		x.fail(failNotRun, defaultRetryAfter)
-	case errors.Is(err, errTooSlow):
+	case tooSlow(err):
 		x.w.Header().Set("Connection", "close")
 		x.fail(failTooSlow, 0)
 	case err != nil:
@@ -98,7 +98,7 @@
 	return false
 }
 
-// readBody reads the request's body. It ends early if the VM is about to exit, and with errTooSlow if
+// readBody reads the request's body. It ends early if the VM is about to exit, and with a TooSlowError if
 // the body arrives more slowly than the limits allow. ok is false if the
 // body exceeds the limit of the configuration; the error is a membudget.UsedUpError if there is no
 // memory for it, at once where its length is known.
@@ -124,7 +124,7 @@
 	ended, err := b.fill(paced, limit, x.r.ContentLength)
 	if paced.stop() {
 		// The interrupted connection can't be used any more, also if the body is whole.
-		return nil, true, errors.WithStack(errTooSlow)
+		return nil, true, errors.WithStack(&TooSlowError{len(b.bytes)})
 	}
 	return b.bytes, ended || err != nil, err
 }
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -8,8 +9,22 @@
 	"github.com/pkg/errors"
 )
 
-// errTooSlow reports a body that arrives more slowly than the limits of the configuration allow.
-var errTooSlow = errors.New("the body arrives too slowly")
+// TooSlowError reports a body that arrives more slowly than the limits of the configuration allow.
+type TooSlowError struct {
+	// Received is the number of bytes that have arrived.
+	Received int
+}
+
+// Error implements error.
+func (e *TooSlowError) Error() string {
+	return fmt.Sprintf("the body arrives too slowly: %d bytes so far", e.Received)
+}
+
+// tooSlow reports whether the error is a TooSlowError.
+func tooSlow(err error) bool {
+	var slow *TooSlowError
+	return errors.As(err, &slow)
+}
 
 // pacedBody reads a body, and interrupts the reads once it is too slow. A timer checks the pace, so
 // that a body which arrives at once costs no more than that timer.
