A reported crash is normalised once, and the subjects of a suspect are listed in one place

AddCrash normalises each report when it takes off what was answered since; the merge of a new crash did the same again. The loop over a suspect's digest and parts stood in two functions. No behaviour changes; the tests keep their assertions.

--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -62,6 +62,16 @@
 	return s, s.Digest != "" || len(s.Parts) > 0
 }
 
+// each calls f with the subjects of the suspect.
+func (s Suspect) each(f func(Subject)) {
+	if s.Digest != "" {
+		f(Subject{Digest: s.Digest})
+	}
+	for _, part := range s.Parts {
+		f(Subject{Part: part})
+	}
+}
+
 // size returns the number of subjects of the suspect.
 func (s Suspect) size() int { return 1 + len(s.Parts) }
 
@@ -161,12 +171,7 @@
 func (c *Crash) subjects() []Subject {
 	var subjects []Subject
 	for _, s := range c.Suspects {
-		if s.Digest != "" {
-			subjects = append(subjects, Subject{Digest: s.Digest})
-		}
-		for _, part := range s.Parts {
-			subjects = append(subjects, Subject{Part: part})
-		}
+		s.each(func(subject Subject) { subjects = append(subjects, subject) })
 	}
 	slices.SortFunc(subjects, Subject.compare)
 	return slices.Compact(subjects)
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -119,8 +119,8 @@
 // VMs, are the same one. An endpoint takes longer to be back.
 const sameCrash = time.Second
 
-// merge adds a crash, and reports whether it was known already. If it was, what both tell of it
-// counts.
+// merge adds a crash, which is normalised, and reports whether it was known already. If it was, what
+// both tell of it counts.
 func (e *evidence) merge(c Crash, cfg Config) bool {
 	i := slices.IndexFunc(e.crashes, func(known Crash) bool {
 		return known.Endpoint == c.Endpoint && known.At.Sub(c.At).Abs() < sameCrash
@@ -131,7 +131,6 @@
 		e.crashes[i].merge(c)
 	} else {
 		i = len(e.crashes)
-		c.normalise()
 		e.crashes = append(e.crashes, c)
 	}
 	e.crashes[i].limit(cfg)
@@ -165,12 +164,7 @@
 		}
 	}
 	for _, s := range c.Suspects {
-		for _, part := range s.Parts {
-			add(Subject{Part: part})
-		}
-		if s.Digest != "" {
-			add(Subject{Digest: s.Digest})
-		}
+		s.each(add)
 	}
 }
 
